--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Thin front for the build: each target is one step that a newcomer needs.
+SAN ?=
+BUILD ?= build$(if $(SAN),-$(SAN),)
+JOBS ?= $(shell nproc)
+
+.PHONY: deps build test demo format lint clean
+
+deps:
+	.ci/run deps
+
+build: deps
+	cmake -S . -B $(BUILD) -DSAN=$(SAN)
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	scripts/demo.sh $(BUILD)
+
+format:
+	scripts/format.sh --write
+
+lint: build
+	scripts/format.sh --check
+	scripts/lint.sh $(BUILD)
+
+clean:
+	rm -rf build build-address build-thread
--- /dev/null
+++ b/include/poplarspool/base/clock.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace poplarspool {
+
+/// Monotonic time; counts on while the machine is suspended (CLOCK_BOOTTIME).
+using mono_time = std::chrono::time_point<std::chrono::steady_clock, std::chrono::nanoseconds>;
+using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+using milliseconds = std::chrono::milliseconds;
+
+/// Where a component takes time from; tests give their own.
+struct clock_source
+{
+    std::function<mono_time()> mono;
+    std::function<wall_time()> wall;
+};
+
+/// @returns The machine's clocks.
+clock_source systemClock();
+
+} // namespace poplarspool
--- /dev/null
+++ b/include/poplarspool/node/orders.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/ids.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/node/view_hub.h"
+#include "poplarspool/platform/object_store.h"
+#include "poplarspool/platform/weight_store.h"
+#include "poplarspool/policy/plan.h"
+#include "poplarspool/runner/engine.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace poplarspool::node {
+
+enum class order_phase {
+    Draining, ///< Reserved: instances send no new work; the order is not sent yet.
+    Open, ///< May have been sent under this fencing number.
+    Settled, ///< The engine has obeyed, or the order was withdrawn before it was open.
+};
+
+/// The one record per engine, under orderKey(). Its fencing number only grows.
+struct order_record
+{
+    runner_id runner;
+    std::uint64_t fence = 0;
+    order_phase phase = order_phase::Settled;
+    policy::wanted_engine wanted;
+    std::string nonce; ///< Of the writer.
+    instance_id writer;
+    std::int64_t wallMs = 0;
+
+    bool operator==(const order_record &) const = default;
+};
+
+std::string textOf(const order_record &record);
+result<order_record> parseOrderRecord(std::string_view text);
+
+/// What the planner takes from the rest of the instance.
+struct planner_needs
+{
+    instance_id self;
+    std::string deployment;
+    milliseconds lookTime;
+    /// @returns Demand on a pool over all instances since that pool was last asked for.
+    std::function<policy::demand_estimate(const pool_id &)> demand;
+    /// @returns Whether every instance has applied that store version, so that none sends work to a
+    ///          runner reserved there.
+    std::function<bool(std::uint64_t version)> appliedEverywhere;
+};
+
+/// The planner of the pools that fall on this instance, and the writer of their orders: a thread
+/// that looks, drains, waits for acknowledgements and for the engine to be idle, and orders. Takes
+/// over open records that others left. See docs/design/orders.md.
+class planner
+{
+public:
+    planner(planner_needs needs, view_hub &views, platform::object_store &store,
+            platform::weight_store weights, runner::engine_api engines, clock_source clock,
+            metrics_registry &metrics, journal &events);
+    ~planner();
+    void start();
+    void stop();
+
+private:
+    struct state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/include/poplarspool/runner/engine.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/endpoint.h"
+#include "poplarspool/base/http.h"
+#include "poplarspool/base/ids.h"
+#include "poplarspool/base/result.h"
+#include "poplarspool/policy/plan.h"
+#include "poplarspool/policy/view.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarspool::runner {
+
+/// One try of a completion at one engine.
+struct generate_request
+{
+    request_id request;
+    std::string attempt; ///< Unique per try: a late answer to another try is never taken.
+    workspace_id workspace;
+    std::string model;
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+    std::uint32_t rank = 0; ///< Priority; lower goes first.
+    milliseconds timeLeft{0};
+    std::vector<std::string> emitted; ///< Resume: the tokens that the caller already has.
+    std::string kvHandle; ///< KV to import first; empty: none.
+
+    bool operator==(const generate_request &) const = default;
+};
+
+/// One token of a stream.
+struct stream_token
+{
+    std::uint32_t index = 0; ///< From 0 for the whole answer, also after a resume.
+    std::string text;
+
+    bool operator==(const stream_token &) const = default;
+};
+
+enum class finish_reason { Stop, Length };
+
+std::string_view nameOf(finish_reason reason);
+
+/// The explicit end of a stream. Without it the stream is broken.
+struct stream_end
+{
+    finish_reason reason = finish_reason::Stop;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0; ///< Of the whole answer.
+
+    bool operator==(const stream_end &) const = default;
+};
+
+/// Takes one token; false cancels the stream.
+using token_receiver = std::function<bool(const stream_token &)>;
+
+/// An order: the engine's wanted state under a fencing number.
+struct engine_order
+{
+    std::uint64_t fence = 0;
+    std::string nonce;
+    policy::wanted_engine wanted;
+
+    bool operator==(const engine_order &) const = default;
+};
+
+struct kv_export
+{
+    std::string handle; ///< Opaque; names engine and stream.
+    std::uint32_t tokens = 0;
+
+    bool operator==(const kv_export &) const = default;
+};
+
+struct cache_event
+{
+    std::uint64_t sequence = 0;
+    bool isStored = false; ///< Else evicted.
+    std::uint64_t prefixHash = 0;
+
+    bool operator==(const cache_event &) const = default;
+};
+
+struct cache_events
+{
+    std::vector<cache_event> events;
+    std::uint64_t next = 0; ///< To ask from.
+    bool hasGap = false; ///< Events were lost: forget what is known.
+};
+
+/// The seam to a model engine: one implementation per wire format. None of these retries.
+struct engine_api
+{
+    /// Streams tokens in order, each index once. Failures: NotRun only where the engine can't have
+    /// begun; Broken where it ended without an end event; Cancelled where the receiver said so.
+    std::function<result<stream_end>(const endpoint &, const generate_request &,
+                                     const token_receiver &)>
+            generate;
+    std::function<result<unit>(const endpoint &, const request_id &, const std::string &attempt)>
+            cancel;
+    std::function<result<policy::load_report>(const endpoint &)> load;
+    /// @returns Stale (NotRun) where the engine refuses the fencing number.
+    std::function<result<unit>(const endpoint &, const engine_order &, milliseconds timeLimit)>
+            order;
+    /// Exports a running stream's KV and stops that stream there.
+    std::function<result<kv_export>(const endpoint &, const request_id &)> exportKv;
+    std::function<result<unit>(const endpoint &, const std::string &handle)> importKv;
+    std::function<result<cache_events>(const endpoint &, std::uint64_t after)> cacheEvents;
+};
+
+/// @returns The engines' JSON over HTTP (docs/API.md, "Engines").
+engine_api httpEngineApi(std::shared_ptr<http_pool> pool);
+
+} // namespace poplarspool::runner
