--- a/include/poplarspool/base/http.h
+++ b/include/poplarspool/base/http.h
@@ -33,6 +33,9 @@
     http_headers headers;
     std::string body; ///< Empty where the body went to a receiver.
     std::string contentType;
+    /// False where neither a length nor chunks tell the body's end, but only the connection's: such
+    /// a body can have been cut, unless it has an end mark of its own.
+    bool isDelimited = true;
 };
 
 /// @returns The header's value, whatever the case of its name; empty where there is none.
@@ -63,7 +66,8 @@
     /// Ends the reply properly. A sink that is dropped without end() breaks the connection, so that
     /// a reply cut short never looks whole.
     virtual void end() = 0;
-    /// @returns Whether the receiver has gone away (its socket is closed or half closed).
+    /// @returns Whether the receiver has certainly gone away (reset, or closed both ways). One that
+    ///          only ended its sending side may still read its answer and is not gone.
     virtual bool isGone() const = 0;
 };
 
--- a/include/poplarspool/base/journal.h
+++ b/include/poplarspool/base/journal.h
@@ -21,6 +21,8 @@
     std::int64_t wallMs = 0;
     std::uint32_t count = 0;
 
+    // The check takes the 0 in a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const hybrid_time &) const = default;
 };
 
--- a/include/poplarspool/operators/config_store.h
+++ b/include/poplarspool/operators/config_store.h
@@ -6,9 +6,24 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace poplarspool::operators {
 
+/// One accepted change, as later heads remember it.
+struct config_change
+{
+    std::uint64_t version = 0; ///< Of the head while this change was in force.
+    std::string inventorySha;
+    std::string rulesSha;
+    std::string nonce;
+    std::string author;
+    std::int64_t wallMs = 0;
+
+    bool operator==(const config_change &) const = default;
+};
+
 /// The one object whose replacement is the acceptance of a configuration.
 struct config_head
 {
@@ -17,6 +32,9 @@
     std::string nonce; ///< Of the writer: tells a lost answer's own write from another's.
     std::string author;
     std::int64_t wallMs = 0;
+    /// Newest first, at most config::headHistory: a change that was accepted and replaced since
+    /// can still be told from one that never was.
+    std::vector<config_change> earlier;
 
     bool operator==(const config_head &) const = default;
 };
@@ -47,6 +65,20 @@
     bool operator==(const apply_reply &) const = default;
 };
 
+/// The configuration as it stands in the store.
+struct stored_config
+{
+    std::uint64_t version = 0; ///< Of the head; 0 where nothing was accepted yet.
+    config_head head;
+    std::string inventoryText;
+    std::string rulesText;
+
+    bool operator==(const stored_config &) const = default;
+};
+
+/// Reads the head and its bodies, and compares the bodies with their names.
+result<stored_config> readConfig(platform::object_store &store, const std::string &deployment);
+
 /// Writes bodies, then replaces the head by a conditional update. The texts have been checked.
 /// @returns Conflict (NotRun) that names the other change where another operator was first.
 result<apply_reply> applyConfig(platform::object_store &store, const std::string &deployment,
--- a/include/poplarspool/operators/operator_server.h
+++ b/include/poplarspool/operators/operator_server.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarspool::operators {
@@ -54,8 +55,16 @@
     /// Events of all instances that answer, cause before effect.
     std::function<std::vector<event>(const event_filter &)> timeline;
     std::function<result<apply_reply>(const apply_request &)> apply;
+    /// The accepted configuration, read from the store (readConfig()).
+    std::function<result<stored_config>()> config;
 };
 
+/// @returns A /status answer as the commands read it; Broken where it isn't one.
+result<fleet_status> parseFleetStatus(std::string_view json);
+
+/// @returns Whether `version` is applied by every listed instance that isn't dead.
+bool isInForce(const fleet_status &status, std::uint64_t version);
+
 /// HTTP for operators, on an address of its own: /status, /timeline, /metrics, /config. Where the
 /// settings name a key, nothing is answered without it.
 class operator_server
--- a/include/poplarspool/platform/object_store.h
+++ b/include/poplarspool/platform/object_store.h
@@ -21,6 +21,7 @@
     std::string key;
     std::string value;
     std::uint64_t version = 0;
+    bool isDeleted = false; ///< Only from a watch: removed at `version`, without a value.
 
     bool operator==(const object &) const = default;
 };
@@ -55,7 +56,7 @@
             watch;
 };
 
-/// @returns The object API spoken as JSON over HTTP (docs/API.md, "Platform").
+/// @returns The object API spoken as JSON over HTTP (docs/API-PLATFORM.md).
 object_api httpObjectApi(endpoint address, std::shared_ptr<http_pool> pool, milliseconds callTime);
 
 /// The store as the rest of the product uses it: keeps to the call budget, backs off with jitter
@@ -81,11 +82,19 @@
     result<object_list> watch(const std::string &prefix, std::uint64_t after, milliseconds wait);
 
     /// Conditional write. Where its answer was lost, reads the object back until `deadline` and
-    /// compares: values must carry a nonce of the writer, so that equal means ours.
-    /// @returns The version written; Conflict (NotRun) where another write was first; MayHaveRun
-    ///          where it could not be found out in time.
+    /// compares: values must carry a nonce of the writer, so that equal means ours. While the
+    /// object still has `ifVersion` the same write is sent again, since only a moved version ends
+    /// the copies that may be on their way.
+    /// @returns The version written. Any failure with NotRun: this write has not taken effect and
+    ///          never will (Conflict: another write was first). Conflict with MayHaveRun: the
+    ///          object has moved on, so that this write can't take effect any more, but it may have
+    ///          done so and been overwritten; look into the object. Other MayHaveRun: it may still
+    ///          take effect after this returns.
+    /// @attention A create (mustNotExist) that was lost can still take effect after the object was
+    ///            created and removed by others: don't remove objects that several may create.
     result<std::uint64_t> put(const std::string &key, const std::string &value,
                               std::uint64_t ifVersion, mono_time deadline);
+    /// One call: a lost answer is MayHaveRun.
     result<unit> remove(const std::string &key, std::uint64_t ifVersion);
 
     /// @returns When the store last answered anything.
--- a/include/poplarspool/policy/view.h
+++ b/include/poplarspool/policy/view.h
@@ -82,10 +82,25 @@
     std::shared_ptr<const rules> book;
     std::vector<runner_state> runners; ///< Same indices as fleet->runners.
     std::vector<member> members; ///< Sorted by id; this instance too.
+    /// Of `fleet`; one of another inventory, or none, is not used and only costs time.
+    std::shared_ptr<const view_index> index;
 };
 
 using view_ptr = std::shared_ptr<const view>;
 
+/// Puts another inventory into a view: its index too, and what is known of the runners that are in
+/// both, by their ids.
+void replaceFleet(view &now, std::shared_ptr<const inventory> fleet);
+
+/// @returns Whether the report is young enough to say anything about its runner's load.
+bool isFreshReport(const runner_state &runner, mono_time time);
+
+/// @returns Whether the runner's present, its spec aside, lets it take new work.
+inline bool isOpenForWork(const runner_state &runner)
+{
+    return !runner.isReserved && !runner.report.isChanging && runner.health != runner_health::Down;
+}
+
 /// @returns Whether the runner may get new work now: not draining, reserved, down or changing.
 bool isOpenForWork(const view &now, runner_handle runner);
 
--- a/include/poplarspool/runner/engine.h
+++ b/include/poplarspool/runner/engine.h
@@ -113,7 +113,7 @@
     std::function<result<cache_events>(const endpoint &, std::uint64_t after)> cacheEvents;
 };
 
-/// @returns The engines' JSON over HTTP (docs/API.md, "Engines").
-engine_api httpEngineApi(std::shared_ptr<http_pool> pool);
+/// @returns The engines' JSON over HTTP (docs/API-ENGINES.md).
+engine_api httpEngineApi(const std::shared_ptr<http_pool> &pool);
 
 } // namespace poplarspool::runner
--- a/include/poplarspool/runner/service.h
+++ b/include/poplarspool/runner/service.h
@@ -22,7 +22,7 @@
     std::function<result<policy::load_report>(const endpoint &)> load;
 };
 
-service_api httpServiceApi(std::shared_ptr<http_pool> pool);
+service_api httpServiceApi(const std::shared_ptr<http_pool> &pool);
 
 /// @returns The headers that go end to end: without those of the connection (hop by hop).
 http_headers endToEndHeaders(const http_headers &headers);
--- /dev/null
+++ b/src/base/hash.cpp
@@ -0,0 +1,57 @@
+#include "poplarspool/base/hash.h"
+
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+#include <xxhash.h>
+
+#include <array>
+#include <span>
+#include <stdexcept>
+
+namespace poplarspool {
+
+namespace {
+
+std::string hexOf(std::span<const unsigned char> bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        text += digits[byte >> 4U];
+        text += digits[byte & 0xFU];
+    }
+    return text;
+}
+
+} // namespace
+
+std::uint64_t hashOf(std::string_view bytes, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::string sha256Hex(std::string_view bytes)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1)
+        throw std::runtime_error("SHA-256 is not available");
+    return hexOf(std::span(digest).first(size));
+}
+
+std::uint64_t rendezvousWeight(std::string_view owner, std::string_view key)
+{
+    return hashOf(key, hashOf(owner));
+}
+
+std::string randomHex128()
+{
+    std::array<unsigned char, 16> bytes{};
+    // Names from a failed generator would repeat, and two requests would be taken for one.
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1)
+        throw std::runtime_error("the system's random generator failed");
+    return hexOf(bytes);
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/http_server.cpp
@@ -0,0 +1,187 @@
+#include "poplarspool/base/http.h"
+
+#include "base/connection_threads.h"
+#include "base/http_listener.h"
+#include "base/reply_writer.h"
+#include "base/request_reader.h"
+#include "poplarspool/config.h"
+
+#include <atomic>
+#include <utility>
+
+namespace poplarspool {
+
+namespace {
+
+/// Refused connections that are closed gently at one time; those beyond are closed at once.
+constexpr std::uint32_t maxLingering = 32;
+
+std::string labelled(std::string_view metric, const std::string &server)
+{
+    return "poplarspool_http_" + std::string(metric) + "{server=\"" + server + "\"}";
+}
+
+http_reply refusal()
+{
+    http_reply reply = errorReply(503, error_code::Overloaded, verdict::NotRun,
+                                  "too many connections");
+    reply.headers.emplace_back("Retry-After", "1");
+    return reply;
+}
+
+error_code codeOf(int status)
+{
+    switch (status) {
+    case 408: return error_code::TimedOut;
+    case 413: return error_code::TooLarge;
+    case 431: return error_code::TooLarge;
+    default: return error_code::BadRequest;
+    }
+}
+
+} // namespace
+
+struct http_server::state
+{
+    state(const std::string &name, endpoint bind, http_limits limits, http_handler handler,
+          metrics_registry &metrics) :
+        bind(std::move(bind)), limits(limits), handler(std::move(handler)),
+        connections(metrics.gaugeOf(labelled("connections", name))),
+        refused(metrics.counterOf(labelled("refused_total", name))),
+        timeouts(metrics.counterOf(labelled("timeouts_total", name))),
+        badRequests(metrics.counterOf(labelled("bad_requests_total", name))),
+        serving(limits.connections), lingering(maxLingering),
+        listener([this](int fd) { accept(fd); })
+    {
+    }
+
+    void accept(int fd);
+    void refuse(const std::shared_ptr<descriptor> &connection);
+    void serve(descriptor &connection);
+    bool answer(int fd, const arrived_request &arrived, bool closes);
+    void rejectBad(descriptor &connection, const bad_request &bad);
+
+    const endpoint bind;
+    const http_limits limits;
+    const http_handler handler;
+    gauge &connections;
+    counter &refused;
+    counter &timeouts;
+    counter &badRequests;
+    std::atomic<std::uint32_t> open{0};
+    raised_flag stopping;
+    connection_threads serving;
+    connection_threads lingering;
+    http_listener listener;
+};
+
+/// Runs on the accepting thread, so it may not wait for anything.
+void http_server::state::accept(int fd)
+{
+    const auto connection = std::make_shared<descriptor>(fd);
+    sendWithoutDelay(fd);
+    connections.add(1);
+    open.fetch_add(1);
+    const bool started = serving.run([this, connection] {
+        serve(*connection);
+        connection->reset();
+        open.fetch_sub(1);
+        connections.add(-1);
+    });
+    if (started)
+        return;
+    open.fetch_sub(1);
+    connections.add(-1);
+    refuse(connection);
+}
+
+void http_server::state::refuse(const std::shared_ptr<descriptor> &connection)
+{
+    refused.add();
+    reply_writer writer(connection->get(), milliseconds(0), {.closes = true});
+    writer.writeWhole(refusal());
+    lingering.run([this, connection] {
+        closeAfterReply(std::move(*connection), socket_clock::now() + config::closeTime,
+                        stopping.descriptorNumber());
+    });
+}
+
+void http_server::state::serve(descriptor &connection)
+{
+    request_reader reader(connection.get(), limits, stopping.descriptorNumber());
+    milliseconds idleTime = limits.readTime;
+    std::size_t served = 0;
+    while (true) {
+        const reading outcome = reader.next(idleTime);
+        if (std::holds_alternative<no_request>(outcome))
+            return;
+        if (const auto *bad = std::get_if<bad_request>(&outcome))
+            return rejectBad(connection, *bad);
+        const auto &arrived = std::get<arrived_request>(outcome);
+        ++served;
+        const bool closes = !arrived.keepsAlive || served >= limits.keepAliveRequests
+                || stopping.isRaised();
+        if (!answer(connection.get(), arrived, closes))
+            return;
+        idleTime = limits.keepAliveTime;
+    }
+}
+
+/// @returns Whether the connection can serve another request.
+bool http_server::state::answer(int fd, const arrived_request &arrived, bool closes)
+{
+    const http_request &request = arrived.request;
+    reply_writer writer(fd, limits.writeTime,
+                        {request.method == "HEAD", arrived.takesChunks, closes});
+    std::optional<http_reply> reply;
+    try {
+        reply = handler(request, writer);
+    } catch (const std::exception &) {
+        // Begun replies are cut; the caller sees that they are not whole.
+        reply = errorReply(500, error_code::Internal, verdict::MayHaveRun, "internal fault");
+    }
+    if (reply)
+        writer.writeWhole(*reply);
+    return writer.isWhole() && !writer.closes();
+}
+
+void http_server::state::rejectBad(descriptor &connection, const bad_request &bad)
+{
+    counter &kind = bad.status == 408 ? timeouts : badRequests;
+    kind.add();
+    reply_writer writer(connection.get(), limits.writeTime, {.closes = true});
+    writer.writeWhole(errorReply(bad.status, codeOf(bad.status), verdict::NotRun, bad.message));
+    closeAfterReply(std::move(connection), socket_clock::now() + config::closeTime,
+                    stopping.descriptorNumber());
+}
+
+http_server::http_server(std::string name, endpoint bind, http_limits limits, http_handler handler,
+                         metrics_registry &metrics) :
+    inner(std::make_unique<state>(name, std::move(bind), limits, std::move(handler), metrics))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+result<endpoint> http_server::start()
+{
+    return inner->listener.start(inner->bind);
+}
+
+void http_server::stop()
+{
+    inner->stopping.raise();
+    inner->listener.stop();
+    inner->serving.join();
+    inner->lingering.join();
+}
+
+std::uint32_t http_server::openConnections() const
+{
+    return inner->open.load();
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/http_text.cpp
@@ -0,0 +1,336 @@
+#include "base/http_text.h"
+
+#include "poplarspool/config.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace poplarspool {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+
+/// Headers that say how a message is framed; only the server sets them.
+constexpr std::array<std::string_view, 4> framingHeaders{"connection", "content-length",
+                                                         "keep-alive", "transfer-encoding"};
+
+char lowerOf(char letter)
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right,
+                              [](char a, char b) { return lowerOf(a) == lowerOf(b); });
+}
+
+bool isTokenLetter(char letter)
+{
+    const bool isLetter = lowerOf(letter) >= 'a' && lowerOf(letter) <= 'z';
+    const bool isDigit = letter >= '0' && letter <= '9';
+    return isLetter || isDigit || std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::ranges::all_of(text, isTokenLetter);
+}
+
+bool isFieldByte(char byte)
+{
+    const auto value = static_cast<unsigned char>(byte);
+    return value == '\t' || (value >= ' ' && value != 0x7f);
+}
+
+bool isPathByte(char byte)
+{
+    const auto value = static_cast<unsigned char>(byte);
+    return value > ' ' && value != 0x7f;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Takes the next line off the text; none where it has no proper end.
+std::optional<std::string_view> takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find(lineEnd);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end + lineEnd.size());
+    return line;
+}
+
+template <int Base>
+std::optional<std::size_t> numberOf(std::string_view digits)
+{
+    std::size_t number = 0;
+    const char *end = digits.data() + digits.size();
+    const auto [stop, fault] = std::from_chars(digits.data(), end, number, Base);
+    if (digits.empty() || fault != std::errc{} || stop != end)
+        return std::nullopt;
+    return number;
+}
+
+std::size_t countOf(const http_headers &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+            headers, [&](const auto &header) { return equalsIgnoringCase(header.first, name); }));
+}
+
+/// Whether a comma-separated list holds the word.
+bool listHas(std::string_view list, std::string_view word)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        if (equalsIgnoringCase(trimmed(list.substr(0, comma)), word))
+            return true;
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+std::optional<bad_request> readRequestLine(std::string_view line, request_head &head)
+{
+    const std::size_t first = line.find(' ');
+    const std::size_t last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last)
+        return bad_request{400, "malformed request line"};
+    const std::string_view version = line.substr(last + 1);
+    head.method = line.substr(0, first);
+    head.path = line.substr(first + 1, last - first - 1);
+    if (!isToken(head.method) || head.path.front() != '/'
+        || !std::ranges::all_of(head.path, isPathByte))
+        return bad_request{400, "malformed request line"};
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+        return bad_request{505, "only HTTP/1.1 and HTTP/1.0 are served"};
+    head.takesChunks = version == "HTTP/1.1";
+    return std::nullopt;
+}
+
+std::optional<bad_request> readHeaderLine(std::string_view line, http_headers &headers)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+        return bad_request{400, "malformed header"};
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (!std::ranges::all_of(value, isFieldByte))
+        return bad_request{400, "control character in a header"};
+    headers.emplace_back(line.substr(0, colon), value);
+    return std::nullopt;
+}
+
+/// Reads all headers up to and with the empty line.
+std::optional<bad_request> readHeaders(std::string_view text, http_headers &headers)
+{
+    while (true) {
+        const std::optional<std::string_view> line = takeLine(text);
+        if (!line)
+            return bad_request{400, "malformed header"};
+        if (line->empty())
+            return std::nullopt;
+        if (auto fault = readHeaderLine(*line, headers))
+            return fault;
+    }
+}
+
+struct body_framing
+{
+    bool isChunked = false;
+    std::optional<std::size_t> bodyBytes;
+};
+
+/// A message whose end could be read in two ways is refused: whatever follows it on the connection
+/// would be taken for another message by one side and for its body by the other.
+std::variant<body_framing, bad_request> framingOf(const http_headers &headers)
+{
+    const std::size_t lengths = countOf(headers, "content-length");
+    const std::size_t codings = countOf(headers, "transfer-encoding");
+    if (lengths + codings > 1)
+        return bad_request{400, "more than one length of the body"};
+    body_framing framing;
+    if (codings == 1) {
+        if (!equalsIgnoringCase(headerOf(headers, "transfer-encoding"), "chunked"))
+            return bad_request{501, "unknown transfer encoding"};
+        framing.isChunked = true;
+    }
+    if (lengths == 1) {
+        framing.bodyBytes = numberOf<10>(headerOf(headers, "content-length"));
+        if (!framing.bodyBytes)
+            return bad_request{400, "malformed Content-Length"};
+    }
+    return framing;
+}
+
+bool keepsAlive(const http_headers &headers, bool isLatestVersion)
+{
+    const std::string_view connection = headerOf(headers, "connection");
+    return isLatestVersion ? !listHas(connection, "close") : listHas(connection, "keep-alive");
+}
+
+std::string_view reasonOf(int status)
+{
+    switch (status) {
+    case 200: return "OK";
+    case 201: return "Created";
+    case 202: return "Accepted";
+    case 204: return "No Content";
+    case 304: return "Not Modified";
+    case 400: return "Bad Request";
+    case 401: return "Unauthorized";
+    case 403: return "Forbidden";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 412: return "Precondition Failed";
+    case 413: return "Content Too Large";
+    case 429: return "Too Many Requests";
+    case 431: return "Request Header Fields Too Large";
+    case 500: return "Internal Server Error";
+    case 501: return "Not Implemented";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "";
+    }
+}
+
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append(lineEnd);
+}
+
+} // namespace
+
+std::string_view headerOf(const http_headers &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (equalsIgnoringCase(key, name))
+            return value;
+    }
+    return {};
+}
+
+http_limits defaultHttpLimits()
+{
+    return {config::maxHeaderBytes, config::maxBodyBytes, config::maxCallerConnections,
+            config::requestReadTime, config::callerWriteTime, config::keepAliveTime,
+            config::keepAliveRequests};
+}
+
+std::variant<request_head, bad_request> parseRequestHead(std::string_view head)
+{
+    request_head parsed;
+    const std::optional<std::string_view> requestLine = takeLine(head);
+    if (!requestLine)
+        return bad_request{400, "malformed request line"};
+    if (auto fault = readRequestLine(*requestLine, parsed))
+        return *fault;
+    if (auto fault = readHeaders(head, parsed.headers))
+        return *fault;
+    const auto framing = framingOf(parsed.headers);
+    if (const auto *fault = std::get_if<bad_request>(&framing))
+        return *fault;
+    parsed.isChunked = std::get<body_framing>(framing).isChunked;
+    parsed.bodyBytes = std::get<body_framing>(framing).bodyBytes.value_or(0);
+    if (parsed.isChunked && !parsed.takesChunks)
+        return bad_request{400, "HTTP/1.0 has no chunks"};
+    parsed.keepsAlive = keepsAlive(parsed.headers, parsed.takesChunks);
+    parsed.expectsContinue =
+            equalsIgnoringCase(headerOf(parsed.headers, "expect"), "100-continue");
+    return parsed;
+}
+
+std::optional<reply_head> parseReplyHead(std::string_view head)
+{
+    constexpr std::size_t versionBytes = std::string_view("HTTP/1.1").size();
+    constexpr std::size_t statusDigits = 3;
+    const std::optional<std::string_view> line = takeLine(head);
+    if (!line || line->size() < versionBytes + 1 + statusDigits)
+        return std::nullopt;
+    const std::string_view version = line->substr(0, versionBytes);
+    const auto status = numberOf<10>(line->substr(versionBytes + 1, statusDigits));
+    const std::string_view reason = line->substr(versionBytes + 1 + statusDigits);
+    if ((version != "HTTP/1.1" && version != "HTTP/1.0") || (*line)[versionBytes] != ' ' || !status
+        || *status < 100 || (!reason.empty() && reason.front() != ' '))
+        return std::nullopt;
+    reply_head parsed;
+    parsed.status = static_cast<int>(*status);
+    if (readHeaders(head, parsed.headers))
+        return std::nullopt;
+    const auto framing = framingOf(parsed.headers);
+    if (std::holds_alternative<bad_request>(framing))
+        return std::nullopt;
+    parsed.isChunked = std::get<body_framing>(framing).isChunked;
+    parsed.bodyBytes = std::get<body_framing>(framing).bodyBytes;
+    parsed.keepsAlive = keepsAlive(parsed.headers, version == "HTTP/1.1");
+    return parsed;
+}
+
+std::optional<std::size_t> chunkSizeOf(std::string_view line)
+{
+    return numberOf<16>(trimmed(line.substr(0, line.find(';'))));
+}
+
+bool isSafeHeader(std::string_view name, std::string_view value)
+{
+    return isToken(name) && std::ranges::all_of(value, isFieldByte);
+}
+
+std::string replyHeadText(int status, const http_headers &headers, std::string_view contentType,
+                          const reply_framing &framing)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(reasonOf(status)).append(lineEnd);
+    for (const auto &[name, value] : headers) {
+        const bool framesMessage = std::ranges::any_of(framingHeaders, [&](std::string_view own) {
+            return equalsIgnoringCase(name, own);
+        });
+        const bool isDoubled = !contentType.empty() && equalsIgnoringCase(name, "content-type");
+        if (!framesMessage && !isDoubled && isSafeHeader(name, value))
+            appendHeader(text, name, value);
+    }
+    if (!contentType.empty() && isSafeHeader("Content-Type", contentType))
+        appendHeader(text, "Content-Type", contentType);
+    if (framing.bodyBytes)
+        appendHeader(text, "Content-Length", std::to_string(*framing.bodyBytes));
+    if (framing.isChunked)
+        appendHeader(text, "Transfer-Encoding", "chunked");
+    appendHeader(text, "Connection", framing.closes ? "close" : "keep-alive");
+    return text.append(lineEnd);
+}
+
+std::string chunkText(std::string_view piece)
+{
+    std::array<char, 2 * sizeof(std::size_t)> digits{};
+    const auto end = std::to_chars(digits.begin(), digits.end(), piece.size(), 16).ptr;
+    std::string text(digits.begin(), end);
+    text.reserve(text.size() + piece.size() + 2 * lineEnd.size());
+    return text.append(lineEnd).append(piece).append(lineEnd);
+}
+
+http_reply errorReply(int status, error_code code, verdict ran, std::string_view message)
+{
+    const nlohmann::json body{{"error",
+                               {{"code", nameOf(code)},
+                                {"message", message},
+                                {"verdict", nameOf(ran)}}}};
+    http_reply reply;
+    reply.status = status;
+    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    reply.contentType = "application/json";
+    return reply;
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/journal.cpp
@@ -0,0 +1,251 @@
+#include "poplarspool/base/journal.h"
+
+#include "poplarspool/config.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <ctime>
+#include <deque>
+#include <mutex>
+
+namespace poplarspool {
+
+namespace {
+
+// Looked at before a line is made, so that a level that is off costs one load per event. Off until
+// setUpLog(): log4cxx would otherwise look for a configuration file and complain of having none.
+std::atomic<int> logThreshold{log4cxx::Level::OFF_INT};
+
+const log4cxx::LoggerPtr &eventLogger()
+{
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("poplarspool");
+    return logger;
+}
+
+bool hasField(const event &entry, std::string_view key)
+{
+    return std::ranges::any_of(entry.fields, [key](const auto &field) { return field.key == key; });
+}
+
+/// Events that name an error code tell of a failure.
+log4cxx::LevelPtr levelOf(const event &entry)
+{
+    return hasField(entry, "code") ? log4cxx::Level::getWarn() : log4cxx::Level::getInfo();
+}
+
+void writeLine(const event &entry)
+{
+    const int threshold = logThreshold.load(std::memory_order_relaxed);
+    if (threshold > log4cxx::Level::WARN_INT)
+        return;
+    const log4cxx::LevelPtr level = levelOf(entry);
+    if (level->toInt() < threshold)
+        return;
+    eventLogger()->forcedLog(level, lineOf(entry));
+}
+
+int thresholdOf(std::string_view level)
+{
+    if (level == "debug")
+        return log4cxx::Level::DEBUG_INT;
+    if (level == "warn")
+        return log4cxx::Level::WARN_INT;
+    if (level == "error")
+        return log4cxx::Level::ERROR_INT;
+    if (level == "off")
+        return log4cxx::Level::OFF_INT;
+    return log4cxx::Level::INFO_INT;
+}
+
+bool needsQuotes(std::string_view value)
+{
+    const auto isSpecial = [](unsigned char c) {
+        return c <= ' ' || c == 0x7F || c == '"' || c == '=' || c == '\\';
+    };
+    return value.empty() || std::ranges::any_of(value, isSpecial);
+}
+
+void appendEscaped(std::string &line, unsigned char c)
+{
+    if (c == '"' || c == '\\') {
+        line += '\\';
+        line += static_cast<char>(c);
+        return;
+    }
+    if (c >= ' ' && c != 0x7F) {
+        line += static_cast<char>(c);
+        return;
+    }
+    std::array<char, 8> code{};
+    std::snprintf(code.data(), code.size(), "\\x%02x", c);
+    line += code.data();
+}
+
+// A caller's text goes into these lines: an unescaped line break would let it write log lines that
+// look like ours.
+void appendValue(std::string &line, std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value)
+        appendEscaped(line, static_cast<unsigned char>(c));
+    line += '"';
+}
+
+void appendField(std::string &line, std::string_view key, std::string_view value)
+{
+    line += ' ';
+    line += key;
+    line += '=';
+    appendValue(line, value);
+}
+
+/// @returns UTC in ISO form and the count, such as "2026-01-31T08:15:00.250Z/3".
+std::string textOf(hybrid_time at)
+{
+    const std::time_t seconds = at.wallMs / 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 80> text{};
+    std::snprintf(text.data(), text.size(), "%s.%03dZ/%u", date.data(),
+                  static_cast<int>(at.wallMs % 1000), at.count);
+    return text.data();
+}
+
+bool matchesField(const event &entry, std::string_view key, const std::string &wanted)
+{
+    if (wanted.empty())
+        return true;
+    return std::ranges::any_of(entry.fields, [&](const event_field &field) {
+        return field.key == key && field.value == wanted;
+    });
+}
+
+} // namespace
+
+std::string lineOf(const event &entry)
+{
+    std::string line = "at=" + textOf(entry.at);
+    appendField(line, "instance", entry.instance.text);
+    appendField(line, "event", entry.kind);
+    for (const event_field &field : entry.fields)
+        appendField(line, field.key, field.value);
+    return line;
+}
+
+bool matches(const event &entry, const event_filter &filter)
+{
+    if (!filter.kind.empty() && entry.kind != filter.kind)
+        return false;
+    return matchesField(entry, "request", filter.request)
+            && matchesField(entry, "runner", filter.runner);
+}
+
+struct journal::state
+{
+    instance_id self;
+    clock_source clock;
+    std::size_t ringSize;
+    mutable std::mutex mutex;
+    hybrid_time last;
+    std::deque<event> ring;
+
+    /// @attention With the mutex held.
+    hybrid_time next()
+    {
+        const std::int64_t now = clock.wall().time_since_epoch().count();
+        if (now > last.wallMs)
+            last = {now, 0};
+        else if (last.count < UINT32_MAX)
+            ++last.count;
+        else
+            last = {last.wallMs + 1, 0};
+        return last;
+    }
+
+    /// @attention With the mutex held.
+    void keep(const event &entry)
+    {
+        if (ringSize == 0)
+            return;
+        if (ring.size() >= ringSize)
+            ring.pop_front();
+        ring.push_back(entry);
+    }
+};
+
+journal::journal(instance_id self, clock_source clock, std::size_t ringSize)
+    : inner(std::make_unique<state>())
+{
+    inner->self = std::move(self);
+    inner->clock = std::move(clock);
+    inner->ringSize = ringSize;
+}
+
+journal::~journal() = default;
+
+hybrid_time journal::emit(std::string_view kind, std::vector<event_field> fields)
+{
+    event entry{{}, inner->self, std::string(kind), std::move(fields)};
+    {
+        const std::lock_guard lock(inner->mutex);
+        entry.at = inner->next();
+        inner->keep(entry);
+    }
+    writeLine(entry);
+    return entry.at;
+}
+
+void journal::observe(hybrid_time remote)
+{
+    const std::lock_guard lock(inner->mutex);
+    // One peer whose wall clock is years ahead would drag every instance's time line there for
+    // good. Beyond the bound its times are left aside: only its own events sort wrongly then.
+    const std::int64_t now = inner->clock.wall().time_since_epoch().count();
+    if (remote.wallMs > now + config::maxClockLead.count())
+        return;
+    inner->last = std::max(inner->last, remote);
+}
+
+hybrid_time journal::stamp()
+{
+    const std::lock_guard lock(inner->mutex);
+    return inner->next();
+}
+
+std::vector<event> journal::events(const event_filter &filter) const
+{
+    const std::lock_guard lock(inner->mutex);
+    std::vector<event> found;
+    for (const event &entry : inner->ring) {
+        if (matches(entry, filter))
+            found.push_back(entry);
+    }
+    return found;
+}
+
+void setUpLog(std::string_view level)
+{
+    const int threshold = thresholdOf(level);
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(threshold));
+    logThreshold.store(threshold, std::memory_order_relaxed);
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/pooled_call.cpp
@@ -0,0 +1,247 @@
+#include "base/pooled_call.h"
+
+#include "poplarspool/config.h"
+
+#include <array>
+#include <cstring>
+
+namespace poplarspool {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 16 * 1024;
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
+/// The head as the library gets to see it: a plain status line and the framing, no more. It would
+/// take a malformed length for 0, so that a broken reply looked whole, and match the status line
+/// with a recursive regular expression, which a long reason lets run out of stack.
+std::string plainHeadOf(const reply_head &head)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " \r\n";
+    const bool isBodiless = head.status == 204 || head.status == 304;
+    if (head.isChunked && !isBodiless)
+        text += "Transfer-Encoding: chunked\r\n";
+    else if (head.bodyBytes || isBodiless)
+        text += "Content-Length: " + std::to_string(isBodiless ? 0 : *head.bodyBytes) + "\r\n";
+    return text + "\r\n";
+}
+
+} // namespace
+
+/// The connection as the library sees it during one call.
+class pooled_call::reply_stream : public httplib::Stream
+{
+public:
+    reply_stream(pooled_call &call, int fd) : call(call), fd(fd) {}
+
+    bool is_readable() const override { return true; }
+    bool is_writable() const override { return true; }
+    ssize_t read(char *to, size_t size) override;
+    ssize_t write(const char *from, size_t size) override;
+    void get_remote_ip_and_port(std::string &, int &) const override {}
+    void get_local_ip_and_port(std::string &, int &) const override {}
+    socket_t socket() const override { return fd; }
+
+    bool isDrained() const { return position == buffer.size(); }
+
+private:
+    bool sendRequest();
+    bool readHead();
+    bool fill();
+
+    pooled_call &call;
+    const int fd;
+    std::string request; ///< Gathered, so that it goes out in as few segments as it can.
+    std::string buffer;
+    std::size_t position = 0;
+    bool isHeadDone = false;
+};
+
+ssize_t pooled_call::reply_stream::write(const char *from, size_t size)
+{
+    request.append(from, size);
+    return static_cast<ssize_t>(size);
+}
+
+ssize_t pooled_call::reply_stream::read(char *to, size_t size)
+{
+    if (!isHeadDone && (!sendRequest() || !readHead()))
+        return -1;
+    if (isDrained() && !fill())
+        return call.fault == socket_fault::None ? 0 : -1;
+    const std::size_t count = std::min(size, buffer.size() - position);
+    std::memcpy(to, buffer.data() + position, count);
+    position += count;
+    return static_cast<ssize_t>(count);
+}
+
+/// A server may answer before it has read the request, and close (too many connections, body too
+/// large). Where sending fails, such an answer is still read.
+bool pooled_call::reply_stream::sendRequest()
+{
+    const sent outcome = sendAll(fd, request, call.deadline, call.stopping.descriptorNumber());
+    call.bytesSent += outcome.bytes;
+    request.clear();
+    request.shrink_to_fit();
+    if (outcome.fault == socket_fault::None || outcome.fault == socket_fault::Closed)
+        return true;
+    call.fault = outcome.fault;
+    return false;
+}
+
+bool pooled_call::reply_stream::readHead()
+{
+    while (true) {
+        const std::size_t end = buffer.find(headEnd);
+        if (std::min(end, buffer.size()) > config::maxReplyHeaderBytes)
+            return false;
+        if (end == std::string::npos) {
+            if (!fill())
+                return false;
+            continue;
+        }
+        const std::size_t bytes = end + headEnd.size();
+        call.head = parseReplyHead(std::string_view(buffer).substr(0, bytes));
+        if (!call.head)
+            return false;
+        buffer.erase(0, bytes);
+        if (!isInterim(call.head->status))
+            break;
+    }
+    buffer.insert(0, plainHeadOf(*call.head));
+    isHeadDone = true;
+    return true;
+}
+
+/// @returns False at the end of the connection, and on a fault.
+bool pooled_call::reply_stream::fill()
+{
+    if (isDrained()) {
+        buffer.clear();
+        position = 0;
+    }
+    if (call.stopping.isRaised()) {
+        call.fault = socket_fault::Interrupted;
+        return false;
+    }
+    std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
+    const received some = receiveSome(fd, bytes.data(), bytes.size(), call.deadline,
+                                      call.stopping.descriptorNumber());
+    if (some.fault != socket_fault::None && !some.isEnd)
+        call.fault = some.fault;
+    buffer.append(bytes.data(), some.bytes);
+    return some.fault == socket_fault::None;
+}
+
+pooled_call::pooled_call(const endpoint &to, descriptor connection, socket_deadline deadline,
+                         const raised_flag &stopping) :
+    ClientImpl(to.host, to.port),
+    connection(std::move(connection)), deadline(deadline), stopping(stopping)
+{
+    set_keep_alive(true);
+    set_url_encode(false);
+    set_decompress(false);
+}
+
+bool pooled_call::create_and_connect_socket(Socket &socket, httplib::Error &)
+{
+    socket.sock = connection.release();
+    return true;
+}
+
+bool pooled_call::process_socket(const Socket &socket,
+                                 std::function<bool(httplib::Stream &)> callback)
+{
+    reply_stream stream(*this, socket.sock);
+    const bool isWhole = callback(stream);
+    // Bytes beyond the reply would be taken for the next call's: a crossed answer.
+    isReusable = isWhole && stream.isDrained() && head && head->keepsAlive
+            && (head->isChunked || head->bodyBytes || !expectsBody);
+    // An orderly end would look to the server like a caller that has sent its request and still
+    // reads; a reset tells it at once that its work is no longer wanted.
+    if (!isWhole)
+        abortOnClose(socket.sock);
+    return isWhole;
+}
+
+httplib::Request pooled_call::libraryRequestOf(const http_request &request,
+                                               const call_receivers &receivers)
+{
+    httplib::Request made;
+    made.method = request.method;
+    made.path = request.path;
+    made.body = request.body;
+    for (const auto &[name, value] : request.headers)
+        made.headers.emplace(name, value);
+    if (!request.contentType.empty() && !made.has_header("Content-Type"))
+        made.headers.emplace("Content-Type", request.contentType);
+    made.response_handler = [this, &receivers](const httplib::Response &) {
+        return handOnHead(receivers);
+    };
+    made.content_receiver = [this, &receivers](const char *piece, size_t size, uint64_t,
+                                               uint64_t) {
+        isCancelled = !receivers.onPiece(std::string_view(piece, size));
+        return !isCancelled;
+    };
+    return made;
+}
+
+bool pooled_call::handOnHead(const call_receivers &receivers)
+{
+    isHeadHandedOn = true;
+    http_reply reply;
+    reply.status = head->status;
+    reply.headers = head->headers;
+    reply.contentType = headerOf(head->headers, "content-type");
+    reply.isDelimited = head->isChunked || head->bodyBytes || !expectsBody;
+    isCancelled = !receivers.onHead(reply);
+    return !isCancelled;
+}
+
+result<http_reply> pooled_call::run(const http_request &request, const call_receivers &receivers)
+{
+    expectsBody = request.method != "HEAD";
+    httplib::Request made = libraryRequestOf(request, receivers);
+    httplib::Response ignored;
+    httplib::Error failed = httplib::Error::Success;
+    if (!send(made, ignored, failed) || !head)
+        return failure();
+    if (!isHeadHandedOn && !handOnHead(receivers))
+        return failure();
+    http_reply reply;
+    reply.status = head->status;
+    reply.contentType = headerOf(head->headers, "content-type");
+    reply.isDelimited = head->isChunked || head->bodyBytes || !expectsBody;
+    reply.headers = std::move(head->headers);
+    return reply;
+}
+
+error pooled_call::failure() const
+{
+    // Only a request of which the kernel took no byte can't have reached the server.
+    const verdict ran = bytesSent == 0 ? verdict::NotRun : verdict::MayHaveRun;
+    if (isCancelled)
+        return {error_code::Cancelled, "cancelled by the receiver", ran};
+    if (fault == socket_fault::TimedOut)
+        return {error_code::TimedOut, "no whole reply within the time limit", ran};
+    if (fault == socket_fault::Interrupted)
+        return {error_code::Unavailable, "stopped", ran};
+    if (bytesSent == 0)
+        return {error_code::Unavailable, "the connection was closed", ran};
+    return {error_code::Broken, "the reply is malformed or ended too early", ran};
+}
+
+descriptor pooled_call::takeConnection()
+{
+    const std::lock_guard lock(socket_mutex_);
+    if (!isReusable || !socket_.is_open())
+        return descriptor();
+    return descriptor(std::exchange(socket_.sock, INVALID_SOCKET));
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/request_reader.cpp
@@ -0,0 +1,189 @@
+#include "base/request_reader.h"
+
+#include <array>
+#include <poll.h>
+
+namespace poplarspool {
+
+namespace {
+
+using part = std::variant<std::string, bad_request, no_request>;
+
+constexpr std::size_t receiveBytes = 8 * 1024;
+/// Bytes of the line before a chunk, or of a trailer.
+constexpr std::size_t maxChunkLineBytes = 1024;
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+/// @returns The failure that a part stands for.
+reading failureOf(const part &failed)
+{
+    if (const auto *bad = std::get_if<bad_request>(&failed))
+        return *bad;
+    return std::get<no_request>(failed);
+}
+
+bool isRead(const part &outcome)
+{
+    return std::holds_alternative<std::string>(outcome);
+}
+
+} // namespace
+
+request_reader::request_reader(int fd, const http_limits &limits, int stopFd) :
+    fd(fd), limits(limits), stopFd(stopFd)
+{
+}
+
+reading request_reader::next(milliseconds idleTime)
+{
+    if (buffer.empty() && !awaitFirstByte(idleTime))
+        return no_request{};
+    deadline = socket_clock::now() + limits.readTime;
+    return readRequest();
+}
+
+bool request_reader::awaitFirstByte(milliseconds idleTime)
+{
+    const socket_deadline end = socket_clock::now() + idleTime;
+    const socket_fault fault = waitForSocket(fd, POLLIN, end, stopFd);
+    if (fault != socket_fault::Interrupted)
+        return fault == socket_fault::None;
+    // A request that had arrived when the server was told to stop is still served.
+    return waitForSocket(fd, POLLIN, socket_clock::now(), -1) == socket_fault::None;
+}
+
+reading request_reader::readRequest()
+{
+    const part text = readHead();
+    if (!isRead(text))
+        return failureOf(text);
+    auto parsed = parseRequestHead(std::get<std::string>(text));
+    if (const auto *bad = std::get_if<bad_request>(&parsed))
+        return *bad;
+    auto &head = std::get<request_head>(parsed);
+    part body = readBody(head);
+    if (!isRead(body))
+        return failureOf(body);
+    arrived_request arrived;
+    arrived.keepsAlive = head.keepsAlive;
+    arrived.takesChunks = head.takesChunks;
+    arrived.request.contentType = headerOf(head.headers, "content-type");
+    arrived.request.method = std::move(head.method);
+    arrived.request.path = std::move(head.path);
+    arrived.request.headers = std::move(head.headers);
+    arrived.request.body = std::move(std::get<std::string>(body));
+    return arrived;
+}
+
+part request_reader::readHead()
+{
+    std::size_t searched = 0;
+    while (true) {
+        while (buffer.starts_with(lineEnd))
+            buffer.erase(0, lineEnd.size());
+        const std::size_t end = buffer.find(headEnd, searched);
+        const std::size_t bytes = end == std::string::npos ? buffer.size() : end + headEnd.size();
+        if (bytes > limits.headerBytes)
+            return bad_request{431, "headers too large"};
+        if (end != std::string::npos) {
+            std::string head = buffer.substr(0, bytes);
+            buffer.erase(0, bytes);
+            return head;
+        }
+        // Would otherwise be waited for until the time limit: such a head never ends properly.
+        if (buffer.find("\n\n") != std::string::npos)
+            return bad_request{400, "lines must end in CR LF"};
+        searched = buffer.size() < headEnd.size() ? 0 : buffer.size() - headEnd.size();
+        if (auto failed = fill())
+            return *failed;
+    }
+}
+
+part request_reader::readBody(const request_head &head)
+{
+    if (head.bodyBytes > limits.bodyBytes)
+        return bad_request{413, "body too large"};
+    if (head.expectsContinue && buffer.empty()) {
+        const socket_deadline end = socket_clock::now() + limits.writeTime;
+        sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", end, -1);
+    }
+    if (head.isChunked)
+        return readChunks();
+    while (buffer.size() < head.bodyBytes) {
+        if (auto failed = fill())
+            return *failed;
+    }
+    std::string body = buffer.substr(0, head.bodyBytes);
+    buffer.erase(0, head.bodyBytes);
+    return body;
+}
+
+part request_reader::readChunks()
+{
+    std::string body;
+    while (true) {
+        const part line = readLine();
+        if (!isRead(line))
+            return line;
+        const std::optional<std::size_t> size = chunkSizeOf(std::get<std::string>(line));
+        if (!size)
+            return bad_request{400, "malformed chunk"};
+        if (*size == 0)
+            break;
+        if (*size > limits.bodyBytes - body.size())
+            return bad_request{413, "body too large"};
+        while (buffer.size() < *size + lineEnd.size()) {
+            if (auto failed = fill())
+                return *failed;
+        }
+        if (buffer.compare(*size, lineEnd.size(), lineEnd) != 0)
+            return bad_request{400, "malformed chunk"};
+        body.append(buffer, 0, *size);
+        buffer.erase(0, *size + lineEnd.size());
+    }
+    std::size_t trailerBytes = 0;
+    while (true) {
+        const part trailer = readLine();
+        if (!isRead(trailer))
+            return trailer;
+        if (std::get<std::string>(trailer).empty())
+            return body;
+        trailerBytes += std::get<std::string>(trailer).size();
+        if (trailerBytes > limits.headerBytes)
+            return bad_request{431, "trailers too large"};
+    }
+}
+
+part request_reader::readLine()
+{
+    while (true) {
+        const std::size_t end = buffer.find(lineEnd);
+        if (std::min(end, buffer.size()) > maxChunkLineBytes)
+            return bad_request{400, "malformed chunk"};
+        if (end != std::string::npos) {
+            std::string line = buffer.substr(0, end);
+            buffer.erase(0, end + lineEnd.size());
+            return line;
+        }
+        if (auto failed = fill())
+            return *failed;
+    }
+}
+
+std::optional<part> request_reader::fill()
+{
+    std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
+    const received some = receiveSome(fd, bytes.data(), bytes.size(), deadline, -1);
+    if (some.fault == socket_fault::TimedOut)
+        return bad_request{408, "the request took too long to arrive"};
+    if (some.isEnd && !buffer.empty())
+        return bad_request{400, "the request ends too early"};
+    if (some.fault != socket_fault::None)
+        return no_request{};
+    buffer.append(bytes.data(), some.bytes);
+    return std::nullopt;
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/base/socket.cpp
@@ -0,0 +1,230 @@
+#include "base/socket.h"
+
+#include <algorithm>
+#include <array>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace poplarspool {
+
+namespace {
+
+/// Bytes thrown away at most while a connection is closed after an early reply.
+constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
+
+/// Rounds up: rounded down, the last fraction of a millisecond would be a busy loop.
+int pollTimeOf(socket_deadline deadline)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - socket_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 1'000'000));
+}
+
+bool wouldBlock()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+}
+
+struct socket_address
+{
+    sockaddr_storage bytes{};
+    socklen_t size = 0;
+};
+
+socket_address addressOf(const endpoint &to)
+{
+    socket_address address;
+    auto *v4 = reinterpret_cast<sockaddr_in *>(&address.bytes);
+    if (inet_pton(AF_INET, to.host.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(to.port);
+        address.size = sizeof(sockaddr_in);
+        return address;
+    }
+    auto *v6 = reinterpret_cast<sockaddr_in6 *>(&address.bytes);
+    if (inet_pton(AF_INET6, to.host.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(to.port);
+        address.size = sizeof(sockaddr_in6);
+    }
+    return address;
+}
+
+error connectFailure(const endpoint &to, std::string_view reason)
+{
+    return notRun(error_code::Unavailable,
+                  "can't connect to " + textOf(to) + ": " + std::string(reason));
+}
+
+} // namespace
+
+descriptor &descriptor::operator=(descriptor &&other) noexcept
+{
+    if (this != &other) {
+        reset();
+        fd = other.release();
+    }
+    return *this;
+}
+
+int descriptor::release()
+{
+    return std::exchange(fd, -1);
+}
+
+void descriptor::reset()
+{
+    if (fd >= 0)
+        close(release());
+}
+
+raised_flag::raised_flag() : event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+
+void raised_flag::raise()
+{
+    raised.store(true);
+    eventfd_write(event.get(), 1);
+}
+
+socket_fault waitForSocket(int fd, short events, socket_deadline deadline, int interruptFd)
+{
+    while (true) {
+        std::array<pollfd, 2> looks{pollfd{fd, events, 0}, pollfd{interruptFd, POLLIN, 0}};
+        const int ready = poll(looks.data(), looks.size(), pollTimeOf(deadline));
+        if (ready < 0 && errno != EINTR)
+            return socket_fault::Closed;
+        if (ready > 0 && looks[1].revents != 0)
+            return socket_fault::Interrupted;
+        if (ready > 0)
+            return socket_fault::None;
+        if (socket_clock::now() >= deadline)
+            return socket_fault::TimedOut;
+    }
+}
+
+received receiveSome(int fd, char *to, std::size_t size, socket_deadline deadline, int interruptFd)
+{
+    while (true) {
+        // Checked before each try: a peer that sends a byte now and then would otherwise never be
+        // timed out, because there is always something to read.
+        if (socket_clock::now() >= deadline)
+            return {0, socket_fault::TimedOut};
+        const ssize_t count = recv(fd, to, size, MSG_DONTWAIT);
+        if (count > 0)
+            return {static_cast<std::size_t>(count)};
+        if (count == 0)
+            return {0, socket_fault::Closed, true};
+        if (errno == EINTR)
+            continue;
+        if (!wouldBlock())
+            return {0, socket_fault::Closed};
+        const socket_fault fault = waitForSocket(fd, POLLIN, deadline, interruptFd);
+        if (fault != socket_fault::None)
+            return {0, fault};
+    }
+}
+
+sent sendAll(int fd, std::string_view bytes, socket_deadline deadline, int interruptFd)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t count = send(fd, bytes.data() + done, bytes.size() - done,
+                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count >= 0) {
+            done += static_cast<std::size_t>(count);
+            continue;
+        }
+        if (errno == EINTR)
+            continue;
+        if (!wouldBlock())
+            return {done, socket_fault::Closed};
+        const socket_fault fault = waitForSocket(fd, POLLOUT, deadline, interruptFd);
+        if (fault != socket_fault::None)
+            return {done, fault};
+    }
+    return {done};
+}
+
+result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd)
+{
+    const socket_address address = addressOf(to);
+    if (address.size == 0 || to.port == 0)
+        return notRun(error_code::BadRequest, "not an IP number and port: " + textOf(to));
+    descriptor connection(socket(address.bytes.ss_family,
+                                 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!connection.isOpen())
+        return connectFailure(to, "no descriptor left");
+    sendWithoutDelay(connection.get());
+    const auto *raw = reinterpret_cast<const sockaddr *>(&address.bytes);
+    if (connect(connection.get(), raw, address.size) == 0)
+        return connection;
+    if (errno != EINPROGRESS)
+        return connectFailure(to, "refused");
+    const socket_fault fault = waitForSocket(connection.get(), POLLOUT, deadline, interruptFd);
+    if (fault == socket_fault::Interrupted)
+        return connectFailure(to, "stopped");
+    if (fault != socket_fault::None)
+        return connectFailure(to, "timed out");
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    getsockopt(connection.get(), SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (failure != 0)
+        return connectFailure(to, "refused");
+    return connection;
+}
+
+bool isIdleAndOpen(int fd)
+{
+    pollfd look{fd, POLLIN | POLLRDHUP, 0};
+    return poll(&look, 1, 0) == 0;
+}
+
+bool isPeerGone(int fd)
+{
+    // A peer that only ended its sending side (POLLRDHUP) may still read its answer, so it is not
+    // gone. POLLHUP (both directions ended) and POLLERR (reset) are certain. A peer that closed
+    // altogether looks half closed until it answers our next segment with a reset: the next write
+    // or the one after it then fails.
+    pollfd look{fd, 0, 0};
+    return poll(&look, 1, 0) > 0 && (look.revents & (POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
+void sendWithoutDelay(int fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+void abortOnClose(int fd)
+{
+    const linger now{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+void closeInOrder(int fd)
+{
+    const linger none{0, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
+
+void closeAfterReply(descriptor connection, socket_deadline deadline, int interruptFd)
+{
+    shutdown(connection.get(), SHUT_WR);
+    std::array<char, 4096> discarded{};
+    std::size_t total = 0;
+    while (total < maxDiscardedBytes) {
+        const received some = receiveSome(connection.get(), discarded.data(), discarded.size(),
+                                          deadline, interruptFd);
+        if (some.fault != socket_fault::None)
+            return;
+        total += some.bytes;
+    }
+}
+
+} // namespace poplarspool
--- /dev/null
+++ b/src/standin/engine_core.cpp
@@ -0,0 +1,504 @@
+#include "standin/engine_core.h"
+
+#include "standin/tokens.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace poplarspool::standin {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::size_t maxRequestRecords = 20000;
+constexpr std::size_t maxBlobs = 256;
+constexpr std::size_t maxReports = 4096;
+constexpr int reportsPerLag = 16;
+constexpr int crashExitStatus = 70;
+
+std::uint64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+engine_core::engine_core(engine_options options)
+    : options(std::move(options)),
+      events(scaled(this->options.eventDelay), this->options.eventGapEvery),
+      cache(this->options.batch.kvPieces,
+            [this](bool isStored, std::uint64_t hash) {
+                events.add(isStored, hash, steady::now());
+            }),
+      work(this->options.batch, cache), life(wallMilliseconds()), setup(this->options.setup),
+      isCrashPlanned(this->options.crashInChange != crash_mode::None),
+      lastFence(this->options.lastFence)
+{ }
+
+engine_core::~engine_core()
+{
+    stop();
+}
+
+void engine_core::start()
+{
+    thread = std::thread([this] { run(); });
+}
+
+void engine_core::stop()
+{
+    {
+        const std::lock_guard guard(lock);
+        isStopping = true;
+        ++interruptions;
+        closeAll();
+        changed.notify_all();
+    }
+    if (thread.joinable())
+        thread.join();
+}
+
+std::chrono::nanoseconds engine_core::scaled(std::chrono::nanoseconds time) const
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(time / options.speed);
+}
+
+// --- Batching ----------------------------------------------------------------------------------
+
+void engine_core::run()
+{
+    guard_type guard(lock);
+    while (!isStopping) {
+        if (isDown) {
+            changed.wait_until(guard, downUntil);
+            isDown = !isStopping && steady::now() < downUntil;
+        } else if (fault.mode == fault_mode::Freeze || (work.isEmpty() && !changingTo)) {
+            changed.wait(guard);
+        } else if (changingTo) {
+            waitForChange(guard);
+        } else {
+            runIteration(guard);
+        }
+    }
+}
+
+role_rates engine_core::ratesNow() const
+{
+    const double slowness = fault.mode == fault_mode::Slow ? fault.factor : 1.0;
+    const double own = options.ownWorkShare / slowness;
+    const double other = options.otherWorkShare / slowness;
+    if (setup.role == "prefill")
+        return {own, other};
+    if (setup.role == "decode")
+        return {other, own};
+    return {1.0 / slowness, 1.0 / slowness};
+}
+
+void engine_core::runIteration(guard_type &guard)
+{
+    const batch_step step = work.plan(ratesNow());
+    const std::uint64_t before = interruptions;
+    const time_point end = steady::now() + scaled(step.duration);
+    const bool interrupted =
+            changed.wait_until(guard, end, [&] { return interruptions != before; });
+    if (!interrupted)
+        deliver(work.finish(step));
+    noteReport();
+}
+
+void engine_core::deliver(const std::vector<sequence_ptr> &advanced)
+{
+    for (const sequence_ptr &one : advanced) {
+        const auto found = streams.find(one.get());
+        if (found == streams.end())
+            continue;
+        const engine_stream_ptr stream = found->second;
+        stream->record->produced = one->produced;
+        stream->channel.advance();
+        if (one->produced < one->wantedTokens)
+            continue;
+        stream->record->hasEnded = true;
+        ++counts.finished;
+        forget(stream, stream_state::Finished);
+    }
+}
+
+void engine_core::waitForChange(guard_type &guard)
+{
+    const auto half = scaled(options.changeTime) / 2;
+    const std::uint64_t before = interruptions;
+    const auto isInterrupted = [&] { return interruptions != before; };
+    if (isCrashPlanned) {
+        if (changed.wait_until(guard, changeEnds - half, isInterrupted))
+            return;
+        if (options.crashInChange == crash_mode::Exit)
+            std::_Exit(crashExitStatus);
+        isCrashPlanned = false;
+        crash();
+        return;
+    }
+    if (changed.wait_until(guard, changeEnds, isInterrupted))
+        return;
+    finishChange();
+    noteReport();
+}
+
+// --- Streams -----------------------------------------------------------------------------------
+
+bool engine_core::carries(const std::string &model) const
+{
+    return std::any_of(setup.models.begin(), setup.models.end(),
+                       [&](const engine_model &entry) { return entry.model == model; });
+}
+
+std::optional<engine_refusal> engine_core::refusalNow(const stream_spec &spec) const
+{
+    if (isStopping)
+        return engine_refusal{503, "unavailable", "engine is stopping"};
+    if (changingTo)
+        return engine_refusal{409, "unavailable", "engine is changing"};
+    if (!carries(spec.model))
+        return engine_refusal{409, "unavailable", "model is not loaded: " + spec.model};
+    if (work.queuedCount() >= options.maxQueue)
+        return engine_refusal{429, "overloaded", "queue is full"};
+    return std::nullopt;
+}
+
+std::optional<engine_refusal> engine_core::takeRequestFault(engine_stream &stream)
+{
+    const bool isPerRequest = fault.mode != fault_mode::None && fault.mode != fault_mode::Crash
+            && fault.mode != fault_mode::Freeze && fault.mode != fault_mode::Slow;
+    if (!isPerRequest)
+        return std::nullopt;
+    const fault_mode mode = fault.mode;
+    stream.fault = mode;
+    stream.faultAfter = fault.afterTokens;
+    if (--fault.count == 0)
+        fault = {};
+    if (mode == fault_mode::Refuse)
+        return engine_refusal{503, "unavailable", "refused on request"};
+    return std::nullopt;
+}
+
+std::variant<engine_stream_ptr, engine_refusal> engine_core::submit(stream_spec spec)
+{
+    auto stream = std::make_shared<engine_stream>();
+    stream->spec = std::move(spec);
+    const stream_spec &asked = stream->spec;
+    piece_chain chain(asked.model, options.batch.pieceTokens);
+    chain.addPrompt(asked.prompt);
+    for (const std::string &token : asked.emitted)
+        chain.add(token);
+    const auto emitted = static_cast<std::uint32_t>(asked.emitted.size());
+    auto one = std::make_shared<sequence>();
+    one->rank = asked.rank;
+    one->hashes = chain.hashes();
+    one->contextTokens = std::max(1U, promptTokensOf(asked.prompt) + emitted);
+    one->wantedTokens = asked.maxTokens - std::min(asked.maxTokens, emitted);
+    stream->work = one;
+    stream->record = std::make_shared<request_record>();
+    stream->record->request = asked.request;
+    stream->record->attempt = asked.attempt;
+    stream->record->resumedFrom = emitted;
+
+    const std::lock_guard guard(lock);
+    auto refusal = refusalNow(asked);
+    if (!refusal)
+        refusal = takeRequestFault(*stream);
+    if (!refusal && !work.fits(*one))
+        refusal = engine_refusal{413, "too_large", "never fits into the KV memory"};
+    if (refusal) {
+        ++counts.refused;
+        return *refusal;
+    }
+    one->arrival = ++arrivals;
+    requests.push_back(stream->record);
+    if (requests.size() > maxRequestRecords)
+        requests.pop_front();
+    ++counts.started;
+    if (one->wantedTokens == 0) {
+        stream->record->hasEnded = true;
+        ++counts.finished;
+        stream->channel.close(stream_state::Finished);
+        return stream;
+    }
+    streams[one.get()] = stream;
+    work.add(one);
+    changed.notify_all();
+    return stream;
+}
+
+void engine_core::forget(const engine_stream_ptr &stream, stream_state state)
+{
+    stream->record->hasBegun = stream->work->hasBegun;
+    streams.erase(stream->work.get());
+    stream->channel.close(state);
+}
+
+void engine_core::cancel(const engine_stream_ptr &stream)
+{
+    const std::lock_guard guard(lock);
+    if (streams.count(stream->work.get()) == 0)
+        return;
+    work.remove(stream->work);
+    stream->record->wasCancelled = true;
+    ++counts.cancelled;
+    forget(stream, stream_state::Cut);
+}
+
+engine_stream_ptr engine_core::findStream(const std::string &request,
+                                          const std::string &attempt) const
+{
+    for (const auto &entry : streams) {
+        const stream_spec &spec = entry.second->spec;
+        if (spec.request == request && (attempt.empty() || spec.attempt == attempt))
+            return entry.second;
+    }
+    return nullptr;
+}
+
+bool engine_core::cancel(const std::string &request, const std::string &attempt)
+{
+    engine_stream_ptr found;
+    {
+        const std::lock_guard guard(lock);
+        found = findStream(request, attempt);
+    }
+    if (!found)
+        return false;
+    cancel(found);
+    return true;
+}
+
+void engine_core::cut(const engine_stream_ptr &stream)
+{
+    const std::lock_guard guard(lock);
+    stream->record->wasCut = true;
+    stream->record->hasEnded = false;
+    ++counts.cut;
+    if (streams.count(stream->work.get()) == 0)
+        return;
+    work.remove(stream->work);
+    forget(stream, stream_state::Cut);
+}
+
+std::uint32_t engine_core::closeAll()
+{
+    work.clear();
+    std::uint32_t cutStreams = 0;
+    const auto open = streams;
+    for (const auto &entry : open) {
+        const engine_stream_ptr &stream = entry.second;
+        const bool hasBegun = stream->work->hasBegun;
+        stream->record->wasCut = hasBegun;
+        cutStreams += hasBegun ? 1 : 0;
+        forget(stream, hasBegun ? stream_state::Cut : stream_state::Refused);
+    }
+    counts.cut += cutStreams;
+    return cutStreams;
+}
+
+// --- Orders and crashes ------------------------------------------------------------------------
+
+std::optional<engine_refusal> engine_core::order(std::uint64_t fence, const std::string &nonce,
+                                                 const engine_setup &wanted)
+{
+    const std::lock_guard guard(lock);
+    order_record record{fence, nonce, wanted};
+    const bool isRepeat = fence == lastFence && nonce == lastNonce;
+    record.wasStale = fence < lastFence || (fence == lastFence && !lastNonce.empty() && !isRepeat);
+    if (record.wasStale && options.respectsFence) {
+        ++counts.staleOrdersRefused;
+        counts.orders.push_back(record);
+        return engine_refusal{409, "stale",
+                              "fencing number is old, seen " + std::to_string(lastFence)};
+    }
+    counts.staleOrdersObeyed += record.wasStale ? 1 : 0;
+    lastFence = options.respectsFence ? fence : std::max(fence, lastFence);
+    lastNonce = nonce;
+    record.wasObeyed = true;
+    const engine_setup &heading = changingTo ? *changingTo : setup;
+    if (!(heading == wanted)) {
+        counts.ordersDuringChange += changingTo ? 1 : 0;
+        record.streamsCut = closeAll();
+        startChange(wanted);
+    }
+    counts.orders.push_back(record);
+    return std::nullopt;
+}
+
+void engine_core::startChange(const engine_setup &wanted)
+{
+    changingTo = wanted;
+    changeEnds = steady::now() + scaled(options.changeTime);
+    ++interruptions;
+    changed.notify_all();
+}
+
+void engine_core::finishChange()
+{
+    // Weights are laid out anew, so no KV outlives a change.
+    cache.clear();
+    setup = *changingTo;
+    changingTo.reset();
+    ++counts.changes;
+}
+
+void engine_core::crash()
+{
+    closeAll();
+    cache.clear();
+    events.restart();
+    reports.clear();
+    reportSequence = 0;
+    blobs.clear();
+    changingTo.reset();
+    setup = options.setup;
+    life = std::max(life + 1, wallMilliseconds());
+    isDown = true;
+    downUntil = steady::now() + scaled(options.changeTime);
+    ++interruptions;
+    changed.notify_all();
+}
+
+bool engine_core::waitUntilReachable()
+{
+    guard_type guard(lock);
+    changed.wait(guard, [this] { return isStopping || fault.mode != fault_mode::Freeze; });
+    return !isStopping && !isDown;
+}
+
+void engine_core::setFault(const engine_fault &wanted)
+{
+    const std::lock_guard guard(lock);
+    fault = wanted;
+    if (wanted.mode == fault_mode::Crash) {
+        fault = {};
+        crash();
+    }
+    // A frozen engine must not finish the iteration that it is in.
+    ++interruptions;
+    changed.notify_all();
+}
+
+// --- KV ----------------------------------------------------------------------------------------
+
+std::variant<kv_blob, engine_refusal> engine_core::exportKv(const std::string &request)
+{
+    const std::lock_guard guard(lock);
+    const engine_stream_ptr stream = findStream(request, {});
+    if (!stream)
+        return engine_refusal{404, "not_found", "no such stream"};
+    const stream_spec &spec = stream->spec;
+    piece_chain chain(spec.model, options.batch.pieceTokens);
+    chain.addPrompt(spec.prompt);
+    for (const std::string &token : spec.emitted)
+        chain.add(token);
+    const auto first = static_cast<std::uint32_t>(spec.emitted.size());
+    for (std::uint32_t i = 0; i < stream->work->produced; ++i)
+        chain.add(standinToken(spec.prompt, first + i));
+    kv_blob blob{++blobNumber, stream->work->computed, chain.hashes()};
+    blob.hashes.resize(
+            std::min<std::size_t>(blob.hashes.size(), blob.tokens / options.batch.pieceTokens));
+    blobs.push_back(blob);
+    if (blobs.size() > maxBlobs)
+        blobs.pop_front();
+    work.remove(stream->work);
+    stream->record->wasExported = true;
+    ++counts.exported;
+    forget(stream, stream_state::Exported);
+    return blob;
+}
+
+std::optional<kv_blob> engine_core::findBlob(std::uint64_t number) const
+{
+    const std::lock_guard guard(lock);
+    for (const kv_blob &blob : blobs) {
+        if (blob.number == number)
+            return blob;
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_refusal> engine_core::importKv(const std::vector<std::uint64_t> &hashes)
+{
+    guard_type guard(lock);
+    const std::chrono::duration<double> transfer(static_cast<double>(hashes.size())
+                                                 / options.kvPiecesPerSecond);
+    const auto end =
+            steady::now() + scaled(std::chrono::duration_cast<std::chrono::nanoseconds>(transfer));
+    changed.wait_until(guard, end, [this] { return isStopping || isDown || changingTo; });
+    if (isStopping || isDown || changingTo)
+        return engine_refusal{409, "unavailable", "engine is changing"};
+    for (const std::uint64_t hash : hashes) {
+        if (!cache.insert(hash))
+            break;
+    }
+    return std::nullopt;
+}
+
+cache_event_page engine_core::cacheEvents(std::uint64_t after) const
+{
+    const std::lock_guard guard(lock);
+    return events.read(after, steady::now());
+}
+
+// --- Reports -----------------------------------------------------------------------------------
+
+engine_report engine_core::reportNow()
+{
+    engine_report now;
+    now.life = life;
+    now.sequence = ++reportSequence;
+    now.setup = setup;
+    now.isChanging = changingTo.has_value();
+    now.running = work.runningCount();
+    now.queued = work.queuedCount();
+    now.kvPiecesUsed = cache.held();
+    now.kvPiecesTotal = cache.total();
+    now.prefillTokensQueued = work.prefillTokensLeft();
+    now.lastFence = lastFence;
+    return now;
+}
+
+void engine_core::noteReport()
+{
+    const auto now = steady::now();
+    const auto spacing = scaled(options.loadLag) / reportsPerLag;
+    const bool isDue = reports.empty() || reports.back().first + spacing <= now;
+    if (options.loadLag > std::chrono::milliseconds::zero() && isDue)
+        reports.emplace_back(now, reportNow());
+    if (reports.size() > maxReports)
+        reports.pop_front();
+}
+
+engine_report engine_core::report()
+{
+    const std::lock_guard guard(lock);
+    const auto now = steady::now();
+    reports.emplace_back(now, reportNow());
+    const auto lag = scaled(options.loadLag);
+    const auto isOldEnough = [&](std::size_t index) { return reports[index].first + lag <= now; };
+    while (reports.size() > 1 && (isOldEnough(1) || reports.size() > maxReports))
+        reports.pop_front();
+    return reports.front().second;
+}
+
+engine_records engine_core::records() const
+{
+    const std::lock_guard guard(lock);
+    engine_records copy = counts;
+    copy.preempted = work.preemptedCount();
+    for (const auto &entry : streams)
+        entry.second->record->hasBegun = entry.second->work->hasBegun;
+    copy.requests.reserve(requests.size());
+    for (const auto &record : requests)
+        copy.requests.push_back(*record);
+    return copy;
+}
+
+} // namespace poplarspool::standin
--- /dev/null
+++ b/src/standin/engine_core.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "standin/cache_event_log.h"
+#include "standin/engine_types.h"
+#include "standin/stream_channel.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace poplarspool::standin {
+
+/// A request, as the engine read it.
+struct stream_spec
+{
+    std::string request;
+    std::string attempt;
+    std::string model;
+    std::string prompt;
+    std::vector<std::string> emitted;
+    std::uint32_t maxTokens = 0;
+    std::uint32_t rank = 0;
+    std::string kvHandle;
+};
+
+/// One open stream.
+struct engine_stream
+{
+    stream_spec spec;
+    fault_mode fault = fault_mode::None; ///< How its connection has to misbehave.
+    std::uint32_t faultAfter = 0;
+    stream_channel channel;
+    sequence_ptr work;
+    std::shared_ptr<request_record> record;
+};
+
+using engine_stream_ptr = std::shared_ptr<engine_stream>;
+
+/// Why the engine does not do something; it has not begun it.
+struct engine_refusal
+{
+    int status = 0;
+    std::string code;
+    std::string message;
+};
+
+/// KV that was taken out of this engine, for another to fetch.
+struct kv_blob
+{
+    std::uint64_t number = 0;
+    std::uint32_t tokens = 0;
+    std::vector<std::uint64_t> hashes;
+};
+
+/// The emulated engine without its wire: one thread batches, all members may be called from any.
+class engine_core
+{
+public:
+    explicit engine_core(engine_options options);
+    ~engine_core();
+    void start();
+    void stop();
+
+    std::variant<engine_stream_ptr, engine_refusal> submit(stream_spec spec);
+    /// The reader of a stream has gone away.
+    void cancel(const engine_stream_ptr &stream);
+    /// @param attempt Empty: any.
+    /// @returns Whether there was such a stream.
+    bool cancel(const std::string &request, const std::string &attempt);
+    /// A stream is cut by a fault of its connection.
+    void cut(const engine_stream_ptr &stream);
+    std::optional<engine_refusal> order(std::uint64_t fence, const std::string &nonce,
+                                        const engine_setup &wanted);
+    std::variant<kv_blob, engine_refusal> exportKv(const std::string &request);
+    std::optional<kv_blob> findBlob(std::uint64_t number) const;
+    /// Takes the time of the transfer.
+    std::optional<engine_refusal> importKv(const std::vector<std::uint64_t> &hashes);
+    engine_report report();
+    cache_event_page cacheEvents(std::uint64_t after) const;
+
+    void setFault(const engine_fault &wanted);
+    engine_records records() const;
+    /// Waits while frozen.
+    /// @returns False where the engine is down and must not answer.
+    bool waitUntilReachable();
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+    using guard_type = std::unique_lock<std::mutex>;
+
+    void run();
+    void runIteration(guard_type &guard);
+    void deliver(const std::vector<sequence_ptr> &advanced);
+    void waitForChange(guard_type &guard);
+    void finishChange();
+    void crash();
+    /// @returns How many of the streams it dropped had begun.
+    std::uint32_t closeAll();
+    void forget(const engine_stream_ptr &stream, stream_state state);
+    std::optional<engine_refusal> refusalNow(const stream_spec &spec) const;
+    std::optional<engine_refusal> takeRequestFault(engine_stream &stream);
+    void startChange(const engine_setup &wanted);
+    engine_stream_ptr findStream(const std::string &request, const std::string &attempt) const;
+    bool carries(const std::string &model) const;
+    role_rates ratesNow() const;
+    engine_report reportNow();
+    /// Keeps a report for readers who get it late.
+    void noteReport();
+    std::chrono::nanoseconds scaled(std::chrono::nanoseconds time) const;
+
+    const engine_options options;
+    mutable std::mutex lock;
+    std::condition_variable changed;
+    std::thread thread;
+    bool isStopping = false;
+    std::uint64_t interruptions = 0; ///< Grows when the running iteration must not be finished.
+
+    cache_event_log events;
+    kv_cache cache;
+    batch work;
+    std::unordered_map<const sequence *, engine_stream_ptr> streams;
+    std::uint64_t arrivals = 0;
+
+    std::uint64_t life;
+    engine_setup setup;
+    std::optional<engine_setup> changingTo;
+    time_point changeEnds{};
+    bool isCrashPlanned;
+    bool isDown = false;
+    time_point downUntil{};
+    std::uint64_t lastFence;
+    std::string lastNonce;
+    engine_fault fault;
+
+    engine_records counts; ///< Without its requests.
+    std::deque<std::shared_ptr<request_record>> requests;
+    std::deque<std::pair<time_point, engine_report>> reports;
+    std::uint64_t reportSequence = 0;
+    std::uint64_t blobNumber = 0;
+    std::deque<kv_blob> blobs;
+};
+
+} // namespace poplarspool::standin
--- /dev/null
+++ b/src/standin/platform.cpp
@@ -0,0 +1,337 @@
+#include "standin/platform.h"
+
+#include "poplarspool/base/http.h"
+#include "poplarspool/base/metrics.h"
+#include "standin/platform_faults.h"
+#include "standin/platform_lines.h"
+#include "standin/platform_objects.h"
+#include "standin/platform_paths.h"
+
+#include <atomic>
+#include <map>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+namespace poplarspool::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maxValueBytes = 1024 * 1024;
+/// A value's JSON text may be six times as long (\u00XX) as the value.
+constexpr std::size_t maxBodyBytes = 6 * maxValueBytes + 1024;
+constexpr std::uint32_t maxConnections = 4096;
+constexpr std::chrono::milliseconds maxWatchTime{60000};
+constexpr std::uint64_t weightBytes = 16ULL * 1024 * 1024 * 1024;
+
+/// Lost: the connection is closed without an answer.
+using answer = std::optional<http_reply>;
+
+http_limits limitsOfStandin()
+{
+    http_limits limits = defaultHttpLimits();
+    limits.bodyBytes = maxBodyBytes;
+    limits.connections = maxConnections;
+    return limits;
+}
+
+http_reply replyOf(int status, const json &body)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.body = body.dump();
+    reply.contentType = "application/json";
+    return reply;
+}
+
+http_reply refusal(int status, const std::string &message)
+{
+    return replyOf(status, json{{"error", message}});
+}
+
+json jsonOf(const stored_object &entry)
+{
+    if (entry.isDeleted)
+        return {{"key", entry.key}, {"version", entry.version}, {"deleted", true}};
+    return {{"key", entry.key}, {"value", entry.value}, {"version", entry.version}};
+}
+
+json jsonOf(const stored_list &list)
+{
+    json objects = json::array();
+    for (const stored_object &each : list.objects)
+        objects.push_back(jsonOf(each));
+    return {{"objects", std::move(objects)}, {"version", list.version}};
+}
+
+json jsonOf(const instance_line &line)
+{
+    return {{"id", line.id}, {"zone", line.zone}, {"peer", line.peer}, {"leaving", line.isLeaving}};
+}
+
+instance_line lineOf(const json &entry)
+{
+    return {entry.at("id").get<std::string>(), entry.at("zone").get<std::string>(),
+            entry.at("peer").get<std::string>(), entry.value("leaving", false)};
+}
+
+platform_fault faultOf(const std::string &name)
+{
+    static const std::map<std::string, platform_fault> names{
+            {"none", platform_fault::None},
+            {"outage", platform_fault::Outage},
+            {"slow", platform_fault::Slow},
+            {"lose_answers", platform_fault::LoseAnswers}};
+    return names.at(name);
+}
+
+http_reply outcomeReply(const write_outcome &outcome)
+{
+    return replyOf(outcome.isDone ? 200 : 409, {{"version", outcome.version}});
+}
+
+} // namespace
+
+struct platform_standin::state
+{
+    state(endpoint bind, double weightsPerSecond)
+        : weightRate(weightsPerSecond),
+          server(
+                  "standin_platform", std::move(bind), limitsOfStandin(),
+                  [this](const http_request &request, http_sink & /*sink*/) {
+                      return serve(request);
+                  },
+                  metrics)
+    { }
+
+    answer serve(const http_request &request);
+    answer serveControl(const http_request &request, const request_target &target);
+    answer servePlatform(const http_request &request, const request_target &target);
+    answer serveObject(const http_request &request, const request_target &target,
+                       const std::string &key);
+    answer serveWrite(const http_reply &reply);
+    http_reply putObject(const http_request &request, const std::string &key);
+    http_reply removeObject(const request_target &target, const std::string &key);
+    answer serveWatch(const request_target &target);
+    http_reply listInstances();
+    http_reply weightsOf(const std::string &modelAndVersion);
+    void setFault(const platform_fault_setting &setting);
+    platform_records records() const;
+
+    metrics_registry metrics;
+    object_table objects;
+    lagging_list lines;
+    fault_switch faults;
+    rate_limit weightRate;
+    std::atomic<std::uint64_t> gets{0};
+    std::atomic<std::uint64_t> lists{0};
+    std::atomic<std::uint64_t> puts{0};
+    std::atomic<std::uint64_t> removes{0};
+    std::atomic<std::uint64_t> watches{0};
+    std::atomic<std::uint64_t> instanceLists{0};
+    std::atomic<std::uint64_t> weights{0};
+    http_server server; ///< Last: its threads use all others.
+};
+
+answer platform_standin::state::serve(const http_request &request)
+{
+    const request_target target = parseTarget(request.path);
+    try {
+        if (target.path.starts_with("/standin/"))
+            return serveControl(request, target);
+        faults.delay();
+        if (faults.isOut())
+            return std::nullopt;
+        return servePlatform(request, target);
+    } catch (const json::exception &fault) {
+        return refusal(400, fault.what());
+    } catch (const std::out_of_range &) {
+        return refusal(400, "unknown name");
+    }
+}
+
+answer platform_standin::state::serveControl(const http_request &request,
+                                             const request_target &target)
+{
+    if (target.path == "/standin/records") {
+        const platform_records counts = records();
+        return replyOf(200,
+                       {{"get", counts.gets},
+                        {"list", counts.lists},
+                        {"put", counts.puts},
+                        {"remove", counts.removes},
+                        {"watch", counts.watches},
+                        {"instances", counts.instanceLists},
+                        {"weights", counts.weights}});
+    }
+    const json body = json::parse(request.body);
+    if (target.path == "/standin/fault") {
+        setFault({faultOf(body.at("mode").get<std::string>()), body.value("slow_ms", 0U),
+                  body.value("count", 1U)});
+    } else if (target.path == "/standin/lag") {
+        lines.setLag(std::chrono::milliseconds(body.at("ms").get<std::uint32_t>()));
+    } else if (target.path == "/standin/instances") {
+        for (const json &entry : body.value("set", json::array()))
+            lines.set(lineOf(entry));
+        for (const json &id : body.value("remove", json::array()))
+            lines.remove(id.get<std::string>());
+    } else {
+        return refusal(404, "no such control");
+    }
+    return replyOf(200, json::object());
+}
+
+answer platform_standin::state::servePlatform(const http_request &request,
+                                              const request_target &target)
+{
+    if (const auto key = pathAfter(target, "/objects/"))
+        return serveObject(request, target, *key);
+    if (request.method != "GET")
+        return refusal(405, "only GET here");
+    if (target.path == "/list") {
+        ++lists;
+        const auto prefix = target.query.find("prefix");
+        return replyOf(200,
+                       jsonOf(objects.list(prefix == target.query.end() ? "" : prefix->second)));
+    }
+    if (target.path == "/watch")
+        return serveWatch(target);
+    if (target.path == "/instances")
+        return listInstances();
+    if (const auto rest = pathAfter(target, "/weights/"))
+        return weightsOf(*rest);
+    return refusal(404, "no such path");
+}
+
+answer platform_standin::state::serveObject(const http_request &request,
+                                            const request_target &target, const std::string &key)
+{
+    if (request.method == "PUT")
+        return serveWrite(putObject(request, key));
+    if (request.method == "DELETE")
+        return serveWrite(removeObject(target, key));
+    if (request.method != "GET")
+        return refusal(405, "GET, PUT or DELETE");
+    ++gets;
+    const auto found = objects.get(key);
+    return found ? replyOf(200, jsonOf(*found)) : refusal(404, "no such object");
+}
+
+answer platform_standin::state::serveWrite(const http_reply &reply)
+{
+    if (faults.takesAnswer())
+        return std::nullopt;
+    return reply;
+}
+
+http_reply platform_standin::state::putObject(const http_request &request, const std::string &key)
+{
+    ++puts;
+    const json body = json::parse(request.body);
+    const auto value = body.at("value").get<std::string>();
+    if (value.size() > maxValueBytes)
+        return refusal(413, "value above 1 MiB");
+    return outcomeReply(objects.put(key, value, body.at("if_version").get<std::uint64_t>()));
+}
+
+http_reply platform_standin::state::removeObject(const request_target &target,
+                                                 const std::string &key)
+{
+    ++removes;
+    const auto ifVersion = numberOf(target, "if_version");
+    if (!ifVersion || *ifVersion == 0)
+        return refusal(400, "if_version missing");
+    return outcomeReply(objects.remove(key, *ifVersion));
+}
+
+answer platform_standin::state::serveWatch(const request_target &target)
+{
+    ++watches;
+    const auto prefix = target.query.find("prefix");
+    const auto after = numberOf(target, "after");
+    const auto wait = numberOf(target, "wait_ms");
+    if (prefix == target.query.end() || !after || !wait)
+        return refusal(400, "prefix, after and wait_ms are needed");
+    const auto bounded = std::min<std::uint64_t>(*wait, maxWatchTime.count());
+    const auto seen = objects.watch(prefix->second, *after, std::chrono::milliseconds(bounded));
+    if (faults.isOut())
+        return std::nullopt;
+    return replyOf(200, jsonOf(seen));
+}
+
+http_reply platform_standin::state::listInstances()
+{
+    ++instanceLists;
+    json entries = json::array();
+    for (const instance_line &line : lines.seen())
+        entries.push_back(jsonOf(line));
+    return replyOf(200, {{"instances", std::move(entries)}});
+}
+
+http_reply platform_standin::state::weightsOf(const std::string &modelAndVersion)
+{
+    ++weights;
+    const auto slash = modelAndVersion.rfind('/');
+    if (slash == std::string::npos)
+        return refusal(404, "MODEL/VERSION is needed");
+    if (!weightRate.take()) {
+        http_reply reply = refusal(429, "above the rate of the weight store");
+        reply.headers.emplace_back("Retry-After", std::to_string(weightRate.secondsLeft()));
+        return reply;
+    }
+    return replyOf(200,
+                   {{"model", modelAndVersion.substr(0, slash)},
+                    {"version", modelAndVersion.substr(slash + 1)},
+                    {"bytes", weightBytes}});
+}
+
+void platform_standin::state::setFault(const platform_fault_setting &setting)
+{
+    faults.set(setting);
+    objects.wakeAll();
+}
+
+platform_records platform_standin::state::records() const
+{
+    return {gets, lists, puts, removes, watches, instanceLists, weights};
+}
+
+platform_standin::platform_standin(endpoint bind, double weightsPerSecond)
+    : inner(std::make_unique<state>(std::move(bind), weightsPerSecond))
+{ }
+
+platform_standin::~platform_standin()
+{
+    stop();
+}
+
+result<endpoint> platform_standin::start()
+{
+    return inner->server.start();
+}
+
+void platform_standin::stop()
+{
+    inner->faults.end();
+    inner->objects.end();
+    inner->server.stop();
+}
+
+void platform_standin::setFault(const platform_fault_setting &setting)
+{
+    inner->setFault(setting);
+}
+
+void platform_standin::setLag(std::uint32_t lagMs)
+{
+    inner->lines.setLag(std::chrono::milliseconds(lagMs));
+}
+
+platform_records platform_standin::records() const
+{
+    return inner->records();
+}
+
+} // namespace poplarspool::standin
--- /dev/null
+++ b/src/standin/platform_main.cpp
@@ -0,0 +1,82 @@
+#include "standin/platform.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+namespace poplarspool::standin {
+
+namespace {
+
+constexpr int exitUsage = 2;
+
+cxxopts::Options optionsOfPlatform()
+{
+    cxxopts::Options options("poplarspool-standin platform",
+                             "Object API, instance list and weight store in memory.");
+    options.add_options()("listen", "Address, such as 127.0.0.1:7000; port 0 chooses one",
+                          cxxopts::value<std::string>())(
+            "rate", "Calls a second that the weight store allows",
+            cxxopts::value<double>()->default_value("10"))("help", "Show this text");
+    return options;
+}
+
+/// Blocks the signals before any thread starts, so that only the wait below takes them.
+sigset_t blockEndSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int serveUntilSignal(const endpoint &bind, double rate)
+{
+    const sigset_t signals = blockEndSignals();
+    platform_standin standin(bind, rate);
+    const auto address = standin.start();
+    if (!succeeded(address)) {
+        std::cerr << errorOf(address).message << '\n';
+        return 1;
+    }
+    std::cout << "listening " << textOf(valueOf(address)) << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    standin.stop();
+    return 0;
+}
+
+int runParsed(const cxxopts::ParseResult &parsed)
+{
+    const auto bind = parseEndpoint(parsed["listen"].as<std::string>());
+    if (!succeeded(bind)) {
+        std::cerr << errorOf(bind).message << '\n';
+        return exitUsage;
+    }
+    return serveUntilSignal(valueOf(bind), parsed["rate"].as<double>());
+}
+
+} // namespace
+
+int platformMain(const std::vector<std::string> &words)
+{
+    cxxopts::Options options = optionsOfPlatform();
+    std::vector<const char *> arguments{"platform"};
+    for (const std::string &word : words)
+        arguments.push_back(word.c_str());
+    try {
+        const auto parsed = options.parse(static_cast<int>(arguments.size()), arguments.data());
+        if (parsed.count("help") == 0)
+            return runParsed(parsed);
+        std::cout << options.help();
+        return 0;
+    } catch (const cxxopts::exceptions::exception &fault) {
+        std::cerr << fault.what() << '\n' << options.help();
+        return exitUsage;
+    }
+}
+
+} // namespace poplarspool::standin
--- /dev/null
+++ b/src/standin/platform_objects.cpp
@@ -0,0 +1,95 @@
+#include "standin/platform_objects.h"
+
+namespace poplarspool::standin {
+
+std::uint64_t object_table::versionOf(const std::string &key) const
+{
+    const auto found = objects.find(key);
+    if (found == objects.end() || found->second.isDeleted)
+        return 0;
+    return found->second.version;
+}
+
+std::optional<stored_object> object_table::get(const std::string &key) const
+{
+    const std::lock_guard guard(lock);
+    if (versionOf(key) == 0)
+        return std::nullopt;
+    return objects.at(key);
+}
+
+std::vector<stored_object> object_table::changedSince(const std::string &prefix,
+                                                      std::uint64_t after) const
+{
+    std::vector<stored_object> out;
+    for (auto at = objects.lower_bound(prefix); at != objects.end(); ++at) {
+        if (!at->first.starts_with(prefix))
+            break;
+        if (at->second.version > after)
+            out.push_back(at->second);
+    }
+    return out;
+}
+
+stored_list object_table::list(const std::string &prefix) const
+{
+    const std::lock_guard guard(lock);
+    stored_list out{changedSince(prefix, 0), version};
+    std::erase_if(out.objects, [](const stored_object &each) { return each.isDeleted; });
+    return out;
+}
+
+write_outcome object_table::write(const std::string &key, stored_object next,
+                                  std::uint64_t ifVersion)
+{
+    const std::lock_guard guard(lock);
+    const std::uint64_t present = versionOf(key);
+    if (present != ifVersion)
+        return {false, present};
+    next.key = key;
+    next.version = ++version;
+    objects[key] = std::move(next);
+    changed.notify_all();
+    return {true, version};
+}
+
+write_outcome object_table::put(const std::string &key, const std::string &value,
+                                std::uint64_t ifVersion)
+{
+    return write(key, stored_object{key, value, 0, false}, ifVersion);
+}
+
+write_outcome object_table::remove(const std::string &key, std::uint64_t ifVersion)
+{
+    return write(key, stored_object{key, "", 0, true}, ifVersion);
+}
+
+stored_list object_table::watch(const std::string &prefix, std::uint64_t after,
+                                std::chrono::milliseconds wait)
+{
+    std::unique_lock guard(lock);
+    const std::uint64_t wakesBefore = wakes;
+    stored_list out;
+    changed.wait_for(guard, wait, [&] {
+        out.objects = changedSince(prefix, after);
+        return !out.objects.empty() || wakes != wakesBefore || isEnding;
+    });
+    out.version = version;
+    return out;
+}
+
+void object_table::wakeAll()
+{
+    const std::lock_guard guard(lock);
+    ++wakes;
+    changed.notify_all();
+}
+
+void object_table::end()
+{
+    const std::lock_guard guard(lock);
+    isEnding = true;
+    changed.notify_all();
+}
+
+} // namespace poplarspool::standin
--- /dev/null
+++ b/tests/base/http_fixture.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "poplarspool/base/http.h"
+
+#include "base/socket.h"
+
+#include <array>
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+
+/// Peers for tests of HTTP that send exactly the bytes they are told.
+namespace poplarspool::test {
+
+using namespace std::chrono_literals;
+
+/// Bound of every wait for something that must happen; passing it fails the test.
+constexpr milliseconds safetyTime = 20s;
+
+inline socket_deadline safetyEnd()
+{
+    return socket_clock::now() + safetyTime;
+}
+
+template <class T>
+T await(std::future<T> &future)
+{
+    if (future.wait_for(safetyTime) != std::future_status::ready)
+        CPPUNIT_FAIL("nothing happened within the safety time");
+    return future.get();
+}
+
+/// Reads until the text is in what was read, or to the end of the connection.
+inline std::string readUntil(int fd, std::string_view text)
+{
+    std::string all;
+    std::array<char, 4096> bytes{};
+    while (text.empty() || all.find(text) == std::string::npos) {
+        const received some = receiveSome(fd, bytes.data(), bytes.size(), safetyEnd(), -1);
+        CPPUNIT_ASSERT(some.fault != socket_fault::TimedOut);
+        if (some.fault != socket_fault::None)
+            break;
+        all.append(bytes.data(), some.bytes);
+    }
+    return all;
+}
+
+class raw_caller
+{
+public:
+    explicit raw_caller(const endpoint &to)
+    {
+        auto outcome = connectTo(to, safetyEnd(), -1);
+        CPPUNIT_ASSERT(succeeded(outcome));
+        connection = std::move(valueOf(outcome));
+    }
+
+    void send(std::string_view bytes)
+    {
+        sendAll(connection.get(), bytes, safetyEnd(), -1);
+    }
+
+    void endSending() { shutdown(connection.get(), SHUT_WR); }
+    std::string readToEnd() { return readUntil(connection.get(), {}); }
+    std::string readTo(std::string_view text) { return readUntil(connection.get(), text); }
+    int fd() const { return connection.get(); }
+
+private:
+    descriptor connection;
+};
+
+/// Answers one request with the given bytes and closes.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::string reply) : listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *raw = reinterpret_cast<sockaddr *>(&address);
+        socklen_t size = sizeof address;
+        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
+        CPPUNIT_ASSERT(listen(listener.get(), 4) == 0);
+        getsockname(listener.get(), raw, &size);
+        at = {"127.0.0.1", ntohs(address.sin_port)};
+        thread = std::thread([this, reply = std::move(reply)] { answer(reply); });
+    }
+
+    ~scripted_server()
+    {
+        shutdown(listener.get(), SHUT_RDWR);
+        thread.join();
+    }
+
+    const endpoint &address() const { return at; }
+
+private:
+    void answer(const std::string &reply)
+    {
+        const descriptor connection(accept(listener.get(), nullptr, nullptr));
+        if (!connection.isOpen())
+            return;
+        readUntil(connection.get(), "\r\n\r\n");
+        sendAll(connection.get(), reply, safetyEnd(), -1);
+    }
+
+    descriptor listener;
+    endpoint at;
+    std::thread thread;
+};
+
+} // namespace poplarspool::test
--- /dev/null
+++ b/tests/base/http_pool_test.cpp
@@ -0,0 +1,203 @@
+#include "base/http_fixture.h"
+
+using namespace poplarspool;
+using namespace poplarspool::test;
+
+namespace {
+
+const http_request get{"GET", "/", {}, "", ""};
+
+/// A server that answers only when told; for calls that are ended from the other side.
+class held_server
+{
+public:
+    explicit held_server(metrics_registry &metrics) :
+        server("held", {"127.0.0.1", 0}, defaultHttpLimits(),
+               [this](const http_request &, http_sink &sink) { return hold(sink); }, metrics)
+    {
+        at = valueOf(server.start());
+    }
+
+    ~held_server()
+    {
+        release.set_value();
+        server.stop();
+    }
+
+    std::promise<void> entered;
+    std::promise<void> release;
+    endpoint at;
+
+private:
+    std::optional<http_reply> hold(http_sink &sink)
+    {
+        sink.begin(200, {}, "text/plain");
+        entered.set_value();
+        release.get_future().wait_for(safetyTime);
+        return std::nullopt;
+    }
+
+    http_server server;
+};
+
+} // namespace
+
+class http_pool_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_pool_test);
+    CPPUNIT_TEST(closedPortIsNotRun);
+    CPPUNIT_TEST(namesAreRefused);
+    CPPUNIT_TEST(stopInterruptsCalls);
+    CPPUNIT_TEST(timeLimitHoldsForTricklingReply);
+    CPPUNIT_TEST(doubtfulReplyIsBroken);
+    CPPUNIT_TEST(replyWithoutLengthIsMarked);
+    CPPUNIT_TEST(bodilessRepliesEndAtOnce);
+    CPPUNIT_TEST(surplusBytesEndTheConnection);
+    CPPUNIT_TEST(requestOnceSentIsNotRepeated);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void closedPortIsNotRun()
+    {
+        endpoint closed;
+        {
+            const scripted_server taken("");
+            closed = taken.address();
+        }
+        const auto outcome = pool.send(closed, get, safetyTime);
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::Unavailable);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::NotRun);
+    }
+
+    void namesAreRefused()
+    {
+        const auto outcome = pool.send({"localhost", 1}, get, safetyTime);
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::BadRequest);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::NotRun);
+    }
+
+    // The process stops while a call waits for its reply: the call ends at once and says that it
+    // may have run; later calls end without being sent.
+    void stopInterruptsCalls()
+    {
+        held_server server(metrics);
+        auto call = std::async(std::launch::async,
+                               [&] { return pool.send(server.at, get, safetyTime * 2); });
+        auto isIn = server.entered.get_future();
+        await(isIn);
+        pool.stop();
+        const auto outcome = await(call);
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::Unavailable);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::MayHaveRun);
+        CPPUNIT_ASSERT(errorOf(pool.send(server.at, get, safetyTime)).ran == verdict::NotRun);
+    }
+
+    // The server writes without an end, so that no single read ever times out. The limit counts for
+    // the whole call.
+    void timeLimitHoldsForTricklingReply()
+    {
+        http_server server(
+                "endless", {"127.0.0.1", 0}, defaultHttpLimits(),
+                [](const http_request &, http_sink &sink) -> std::optional<http_reply> {
+                    sink.begin(200, {}, "text/plain");
+                    while (sink.write("x"))
+                        std::this_thread::yield();
+                    return std::nullopt;
+                },
+                metrics);
+        const auto started = server.start();
+        const auto outcome = pool.send(valueOf(started), get, 100ms);
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::TimedOut);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::MayHaveRun);
+    }
+
+    // Each of these replies has bytes that a lenient reader takes for a whole answer.
+    void doubtfulReplyIsBroken()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::string> replies{
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Le",
+                "HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+                head + "Content-Length: 5\r\n\r\nhalf",
+                head + "Content-Length: x\r\n\r\n",
+                head + "Content-Length: 2\r\nContent-Length: 4\r\n\r\nhalf",
+                head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nhalf",
+                chunked + "4\r\nhalf\r\n",
+                chunked + "4\r\nhalf\r\n0",
+                chunked + "4\r\nhalf\r\n0\r\n",
+                chunked + "10\r\nhalf",
+                chunked + "x\r\nhalf\r\n0\r\n\r\n",
+        };
+        for (const std::string &reply : replies) {
+            scripted_server server(reply);
+            const auto outcome = pool.send(server.address(), get, safetyTime);
+            CPPUNIT_ASSERT_MESSAGE(reply, !succeeded(outcome));
+            CPPUNIT_ASSERT_MESSAGE(reply, errorOf(outcome).code == error_code::Broken);
+            CPPUNIT_ASSERT_MESSAGE(reply, errorOf(outcome).ran == verdict::MayHaveRun);
+        }
+    }
+
+    void replyWithoutLengthIsMarked()
+    {
+        scripted_server server("HTTP/1.0 200 OK\r\n\r\nbody");
+        const auto outcome = pool.send(server.address(), get, safetyTime);
+        CPPUNIT_ASSERT(succeeded(outcome));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), valueOf(outcome).body);
+        CPPUNIT_ASSERT(!valueOf(outcome).isDelimited);
+    }
+
+    void bodilessRepliesEndAtOnce()
+    {
+        http_request request = get;
+        for (const std::string status : {"204", "304", "200"}) {
+            request.method = status == "200" ? "HEAD" : "GET";
+            scripted_server server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status
+                                   + "\r\nContent-Length: 7\r\nConnection: close\r\n\r\n");
+            const auto outcome = pool.send(server.address(), request, safetyTime);
+            CPPUNIT_ASSERT_MESSAGE(status, succeeded(outcome));
+            CPPUNIT_ASSERT_EQUAL(std::stoi(status), valueOf(outcome).status);
+            CPPUNIT_ASSERT(valueOf(outcome).body.empty());
+        }
+    }
+
+    // A server sends a second reply that nobody asked for. Kept, the connection would give it to
+    // the next call: a crossed answer.
+    void surplusBytesEndTheConnection()
+    {
+        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+        scripted_server server(reply + reply);
+        CPPUNIT_ASSERT(succeeded(pool.send(server.address(), get, safetyTime)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), metrics.gaugeOf("poplarspool_pool_idle").get());
+    }
+
+    // A kept connection breaks after the request was sent and before any reply. Sent again by the
+    // library, a non-idempotent request would run twice: the server must see it once.
+    void requestOnceSentIsNotRepeated()
+    {
+        std::atomic<int> runs{0};
+        http_server server(
+                "broken", {"127.0.0.1", 0}, defaultHttpLimits(),
+                [&](const http_request &, http_sink &) -> std::optional<http_reply> {
+                    http_reply reply;
+                    reply.status = 200;
+                    return ++runs == 1 ? std::optional(reply) : std::nullopt;
+                },
+                metrics);
+        const endpoint at = valueOf(server.start());
+        CPPUNIT_ASSERT(succeeded(pool.send(at, get, safetyTime)));
+        const auto outcome = pool.send(at, get, safetyTime);
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::Broken);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::MayHaveRun);
+        CPPUNIT_ASSERT_EQUAL(2, runs.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                             metrics.counterOf("poplarspool_pool_connects_total").get());
+    }
+
+private:
+    metrics_registry metrics;
+    http_pool pool{4, 2s, metrics};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_pool_test);
