--- /dev/null
+++ b/src/node/answers.cpp
@@ -0,0 +1,205 @@
+#include "poplarspool/node/answers.h"
+
+#include "poplarspool/config.h"
+
+#include <algorithm>
+#include <array>
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <unordered_map>
+
+namespace poplarspool::node {
+
+namespace {
+
+using peer::answer_state;
+
+/// What one entry costs besides its texts: list and index nodes.
+constexpr std::size_t entryOverheadBytes = 256;
+
+struct entry
+{
+    std::string name; ///< Key and nonce.
+    peer::answer_reply answer;
+    mono_time changedAt{};
+    std::size_t bytes = 0;
+};
+
+std::string nameOf(const std::string &key, const std::string &nonce)
+{
+    return key + '/' + nonce;
+}
+
+std::size_t bytesOf(const http_headers &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+std::size_t bytesOf(const peer::answer_reply &answer)
+{
+    return answer.body.size() + answer.contentType.size() + bytesOf(answer.headers);
+}
+
+peer::answer_reply answerOf(const http_reply &reply)
+{
+    return {answer_state::Done, reply.status, reply.headers, reply.contentType, reply.body};
+}
+
+/// What an attempt that ended is can't be taken back, but for the case that it ran after all.
+bool mayFollow(answer_state now, answer_state next)
+{
+    switch (now) {
+    case answer_state::Done:
+        return next == answer_state::Lost;
+    case answer_state::Lost:
+        return false;
+    case answer_state::NotDispatched:
+        return next == answer_state::Done || next == answer_state::Lost;
+    case answer_state::Unknown:
+    case answer_state::Running:
+        break;
+    }
+    return next != answer_state::Running;
+}
+
+} // namespace
+
+struct answer_book::state
+{
+    using entries = std::list<entry>;
+
+    explicit state(clock_source clock) : clock(std::move(clock)) { }
+
+    entries &listOf(answer_state which) { return byState[static_cast<std::size_t>(which)]; }
+    void note(const std::string &key, const std::string &nonce, peer::answer_reply answer);
+    entries::iterator add(const std::string &name);
+    void set(entries::iterator at, peer::answer_reply answer);
+    void drop(entries::iterator at);
+    void keepWithinBound();
+
+    clock_source clock;
+    std::mutex lock;
+    std::condition_variable changed;
+    std::array<entries, 5> byState; ///< One list for each answer_state, longest unchanged first.
+    std::unordered_map<std::string, entries::iterator> byName;
+    std::size_t bytes = 0;
+};
+
+answer_book::state::entries::iterator answer_book::state::add(const std::string &name)
+{
+    entries &fresh = listOf(answer_state::Unknown);
+    fresh.push_back({name, {}, {}, 0});
+    return byName.emplace(name, std::prev(fresh.end())).first->second;
+}
+
+void answer_book::state::set(entries::iterator at, peer::answer_reply answer)
+{
+    entries &from = listOf(at->answer.state);
+    entries &to = listOf(answer.state);
+    to.splice(to.end(), from, at);
+    bytes -= at->bytes;
+    at->answer = std::move(answer);
+    at->bytes = entryOverheadBytes + 2 * at->name.size() + bytesOf(at->answer);
+    bytes += at->bytes;
+}
+
+void answer_book::state::drop(entries::iterator at)
+{
+    bytes -= at->bytes;
+    byName.erase(at->name);
+    listOf(at->answer.state).erase(at);
+}
+
+void answer_book::state::note(const std::string &key, const std::string &nonce,
+                              peer::answer_reply answer)
+{
+    const std::lock_guard guard(lock);
+    const std::string name = nameOf(key, nonce);
+    const auto found = byName.find(name);
+    const entries::iterator at = found == byName.end() ? add(name) : found->second;
+    if (!mayFollow(at->answer.state, answer.state))
+        return;
+    at->changedAt = clock.mono();
+    set(at, std::move(answer));
+    keepWithinBound();
+    changed.notify_all();
+}
+
+/// A flood of large answers would take the memory of the instance. What is given up first costs
+/// least: an answer (its duplicates hear truly that it may have run), then that it was lost (an
+/// unknown attempt is told as such too), and last that it was never dispatched, for that frees the
+/// key. An attempt that is running is never given up.
+void answer_book::state::keepWithinBound()
+{
+    entries &done = listOf(answer_state::Done);
+    entries &lost = listOf(answer_state::Lost);
+    entries &notDispatched = listOf(answer_state::NotDispatched);
+    while (bytes > config::maxAnswerBookBytes) {
+        if (!done.empty())
+            set(done.begin(), {answer_state::Lost, 0, {}, {}, {}});
+        else if (!lost.empty())
+            drop(lost.begin());
+        else if (!notDispatched.empty())
+            drop(notDispatched.begin());
+        else
+            return;
+    }
+}
+
+answer_book::answer_book(clock_source clock) : inner(std::make_unique<state>(std::move(clock))) { }
+
+answer_book::~answer_book() = default;
+
+void answer_book::onRunning(const std::string &key, const std::string &nonce)
+{
+    inner->note(key, nonce, {answer_state::Running, 0, {}, {}, {}});
+}
+
+void answer_book::onNotDispatched(const std::string &key, const std::string &nonce)
+{
+    inner->note(key, nonce, {answer_state::NotDispatched, 0, {}, {}, {}});
+}
+
+void answer_book::onDone(const std::string &key, const std::string &nonce, const http_reply &reply)
+{
+    peer::answer_reply answer = answerOf(reply);
+    if (bytesOf(answer) > config::maxKeptAnswerBytes)
+        return onLost(key, nonce);
+    inner->note(key, nonce, std::move(answer));
+}
+
+void answer_book::onLost(const std::string &key, const std::string &nonce)
+{
+    inner->note(key, nonce, {answer_state::Lost, 0, {}, {}, {}});
+}
+
+peer::answer_reply answer_book::find(const peer::answer_ask &question)
+{
+    const std::string name = nameOf(question.key, question.nonce);
+    peer::answer_reply seen;
+    std::unique_lock guard(inner->lock);
+    const milliseconds wait = std::min(milliseconds(question.waitMs), config::maxTimeLimit);
+    inner->changed.wait_for(guard, wait, [&] {
+        const auto found = inner->byName.find(name);
+        seen = found == inner->byName.end() ? peer::answer_reply() : found->second->answer;
+        return seen.state != answer_state::Running;
+    });
+    return seen;
+}
+
+void answer_book::forgetOlderThan(milliseconds keepTime)
+{
+    const std::lock_guard guard(inner->lock);
+    const mono_time now = inner->clock.mono();
+    for (auto &entries : inner->byState) {
+        while (!entries.empty() && now - entries.front().changedAt > keepTime)
+            inner->drop(entries.begin());
+    }
+    inner->changed.notify_all();
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/fleet_report.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "poplarspool/operators/operator_server.h"
+#include "poplarspool/policy/view.h"
+
+/// Tells operators what an instance knows of the fleet.
+namespace poplarspool::node {
+
+operators::fleet_status reportOf(const policy::view &now, const instance_id &self,
+                                 bool isStoreReachable);
+
+/// @returns All events in one order, cause before effect.
+std::vector<event> mergeTimelines(std::vector<std::vector<event>> parts);
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/freshness.cpp
@@ -0,0 +1,75 @@
+#include "node/freshness.h"
+
+#include "poplarspool/config.h"
+
+#include <algorithm>
+
+namespace poplarspool::node {
+
+namespace {
+
+const policy::member *findMember(const std::vector<policy::member> &members, const instance_id &id)
+{
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const policy::member &other) { return other.id == id; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool isReached(const policy::member &other)
+{
+    return other.state == policy::member_state::Alive
+            || other.state == policy::member_state::Leaving;
+}
+
+/// Counts the voters (listed instances, or the known members where the list was never there) and
+/// those of them that are reached now.
+std::pair<std::size_t, std::size_t> reachedOf(const freshness_facts &facts)
+{
+    std::size_t voters = 0;
+    std::size_t reached = 0;
+    if (facts.listed.empty()) {
+        voters = facts.members.size();
+        reached = static_cast<std::size_t>(
+                std::count_if(facts.members.begin(), facts.members.end(), isReached));
+        return {voters, reached};
+    }
+    for (const platform::listed_instance &entry : facts.listed) {
+        ++voters;
+        const policy::member *known = findMember(facts.members, entry.id);
+        if (entry.id == facts.self || (known && isReached(*known)))
+            ++reached;
+    }
+    return {voters, reached};
+}
+
+} // namespace
+
+bool isFresh(const freshness_facts &facts)
+{
+    if (facts.appliedVersion == 0)
+        return false;
+    if (facts.now - facts.confirmedAt <= config::freshTime)
+        return true;
+    const auto [voters, reached] = reachedOf(facts);
+    if (reached * 2 <= voters)
+        return false;
+    return std::none_of(facts.members.begin(), facts.members.end(),
+                        [&](const policy::member &other) {
+                            return other.appliedVersion > facts.appliedVersion;
+                        });
+}
+
+bool isAppliedEverywhere(std::uint64_t version, const std::vector<policy::member> &members,
+                         const std::vector<platform::listed_instance> &listed)
+{
+    for (const policy::member &other : members) {
+        if (other.state != policy::member_state::Dead && other.appliedVersion < version)
+            return false;
+    }
+    return std::all_of(listed.begin(), listed.end(), [&](const platform::listed_instance &entry) {
+        const policy::member *known = findMember(members, entry.id);
+        return known && known->appliedVersion >= version;
+    });
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/load_watch.cpp
@@ -0,0 +1,222 @@
+#include "node/load_watch.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+
+#include <nlohmann/json.hpp>
+
+namespace poplarspool::node {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// @returns Whether this instance polls that runner: the highest rendezvous weight among the live
+///          instances of its zone, or among all where its zone has none.
+bool isPollerOf(const policy::view &now, const instance_id &self, const policy::runner_spec &spec)
+{
+    const std::string key = "poll/" + spec.id.text;
+    bool inZone = false;
+    for (const policy::member &other : now.members)
+        inZone = inZone || (other.state == policy::member_state::Alive && other.zone == spec.zone);
+    const policy::member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const policy::member &other : now.members) {
+        if (other.state != policy::member_state::Alive || (inZone && other.zone != spec.zone))
+            continue;
+        const std::uint64_t weight = rendezvousWeight(other.id.text, key);
+        if (!best || weight > bestWeight) {
+            best = &other;
+            bestWeight = weight;
+        }
+    }
+    return !best || best->id == self;
+}
+
+} // namespace
+
+std::string textOf(const heard_load &load)
+{
+    const policy::load_report &report = load.report;
+    json models = json::array();
+    for (const policy::model_version &entry : report.models)
+        models.push_back({entry.model, entry.version});
+    const json text = {load.isUp,
+                       report.life,
+                       report.sequence,
+                       static_cast<int>(report.role),
+                       report.isChanging,
+                       report.running,
+                       report.queued,
+                       report.kvPiecesUsed,
+                       report.kvPiecesTotal,
+                       report.prefillTokensQueued,
+                       report.lastFence,
+                       models};
+    return text.dump();
+}
+
+result<heard_load> parseHeardLoad(std::string_view text)
+{
+    const json parsed = json::parse(text, nullptr, false);
+    try {
+        heard_load load;
+        load.isUp = parsed.at(0).get<bool>();
+        load.report.life = parsed.at(1).get<incarnation>();
+        load.report.sequence = parsed.at(2).get<std::uint64_t>();
+        const int role = parsed.at(3).get<int>();
+        if (role < 0 || role > static_cast<int>(policy::engine_role::Decode))
+            return notRun(error_code::Broken, "load rumor names no role");
+        load.report.role = static_cast<policy::engine_role>(role);
+        load.report.isChanging = parsed.at(4).get<bool>();
+        load.report.running = parsed.at(5).get<std::uint32_t>();
+        load.report.queued = parsed.at(6).get<std::uint32_t>();
+        load.report.kvPiecesUsed = parsed.at(7).get<std::uint32_t>();
+        load.report.kvPiecesTotal = parsed.at(8).get<std::uint32_t>();
+        load.report.prefillTokensQueued = parsed.at(9).get<std::uint64_t>();
+        load.report.lastFence = parsed.at(10).get<std::uint64_t>();
+        for (const json &entry : parsed.at(11))
+            load.report.models.push_back(
+                    {entry.at(0).get<std::string>(), entry.at(1).get<std::string>()});
+        return load;
+    } catch (const json::exception &failure) {
+        return notRun(error_code::Broken, failure.what());
+    }
+}
+
+load_watch::load_watch(load_watch_needs needs, view_hub &views, work_ledger &ledger,
+                       runner::engine_api engines, runner::service_api services, clock_source clock,
+                       metrics_registry &metrics, journal &events)
+    : needs(std::move(needs)), views(views), ledger(ledger), engines(std::move(engines)),
+      services(std::move(services)), clock(std::move(clock)), events(events),
+      polls(metrics.counterOf("poplarspool_runner_polls_total"))
+{ }
+
+load_watch::~load_watch()
+{
+    stop();
+}
+
+void load_watch::start()
+{
+    poller = std::thread([this] { loop(); });
+}
+
+void load_watch::stop()
+{
+    {
+        const std::lock_guard lock(guard);
+        isStopping = true;
+    }
+    wake.notify_all();
+    if (poller.joinable())
+        poller.join();
+}
+
+void load_watch::onRumor(const peer::rumor &news)
+{
+    const auto load = parseHeardLoad(news.payload);
+    if (!succeeded(load))
+        return;
+    const runner_id runner{news.key.substr(loadRumorPrefix.size())};
+    const std::lock_guard lock(guard);
+    heard[runner] = {valueOf(load), clock.mono()};
+}
+
+void load_watch::loop()
+{
+    for (;;) {
+        pollAll();
+        publish();
+        std::unique_lock lock(guard);
+        wake.wait_for(lock, needs.pollTime, [this] { return isStopping; });
+        if (isStopping)
+            return;
+    }
+}
+
+void load_watch::pollAll()
+{
+    const policy::view_ptr now = views.current();
+    if (!now->fleet)
+        return;
+    for (std::size_t i = 0; i < now->fleet->runners.size(); ++i) {
+        if (isPollerOf(*now, needs.self, now->fleet->runners[i]))
+            pollOne(*now, i);
+    }
+}
+
+void load_watch::pollOne(const policy::view &now, std::size_t index)
+{
+    const policy::runner_spec &spec = now.fleet->runners[index];
+    const policy::pool_spec *pool = policy::findPool(*now.fleet, spec.pool);
+    const bool isEngine = pool && pool->kind == policy::runner_kind::Engine;
+    polls.add();
+    const auto report = isEngine ? engines.load(spec.address) : services.load(spec.address);
+    polled &memory = mine[spec.id];
+    memory.failures = succeeded(report) ? 0 : memory.failures + 1;
+    heard_load load = memory.told;
+    if (succeeded(report))
+        load = {true, valueOf(report)};
+    else if (memory.failures >= config::pollFailuresToDown)
+        load.isUp = false;
+    else
+        return;
+    {
+        const std::lock_guard lock(guard);
+        heard[spec.id] = {load, clock.mono()};
+    }
+    tell(spec.id, load);
+}
+
+/// Spreads what has changed; what hasn't is renewed more rarely, to spare the gossip's bytes.
+void load_watch::tell(const runner_id &runner, const heard_load &load)
+{
+    polled &memory = mine[runner];
+    heard_load same = load;
+    same.report.sequence = memory.told.report.sequence;
+    const mono_time now = clock.mono();
+    if (same == memory.told && now - memory.toldAt < config::loadRenewTime)
+        return;
+    if (load.isUp != memory.told.isUp)
+        events.emit(load.isUp ? "runner_up" : "runner_down", {{"runner", runner.text}});
+    memory.told = load;
+    memory.toldAt = now;
+    const auto version = static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
+    needs.spread({std::string(loadRumorPrefix) + runner.text, version, textOf(load)});
+}
+
+void load_watch::publish()
+{
+    std::map<runner_id, std::pair<heard_load, mono_time>> news;
+    {
+        const std::lock_guard lock(guard);
+        news.swap(heard);
+    }
+    if (news.empty())
+        return;
+    const policy::view_ptr after = views.update([&](policy::view &draft) {
+        if (!draft.fleet)
+            return false;
+        for (const auto &[runner, entry] : news) {
+            const runner_handle place = policy::findRunner(*draft.fleet, runner);
+            if (!place.isValid())
+                continue;
+            policy::runner_state &state = draft.runners[place.index];
+            state.health =
+                    entry.first.isUp ? policy::runner_health::Up : policy::runner_health::Down;
+            state.report = entry.first.report;
+            state.reportedAt = entry.second;
+        }
+        return true;
+    });
+    if (!after->fleet)
+        return;
+    for (const auto &[runner, entry] : news) {
+        const runner_handle place = policy::findRunner(*after->fleet, runner);
+        if (place.isValid())
+            ledger.onReport(*after, place);
+    }
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/membership.cpp
@@ -0,0 +1,126 @@
+#include "node/membership.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+
+#include <algorithm>
+
+namespace poplarspool::node {
+
+membership::membership(membership_needs needs, peer::gossip &talk, platform::instance_list list,
+                       view_hub &views, clock_source clock, journal &events)
+    : needs(std::move(needs)), talk(talk), list(std::move(list)), views(views),
+      clock(std::move(clock)), events(events)
+{ }
+
+membership::~membership()
+{
+    stop();
+}
+
+void membership::start()
+{
+    talk.setContacts(needs.seeds);
+    worker = std::thread([this] { loop(); });
+}
+
+void membership::stop()
+{
+    {
+        const std::lock_guard lock(guard);
+        isStopping = true;
+    }
+    wake.notify_all();
+    if (worker.joinable())
+        worker.join();
+}
+
+std::vector<policy::member> membership::others() const
+{
+    std::vector<policy::member> all = talk.members();
+    std::erase_if(all, [this](const policy::member &other) { return other.id == needs.self; });
+    return all;
+}
+
+bool membership::appliedEverywhere(std::uint64_t version) const
+{
+    const std::lock_guard lock(guard);
+    return isAppliedEverywhere(version, talk.members(), listed);
+}
+
+bool membership::isWatcher() const
+{
+    const std::vector<policy::member> all = talk.members();
+    const auto self = std::find_if(all.begin(), all.end(), [this](const policy::member &other) {
+        return other.id == needs.self;
+    });
+    if (self == all.end())
+        return true;
+    const std::uint64_t own = rendezvousWeight(needs.self.text, "watch");
+    const auto before = std::count_if(all.begin(), all.end(), [&](const policy::member &other) {
+        return other.state == policy::member_state::Alive && other.zone == self->zone
+                && rendezvousWeight(other.id.text, "watch") > own;
+    });
+    return static_cast<std::size_t>(before) < config::watchersPerZone;
+}
+
+void membership::loop()
+{
+    for (;;) {
+        fetchList();
+        publish();
+        needs.onRound();
+        std::unique_lock lock(guard);
+        wake.wait_for(lock, needs.roundTime, [this] { return isStopping; });
+        if (isStopping)
+            return;
+    }
+}
+
+void membership::fetchList()
+{
+    const mono_time now = clock.mono();
+    if (hasAsked && now - listAskedAt < config::instanceListPollTime)
+        return;
+    hasAsked = true;
+    listAskedAt = now;
+    const auto answer = list.fetch();
+    if (!succeeded(answer))
+        return;
+    std::vector<endpoint> contacts = needs.seeds;
+    std::vector<instance_id> leaving;
+    for (const platform::listed_instance &entry : valueOf(answer)) {
+        contacts.push_back(entry.peerAddress);
+        if (entry.isLeaving)
+            leaving.push_back(entry.id);
+    }
+    talk.setContacts(std::move(contacts));
+    talk.setListedLeaving(std::move(leaving));
+    const std::lock_guard lock(guard);
+    listed = valueOf(answer);
+}
+
+void membership::publish()
+{
+    freshness_facts facts;
+    facts.now = clock.mono();
+    facts.confirmedAt = needs.confirmedAt();
+    facts.appliedVersion = needs.appliedVersion();
+    facts.self = needs.self;
+    facts.members = talk.members();
+    {
+        const std::lock_guard lock(guard);
+        facts.listed = listed;
+    }
+    const bool fresh = isFresh(facts);
+    views.update([&](policy::view &draft) {
+        if (draft.isFresh != fresh)
+            events.emit(fresh ? "view_fresh" : "view_not_fresh");
+        const bool isSame = draft.isFresh == fresh && draft.members == facts.members;
+        draft.isFresh = fresh;
+        draft.members = std::move(facts.members);
+        return !isSame;
+    });
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/order_writer.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/node/orders.h"
+#include "poplarspool/platform/object_store.h"
+#include "poplarspool/platform/weight_store.h"
+#include "poplarspool/runner/engine.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The authority over one engine: its order record, taken through its phases step by step. No
+/// member waits longer than one call takes. See docs/design/orders.md.
+namespace poplarspool::node {
+
+/// What all order writers of one planner share.
+struct order_tools
+{
+    instance_id self;
+    std::string deployment;
+    std::function<bool(std::uint64_t version)> appliedEverywhere;
+    platform::object_store &store;
+    platform::weight_store weights;
+    std::function<result<policy::load_report>(const endpoint &)> load;
+    /// Sends one order. No byte of it may leave after `windowEnd`.
+    std::function<result<unit>(const endpoint &, const runner::engine_order &, mono_time windowEnd)>
+            send;
+    clock_source clock;
+    metrics_registry &metrics;
+    journal &events;
+};
+
+class order_writer
+{
+public:
+    order_writer(order_tools &tools, runner_id runner);
+
+    /// Takes note of what the store holds.
+    void adopt(const order_record &record, std::uint64_t version);
+    /// Takes note that the store holds no record of this engine.
+    void adoptNone();
+
+    /// @returns False where the record has to be read (again) first.
+    bool isKnown() const { return known; }
+    /// @returns Whether an order is under way.
+    bool isBusy() const { return known && present.phase != order_phase::Settled; }
+    std::uint64_t version() const { return presentVersion; }
+
+    /// Begins an order by reserving the engine, where none is under way and the weights can be had.
+    /// @param seen The engine's latest report.
+    void begin(const policy::wanted_engine &wanted, const policy::load_report &seen);
+
+    /// One step of the order under way, if any.
+    void step(const policy::runner_spec &spec, milliseconds drainTime);
+
+private:
+    /// Authority to send the present order.
+    struct send_window
+    {
+        std::string nonce; ///< Of the write that gave it.
+        mono_time end;
+    };
+
+    /// Whose first report of an idle engine it was, and when.
+    struct idle_sight
+    {
+        incarnation life = 0;
+        mono_time since;
+    };
+
+    struct sent_order
+    {
+        incarnation life = 0; ///< Of the engine, before the order was sent.
+        mono_time at;
+    };
+
+    bool write(order_phase phase);
+    bool writeRecord(order_record next);
+    bool mayBegin(const policy::wanted_engine &wanted, const policy::load_report &seen);
+    bool hasWeights(const policy::wanted_engine &wanted, const policy::load_report &seen);
+    void stepDraining(const policy::runner_spec &spec, milliseconds drainTime);
+    void stepOpen(const policy::runner_spec &spec);
+    bool isIdle(const policy::runner_spec &spec);
+    bool hasReached(const policy::runner_spec &spec, const policy::load_report &report) const;
+    bool isSendDue(const policy::load_report &report) const;
+    bool hasWindow() const;
+    bool openWindow();
+    void send(const policy::runner_spec &spec, const policy::load_report &report);
+    void onSendFailed(const error &fault);
+    void settle(std::string_view event);
+    void emit(std::string_view event);
+
+    order_tools &tools;
+    const runner_id runner;
+    const std::string key;
+
+    bool known = false;
+    order_record present;
+    std::uint64_t presentVersion = platform::mustNotExist;
+
+    std::optional<send_window> window;
+    /// Until then an order that was sent, by this writer or by an earlier one, may still arrive.
+    mono_time unsafeUntil{};
+    std::optional<mono_time> drainBegan;
+    std::optional<idle_sight> idle;
+    std::optional<sent_order> sent;
+    std::uint64_t fenceFloor = 0; ///< Highest number that the engine said it has seen.
+    mono_time holdUntil{};
+};
+
+/// @returns The number that names one order to the engine: the same whoever sends it and however
+///          often, another where the wanted state is another.
+std::string orderNonceOf(const order_record &record);
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/planner_core.cpp
@@ -0,0 +1,153 @@
+#include "node/planner_core.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/operators/config_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarspool::node {
+
+namespace {
+
+const policy::plan_rule *findRule(const policy::rules &book, const pool_id &pool)
+{
+    for (const policy::plan_rule &rule : book.plans) {
+        if (rule.pool == pool)
+            return &rule;
+    }
+    return nullptr;
+}
+
+/// The view's own marks of reserved engines come from the store and so lag behind the orders that
+/// this planner has just begun; planning on them would begin more changes than the rule allows.
+template <class Writers>
+policy::view withReservations(const policy::view &now, const Writers &writers)
+{
+    policy::view marked = now;
+    for (const auto &[id, writer] : writers) {
+        const runner_handle handle = policy::findRunner(*now.fleet, id);
+        if (handle.isValid())
+            marked.runners[handle.index].isReserved |= writer.isBusy();
+    }
+    return marked;
+}
+
+} // namespace
+
+bool isPlannerOf(const policy::view &now, const pool_id &pool, const instance_id &self)
+{
+    const std::string key = "plan/" + pool.text;
+    std::pair<std::uint64_t, instance_id> best{0, {}};
+    for (const policy::member &each : now.members) {
+        if (each.state != policy::member_state::Alive)
+            continue;
+        best = std::max(best, std::pair(rendezvousWeight(each.id.text, key), each.id));
+    }
+    return best.second == self;
+}
+
+planner_core::planner_core(planner_needs needs, view_hub &views, order_tools tools)
+    : needs(std::move(needs)), views(views), tools(std::move(tools))
+{ }
+
+void planner_core::look()
+{
+    const policy::view_ptr now = views.current();
+    if (!now || !now->fleet || !now->book)
+        return;
+    for (const policy::pool_spec &pool : now->fleet->pools) {
+        if (pool.kind != policy::runner_kind::Engine)
+            continue;
+        if (isPlannerOf(*now, pool.id, needs.self))
+            lookAt(*now, pool);
+        else
+            desks.erase(pool.id);
+    }
+}
+
+void planner_core::lookAt(const policy::view &now, const policy::pool_spec &pool)
+{
+    pool_desk &desk = desks[pool.id];
+    for (const policy::runner_spec &spec : now.fleet->runners) {
+        if (spec.pool == pool.id)
+            desk.writers.try_emplace(spec.id, tools, spec.id);
+    }
+    if (!desk.isLoaded && !loadRecords(now, pool.id, desk))
+        return;
+    stepOrders(now, pool.id, desk);
+    if (now.isFresh)
+        plan(now, pool.id, desk);
+}
+
+/// One call for all engines: a get for each would use up the call budget at every takeover.
+bool planner_core::loadRecords(const policy::view & /*now*/, const pool_id &pool, pool_desk &desk)
+{
+    const auto listed = tools.store.list(operators::orderKey(needs.deployment, ""));
+    if (!succeeded(listed))
+        return false;
+    for (auto &[id, writer] : desk.writers)
+        writer.adoptNone();
+    for (const platform::object &each : valueOf(listed).objects) {
+        const auto record = parseOrderRecord(each.value);
+        if (!succeeded(record)) {
+            tools.events.emit("order_unreadable",
+                              {{"key", each.key}, {"message", errorOf(record).message}});
+            continue;
+        }
+        const auto found = desk.writers.find(valueOf(record).runner);
+        if (found != desk.writers.end())
+            found->second.adopt(valueOf(record), each.version);
+    }
+    desk.isLoaded = true;
+    tools.events.emit("plan_taken_over", {{"pool", pool.text}});
+    return true;
+}
+
+void planner_core::readRecord(const runner_id &runner, order_writer &writer)
+{
+    const auto found = tools.store.get(operators::orderKey(needs.deployment, runner.text));
+    if (!succeeded(found)) {
+        if (errorOf(found).code == error_code::NotFound)
+            writer.adoptNone();
+        return;
+    }
+    const auto record = parseOrderRecord(valueOf(found).value);
+    if (succeeded(record))
+        writer.adopt(valueOf(record), valueOf(found).version);
+}
+
+void planner_core::stepOrders(const policy::view &now, const pool_id &pool, pool_desk &desk)
+{
+    for (std::uint32_t index = 0; index < now.fleet->runners.size(); ++index) {
+        const policy::runner_spec &spec = now.fleet->runners[index];
+        const auto found = desk.writers.find(spec.id);
+        if (spec.pool != pool || found == desk.writers.end())
+            continue;
+        order_writer &writer = found->second;
+        // Another planner of this pool, from before a change of members that this instance learnt
+        // late, has begun an order: without this it would stay open for ever.
+        const bool isForeign = now.runners[index].isReserved && !writer.isBusy()
+                && now.appliedVersion >= writer.version();
+        if (!writer.isKnown() || isForeign)
+            readRecord(spec.id, writer);
+        writer.step(spec, now.book->drainTime);
+    }
+}
+
+void planner_core::plan(const policy::view &now, const pool_id &pool, pool_desk &desk)
+{
+    const policy::view marked = withReservations(now, desk.writers);
+    const policy::plan_rule *rule = findRule(*now.book, pool);
+    const auto step = policy::planPool(marked, pool, rule ? *rule : policy::plan_rule{.pool = pool},
+                                       desk.memory, needs.demand(pool), tools.clock.mono());
+    desk.memory = step.memory;
+    for (const policy::planned_change &change : step.changes) {
+        const policy::runner_spec &spec = now.fleet->runners.at(change.runner.index);
+        const auto found = desk.writers.find(spec.id);
+        if (found != desk.writers.end())
+            found->second.begin(change.wanted, now.runners[change.runner.index].report);
+    }
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/planner_core.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "node/order_writer.h"
+#include "poplarspool/node/orders.h"
+#include "poplarspool/node/view_hub.h"
+
+#include <map>
+#include <string>
+
+/// What a planner does on each look, without its thread.
+namespace poplarspool::node {
+
+/// @returns Whether the planner of that pool falls on `self`. Two instances whose views differ may
+///          both think so; they then race for the same records, and no more.
+bool isPlannerOf(const policy::view &now, const pool_id &pool, const instance_id &self);
+
+class planner_core
+{
+public:
+    planner_core(planner_needs needs, view_hub &views, order_tools tools);
+
+    /// Takes the orders under way one step on, then plans.
+    void look();
+
+private:
+    /// What this planner holds of one pool while the pool is its own.
+    struct pool_desk
+    {
+        bool isLoaded = false; ///< Whether the order records were read.
+        policy::plan_memory memory;
+        std::map<runner_id, order_writer> writers;
+    };
+
+    void lookAt(const policy::view &now, const policy::pool_spec &pool);
+    bool loadRecords(const policy::view &now, const pool_id &pool, pool_desk &desk);
+    void readRecord(const runner_id &runner, order_writer &writer);
+    void stepOrders(const policy::view &now, const pool_id &pool, pool_desk &desk);
+    void plan(const policy::view &now, const pool_id &pool, pool_desk &desk);
+
+    const planner_needs needs;
+    view_hub &views;
+    order_tools tools;
+    std::map<pool_id, pool_desk> desks;
+};
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/request_once.cpp
@@ -0,0 +1,118 @@
+// Requests that must run at most once: claimed before they are dispatched, and their answers kept
+// for duplicates.
+
+#include "node/request_path.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/caller/caller_server.h"
+
+#include <nlohmann/json.hpp>
+
+namespace poplarspool::node {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Content type under which a completion is kept; it never leaves the system.
+constexpr std::string_view keptCompletionType = "application/x-poplarspool-completion";
+
+std::string hashOfParts(std::initializer_list<std::string_view> parts)
+{
+    std::string joined;
+    for (const std::string_view part : parts) {
+        joined += std::to_string(part.size());
+        joined += ':';
+        joined += part;
+    }
+    return sha256Hex(joined);
+}
+
+http_reply keptCompletion(const std::string &text, const runner::stream_end &end)
+{
+    const json body = {{"text", text},
+                       {"finish_reason", std::string(runner::nameOf(end.reason))},
+                       {"prompt_tokens", end.promptTokens},
+                       {"output_tokens", end.outputTokens}};
+    return {200, {}, body.dump(), std::string(keptCompletionType)};
+}
+
+void replay(const http_reply &kept, caller::completion_sink &sink)
+{
+    const json body = json::parse(kept.body, nullptr, false);
+    if (body.is_discarded())
+        return sink.fail(mayHaveRun(error_code::Duplicate, "the kept answer can't be read"));
+    if (!sink.token(body.at("text").get<std::string>()))
+        return;
+    sink.finish({body.at("finish_reason").get<std::string>(),
+                 body.at("prompt_tokens").get<std::uint32_t>(),
+                 body.at("output_tokens").get<std::uint32_t>()});
+}
+
+/// Tells the answer book how an attempt that failed has ended.
+void noteEnd(answer_book &answers, const std::string &key, const std::string &nonce,
+             const error &failure)
+{
+    if (failure.ran == verdict::NotRun)
+        answers.onNotDispatched(key, nonce);
+    else
+        answers.onLost(key, nonce);
+}
+
+} // namespace
+
+void request_path::completeOnce(const caller::completion_ask &ask, const admitted &pass,
+                                caller::completion_sink &sink)
+{
+    const std::string key =
+            claimNameOf(pass.facts.workspace.text, "completion", ask.head.idempotencyKey);
+    const std::string bodyHash =
+            hashOfParts({ask.model, ask.prompt, std::to_string(ask.maxTokens)});
+    const entry_decision decision = duplicates.enter(key, bodyHash, pass.deadline);
+    if (const auto *refusal = std::get_if<error>(&decision))
+        return sink.fail(*refusal);
+    if (const auto *earlier = std::get_if<earlier_answer>(&decision))
+        return replay(earlier->reply, sink);
+    const std::string &nonce = std::get<may_dispatch>(decision).nonce;
+    std::string whole;
+    const auto outcome = runCompletion(ask, pass, [&](const std::string &text) {
+        whole += text;
+        // The run goes on when its caller has gone: the caller's next try gets this answer.
+        sink.token(text);
+        return true;
+    });
+    if (!succeeded(outcome)) {
+        noteEnd(answers, key, nonce, errorOf(outcome));
+        return sink.fail(errorOf(outcome));
+    }
+    const runner::stream_end &end = valueOf(outcome);
+    answers.onDone(key, nonce, keptCompletion(whole, end));
+    sink.finish({std::string(runner::nameOf(end.reason)), end.promptTokens, end.outputTokens});
+}
+
+std::optional<error> request_path::callServiceOnce(const caller::service_ask &ask,
+                                                   const admitted &pass, http_sink &sink)
+{
+    const std::string operation = ask.service + " " + ask.request.method + " " + ask.request.path;
+    const std::string key =
+            claimNameOf(pass.facts.workspace.text, operation, ask.head.idempotencyKey);
+    const std::string bodyHash = hashOfParts({ask.request.contentType, ask.request.body});
+    const entry_decision decision = duplicates.enter(key, bodyHash, pass.deadline);
+    if (const auto *refusal = std::get_if<error>(&decision))
+        return *refusal;
+    if (const auto *earlier = std::get_if<earlier_answer>(&decision)) {
+        const http_reply &reply = earlier->reply;
+        if (sink.begin(reply.status, reply.headers, reply.contentType) && sink.write(reply.body))
+            sink.end();
+        return std::nullopt;
+    }
+    const std::string &nonce = std::get<may_dispatch>(decision).nonce;
+    http_reply kept;
+    const std::optional<error> failure = runService(ask, pass, sink, &kept);
+    if (failure)
+        noteEnd(answers, key, nonce, *failure);
+    else
+        answers.onDone(key, nonce, kept);
+    return failure;
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/request_path.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "node/demand.h"
+#include "node/duplicate_guard.h"
+#include "node/work_ledger.h"
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/caller/caller_server.h"
+#include "poplarspool/node/view_hub.h"
+#include "poplarspool/policy/retry.h"
+#include "poplarspool/policy/routing.h"
+#include "poplarspool/runner/engine.h"
+#include "poplarspool/runner/service.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// What happens to a request between its caller and its runner: admission, claim, route, try, try
+/// again, resume.
+namespace poplarspool::node {
+
+/// A request that was let in, with what the rules say of it.
+struct admitted
+{
+    policy::view_ptr seen; ///< The view that let it in.
+    policy::request_facts facts;
+    policy::request_ruling ruling;
+    mono_time deadline{};
+};
+
+struct request_needs
+{
+    instance_id self;
+    zone_id zone;
+    /// @returns Whether this instance takes no new work any more.
+    std::function<bool()> isClosed;
+};
+
+class request_path
+{
+public:
+    request_path(request_needs needs, view_hub &views, work_ledger &ledger, demand_book &demand,
+                 duplicate_guard &duplicates, answer_book &answers, runner::engine_api engines,
+                 runner::service_api services, clock_source clock, metrics_registry &metrics,
+                 journal &events);
+
+    result<caller::address_answer> addresses(const zone_id &zone);
+    result<std::vector<std::string>> models(const caller::request_head &head);
+    void complete(const caller::completion_ask &ask, caller::completion_sink &sink);
+    std::optional<error> callService(const caller::service_ask &ask, http_sink &sink);
+
+    std::uint32_t openStreams() const { return streams.load(std::memory_order_relaxed); }
+
+private:
+    using text_receiver = std::function<bool(const std::string &)>;
+
+    result<admitted> admit(const caller::request_head &head, policy::request_facts facts) const;
+    result<runner::stream_end> runCompletion(const caller::completion_ask &ask,
+                                             const admitted &pass, const text_receiver &onText);
+    void completeOnce(const caller::completion_ask &ask, const admitted &pass,
+                      caller::completion_sink &sink);
+    std::optional<error> runService(const caller::service_ask &ask, const admitted &pass,
+                                    http_sink &sink, http_reply *kept);
+    std::optional<error> callServiceOnce(const caller::service_ask &ask, const admitted &pass,
+                                         http_sink &sink);
+    result<policy::route_choice> choose(const policy::view &now, policy::route_request wanted,
+                                        const std::vector<runner_handle> &avoid);
+    void noteFailure(const policy::view &now, const policy::route_choice &choice,
+                     const caller::request_head &head, const error &failure);
+    bool mayTryAgain(const error &failure, const admitted &pass, std::uint32_t tries);
+    milliseconds timeLeft(const admitted &pass) const;
+
+    request_needs needs;
+    view_hub &views;
+    work_ledger &ledger;
+    demand_book &demand;
+    duplicate_guard &duplicates;
+    answer_book &answers;
+    runner::engine_api engines;
+    runner::service_api services;
+    clock_source clock;
+    journal &events;
+    policy::retry_budget retries;
+    counter &retried;
+    counter &resumed;
+    std::atomic<std::uint32_t> streams{0};
+    std::atomic<std::uint64_t> spread{0}; ///< Breaks ties between equal runners.
+};
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/watched_sync.cpp
@@ -0,0 +1,322 @@
+#include "node/watched_sync.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+#include "poplarspool/node/orders.h"
+#include "poplarspool/operators/config_files.h"
+
+#include <algorithm>
+
+namespace poplarspool::node {
+
+namespace {
+
+policy::runner_state stateOf(const policy::view &before, const runner_id &id)
+{
+    if (!before.fleet)
+        return {};
+    const runner_handle old = policy::findRunner(*before.fleet, id);
+    return old.isValid() ? before.runners[old.index] : policy::runner_state{};
+}
+
+/// Carries what is known of each runner over to a fleet with other indices.
+std::vector<policy::runner_state> carryOver(const policy::view &before,
+                                            const policy::inventory &fleet)
+{
+    std::vector<policy::runner_state> states;
+    states.reserve(fleet.runners.size());
+    for (const policy::runner_spec &spec : fleet.runners)
+        states.push_back(stateOf(before, spec.id));
+    return states;
+}
+
+} // namespace
+
+watched_sync::watched_sync(sync_needs needs, platform::object_store &store, view_hub &views,
+                           clock_source clock, metrics_registry &metrics, journal &events)
+    : needs(std::move(needs)), store(store), views(views), clock(std::move(clock)), events(events),
+      applied(metrics.counterOf("poplarspool_watched_updates_total")),
+      rejected(metrics.counterOf("poplarspool_config_rejected_total"))
+{ }
+
+watched_sync::~watched_sync()
+{
+    stop();
+}
+
+void watched_sync::start()
+{
+    storeThread = std::thread([this] { storeLoop(); });
+    peerThread = std::thread([this] { peerLoop(); });
+}
+
+void watched_sync::stop()
+{
+    {
+        const std::lock_guard lock(guard);
+        isStopping = true;
+    }
+    wake.notify_all();
+    if (storeThread.joinable())
+        storeThread.join();
+    if (peerThread.joinable())
+        peerThread.join();
+}
+
+peer::watched_reply watched_sync::replyTo(const peer::watched_ask &question) const
+{
+    const std::lock_guard lock(guard);
+    peer::watched_reply reply;
+    reply.version = complete;
+    for (const auto &[key, entry] : objects) {
+        if (entry.version > question.knownVersion)
+            reply.objects.push_back({entry.key, entry.value, entry.version});
+    }
+    return reply;
+}
+
+result<peer::body_reply> watched_sync::bodyFor(const peer::body_ask &question) const
+{
+    const std::lock_guard lock(guard);
+    const auto found = bodies.find(question.sha256);
+    if (found == bodies.end())
+        return notRun(error_code::NotFound, "no such configuration body here");
+    return peer::body_reply{found->second};
+}
+
+std::uint64_t watched_sync::appliedVersion() const
+{
+    const std::lock_guard lock(guard);
+    return complete;
+}
+
+mono_time watched_sync::confirmedAt() const
+{
+    const std::lock_guard lock(guard);
+    return confirmed;
+}
+
+std::pair<std::string, std::string> watched_sync::texts() const
+{
+    const std::lock_guard lock(guard);
+    const auto head = objects.find(operators::headKey(needs.deployment));
+    if (head == objects.end())
+        return {};
+    const auto parsed = operators::parseConfigHead(head->second.value);
+    if (!succeeded(parsed))
+        return {};
+    const auto textOf = [this](const std::string &sha256) {
+        const auto found = bodies.find(sha256);
+        return found == bodies.end() ? std::string() : found->second;
+    };
+    return {textOf(valueOf(parsed).inventorySha), textOf(valueOf(parsed).rulesSha)};
+}
+
+void watched_sync::storeLoop()
+{
+    milliseconds backoff = config::storeBackoffFirst;
+    for (;;) {
+        {
+            const std::lock_guard lock(guard);
+            if (isStopping)
+                return;
+        }
+        if (!needs.isWatcher()) {
+            pause(config::gossipTime);
+            continue;
+        }
+        if (pullFromStore()) {
+            backoff = config::storeBackoffFirst;
+            continue;
+        }
+        pause(backoff);
+        backoff = std::min(backoff * 2, config::syncBackoffMax);
+    }
+}
+
+bool watched_sync::pullFromStore()
+{
+    std::uint64_t after = 0;
+    {
+        const std::lock_guard lock(guard);
+        after = cursor;
+    }
+    const std::string prefix = operators::watchedPrefix(needs.deployment);
+    const mono_time asked = clock.mono();
+    const milliseconds wait = config::confirmTime;
+    const auto answer = after == 0 ? store.list(prefix) : store.watch(prefix, after, wait);
+    if (!succeeded(answer))
+        return false;
+    const platform::object_list &news = valueOf(answer);
+    // A watch that waited in vain says that nothing changed until `asked + wait`. The time of its
+    // arrival says less: this process may have been frozen while the answer lay in its socket.
+    const bool waitedInVain = after != 0 && news.objects.empty();
+    if (!take(news.objects, 0, waitedInVain ? asked + wait : asked))
+        return false;
+    const std::lock_guard lock(guard);
+    cursor = std::max(cursor, news.version);
+    return true;
+}
+
+void watched_sync::peerLoop()
+{
+    for (;;) {
+        {
+            const std::lock_guard lock(guard);
+            if (isStopping)
+                return;
+        }
+        pullFromPeers();
+        pause(config::gossipTime);
+    }
+}
+
+void watched_sync::pullFromPeers()
+{
+    const std::uint64_t known = appliedVersion();
+    std::vector<policy::member> peers = needs.peers();
+    std::sort(peers.begin(), peers.end(), [](const policy::member &a, const policy::member &b) {
+        return a.appliedVersion > b.appliedVersion;
+    });
+    for (const policy::member &other : peers) {
+        if (other.appliedVersion == 0 || other.appliedVersion < known)
+            return;
+        if (other.appliedVersion == known) {
+            // Same version, so what the store confirmed to that peer it confirmed of our view too.
+            take({}, known, other.confirmedAt);
+            continue;
+        }
+        const auto reply = needs.askState(other.peerAddress, {known});
+        if (!succeeded(reply))
+            continue;
+        std::vector<platform::object> changed;
+        for (const peer::watched_object &entry : valueOf(reply).objects)
+            changed.push_back({entry.key, entry.value, entry.version});
+        if (take(changed, valueOf(reply).version, other.confirmedAt))
+            return;
+    }
+}
+
+/// Works an update in. Each object only ever moves to a higher version, so an answer that comes
+/// late or crossed can't bring an older configuration back.
+bool watched_sync::take(const std::vector<platform::object> &changed, std::uint64_t completeTo,
+                        mono_time confirmedNow)
+{
+    const std::lock_guard oneAtATime(takers);
+    object_map next;
+    std::uint64_t before = 0;
+    {
+        const std::lock_guard lock(guard);
+        next = objects;
+        before = complete;
+    }
+    std::uint64_t newest = std::max(before, completeTo);
+    bool isNew = false;
+    for (const platform::object &entry : changed) {
+        platform::object &present = next[entry.key];
+        if (entry.version <= present.version)
+            continue;
+        present = entry;
+        newest = std::max(newest, entry.version);
+        isNew = true;
+    }
+    if (isNew && !publish(next, newest))
+        return false;
+    mono_time stamp;
+    {
+        const std::lock_guard lock(guard);
+        objects = std::move(next);
+        complete = newest;
+        confirmed = std::max(confirmed, confirmedNow);
+        stamp = confirmed;
+    }
+    needs.onApplied(newest, stamp);
+    return true;
+}
+
+bool watched_sync::publish(const object_map &next, std::uint64_t completeTo)
+{
+    const auto head = next.find(operators::headKey(needs.deployment));
+    std::shared_ptr<const policy::inventory> fleet = views.current()->fleet;
+    std::shared_ptr<const policy::rules> book = views.current()->book;
+    std::uint64_t configVersion = views.current()->configVersion;
+    if (head != next.end() && head->second.version > configVersion) {
+        const auto parsed = operators::parseConfigHead(head->second.value);
+        if (!succeeded(parsed)) {
+            rejected.add();
+            events.emit("config_rejected", {{"reason", errorOf(parsed).message}});
+            return false;
+        }
+        const auto inventoryText = findBody(valueOf(parsed).inventorySha);
+        const auto rulesText = findBody(valueOf(parsed).rulesSha);
+        if (!succeeded(inventoryText) || !succeeded(rulesText))
+            return false;
+        const auto newFleet = operators::parseInventory("inventory", valueOf(inventoryText));
+        const auto newBook = operators::parseRules("rules", valueOf(rulesText));
+        const auto *goodFleet = std::get_if<policy::inventory>(&newFleet);
+        const auto *goodBook = std::get_if<policy::rules>(&newBook);
+        if (!goodFleet || !goodBook) {
+            rejected.add();
+            events.emit("config_rejected", {{"reason", "texts do not pass the check"}});
+            return false;
+        }
+        fleet = std::make_shared<const policy::inventory>(*goodFleet);
+        book = std::make_shared<const policy::rules>(*goodBook);
+        configVersion = head->second.version;
+        const std::lock_guard lock(guard);
+        bodies = {{valueOf(parsed).inventorySha, valueOf(inventoryText)},
+                  {valueOf(parsed).rulesSha, valueOf(rulesText)}};
+    }
+    views.update([&](policy::view &draft) {
+        if (fleet && draft.fleet != fleet)
+            draft.runners = carryOver(draft, *fleet);
+        draft.fleet = fleet;
+        draft.book = book;
+        draft.configVersion = configVersion;
+        draft.appliedVersion = completeTo;
+        for (policy::runner_state &runner : draft.runners)
+            runner.isReserved = false;
+        for (const auto &[key, entry] : next) {
+            if (key == operators::headKey(needs.deployment) || !fleet)
+                continue;
+            const auto record = parseOrderRecord(entry.value);
+            if (!succeeded(record))
+                continue;
+            const runner_handle runner = policy::findRunner(*fleet, valueOf(record).runner);
+            if (runner.isValid())
+                draft.runners[runner.index].isReserved =
+                        valueOf(record).phase != order_phase::Settled;
+        }
+        return true;
+    });
+    applied.add();
+    events.emit(
+            "view_applied",
+            {{"version", std::to_string(completeTo)}, {"config", std::to_string(configVersion)}});
+    return true;
+}
+
+/// Bodies are named by their content, so a copy from anywhere is as good once its hash fits.
+result<std::string> watched_sync::findBody(const std::string &sha256)
+{
+    const auto own = bodyFor({sha256});
+    if (succeeded(own))
+        return valueOf(own).content;
+    const auto stored = store.get(operators::bodyKey(needs.deployment, sha256));
+    if (succeeded(stored) && sha256Hex(valueOf(stored).value) == sha256)
+        return valueOf(stored).value;
+    for (const policy::member &other : needs.peers()) {
+        const auto reply = needs.askBody(other.peerAddress, {sha256});
+        if (succeeded(reply) && sha256Hex(valueOf(reply).content) == sha256)
+            return valueOf(reply).content;
+    }
+    return notRun(error_code::Unavailable, "configuration body not found");
+}
+
+void watched_sync::pause(milliseconds time)
+{
+    std::unique_lock lock(guard);
+    wake.wait_for(lock, time, [this] { return isStopping; });
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/src/node/work_ledger.cpp
@@ -0,0 +1,77 @@
+#include "node/work_ledger.h"
+
+#include <algorithm>
+
+namespace poplarspool::node {
+
+open_work::open_work(slot_ptr slot, std::uint32_t promptTokens) : slot(std::move(slot))
+{
+    this->slot->open.fetch_add(1, std::memory_order_relaxed);
+    this->slot->sent.fetch_add(1, std::memory_order_relaxed);
+    this->slot->sentTokens.fetch_add(promptTokens, std::memory_order_relaxed);
+}
+
+open_work::~open_work()
+{
+    slot->open.fetch_sub(1, std::memory_order_relaxed);
+}
+
+std::shared_ptr<const work_ledger::slot_table> work_ledger::tableOf(const policy::view &now)
+{
+    std::shared_ptr<const slot_table> present = table.load();
+    if (present && present->fleet == now.fleet)
+        return present;
+    const std::lock_guard lock(builders);
+    present = table.load();
+    if (present && present->fleet == now.fleet)
+        return present;
+    auto slots = std::make_shared<std::vector<slot_ptr>>();
+    for (const policy::runner_spec &spec : now.fleet->runners) {
+        const runner_handle old =
+                present ? policy::findRunner(*present->fleet, spec.id) : runner_handle{};
+        slots->push_back(old.isValid() ? (*present->slots)[old.index]
+                                       : std::make_shared<ledger_slot>());
+    }
+    auto built = std::make_shared<const slot_table>(slot_table{now.fleet, std::move(slots)});
+    table.store(built);
+    return built;
+}
+
+std::shared_ptr<const std::vector<slot_ptr>> work_ledger::slotsOf(const policy::view &now)
+{
+    return tableOf(now)->slots;
+}
+
+slot_ptr work_ledger::slotOf(const policy::view &now, runner_handle runner)
+{
+    return (*tableOf(now)->slots)[runner.index];
+}
+
+void work_ledger::snapshot(const policy::view &now, std::vector<policy::sent_work> &into)
+{
+    const auto slots = slotsOf(now);
+    into.resize(slots->size());
+    for (std::size_t i = 0; i < slots->size(); ++i) {
+        const ledger_slot &slot = *(*slots)[i];
+        policy::sent_work &entry = into[i];
+        entry.open = slot.open.load(std::memory_order_relaxed);
+        const std::uint64_t since = slot.sent.load(std::memory_order_relaxed)
+                - slot.sentAtReport.load(std::memory_order_relaxed);
+        entry.openSinceReport =
+                static_cast<std::uint32_t>(std::min<std::uint64_t>(entry.open, since));
+        entry.prefillTokensSinceReport = entry.openSinceReport == 0
+                ? 0
+                : slot.sentTokens.load(std::memory_order_relaxed)
+                        - slot.tokensAtReport.load(std::memory_order_relaxed);
+    }
+}
+
+void work_ledger::onReport(const policy::view &now, runner_handle runner)
+{
+    const slot_ptr slot = slotOf(now, runner);
+    slot->sentAtReport.store(slot->sent.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    slot->tokensAtReport.store(slot->sentTokens.load(std::memory_order_relaxed),
+                               std::memory_order_relaxed);
+}
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/tests/node/freshness_test.cpp
@@ -0,0 +1,114 @@
+#include "node/freshness.h"
+#include "poplarspool/config.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace poplarspool;
+using namespace poplarspool::node;
+
+namespace {
+
+policy::member memberOf(const std::string &id, std::uint64_t applied,
+                        policy::member_state state = policy::member_state::Alive)
+{
+    policy::member other;
+    other.id = {id};
+    other.appliedVersion = applied;
+    other.state = state;
+    return other;
+}
+
+platform::listed_instance listedOf(const std::string &id)
+{
+    platform::listed_instance entry;
+    entry.id = {id};
+    return entry;
+}
+
+freshness_facts factsOfThree()
+{
+    freshness_facts facts;
+    facts.self = {"a"};
+    facts.appliedVersion = 7;
+    facts.confirmedAt = mono_time(std::chrono::seconds(100));
+    facts.now = facts.confirmedAt + config::freshTime + milliseconds(1);
+    facts.listed = {listedOf("a"), listedOf("b"), listedOf("c")};
+    facts.members = {memberOf("a", 7)};
+    return facts;
+}
+
+} // namespace
+
+class freshness_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(freshness_test);
+    CPPUNIT_TEST(testConfirmedViewIsFresh);
+    CPPUNIT_TEST(testCutOffInstanceIsNotFresh);
+    CPPUNIT_TEST(testStoreDownForAllServesOn);
+    CPPUNIT_TEST(testMajorityWithNewerViewIsNotFresh);
+    CPPUNIT_TEST(testNothingKnownIsNeverFresh);
+    CPPUNIT_TEST(testSilentInstanceHoldsChangeBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testConfirmedViewIsFresh()
+    {
+        freshness_facts facts = factsOfThree();
+        facts.now = facts.confirmedAt + config::freshTime;
+        CPPUNIT_ASSERT(isFresh(facts));
+    }
+
+    // The caller gets a true "not run" from an instance that can reach neither the store nor its
+    // peers. It was cut off before a drain was accepted; served on, it would send new work to the
+    // draining target for as long as the cut lasts.
+    void testCutOffInstanceIsNotFresh()
+    {
+        freshness_facts facts = factsOfThree();
+        CPPUNIT_ASSERT(!isFresh(facts));
+        facts.members.push_back(memberOf("b", 7, policy::member_state::Suspect));
+        CPPUNIT_ASSERT(!isFresh(facts));
+    }
+
+    // The store goes down for all. Callers notice nothing: two of three instances reach each other,
+    // neither has anything newer, so nothing can have been accepted behind their backs.
+    void testStoreDownForAllServesOn()
+    {
+        freshness_facts facts = factsOfThree();
+        facts.members.push_back(memberOf("b", 7));
+        CPPUNIT_ASSERT(isFresh(facts));
+    }
+
+    // A majority is reached, but a peer has a newer view that this instance couldn't fetch yet. The
+    // caller is sent elsewhere: here it might be routed to a runner that is already reserved.
+    void testMajorityWithNewerViewIsNotFresh()
+    {
+        freshness_facts facts = factsOfThree();
+        facts.members.push_back(memberOf("b", 8));
+        CPPUNIT_ASSERT(!isFresh(facts));
+    }
+
+    void testNothingKnownIsNeverFresh()
+    {
+        freshness_facts facts = factsOfThree();
+        facts.appliedVersion = 0;
+        facts.now = facts.confirmedAt;
+        CPPUNIT_ASSERT(!isFresh(facts));
+    }
+
+    // An operator's drain is applied by two of three listed instances; the third is frozen and
+    // dropped by gossip. Its callers could still be sent to the runner when it wakes, so the order
+    // to the runner has to wait until the list drops that instance or it answers.
+    void testSilentInstanceHoldsChangeBack()
+    {
+        const std::vector<platform::listed_instance> listed = {listedOf("a"), listedOf("b"),
+                                                               listedOf("c")};
+        const std::vector<policy::member> two = {memberOf("a", 9), memberOf("b", 9)};
+        CPPUNIT_ASSERT(!isAppliedEverywhere(9, two, listed));
+        CPPUNIT_ASSERT(isAppliedEverywhere(9, two, {listed[0], listed[1]}));
+        const std::vector<policy::member> behind = {memberOf("a", 9), memberOf("b", 9),
+                                                    memberOf("c", 8)};
+        CPPUNIT_ASSERT(!isAppliedEverywhere(9, behind, listed));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(freshness_test);
