--- a/include/poplarspool/base/endpoint.h
+++ b/include/poplarspool/base/endpoint.h
@@ -16,6 +16,7 @@
     std::uint16_t port = 0;
 
     bool isValid() const { return !host.empty() && port != 0; }
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const endpoint &) const = default;
 };
 
--- a/include/poplarspool/base/http.h
+++ b/include/poplarspool/base/http.h
@@ -82,8 +82,8 @@
 public:
     /// @param name Label of its metrics.
     /// @param bind Port 0 lets the system choose.
-    http_server(std::string name, endpoint bind, http_limits limits, http_handler handler,
-                metrics_registry &metrics);
+    http_server(const std::string &name, const endpoint &bind, http_limits limits,
+                http_handler handler, metrics_registry &metrics);
     ~http_server();
 
     /// Binds and starts to accept.
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -59,9 +59,9 @@
 inline constexpr std::chrono::milliseconds connectTime = 500ms;
 /// Idle connections kept per target.
 inline constexpr std::size_t maxIdleConnections = 64;
-/// Idle time after which a pooled connection is closed; below the servers' keepAliveTime, so that
-/// a request seldom meets a connection that its server is just closing.
-inline constexpr std::chrono::milliseconds idleConnectionTime = 10s;
+/// Idle time after which a pooled connection is closed; below our keepAliveTime and the 5 s that
+/// many servers keep, so that a request seldom meets a connection that its server is just closing.
+inline constexpr std::chrono::milliseconds idleConnectionTime = 4s;
 /// Time between two looks for idle connections that have expired.
 inline constexpr std::chrono::milliseconds poolSweepTime = 1s;
 /// Bytes of a reply's body that is gathered in memory, and of any reply's headers.
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,89 @@
+#include "app/serve.h"
+
+#include "operators/command_line.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/node/instance.h"
+#include "poplarspool/operators/config_files.h"
+
+#include <csignal>
+#include <malloc.h>
+#include <ostream>
+
+namespace poplarspool::app {
+
+namespace {
+
+/// Each arena keeps the memory that its threads freed; with a thread per connection there would be
+/// many.
+constexpr int mallocArenas = 2;
+
+/// Blocked in every thread that starts later, so that the sigwait() in serve() is the one place
+/// where these signals arrive.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int serve(const settings &choices, std::ostream &out, std::ostream &err)
+{
+    const sigset_t stopSignals = blockStopSignals();
+    // A caller that goes away in the middle of a write must cost that write only, not the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_ARENA_MAX, mallocArenas);
+    setUpLog(choices.logLevel);
+
+    node::instance self(choices);
+    const result<unit> started = self.start();
+    if (!succeeded(started)) {
+        err << "poplarspool serve: " << nameOf(errorOf(started).code) << ": "
+            << errorOf(started).message << '\n';
+        return operators::exitFailed;
+    }
+    out << "instance=" << choices.instance.text << " zone=" << choices.zone.text
+        << " callers=" << textOf(choices.callerAddress)
+        << " operators=" << textOf(choices.operatorAddress)
+        << " peers=" << textOf(choices.peerAddress) << std::endl;
+
+    int received = 0;
+    sigwait(&stopSignals, &received);
+    self.leave();
+    self.wait();
+    return operators::exitDone;
+}
+
+} // namespace
+
+int serveCommand(const std::vector<std::string> &words, std::ostream &out, std::ostream &err)
+{
+    cxxopts::Options options("poplarspool serve",
+                             "Runs one entry instance. SIGTERM or SIGINT begins a graceful\n"
+                             "shutdown: no new callers are sent here, running requests finish.");
+    options.custom_help("--settings FILE");
+    options.add_options()("settings", "The instance's settings", cxxopts::value<std::string>(),
+                          "FILE");
+    const operators::words_or_exit parsed = operators::parseWords(options, words, out, err);
+    if (const int *status = std::get_if<int>(&parsed))
+        return *status;
+    const auto &chosen = std::get<cxxopts::ParseResult>(parsed);
+    if (chosen.count("settings") == 0)
+        return operators::refuseWords(options, "--settings is missing", err);
+
+    const std::string path = chosen["settings"].as<std::string>();
+    const auto text = operators::readFile(path, err);
+    if (!text)
+        return operators::exitFailed;
+    const auto checked = operators::parseSettings(path, *text);
+    if (const auto *faults = std::get_if<std::vector<operators::fault>>(&checked)) {
+        for (const operators::fault &found : *faults)
+            err << lineOf(found) << '\n';
+        return operators::exitBadWords;
+    }
+    return serve(std::get<settings>(checked), out, err);
+}
+
+} // namespace poplarspool::app
--- a/src/base/connection_threads.cpp
+++ b/src/base/connection_threads.cpp
@@ -11,7 +11,7 @@
 
 struct connection_threads::state
 {
-    explicit state(std::uint32_t limit) : limit(limit) {}
+    explicit state(std::uint32_t limit) : limit(limit) { }
 
     void work(std::function<void()> job);
     bool takeJob(std::function<void()> &job);
@@ -86,8 +86,7 @@
 } // namespace
 
 connection_threads::connection_threads(std::uint32_t limit) : inner(std::make_shared<state>(limit))
-{
-}
+{ }
 
 connection_threads::~connection_threads()
 {
--- a/src/base/http_listener.cpp
+++ b/src/base/http_listener.cpp
@@ -19,7 +19,7 @@
 {
 public:
     void enqueue(std::function<void()> task) override { task(); }
-    void shutdown() override {}
+    void shutdown() override { }
 };
 
 /// The library's default is SO_REUSEPORT, which lets a second process take the same port and half
--- a/src/base/http_pool.cpp
+++ b/src/base/http_pool.cpp
@@ -39,13 +39,12 @@
 
 struct http_pool::state
 {
-    state(std::size_t idlePerTarget, milliseconds connectTime, metrics_registry &metrics) :
-        idlePerTarget(idlePerTarget), connectTime(connectTime),
-        connects(metrics.counterOf("poplarspool_pool_connects_total")),
-        reuses(metrics.counterOf("poplarspool_pool_reuses_total")),
-        idleCount(metrics.gaugeOf("poplarspool_pool_idle"))
-    {
-    }
+    state(std::size_t idlePerTarget, milliseconds connectTime, metrics_registry &metrics)
+        : idlePerTarget(idlePerTarget), connectTime(connectTime),
+          connects(metrics.counterOf("poplarspool_pool_connects_total")),
+          reuses(metrics.counterOf("poplarspool_pool_reuses_total")),
+          idleCount(metrics.gaugeOf("poplarspool_pool_idle"))
+    { }
 
     result<descriptor> connectionTo(const endpoint &to, socket_deadline deadline);
     descriptor takeIdle(const endpoint &to);
@@ -79,18 +78,19 @@
 descriptor http_pool::state::takeIdle(const endpoint &to)
 {
     const std::lock_guard lock(guard);
-    dropExpired(socket_clock::now());
+    const socket_deadline now = socket_clock::now();
+    dropExpired(now);
     const auto found = idle.find(to);
     if (found == idle.end())
         return descriptor();
     std::vector<idle_connection> &kept = found->second;
     while (!kept.empty()) {
-        descriptor connection = std::move(kept.back().connection);
+        idle_connection last = std::move(kept.back());
         kept.pop_back();
         idleCount.add(-1);
         // One that the server has closed meanwhile would lose the request.
-        if (isIdleAndOpen(connection.get()))
-            return connection;
+        if (last.expires > now && isIdleAndOpen(last.connection.get()))
+            return std::move(last.connection);
     }
     return descriptor();
 }
@@ -121,11 +121,9 @@
     }
 }
 
-http_pool::http_pool(std::size_t idlePerTarget, milliseconds connectTime,
-                     metrics_registry &metrics) :
-    inner(std::make_unique<state>(idlePerTarget, connectTime, metrics))
-{
-}
+http_pool::http_pool(std::size_t idlePerTarget, milliseconds connectTime, metrics_registry &metrics)
+    : inner(std::make_unique<state>(idlePerTarget, connectTime, metrics))
+{ }
 
 http_pool::~http_pool()
 {
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -23,8 +23,8 @@
 
 http_reply refusal()
 {
-    http_reply reply = errorReply(503, error_code::Overloaded, verdict::NotRun,
-                                  "too many connections");
+    http_reply reply =
+            errorReply(503, error_code::Overloaded, verdict::NotRun, "too many connections");
     reply.headers.emplace_back("Retry-After", "1");
     return reply;
 }
@@ -32,10 +32,13 @@
 error_code codeOf(int status)
 {
     switch (status) {
-    case 408: return error_code::TimedOut;
-    case 413: return error_code::TooLarge;
-    case 431: return error_code::TooLarge;
-    default: return error_code::BadRequest;
+    case 408:
+        return error_code::TimedOut;
+    case 413:
+    case 431:
+        return error_code::TooLarge;
+    default:
+        return error_code::BadRequest;
     }
 }
 
@@ -43,17 +46,16 @@
 
 struct http_server::state
 {
-    state(const std::string &name, endpoint bind, http_limits limits, http_handler handler,
-          metrics_registry &metrics) :
-        bind(std::move(bind)), limits(limits), handler(std::move(handler)),
-        connections(metrics.gaugeOf(labelled("connections", name))),
-        refused(metrics.counterOf(labelled("refused_total", name))),
-        timeouts(metrics.counterOf(labelled("timeouts_total", name))),
-        badRequests(metrics.counterOf(labelled("bad_requests_total", name))),
-        serving(limits.connections), lingering(maxLingering),
-        listener([this](int fd) { accept(fd); })
-    {
-    }
+    state(const std::string &name, const endpoint &bind, http_limits limits, http_handler handler,
+          metrics_registry &metrics)
+        : bind(bind), limits(limits), handler(std::move(handler)),
+          connections(metrics.gaugeOf(labelled("connections", name))),
+          refused(metrics.counterOf(labelled("refused_total", name))),
+          timeouts(metrics.counterOf(labelled("timeouts_total", name))),
+          badRequests(metrics.counterOf(labelled("bad_requests_total", name))),
+          faults(metrics.counterOf(labelled("faults_total", name))), serving(limits.connections),
+          lingering(maxLingering), listener([this](int fd) { accept(fd); })
+    { }
 
     void accept(int fd);
     void refuse(const std::shared_ptr<descriptor> &connection);
@@ -68,6 +70,7 @@
     counter &refused;
     counter &timeouts;
     counter &badRequests;
+    counter &faults; ///< Exceptions out of the handler.
     std::atomic<std::uint32_t> open{0};
     raised_flag stopping;
     connection_threads serving;
@@ -119,8 +122,8 @@
             return rejectBad(connection, *bad);
         const auto &arrived = std::get<arrived_request>(outcome);
         ++served;
-        const bool closes = !arrived.keepsAlive || served >= limits.keepAliveRequests
-                || stopping.isRaised();
+        const bool closes =
+                !arrived.keepsAlive || served >= limits.keepAliveRequests || stopping.isRaised();
         if (!answer(connection.get(), arrived, closes))
             return;
         idleTime = limits.keepAliveTime;
@@ -136,7 +139,8 @@
     std::optional<http_reply> reply;
     try {
         reply = handler(request, writer);
-    } catch (const std::exception &) {
+    } catch (...) {
+        faults.add();
         // Begun replies are cut; the caller sees that they are not whole.
         reply = errorReply(500, error_code::Internal, verdict::MayHaveRun, "internal fault");
     }
@@ -155,11 +159,10 @@
                     stopping.descriptorNumber());
 }
 
-http_server::http_server(std::string name, endpoint bind, http_limits limits, http_handler handler,
-                         metrics_registry &metrics) :
-    inner(std::make_unique<state>(name, std::move(bind), limits, std::move(handler), metrics))
-{
-}
+http_server::http_server(const std::string &name, const endpoint &bind, http_limits limits,
+                         http_handler handler, metrics_registry &metrics)
+    : inner(std::make_unique<state>(name, bind, limits, std::move(handler), metrics))
+{ }
 
 http_server::~http_server()
 {
--- a/src/base/http_text.cpp
+++ b/src/base/http_text.cpp
@@ -13,9 +13,9 @@
 
 constexpr std::string_view lineEnd = "\r\n";
 
-/// Headers that say how a message is framed; only the server sets them.
-constexpr std::array<std::string_view, 4> framingHeaders{"connection", "content-length",
-                                                         "keep-alive", "transfer-encoding"};
+constexpr std::array<std::string_view, 9> hopHeaders{
+        "connection",       "content-length", "expect",  "keep-alive",       "te",
+        "proxy-connection", "trailer",        "upgrade", "transfer-encoding"};
 
 char lowerOf(char letter)
 {
@@ -24,15 +24,15 @@
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
-    return std::ranges::equal(left, right,
-                              [](char a, char b) { return lowerOf(a) == lowerOf(b); });
+    return std::ranges::equal(left, right, [](char a, char b) { return lowerOf(a) == lowerOf(b); });
 }
 
 bool isTokenLetter(char letter)
 {
     const bool isLetter = lowerOf(letter) >= 'a' && lowerOf(letter) <= 'z';
     const bool isDigit = letter >= '0' && letter <= '9';
-    return isLetter || isDigit || std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+    return isLetter || isDigit
+            || std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
 }
 
 bool isToken(std::string_view text)
@@ -178,32 +178,40 @@
     return isLatestVersion ? !listHas(connection, "close") : listHas(connection, "keep-alive");
 }
 
+struct named_status
+{
+    int status;
+    std::string_view reason;
+};
+
+constexpr std::array<named_status, 21> namedStatuses{{
+        {200, "OK"},
+        {201, "Created"},
+        {202, "Accepted"},
+        {204, "No Content"},
+        {304, "Not Modified"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {403, "Forbidden"},
+        {404, "Not Found"},
+        {405, "Method Not Allowed"},
+        {408, "Request Timeout"},
+        {409, "Conflict"},
+        {412, "Precondition Failed"},
+        {413, "Content Too Large"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {501, "Not Implemented"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+}};
+
 std::string_view reasonOf(int status)
 {
-    switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 202: return "Accepted";
-    case 204: return "No Content";
-    case 304: return "Not Modified";
-    case 400: return "Bad Request";
-    case 401: return "Unauthorized";
-    case 403: return "Forbidden";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 408: return "Request Timeout";
-    case 409: return "Conflict";
-    case 412: return "Precondition Failed";
-    case 413: return "Content Too Large";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 500: return "Internal Server Error";
-    case 501: return "Not Implemented";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    default: return "";
-    }
+    const auto *found = std::ranges::find(namedStatuses, status, &named_status::status);
+    return found == namedStatuses.end() ? std::string_view() : found->reason;
 }
 
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
@@ -224,8 +232,8 @@
 
 http_limits defaultHttpLimits()
 {
-    return {config::maxHeaderBytes, config::maxBodyBytes, config::maxCallerConnections,
-            config::requestReadTime, config::callerWriteTime, config::keepAliveTime,
+    return {config::maxHeaderBytes,   config::maxBodyBytes,    config::maxCallerConnections,
+            config::requestReadTime,  config::callerWriteTime, config::keepAliveTime,
             config::keepAliveRequests};
 }
 
@@ -247,8 +255,7 @@
     if (parsed.isChunked && !parsed.takesChunks)
         return bad_request{400, "HTTP/1.0 has no chunks"};
     parsed.keepsAlive = keepsAlive(parsed.headers, parsed.takesChunks);
-    parsed.expectsContinue =
-            equalsIgnoringCase(headerOf(parsed.headers, "expect"), "100-continue");
+    parsed.expectsContinue = equalsIgnoringCase(headerOf(parsed.headers, "expect"), "100-continue");
     return parsed;
 }
 
@@ -283,22 +290,30 @@
     return numberOf<16>(trimmed(line.substr(0, line.find(';'))));
 }
 
+bool mayHaveBody(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
 bool isSafeHeader(std::string_view name, std::string_view value)
 {
     return isToken(name) && std::ranges::all_of(value, isFieldByte);
 }
 
+bool isHopHeader(std::string_view name)
+{
+    return std::ranges::any_of(
+            hopHeaders, [name](std::string_view hop) { return equalsIgnoringCase(name, hop); });
+}
+
 std::string replyHeadText(int status, const http_headers &headers, std::string_view contentType,
                           const reply_framing &framing)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text.append(reasonOf(status)).append(lineEnd);
     for (const auto &[name, value] : headers) {
-        const bool framesMessage = std::ranges::any_of(framingHeaders, [&](std::string_view own) {
-            return equalsIgnoringCase(name, own);
-        });
         const bool isDoubled = !contentType.empty() && equalsIgnoringCase(name, "content-type");
-        if (!framesMessage && !isDoubled && isSafeHeader(name, value))
+        if (!isHopHeader(name) && !isDoubled && isSafeHeader(name, value))
             appendHeader(text, name, value);
     }
     if (!contentType.empty() && isSafeHeader("Content-Type", contentType))
@@ -322,10 +337,8 @@
 
 http_reply errorReply(int status, error_code code, verdict ran, std::string_view message)
 {
-    const nlohmann::json body{{"error",
-                               {{"code", nameOf(code)},
-                                {"message", message},
-                                {"verdict", nameOf(ran)}}}};
+    const nlohmann::json body{
+            {"error", {{"code", nameOf(code)}, {"message", message}, {"verdict", nameOf(ran)}}}};
     http_reply reply;
     reply.status = status;
     reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/base/http_text.h
+++ b/src/base/http_text.h
@@ -10,10 +10,10 @@
 /// HTTP/1.1 as text: what a server reads and writes, without sockets.
 ///
 /// The request reader is ours, because the one of cpp-httplib 0.11 can't be bounded or made to pass
-/// requests on unchanged: it decodes %xx in header values (so a caller can smuggle a line break into
-/// a header that is passed on), unpacks compressed bodies and reads chunked ones without a limit,
-/// takes forms apart, applies Range to any reply, and leaves the body of a GET to be read as the
-/// next request.
+/// requests on unchanged: it decodes %xx in header values (so a caller can smuggle a line break
+/// into a header that is passed on), unpacks compressed bodies and reads chunked ones without a
+/// limit, takes forms apart, applies Range to any reply, and leaves the body of a GET to be read as
+/// the next request.
 namespace poplarspool {
 
 /// The head of a well-formed request, and how its body is framed.
@@ -56,9 +56,17 @@
 /// @returns The size that a chunk's first line announces; none where it is malformed.
 std::optional<std::size_t> chunkSizeOf(std::string_view line);
 
+/// @returns Whether a reply with this status has a body, if only an empty one.
+bool mayHaveBody(int status);
+
 /// @returns Whether a header can be sent without changing the message around it.
 bool isSafeHeader(std::string_view name, std::string_view value);
 
+/// @returns Whether a header belongs to one connection and not to the message: it is never passed
+/// on,
+///          because each side frames its own messages.
+bool isHopHeader(std::string_view name);
+
 /// How a reply goes on the wire.
 struct reply_framing
 {
--- a/src/base/pooled_call.cpp
+++ b/src/base/pooled_call.cpp
@@ -10,24 +10,21 @@
 namespace {
 
 constexpr std::size_t receiveBytes = 16 * 1024;
+/// Replies below it only announce another one.
+constexpr int firstFinalStatus = 200;
 constexpr std::string_view headEnd = "\r\n\r\n";
 
-bool isInterim(int status)
-{
-    return status >= 100 && status < 200;
-}
-
 /// The head as the library gets to see it: a plain status line and the framing, no more. It would
 /// take a malformed length for 0, so that a broken reply looked whole, and match the status line
 /// with a recursive regular expression, which a long reason lets run out of stack.
 std::string plainHeadOf(const reply_head &head)
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " \r\n";
-    const bool isBodiless = head.status == 204 || head.status == 304;
-    if (head.isChunked && !isBodiless)
+    if (head.isChunked && mayHaveBody(head.status))
         text += "Transfer-Encoding: chunked\r\n";
-    else if (head.bodyBytes || isBodiless)
-        text += "Content-Length: " + std::to_string(isBodiless ? 0 : *head.bodyBytes) + "\r\n";
+    else if (head.bodyBytes || !mayHaveBody(head.status))
+        text += "Content-Length: " + std::to_string(mayHaveBody(head.status) ? *head.bodyBytes : 0)
+                + "\r\n";
     return text + "\r\n";
 }
 
@@ -37,14 +34,14 @@
 class pooled_call::reply_stream : public httplib::Stream
 {
 public:
-    reply_stream(pooled_call &call, int fd) : call(call), fd(fd) {}
+    reply_stream(pooled_call &call, int fd) : call(call), fd(fd) { }
 
     bool is_readable() const override { return true; }
     bool is_writable() const override { return true; }
     ssize_t read(char *to, size_t size) override;
     ssize_t write(const char *from, size_t size) override;
-    void get_remote_ip_and_port(std::string &, int &) const override {}
-    void get_local_ip_and_port(std::string &, int &) const override {}
+    void get_remote_ip_and_port(std::string &, int &) const override { }
+    void get_local_ip_and_port(std::string &, int &) const override { }
     socket_t socket() const override { return fd; }
 
     bool isDrained() const { return position == buffer.size(); }
@@ -86,6 +83,7 @@
 {
     const sent outcome = sendAll(fd, request, call.deadline, call.stopping.descriptorNumber());
     call.bytesSent += outcome.bytes;
+    call.isSentWhole = outcome.fault == socket_fault::None;
     request.clear();
     request.shrink_to_fit();
     if (outcome.fault == socket_fault::None || outcome.fault == socket_fault::Closed)
@@ -110,7 +108,7 @@
         if (!call.head)
             return false;
         buffer.erase(0, bytes);
-        if (!isInterim(call.head->status))
+        if (call.head->status >= firstFinalStatus)
             break;
     }
     buffer.insert(0, plainHeadOf(*call.head));
@@ -139,9 +137,9 @@
 }
 
 pooled_call::pooled_call(const endpoint &to, descriptor connection, socket_deadline deadline,
-                         const raised_flag &stopping) :
-    ClientImpl(to.host, to.port),
-    connection(std::move(connection)), deadline(deadline), stopping(stopping)
+                         const raised_flag &stopping)
+    : ClientImpl(to.host, to.port), connection(std::move(connection)), deadline(deadline),
+      stopping(stopping)
 {
     set_keep_alive(true);
     set_url_encode(false);
@@ -160,8 +158,8 @@
     reply_stream stream(*this, socket.sock);
     const bool isWhole = callback(stream);
     // Bytes beyond the reply would be taken for the next call's: a crossed answer.
-    isReusable = isWhole && stream.isDrained() && head && head->keepsAlive
-            && (head->isChunked || head->bodyBytes || !expectsBody);
+    isReusable = isWhole && isSentWhole && stream.isDrained() && head && head->keepsAlive
+            && isDelimited();
     // An orderly end would look to the server like a caller that has sent its request and still
     // reads; a reset tells it at once that its work is no longer wanted.
     if (!isWhole)
@@ -176,30 +174,41 @@
     made.method = request.method;
     made.path = request.path;
     made.body = request.body;
-    for (const auto &[name, value] : request.headers)
-        made.headers.emplace(name, value);
+    for (const auto &[name, value] : request.headers) {
+        if (!isHopHeader(name))
+            made.headers.emplace(name, value);
+    }
     if (!request.contentType.empty() && !made.has_header("Content-Type"))
         made.headers.emplace("Content-Type", request.contentType);
     made.response_handler = [this, &receivers](const httplib::Response &) {
         return handOnHead(receivers);
     };
-    made.content_receiver = [this, &receivers](const char *piece, size_t size, uint64_t,
-                                               uint64_t) {
+    made.content_receiver = [this, &receivers](const char *piece, size_t size, uint64_t, uint64_t) {
         isCancelled = !receivers.onPiece(std::string_view(piece, size));
         return !isCancelled;
     };
     return made;
 }
 
-bool pooled_call::handOnHead(const call_receivers &receivers)
+http_reply pooled_call::replyOfHead() const
 {
-    isHeadHandedOn = true;
     http_reply reply;
     reply.status = head->status;
     reply.headers = head->headers;
     reply.contentType = headerOf(head->headers, "content-type");
-    reply.isDelimited = head->isChunked || head->bodyBytes || !expectsBody;
-    isCancelled = !receivers.onHead(reply);
+    reply.isDelimited = isDelimited();
+    return reply;
+}
+
+bool pooled_call::isDelimited() const
+{
+    return head->isChunked || head->bodyBytes || !mayHaveBody(head->status) || !expectsBody;
+}
+
+bool pooled_call::handOnHead(const call_receivers &receivers)
+{
+    isHeadHandedOn = true;
+    isCancelled = !receivers.onHead(replyOfHead());
     return !isCancelled;
 }
 
@@ -213,12 +222,7 @@
         return failure();
     if (!isHeadHandedOn && !handOnHead(receivers))
         return failure();
-    http_reply reply;
-    reply.status = head->status;
-    reply.contentType = headerOf(head->headers, "content-type");
-    reply.isDelimited = head->isChunked || head->bodyBytes || !expectsBody;
-    reply.headers = std::move(head->headers);
-    return reply;
+    return replyOfHead();
 }
 
 error pooled_call::failure() const
--- a/src/base/pooled_call.h
+++ b/src/base/pooled_call.h
@@ -34,9 +34,10 @@
     bool create_and_connect_socket(Socket &socket, httplib::Error &failure) override;
     bool process_socket(const Socket &socket,
                         std::function<bool(httplib::Stream &)> callback) override;
-    httplib::Request libraryRequestOf(const http_request &request,
-                                      const call_receivers &receivers);
+    httplib::Request libraryRequestOf(const http_request &request, const call_receivers &receivers);
     bool handOnHead(const call_receivers &receivers);
+    http_reply replyOfHead() const;
+    bool isDelimited() const;
     error failure() const;
 
     descriptor connection;
@@ -47,6 +48,7 @@
     bool expectsBody = true;
     bool isCancelled = false;
     bool isHeadHandedOn = false;
+    bool isSentWhole = false;
     bool isReusable = false;
     std::size_t bytesSent = 0;
     socket_fault fault = socket_fault::None;
--- a/src/base/reply_writer.cpp
+++ b/src/base/reply_writer.cpp
@@ -8,17 +8,11 @@
 /// together with their head.
 constexpr std::size_t maxSliceBytes = 64 * 1024;
 
-bool mayHaveBody(int status)
-{
-    return status >= 200 && status != 204 && status != 304;
-}
-
 } // namespace
 
-reply_writer::reply_writer(int fd, milliseconds writeTime, manner how) :
-    fd(fd), writeTime(writeTime), how(how)
-{
-}
+reply_writer::reply_writer(int fd, milliseconds writeTime, manner how)
+    : fd(fd), writeTime(writeTime), how(how)
+{ }
 
 bool reply_writer::begin(int status, const http_headers &headers, std::string_view contentType)
 {
--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -31,16 +31,16 @@
 
 } // namespace
 
-request_reader::request_reader(int fd, const http_limits &limits, int stopFd) :
-    fd(fd), limits(limits), stopFd(stopFd)
-{
-}
+request_reader::request_reader(int fd, const http_limits &limits, int stopFd)
+    : fd(fd), limits(limits), stopFd(stopFd)
+{ }
 
 reading request_reader::next(milliseconds idleTime)
 {
     if (buffer.empty() && !awaitFirstByte(idleTime))
         return no_request{};
     deadline = socket_clock::now() + limits.readTime;
+    hasBegun = false;
     return readRequest();
 }
 
@@ -83,6 +83,7 @@
     while (true) {
         while (buffer.starts_with(lineEnd))
             buffer.erase(0, lineEnd.size());
+        hasBegun = !buffer.empty();
         const std::size_t end = buffer.find(headEnd, searched);
         const std::size_t bytes = end == std::string::npos ? buffer.size() : end + headEnd.size();
         if (bytes > limits.headerBytes)
@@ -124,7 +125,7 @@
 {
     std::string body;
     while (true) {
-        const part line = readLine();
+        part line = readLine();
         if (!isRead(line))
             return line;
         const std::optional<std::size_t> size = chunkSizeOf(std::get<std::string>(line));
@@ -145,7 +146,7 @@
     }
     std::size_t trailerBytes = 0;
     while (true) {
-        const part trailer = readLine();
+        part trailer = readLine();
         if (!isRead(trailer))
             return trailer;
         if (std::get<std::string>(trailer).empty())
@@ -178,7 +179,7 @@
     const received some = receiveSome(fd, bytes.data(), bytes.size(), deadline, -1);
     if (some.fault == socket_fault::TimedOut)
         return bad_request{408, "the request took too long to arrive"};
-    if (some.isEnd && !buffer.empty())
+    if (some.isEnd && hasBegun)
         return bad_request{400, "the request ends too early"};
     if (some.fault != socket_fault::None)
         return no_request{};
--- a/src/base/request_reader.h
+++ b/src/base/request_reader.h
@@ -47,6 +47,7 @@
     const http_limits limits;
     const int stopFd;
     std::string buffer; ///< Bytes received and not yet used; may hold the next request.
+    bool hasBegun = false; ///< A byte of the current request has arrived.
     socket_deadline deadline;
 };
 
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -1,8 +1,8 @@
 #include "base/socket.h"
 
 #include <algorithm>
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -84,7 +84,7 @@
         close(release());
 }
 
-raised_flag::raised_flag() : event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+raised_flag::raised_flag() : event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) { }
 
 void raised_flag::raise()
 {
@@ -134,8 +134,8 @@
 {
     std::size_t done = 0;
     while (done < bytes.size()) {
-        const ssize_t count = send(fd, bytes.data() + done, bytes.size() - done,
-                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+        const ssize_t count =
+                send(fd, bytes.data() + done, bytes.size() - done, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count >= 0) {
             done += static_cast<std::size_t>(count);
             continue;
@@ -156,8 +156,8 @@
     const socket_address address = addressOf(to);
     if (address.size == 0 || to.port == 0)
         return notRun(error_code::BadRequest, "not an IP number and port: " + textOf(to));
-    descriptor connection(socket(address.bytes.ss_family,
-                                 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    descriptor connection(
+            socket(address.bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!connection.isOpen())
         return connectFailure(to, "no descriptor left");
     sendWithoutDelay(connection.get());
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <sys/types.h>
 
-/// Sockets with deadlines. Every wait here uses poll(): select() can't watch descriptors above 1023,
-/// and an instance with 1,000 streams has twice as many.
+/// Sockets with deadlines. Every wait here uses poll(): select() can't watch descriptors above
+/// 1023, and an instance with 1,000 streams has twice as many.
 namespace poplarspool {
 
 using socket_clock = std::chrono::steady_clock;
@@ -22,10 +22,10 @@
 {
 public:
     descriptor() = default;
-    explicit descriptor(int fd) : fd(fd) {}
+    explicit descriptor(int fd) : fd(fd) { }
     descriptor(const descriptor &) = delete;
     descriptor &operator=(const descriptor &) = delete;
-    descriptor(descriptor &&other) noexcept : fd(other.release()) {}
+    descriptor(descriptor &&other) noexcept : fd(other.release()) { }
     descriptor &operator=(descriptor &&other) noexcept;
     ~descriptor() { reset(); }
 
--- /dev/null
+++ b/src/caller/caller_server.cpp
@@ -0,0 +1,355 @@
+#include "poplarspool/caller/caller_server.h"
+
+#include "caller/completion_json.h"
+#include "caller/completion_stream.h"
+#include "caller/json_text.h"
+#include "caller/request_head.h"
+#include "caller/request_watch.h"
+#include "caller/service_path.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+
+#include <httplib.h>
+
+#include <exception>
+
+namespace poplarspool::caller {
+
+namespace {
+
+constexpr std::string_view servicesPrefix = "/v1/services/";
+
+/// A route and the only method it takes; empty: any.
+struct fixed_route
+{
+    std::string_view path;
+    std::string_view method;
+    route_kind kind;
+};
+
+constexpr std::array fixedRoutes{
+        fixed_route{"/v1/addresses", "GET", route_kind::Addresses},
+        fixed_route{"/v1/models", "GET", route_kind::Models},
+        fixed_route{"/v1/completions", "POST", route_kind::Completions},
+        fixed_route{"/healthz", "GET", route_kind::Health},
+};
+
+std::string_view placeOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+const fixed_route *findFixed(std::string_view target)
+{
+    for (const fixed_route &route : fixedRoutes) {
+        if (route.path == placeOf(target))
+            return &route;
+    }
+    return nullptr;
+}
+
+route_kind routeOf(std::string_view target)
+{
+    if (const fixed_route *fixed = findFixed(target))
+        return fixed->kind;
+    return target.starts_with(servicesPrefix) ? route_kind::Services : route_kind::Other;
+}
+
+http_reply jsonReply(const nlohmann::json &body)
+{
+    http_reply reply;
+    reply.status = 200;
+    reply.contentType = "application/json";
+    reply.body = dumpText(body);
+    return reply;
+}
+
+/// A reply with what log and metrics are to say of it. An empty reply: all went to the sink.
+struct served
+{
+    std::optional<http_reply> reply;
+    request_outcome outcome;
+};
+
+served servedWhole(http_reply reply)
+{
+    const int status = reply.status;
+    return {std::move(reply), {status, std::nullopt, 0}};
+}
+
+served servedFailure(const error &failure)
+{
+    http_reply reply = replyOf(failure);
+    const int status = reply.status;
+    return {std::move(reply), {status, failure, 0}};
+}
+
+served wrongMethod(const fixed_route &route)
+{
+    constexpr int methodNotAllowed = 405;
+    served out = servedFailure(
+            notRun(error_code::BadRequest,
+                   std::string(route.path) + " takes only " + std::string(route.method)));
+    out.reply->status = methodNotAllowed;
+    out.reply->headers.emplace_back("Allow", route.method);
+    out.outcome.status = methodNotAllowed;
+    return out;
+}
+
+/// @returns The zone that the query names; the invalid one where it names none.
+result<zone_id> parseZone(std::string_view target)
+{
+    httplib::Params query;
+    const std::size_t question = target.find('?');
+    if (question != std::string_view::npos)
+        httplib::detail::parse_query_text(std::string(target.substr(question + 1)), query);
+    const auto found = query.find("zone");
+    if (found == query.end())
+        return zone_id();
+    if (found->second.empty() || found->second.size() > config::maxNameBytes) {
+        return notRun(error_code::BadRequest,
+                      "parameter zone: expected a name of at most "
+                              + std::to_string(config::maxNameBytes) + " bytes");
+    }
+    return zone_id{found->second};
+}
+
+nlohmann::json modelList(const std::vector<std::string> &models)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const std::string &model : models) {
+        entries.push_back(
+                {{"id", model}, {"object", "model"}, {"created", 0}, {"owned_by", "poplarspool"}});
+    }
+    return {{"object", "list"}, {"data", std::move(entries)}};
+}
+
+nlohmann::json addressList(const address_answer &answer)
+{
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const endpoint &address : answer.addresses)
+        addresses.push_back(textOf(address));
+    return {{"addresses", std::move(addresses)}, {"keep_seconds", answer.keepTime.count()}};
+}
+
+/// A fault of ours: what it interrupted is not known here.
+error thrownFailure()
+{
+    return mayHaveRun(error_code::Internal,
+                      "internal fault; the log of the instance has its cause");
+}
+
+} // namespace
+
+bool service_ask::operator==(const service_ask &other) const
+{
+    return head == other.head && service == other.service && request.method == other.request.method
+            && request.path == other.request.path && request.headers == other.request.headers
+            && request.body == other.request.body
+            && request.contentType == other.request.contentType;
+}
+
+struct caller_server::state
+{
+    state(endpoint bind, http_limits limits, caller_handlers handlers, clock_source clock,
+          metrics_registry &metrics, journal &events)
+        : handlers(std::move(handlers)), clock(std::move(clock)),
+          watch(this->clock, metrics, events),
+          server(
+                  "caller", std::move(bind), limits,
+                  [this](const http_request &request, http_sink &connection) {
+                      return serve(request, connection);
+                  },
+                  metrics)
+    { }
+
+    std::optional<http_reply> serve(const http_request &request, http_sink &connection);
+    served serveHead(const http_request &request, const result<request_head> &head,
+                     reply_probe &probe);
+    served route(const http_request &request, const request_head &head, reply_probe &probe);
+    served serveAddresses(const http_request &request, const request_head &head);
+    served serveModels(const request_head &head);
+    served serveCompletion(const http_request &request, const request_head &head,
+                           reply_probe &probe);
+    served serveService(const http_request &request, const request_head &head, reply_probe &probe);
+    void complete(const completion_ask &ask, completion_sink &sink,
+                  const completion_outcome &outcome);
+
+    caller_handlers handlers;
+    clock_source clock;
+    request_watch watch;
+    http_server server;
+};
+
+std::optional<http_reply> caller_server::state::serve(const http_request &request,
+                                                      http_sink &connection)
+{
+    const request_id id{randomHex128()};
+    const mono_time arrivedAt = clock.mono();
+    const route_kind kind = routeOf(request.path);
+    const result<request_head> head = parseHead(request.headers, id, arrivedAt);
+    request_head known;
+    known.request = id;
+    known.arrivedAt = arrivedAt;
+    if (succeeded(head))
+        known = valueOf(head);
+
+    watch.onIn(kind, known);
+    reply_probe probe(connection, id, clock);
+    served done = serveHead(request, head, probe);
+    watch.onOut(kind, known, done.outcome, probe.firstByteAt());
+    if (done.reply)
+        done.reply->headers = withRequestId(done.reply->headers, id);
+    return std::move(done.reply);
+}
+
+served caller_server::state::serveHead(const http_request &request,
+                                       const result<request_head> &head, reply_probe &probe)
+{
+    if (!succeeded(head))
+        return servedFailure(errorOf(head));
+    try {
+        return route(request, valueOf(head), probe);
+    } catch (const std::exception &thrown) {
+        watch.onThrown(valueOf(head), thrown.what());
+    } catch (...) {
+        watch.onThrown(valueOf(head), "not an exception type of the standard library");
+    }
+    served out = servedFailure(thrownFailure());
+    // A reply that was begun can't be replaced: left without its end, it breaks the connection, and
+    // the caller sees that it is not whole.
+    if (probe.isBegun()) {
+        out.reply.reset();
+        out.outcome.status = probe.status();
+    }
+    return out;
+}
+
+served caller_server::state::route(const http_request &request, const request_head &head,
+                                   reply_probe &probe)
+{
+    if (const fixed_route *fixed = findFixed(request.path)) {
+        if (request.method != fixed->method)
+            return wrongMethod(*fixed);
+    }
+    switch (routeOf(request.path)) {
+    case route_kind::Addresses:
+        return serveAddresses(request, head);
+    case route_kind::Models:
+        return serveModels(head);
+    case route_kind::Completions:
+        return serveCompletion(request, head, probe);
+    case route_kind::Services:
+        return serveService(request, head, probe);
+    case route_kind::Health:
+        return servedWhole(jsonReply({{"status", "ok"}}));
+    case route_kind::Other:
+        break;
+    }
+    return servedFailure(
+            notRun(error_code::NotFound, "no route " + excerptOf(placeOf(request.path))));
+}
+
+served caller_server::state::serveAddresses(const http_request &request, const request_head &head)
+{
+    const result<zone_id> zone = parseZone(request.path);
+    if (!succeeded(zone))
+        return servedFailure(errorOf(zone));
+    const result<address_answer> answer = handlers.addresses(head, valueOf(zone));
+    if (!succeeded(answer))
+        return servedFailure(errorOf(answer));
+    return servedWhole(jsonReply(addressList(valueOf(answer))));
+}
+
+served caller_server::state::serveModels(const request_head &head)
+{
+    const result<std::vector<std::string>> models = handlers.models(head);
+    if (!succeeded(models))
+        return servedFailure(errorOf(models));
+    return servedWhole(jsonReply(modelList(valueOf(models))));
+}
+
+void caller_server::state::complete(const completion_ask &ask, completion_sink &sink,
+                                    const completion_outcome &outcome)
+{
+    try {
+        handlers.complete(ask, sink);
+    } catch (const std::exception &thrown) {
+        watch.onThrown(ask.head, thrown.what());
+    } catch (...) {
+        watch.onThrown(ask.head, "not an exception type of the standard library");
+    }
+    // A handler that threw, or forgot the end, must not leave the caller with a part.
+    if (!outcome.isEnded)
+        sink.fail(thrownFailure());
+}
+
+served caller_server::state::serveCompletion(const http_request &request, const request_head &head,
+                                             reply_probe &probe)
+{
+    const result<completion_body> body = parseCompletion(request.body);
+    if (!succeeded(body))
+        return servedFailure(errorOf(body));
+    const completion_body &wanted = valueOf(body);
+    const completion_ask ask{head, wanted.model, wanted.prompt, wanted.maxTokens,
+                             wanted.isStreamed};
+    const auto created =
+            std::chrono::duration_cast<std::chrono::seconds>(clock.wall().time_since_epoch());
+    const completion_label label{head.request, wanted.model, created.count()};
+    if (!ask.isStreamed) {
+        gathered_completion sink(label, probe);
+        complete(ask, sink, sink.outcome());
+        http_reply reply = sink.takeReply();
+        const int status = reply.status;
+        return {std::move(reply), {status, sink.outcome().failure, sink.outcome().tokens}};
+    }
+    streamed_completion sink(label, probe);
+    complete(ask, sink, sink.outcome());
+    std::optional<http_reply> reply = sink.takeReply();
+    const int status = reply ? reply->status : probe.status();
+    return {std::move(reply), {status, sink.outcome().failure, sink.outcome().tokens}};
+}
+
+served caller_server::state::serveService(const http_request &request, const request_head &head,
+                                          reply_probe &probe)
+{
+    const auto target =
+            parseServiceTarget(std::string_view(request.path).substr(servicesPrefix.size()));
+    if (!succeeded(target))
+        return servedFailure(errorOf(target));
+    service_ask ask{head, valueOf(target).service, request};
+    ask.request.path = valueOf(target).path;
+    ask.request.headers = headersForService(request.headers, head.request);
+    const std::optional<error> failure = handlers.callService(ask, probe);
+    if (failure && !probe.isBegun())
+        return servedFailure(*failure);
+    request_outcome outcome{probe.status(), failure, 0};
+    if (!failure && !probe.isWhole())
+        outcome.failure = mayHaveRun(error_code::Broken, "the reply was cut short");
+    return {std::nullopt, std::move(outcome)};
+}
+
+caller_server::caller_server(endpoint bind, http_limits limits, caller_handlers handlers,
+                             clock_source clock, metrics_registry &metrics, journal &events)
+    : inner(std::make_unique<state>(std::move(bind), limits, std::move(handlers), std::move(clock),
+                                    metrics, events))
+{ }
+
+caller_server::~caller_server() = default;
+
+result<endpoint> caller_server::start()
+{
+    return inner->server.start();
+}
+
+void caller_server::stop()
+{
+    inner->server.stop();
+}
+
+std::uint32_t caller_server::openRequests() const
+{
+    return inner->watch.openRequests();
+}
+
+} // namespace poplarspool::caller
--- /dev/null
+++ b/src/caller/errors.cpp
@@ -0,0 +1,69 @@
+#include "caller/errors.h"
+
+#include "caller/json_text.h"
+#include "poplarspool/caller/caller_server.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace poplarspool::caller {
+
+int statusOf(const error &failure)
+{
+    switch (failure.code) {
+    case error_code::BadRequest:
+        return 400;
+    case error_code::Unauthorized:
+        return 401;
+    case error_code::Forbidden:
+        return 403;
+    case error_code::NotFound:
+        return 404;
+    case error_code::Conflict:
+    case error_code::Duplicate:
+        return 409;
+    case error_code::TooLarge:
+        return 413;
+    case error_code::Throttled:
+        return 429;
+    case error_code::Cancelled:
+        return 499;
+    case error_code::Broken:
+        return 502;
+    case error_code::Overloaded:
+    case error_code::Unavailable:
+    case error_code::Stale:
+        return 503;
+    case error_code::TimedOut:
+        return 504;
+    case error_code::Internal:
+        break;
+    }
+    return 500;
+}
+
+std::string bodyOf(const error &failure)
+{
+    return dumpText({{"error",
+                      {{"code", nameOf(failure.code)},
+                       {"message", failure.message},
+                       {"verdict", nameOf(failure.ran)}}}});
+}
+
+http_reply replyOf(const error &failure)
+{
+    http_reply reply;
+    reply.status = statusOf(failure);
+    reply.contentType = "application/json";
+    reply.body = bodyOf(failure);
+    if (failure.retryAfter) {
+        // The header has whole seconds: rounded up, as a caller that comes too early is refused
+        // again, and never 0, which many clients take for "at once".
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*failure.retryAfter);
+        const auto told = std::max(seconds, std::chrono::seconds(1));
+        reply.headers.emplace_back("Retry-After", std::to_string(told.count()));
+    }
+    return reply;
+}
+
+} // namespace poplarspool::caller
--- /dev/null
+++ b/src/caller/request_watch.cpp
@@ -0,0 +1,115 @@
+#include "caller/request_watch.h"
+
+#include <algorithm>
+
+namespace poplarspool::caller {
+
+namespace {
+
+constexpr std::string_view okCode = "ok";
+
+std::string labelled(std::string_view name, std::string_view labels)
+{
+    return std::string(name) + "{" + std::string(labels) + "}";
+}
+
+/// Lookups of addresses and probes of health come all the time and say nothing of the work: they
+/// would push the events of real requests out of the ring.
+bool isJournaled(route_kind route)
+{
+    return route == route_kind::Completions || route == route_kind::Services;
+}
+
+} // namespace
+
+std::string_view nameOf(route_kind route)
+{
+    switch (route) {
+    case route_kind::Addresses:
+        return "addresses";
+    case route_kind::Models:
+        return "models";
+    case route_kind::Completions:
+        return "completions";
+    case route_kind::Services:
+        return "services";
+    case route_kind::Health:
+        return "healthz";
+    case route_kind::Other:
+        break;
+    }
+    return "other";
+}
+
+request_watch::request_watch(clock_source clock, metrics_registry &metrics, journal &events)
+    : clock(std::move(clock)), events(events), open(metrics.gaugeOf("poplarspool_requests_open"))
+{
+    for (std::size_t route = 0; route < routeCount; ++route) {
+        const std::string label =
+                "route=\"" + std::string(nameOf(static_cast<route_kind>(route))) + "\"";
+        for (std::size_t code = 0; code <= codeCount; ++code) {
+            const std::string_view name =
+                    code < codeCount ? nameOf(static_cast<error_code>(code)) : okCode;
+            const std::string labels = label + ",code=\"" + std::string(name) + "\"";
+            requests[route][code] =
+                    &metrics.counterOf(labelled("poplarspool_requests_total", labels));
+        }
+        firstByte[route] =
+                &metrics.latencyOf(labelled("poplarspool_request_first_byte_seconds", label));
+        whole[route] = &metrics.latencyOf(labelled("poplarspool_request_whole_seconds", label));
+    }
+}
+
+void request_watch::onIn(route_kind route, const request_head &head)
+{
+    open.add(1);
+    if (!isJournaled(route))
+        return;
+    events.emit("request_in",
+                {{"request", head.request.text},
+                 {"workspace", head.workspace.text},
+                 {"route", std::string(nameOf(route))}});
+}
+
+void request_watch::onOut(route_kind route, const request_head &head,
+                          const request_outcome &outcome, std::optional<mono_time> firstByteAt)
+{
+    open.add(-1);
+    const mono_time now = clock.mono();
+    const auto elapsed = now - head.arrivedAt;
+    const auto row = static_cast<std::size_t>(route);
+    const std::size_t column =
+            outcome.failure ? static_cast<std::size_t>(outcome.failure->code) : codeCount;
+    requests[row][column]->add();
+    firstByte[row]->record(firstByteAt.value_or(now) - head.arrivedAt);
+    whole[row]->record(elapsed);
+    if (!isJournaled(route))
+        return;
+    const auto ms = std::chrono::duration_cast<milliseconds>(elapsed).count();
+    std::vector<event_field> fields{
+            {"request", head.request.text},
+            {"workspace", head.workspace.text},
+            {"route", std::string(nameOf(route))},
+            {"status", std::to_string(outcome.status)},
+            {"code", std::string(outcome.failure ? nameOf(outcome.failure->code) : okCode)},
+            {"ms", std::to_string(ms)},
+            {"tokens", std::to_string(outcome.tokens)}};
+    if (outcome.failure)
+        fields.push_back({"verdict", std::string(nameOf(outcome.failure->ran))});
+    events.emit("request_out", std::move(fields));
+}
+
+void request_watch::onThrown(const request_head &head, std::string_view what)
+{
+    events.emit("handler_threw",
+                {{"request", head.request.text},
+                 {"workspace", head.workspace.text},
+                 {"what", std::string(what)}});
+}
+
+std::uint32_t request_watch::openRequests() const
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(open.get(), 0));
+}
+
+} // namespace poplarspool::caller
--- /dev/null
+++ b/src/caller/request_watch.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "caller/reply_probe.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/caller/caller_server.h"
+
+#include <array>
+#include <string_view>
+
+namespace poplarspool::caller {
+
+/// What callers can ask for, as labels of metrics and events.
+enum class route_kind { Addresses, Models, Completions, Services, Health, Other };
+
+std::string_view nameOf(route_kind route);
+
+/// How a request ended.
+struct request_outcome
+{
+    int status = 0;
+    std::optional<error> failure; ///< None: whole.
+    std::uint32_t tokens = 0;
+};
+
+/// Metrics and events of requests. Looks every metric up once, so that a request takes no lock of
+/// the registry.
+class request_watch
+{
+public:
+    request_watch(clock_source clock, metrics_registry &metrics, journal &events);
+
+    void onIn(route_kind route, const request_head &head);
+    void onOut(route_kind route, const request_head &head, const request_outcome &outcome,
+               std::optional<mono_time> firstByteAt);
+    /// A handler threw.
+    void onThrown(const request_head &head, std::string_view what);
+
+    std::uint32_t openRequests() const;
+
+private:
+    static constexpr std::size_t routeCount = static_cast<std::size_t>(route_kind::Other) + 1;
+    static constexpr std::size_t codeCount = static_cast<std::size_t>(error_code::Internal) + 1;
+    /// One column per error code, and the last for whole answers.
+    using code_counters = std::array<counter *, codeCount + 1>;
+
+    clock_source clock;
+    journal &events;
+    gauge &open;
+    std::array<code_counters, routeCount> requests{};
+    std::array<latency *, routeCount> firstByte{};
+    std::array<latency *, routeCount> whole{};
+};
+
+} // namespace poplarspool::caller
--- a/src/node/answers.cpp
+++ b/src/node/answers.cpp
@@ -59,11 +59,12 @@
         return false;
     case answer_state::NotDispatched:
         return next == answer_state::Done || next == answer_state::Lost;
-    case answer_state::Unknown:
     case answer_state::Running:
+        return next != answer_state::Running;
+    case answer_state::Unknown:
         break;
     }
-    return next != answer_state::Running;
+    return true;
 }
 
 } // namespace
--- a/src/node/planner_core.cpp
+++ b/src/node/planner_core.cpp
@@ -47,8 +47,9 @@
     return best.second == self;
 }
 
-planner_core::planner_core(planner_needs needs, view_hub &views, order_tools tools)
-    : needs(std::move(needs)), views(views), tools(std::move(tools))
+planner_core::planner_core(planner_needs needs, view_hub &views, order_tools tools,
+                           plan_function decide)
+    : needs(std::move(needs)), views(views), tools(std::move(tools)), decide(std::move(decide))
 { }
 
 void planner_core::look()
@@ -73,7 +74,7 @@
         if (spec.pool == pool.id)
             desk.writers.try_emplace(spec.id, tools, spec.id);
     }
-    if (!desk.isLoaded && !loadRecords(now, pool.id, desk))
+    if (!desk.isLoaded && !loadRecords(pool.id, desk))
         return;
     stepOrders(now, pool.id, desk);
     if (now.isFresh)
@@ -81,7 +82,7 @@
 }
 
 /// One call for all engines: a get for each would use up the call budget at every takeover.
-bool planner_core::loadRecords(const policy::view & /*now*/, const pool_id &pool, pool_desk &desk)
+bool planner_core::loadRecords(const pool_id &pool, pool_desk &desk)
 {
     const auto listed = tools.store.list(operators::orderKey(needs.deployment, ""));
     if (!succeeded(listed))
@@ -139,8 +140,8 @@
 {
     const policy::view marked = withReservations(now, desk.writers);
     const policy::plan_rule *rule = findRule(*now.book, pool);
-    const auto step = policy::planPool(marked, pool, rule ? *rule : policy::plan_rule{.pool = pool},
-                                       desk.memory, needs.demand(pool), tools.clock.mono());
+    const auto step = decide(marked, pool, rule ? *rule : policy::plan_rule{.pool = pool},
+                             desk.memory, needs.demand(pool), tools.clock.mono());
     desk.memory = step.memory;
     for (const policy::planned_change &change : step.changes) {
         const policy::runner_spec &spec = now.fleet->runners.at(change.runner.index);
--- a/src/node/planner_core.h
+++ b/src/node/planner_core.h
@@ -14,10 +14,16 @@
 ///          both think so; they then race for the same records, and no more.
 bool isPlannerOf(const policy::view &now, const pool_id &pool, const instance_id &self);
 
+/// What decides on changes: policy::planPool() but in tests.
+using plan_function = std::function<policy::plan_step(
+        const policy::view &, const pool_id &, const policy::plan_rule &,
+        const policy::plan_memory &, const policy::demand_estimate &, mono_time)>;
+
 class planner_core
 {
 public:
-    planner_core(planner_needs needs, view_hub &views, order_tools tools);
+    planner_core(planner_needs needs, view_hub &views, order_tools tools,
+                 plan_function decide = policy::planPool);
 
     /// Takes the orders under way one step on, then plans.
     void look();
@@ -32,7 +38,7 @@
     };
 
     void lookAt(const policy::view &now, const policy::pool_spec &pool);
-    bool loadRecords(const policy::view &now, const pool_id &pool, pool_desk &desk);
+    bool loadRecords(const pool_id &pool, pool_desk &desk);
     void readRecord(const runner_id &runner, order_writer &writer);
     void stepOrders(const policy::view &now, const pool_id &pool, pool_desk &desk);
     void plan(const policy::view &now, const pool_id &pool, pool_desk &desk);
@@ -40,6 +46,7 @@
     const planner_needs needs;
     view_hub &views;
     order_tools tools;
+    const plan_function decide;
     std::map<pool_id, pool_desk> desks;
 };
 
--- /dev/null
+++ b/src/operators/file_keys.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "operators/toml_reader.h"
+#include "poplarspool/base/settings.h"
+#include "poplarspool/policy/inventory.h"
+#include "poplarspool/policy/rules.h"
+
+#include <vector>
+
+/// The declared keys of each of the three files.
+namespace poplarspool::operators {
+
+/// An inventory file as it stands, before the pools' defaults went into the runners.
+struct inventory_file
+{
+    policy::inventory fleet;
+    std::vector<policy::runner_spec> defaults; ///< `runner_defaults`: at most one per pool.
+};
+
+const table_keys<settings> &settingsKeys();
+const table_keys<inventory_file> &inventoryKeys();
+const table_keys<policy::rules> &rulesKeys();
+
+std::vector<key_row> rowsOfKind(file_kind kind);
+
+std::string_view nameOf(file_kind kind);
+
+} // namespace poplarspool::operators
--- /dev/null
+++ b/src/operators/key_table.cpp
@@ -0,0 +1,19 @@
+#include "operators/key_table.h"
+
+#include "operators/file_keys.h"
+
+#include <sstream>
+
+namespace poplarspool::operators {
+
+std::string keyTableOf(file_kind kind)
+{
+    std::ostringstream out;
+    out << "| key | unit | default | bounds | meaning |\n|---|---|---|---|---|\n";
+    for (const key_row &row : rowsOfKind(kind))
+        out << "| `" << row.key << "` | " << row.unit << " | " << row.fallback << " | "
+            << row.bounds << " | " << row.meaning << " |\n";
+    return out.str();
+}
+
+} // namespace poplarspool::operators
--- /dev/null
+++ b/src/operators/key_table.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "operators/toml_reader.h"
+
+#include <string>
+
+namespace poplarspool::operators {
+
+/// @returns The keys of one kind of file as a Markdown table; docs/SETTINGS.md holds it.
+std::string keyTableOf(file_kind kind);
+
+} // namespace poplarspool::operators
--- /dev/null
+++ b/src/operators/wire_json.cpp
@@ -0,0 +1,175 @@
+#include "operators/wire_json.h"
+
+namespace poplarspool::operators {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+namespace {
+
+int statusOf(error_code code)
+{
+    switch (code) {
+    case error_code::BadRequest:
+        return 400;
+    case error_code::Unauthorized:
+        return 401;
+    case error_code::NotFound:
+        return 404;
+    case error_code::Conflict:
+        return 409;
+    case error_code::TooLarge:
+        return 413;
+    case error_code::Throttled:
+        return 429;
+    case error_code::Broken:
+        return 502;
+    case error_code::Internal:
+        return 500;
+    default:
+        return 503;
+    }
+}
+
+/// Calls `read` with the parsed text; whatever doesn't fit becomes one failure.
+template <class T, class Read>
+result<T> parseWith(std::string_view text, error_code code, Read read)
+{
+    try {
+        return read(json::parse(text));
+    } catch (const json::exception &failure) {
+        return notRun(code, failure.what());
+    }
+}
+
+} // namespace
+
+std::string dumpJson(const ordered_json &value)
+{
+    return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+ordered_json jsonOf(const std::vector<fault> &faults)
+{
+    ordered_json list = ordered_json::array();
+    for (const fault &found : faults)
+        list.push_back({{"file", found.file},
+                        {"line", found.line},
+                        {"column", found.column},
+                        {"key", found.key},
+                        {"message", found.message}});
+    return {{"faults", std::move(list)}};
+}
+
+std::vector<fault> parseFaults(std::string_view text)
+{
+    const auto read = [](const json &value) {
+        std::vector<fault> faults;
+        for (const json &found : value.at("faults"))
+            faults.push_back(
+                    {found.at("file").get<std::string>(), found.at("line").get<std::uint32_t>(),
+                     found.at("column").get<std::uint32_t>(), found.at("key").get<std::string>(),
+                     found.at("message").get<std::string>()});
+        return faults;
+    };
+    const auto faults = parseWith<std::vector<fault>>(text, error_code::Broken, read);
+    return succeeded(faults) ? valueOf(faults) : std::vector<fault>{};
+}
+
+std::string textOf(const apply_request &wanted)
+{
+    ordered_json value = {{"inventory", wanted.inventoryText},
+                          {"rules", wanted.rulesText},
+                          {"nonce", wanted.nonce},
+                          {"author", wanted.author}};
+    if (wanted.ifVersion)
+        value["if_version"] = *wanted.ifVersion;
+    return dumpJson(value);
+}
+
+result<apply_request> parseApplyRequest(std::string_view text)
+{
+    const auto read = [](const json &value) {
+        apply_request wanted{value.at("inventory").get<std::string>(),
+                             value.at("rules").get<std::string>(),
+                             value.at("nonce").get<std::string>(),
+                             value.at("author").get<std::string>(), std::nullopt};
+        if (value.contains("if_version"))
+            wanted.ifVersion = value.at("if_version").get<std::uint64_t>();
+        return wanted;
+    };
+    return parseWith<apply_request>(text, error_code::BadRequest, read);
+}
+
+std::string textOf(const apply_reply &reply)
+{
+    return dumpJson({{"version", reply.version}});
+}
+
+result<apply_reply> parseApplyReply(std::string_view text)
+{
+    const auto read = [](const json &value) {
+        return apply_reply{value.at("version").get<std::uint64_t>()};
+    };
+    return parseWith<apply_reply>(text, error_code::Broken, read);
+}
+
+std::string textOf(const stored_config &config)
+{
+    return dumpJson({{"version", config.version},
+                     {"author", config.head.author},
+                     {"wall_ms", config.head.wallMs},
+                     {"nonce", config.head.nonce},
+                     {"inventory_sha", config.head.inventorySha},
+                     {"rules_sha", config.head.rulesSha},
+                     {"inventory", config.inventoryText},
+                     {"rules", config.rulesText}});
+}
+
+result<stored_config> parseStoredConfig(std::string_view text)
+{
+    const auto read = [](const json &value) {
+        stored_config config;
+        config.version = value.at("version").get<std::uint64_t>();
+        config.head.author = value.at("author").get<std::string>();
+        config.head.wallMs = value.at("wall_ms").get<std::int64_t>();
+        config.head.nonce = value.at("nonce").get<std::string>();
+        config.head.inventorySha = value.at("inventory_sha").get<std::string>();
+        config.head.rulesSha = value.at("rules_sha").get<std::string>();
+        config.inventoryText = value.at("inventory").get<std::string>();
+        config.rulesText = value.at("rules").get<std::string>();
+        return config;
+    };
+    return parseWith<stored_config>(text, error_code::Broken, read);
+}
+
+http_reply replyOf(const error &failure)
+{
+    http_reply reply;
+    reply.status = statusOf(failure.code);
+    reply.contentType = "application/json";
+    reply.body = dumpJson({{"error",
+                            {{"code", nameOf(failure.code)},
+                             {"message", failure.message},
+                             {"verdict", nameOf(failure.ran)}}}});
+    return reply;
+}
+
+error errorOfReply(const http_reply &reply)
+{
+    const auto read = [](const json &value) {
+        const json &told = value.at("error");
+        const bool isNotRun = told.at("verdict").get<std::string>() == nameOf(verdict::NotRun);
+        return error{errorCodeOf(told.at("code").get<std::string>()),
+                     told.at("message").get<std::string>(),
+                     isNotRun ? verdict::NotRun : verdict::MayHaveRun};
+    };
+    try {
+        return read(json::parse(reply.body));
+    } catch (const json::exception &) {
+        return mayHaveRun(error_code::Broken,
+                          "answered " + std::to_string(reply.status) + " without a reason");
+    }
+}
+
+} // namespace poplarspool::operators
--- /dev/null
+++ b/src/peer/call_client.cpp
@@ -0,0 +1,266 @@
+#include "poplarspool/peer/calls.h"
+
+#include "base/socket.h"
+#include "peer/call_wire.h"
+#include "peer/drop_counters.h"
+#include "poplarspool/config.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace poplarspool::peer {
+
+namespace {
+
+/// Idle connections are given up well before the server closes them: a call that meets that close
+/// could not tell whether it had run.
+constexpr milliseconds reuseTime = config::peerIdleTime / 2;
+
+/// An open connection and whom it leads to.
+struct connection
+{
+    descriptor socket;
+    std::uint64_t peer = 0;
+    incarnation peerLife = 0;
+    std::uint64_t counter = 0; ///< Of the last frame sent.
+    socket_clock::time_point usedAt;
+};
+
+error timedOut(verdict ran)
+{
+    return error{error_code::TimedOut, "peer call timed out", ran};
+}
+
+error broken(socket_fault fault, verdict ran)
+{
+    if (fault == socket_fault::TimedOut)
+        return timedOut(ran);
+    if (fault == socket_fault::Interrupted)
+        return error{error_code::Cancelled, "peer calls are stopped", ran};
+    return error{error_code::Unavailable, "peer closed the connection", ran};
+}
+
+} // namespace
+
+struct call_client::state
+{
+    state(call_identity identity, metrics_registry &metrics, journal &log)
+        : self(std::move(identity)), selfNumber(senderNumber(self.instance)),
+          key(deriveFrameKey(self.key)), events(log),
+          dropped(metrics, "poplarspool_peer_dropped_total"),
+          calls(metrics.counterOf("poplarspool_peer_calls_total{direction=\"sent\"}")),
+          bytesReceived(
+                  metrics.counterOf("poplarspool_peer_call_bytes_total{direction=\"received\"}")),
+          bytesSent(metrics.counterOf("poplarspool_peer_call_bytes_total{direction=\"sent\"}")),
+          strays(metrics.counterOf("poplarspool_peer_stray_answers_total")),
+          // Not from 1: a restarted process must not reuse the ids of its former life.
+          nextCallId(randomNumber())
+    { }
+
+    std::optional<connection> takeIdle(const endpoint &to);
+    void keep(const endpoint &to, connection open);
+    void dropUnused(socket_clock::time_point oldest);
+    result<connection> open(const endpoint &to, socket_deadline deadline);
+    result<std::string> converse(connection &open, const std::string &payload,
+                                 socket_deadline deadline);
+    result<std::string> awaitReply(connection &open, std::uint64_t callId,
+                                   socket_deadline deadline);
+    bool isReplyTo(const frame_header &header, const connection &open, std::uint64_t callId) const;
+    std::string nextFrame(connection &open, frame_kind kind, std::uint64_t callId,
+                          std::string_view payload);
+
+    const call_identity self;
+    const std::uint64_t selfNumber;
+    const frame_key key;
+    journal &events;
+    drop_counters dropped;
+    counter &calls;
+    counter &bytesReceived;
+    counter &bytesSent;
+    counter &strays;
+    std::atomic<std::uint64_t> nextCallId;
+    raised_flag stopping;
+    std::mutex idleMutex;
+    std::map<endpoint, std::vector<connection>> idle;
+    socket_clock::time_point sweptAt = socket_clock::now();
+};
+
+call_client::call_client(call_identity self, metrics_registry &metrics, journal &events)
+    : inner(std::make_unique<state>(std::move(self), metrics, events))
+{ }
+
+call_client::~call_client()
+{
+    stop();
+}
+
+void call_client::stop()
+{
+    inner->stopping.raise();
+    const std::lock_guard lock(inner->idleMutex);
+    inner->idle.clear();
+}
+
+result<std::string> call_client::call(const endpoint &to, call_kind kind,
+                                      const std::string &payload, milliseconds timeLimit)
+{
+    if (inner->stopping.isRaised())
+        return notRun(error_code::Cancelled, "peer calls are stopped");
+    if (payload.empty() || payload.size() > config::maxPeerCallBytes / 2)
+        return notRun(error_code::TooLarge, "question beyond the limit of a peer call");
+    const socket_deadline deadline = socket_clock::now() + timeLimit;
+    inner->calls.add();
+    std::optional<connection> open = inner->takeIdle(to);
+    if (!open) {
+        result<connection> fresh = inner->open(to, deadline);
+        if (!succeeded(fresh))
+            return errorOf(fresh);
+        open = std::move(valueOf(fresh));
+    }
+    result<std::string> reply = inner->converse(*open, encodeCall(kind, payload), deadline);
+    // converse() closes a connection whose call is still open: its late answer would otherwise
+    // arrive in front of the next call's.
+    if (open->socket.isOpen())
+        inner->keep(to, std::move(*open));
+    return reply;
+}
+
+std::optional<connection> call_client::state::takeIdle(const endpoint &to)
+{
+    const std::lock_guard lock(idleMutex);
+    const auto found = idle.find(to);
+    if (found == idle.end())
+        return std::nullopt;
+    std::vector<connection> &kept = found->second;
+    const auto oldest = socket_clock::now() - reuseTime;
+    while (!kept.empty()) {
+        connection open = std::move(kept.back());
+        kept.pop_back();
+        if (open.usedAt >= oldest && isIdleAndOpen(open.socket.get()))
+            return open;
+    }
+    idle.erase(found);
+    return std::nullopt;
+}
+
+void call_client::state::keep(const endpoint &to, connection open)
+{
+    open.usedAt = socket_clock::now();
+    const std::lock_guard lock(idleMutex);
+    if (stopping.isRaised())
+        return;
+    dropUnused(open.usedAt - reuseTime);
+    std::vector<connection> &kept = idle[to];
+    if (kept.size() < config::maxIdlePeerConnections)
+        kept.push_back(std::move(open));
+}
+
+/// Peers come and go: without this, connections to those that are never called again would stay.
+void call_client::state::dropUnused(socket_clock::time_point oldest)
+{
+    if (sweptAt >= oldest)
+        return;
+    sweptAt = socket_clock::now();
+    for (auto &[to, kept] : idle)
+        std::erase_if(kept, [&](const connection &open) { return open.usedAt < oldest; });
+    std::erase_if(idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+result<connection> call_client::state::open(const endpoint &to, socket_deadline deadline)
+{
+    const socket_deadline connected = std::min(deadline, socket_clock::now() + config::connectTime);
+    result<descriptor> socket = connectTo(to, connected, stopping.descriptorNumber());
+    if (!succeeded(socket))
+        return errorOf(socket);
+    connection open;
+    open.socket = std::move(valueOf(socket));
+    const stream_read hello =
+            readFrame(open.socket.get(), key, 0, deadline, stopping.descriptorNumber());
+    if (const auto *fault = std::get_if<socket_fault>(&hello))
+        return broken(*fault, verdict::NotRun);
+    if (const auto *fault = std::get_if<frame_fault>(&hello)) {
+        dropped.count(*fault);
+        return notRun(error_code::Broken, "peer is not one of ours");
+    }
+    const frame_header &header = std::get<stream_frame>(hello).header;
+    if (header.kind != frame_kind::Hello)
+        return notRun(error_code::Broken, "peer did not say hello");
+    open.peer = header.sender;
+    open.peerLife = header.senderLife;
+    open.counter = header.counter;
+    const std::string answer = nextFrame(open, frame_kind::Hello, 0, {});
+    const sent done = sendAll(open.socket.get(), answer, deadline, stopping.descriptorNumber());
+    if (done.fault != socket_fault::None)
+        return broken(done.fault, verdict::NotRun);
+    return open;
+}
+
+result<std::string> call_client::state::converse(connection &open, const std::string &payload,
+                                                 socket_deadline deadline)
+{
+    const std::uint64_t callId = nextCallId.fetch_add(1, std::memory_order_relaxed);
+    const std::string frame = nextFrame(open, frame_kind::Call, callId, payload);
+    const sent done = sendAll(open.socket.get(), frame, deadline, stopping.descriptorNumber());
+    bytesSent.add(done.bytes);
+    if (done.fault != socket_fault::None) {
+        open.socket.reset();
+        // A frame that did not leave whole has no valid MAC at the other side and is never run.
+        const bool isWhole = done.bytes == frame.size();
+        return broken(done.fault, isWhole ? verdict::MayHaveRun : verdict::NotRun);
+    }
+    return awaitReply(open, callId, deadline);
+}
+
+result<std::string> call_client::state::awaitReply(connection &open, std::uint64_t callId,
+                                                   socket_deadline deadline)
+{
+    while (true) {
+        const stream_read reply = readFrame(open.socket.get(), key, config::maxPeerCallBytes,
+                                            deadline, stopping.descriptorNumber());
+        if (const auto *fault = std::get_if<socket_fault>(&reply)) {
+            open.socket.reset();
+            return broken(*fault, verdict::MayHaveRun);
+        }
+        if (const auto *fault = std::get_if<frame_fault>(&reply)) {
+            dropped.count(*fault);
+            open.socket.reset();
+            return mayHaveRun(error_code::Broken, "peer answered with a bad frame");
+        }
+        const stream_frame &frame = std::get<stream_frame>(reply);
+        bytesReceived.add(frameHeaderBytes + frame.payload.size());
+        if (isReplyTo(frame.header, open, callId)) {
+            events.observe(frame.header.sentAt);
+            return decodeReply(frame.payload);
+        }
+        // Late, crossed or doubled: whoever asked for it has gone. Taking it here would hand one
+        // caller another's answer.
+        strays.add();
+    }
+}
+
+bool call_client::state::isReplyTo(const frame_header &header, const connection &open,
+                                   std::uint64_t callId) const
+{
+    return header.kind == frame_kind::Reply && header.callId == callId && header.sender == open.peer
+            && header.senderLife == open.peerLife && header.receiverLife == self.life;
+}
+
+std::string call_client::state::nextFrame(connection &open, frame_kind kind, std::uint64_t callId,
+                                          std::string_view payload)
+{
+    frame_header header;
+    header.kind = kind;
+    header.sender = selfNumber;
+    header.senderLife = self.life;
+    header.receiverLife = open.peerLife;
+    header.counter = ++open.counter;
+    header.callId = callId;
+    header.sentAt = events.stamp();
+    return sealFrame(key, header, payload);
+}
+
+} // namespace poplarspool::peer
--- /dev/null
+++ b/src/peer/codec.cpp
@@ -0,0 +1,104 @@
+#include "peer/codec.h"
+
+namespace poplarspool::peer {
+
+namespace {
+
+constexpr int varintBits = 7;
+constexpr std::uint64_t varintMask = 0x7f;
+constexpr std::uint8_t varintMore = 0x80;
+constexpr int maxVarintBytes = 10;
+
+} // namespace
+
+std::streamsize string_sink::xsputn(const char *data, std::streamsize size)
+{
+    bytes.append(data, static_cast<std::size_t>(size));
+    return size;
+}
+
+string_sink::int_type string_sink::overflow(int_type byte)
+{
+    if (traits_type::eq_int_type(byte, traits_type::eof()))
+        return traits_type::not_eof(byte);
+    bytes.push_back(traits_type::to_char_type(byte));
+    return byte;
+}
+
+memory_source::memory_source(std::string_view bytes)
+{
+    // A streambuf wants writable pointers but never writes through its get area.
+    char *begin = const_cast<char *>(bytes.data());
+    setg(begin, begin, begin + bytes.size());
+}
+
+encoder::encoder()
+    : stream(&sink), archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian())
+{ }
+
+void encoder::varint(std::uint64_t value)
+{
+    while (value > varintMask) {
+        fixed(static_cast<std::uint8_t>((value & varintMask) | varintMore));
+        value >>= varintBits;
+    }
+    fixed(static_cast<std::uint8_t>(value));
+}
+
+void encoder::text(std::string_view value, std::size_t maxBytes)
+{
+    checkCount(value.size(), maxBytes, 1);
+    varint(value.size());
+    archive(cereal::binary_data(value.data(), value.size()));
+}
+
+void encoder::checkCount(std::size_t count, std::size_t maxCount, std::size_t)
+{
+    if (count > maxCount)
+        throw bad_payload("too long to send");
+}
+
+decoder::decoder(std::string_view bytes)
+    : source(bytes), stream(&source),
+      archive(stream, cereal::PortableBinaryInputArchive::Options::LittleEndian())
+{ }
+
+std::uint64_t decoder::varint()
+{
+    std::uint64_t value = 0;
+    for (int index = 0; index < maxVarintBytes; ++index) {
+        std::uint8_t byte = 0;
+        fixed(byte);
+        const std::uint64_t bits = byte & varintMask;
+        const int shift = index * varintBits;
+        if ((bits << shift) >> shift != bits)
+            throw bad_payload("number too wide");
+        value |= bits << shift;
+        if ((byte & varintMore) == 0)
+            return value;
+    }
+    throw bad_payload("number too long");
+}
+
+void decoder::text(std::string &value, std::size_t maxBytes)
+{
+    const std::size_t size = count(maxBytes, 1);
+    value.resize(size);
+    archive(cereal::binary_data(value.data(), size));
+}
+
+std::size_t decoder::count(std::size_t maxCount, std::size_t minBytesEach)
+{
+    const std::uint64_t claimed = varint();
+    if (claimed > maxCount || claimed > left() / minBytesEach)
+        throw bad_payload("count beyond its bound");
+    return static_cast<std::size_t>(claimed);
+}
+
+void decoder::finish() const
+{
+    if (left() != 0)
+        throw bad_payload("bytes left over");
+}
+
+} // namespace poplarspool::peer
--- /dev/null
+++ b/src/peer/member_record.cpp
@@ -0,0 +1,103 @@
+#include "peer/member_record.h"
+
+#include "poplarspool/base/hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace poplarspool::peer {
+
+namespace {
+
+/// The higher heartbeat wins. Copies of one heartbeat differ only in how long they travelled, which
+/// ages on the wire do not count: the earlier confirmation is the truer one.
+auto rankOf(const member_pulse &pulse)
+{
+    return std::tuple(pulse.heartbeat, pulse.appliedVersion, pulse.openStreams,
+                      -pulse.confirmedAt.time_since_epoch().count());
+}
+
+/// Fixed for one life; two processes that share id and life must still end up the same everywhere.
+auto placeOf(const member_record &record)
+{
+    return std::tie(record.zone, record.callerAddress, record.peerAddress);
+}
+
+mono_time earlierDeath(const member_record &a, const member_record &b)
+{
+    if (a.isDead && b.isDead)
+        return std::min(a.diedAt, b.diedAt);
+    return a.isDead ? a.diedAt : b.diedAt;
+}
+
+} // namespace
+
+member_pulse joined(const member_pulse &a, const member_pulse &b)
+{
+    return rankOf(a) < rankOf(b) ? b : a;
+}
+
+member_record joined(const member_record &a, const member_record &b)
+{
+    if (a.life != b.life)
+        return a.life > b.life ? a : b;
+    member_record result = placeOf(a) < placeOf(b) ? b : a;
+    result.refutation = std::max(a.refutation, b.refutation);
+    result.suspicion = std::max(a.suspicion, b.suspicion);
+    result.isLeaving = a.isLeaving || b.isLeaving;
+    result.isDead = a.isDead || b.isDead;
+    result.diedAt = earlierDeath(a, b);
+    result.pulse = joined(a.pulse, b.pulse);
+    return result;
+}
+
+bool isSuspect(const member_record &record)
+{
+    return record.suspicion > record.refutation;
+}
+
+policy::member_state stateOf(const member_record &record)
+{
+    if (record.isDead)
+        return policy::member_state::Dead;
+    if (record.isLeaving)
+        return policy::member_state::Leaving;
+    return isSuspect(record) ? policy::member_state::Suspect : policy::member_state::Alive;
+}
+
+policy::member memberOf(const member_record &record)
+{
+    policy::member member;
+    member.id = record.id;
+    member.zone = record.zone;
+    member.callerAddress = record.callerAddress;
+    member.peerAddress = record.peerAddress;
+    member.life = record.life;
+    member.state = stateOf(record);
+    member.appliedVersion = record.pulse.appliedVersion;
+    member.openStreams = record.pulse.openStreams;
+    member.confirmedAt = record.pulse.confirmedAt;
+    return member;
+}
+
+member_record recordOf(const policy::member &self)
+{
+    member_record record;
+    record.id = self.id;
+    record.zone = self.zone;
+    record.callerAddress = self.callerAddress;
+    record.peerAddress = self.peerAddress;
+    record.life = self.life;
+    record.isLeaving = self.state == policy::member_state::Leaving;
+    record.pulse.appliedVersion = self.appliedVersion;
+    record.pulse.openStreams = self.openStreams;
+    record.pulse.confirmedAt = self.confirmedAt;
+    return record;
+}
+
+std::uint64_t handleOf(const member_record &record)
+{
+    return hashOf(record.id.text, record.life);
+}
+
+} // namespace poplarspool::peer
--- /dev/null
+++ b/src/peer/messages.cpp
@@ -0,0 +1,256 @@
+#include "poplarspool/peer/messages.h"
+
+#include "peer/codec.h"
+#include "poplarspool/config.h"
+
+namespace poplarspool::peer {
+
+namespace {
+
+// Least bytes of one item on the wire: what a claimed count is held against.
+constexpr std::size_t minObjectBytes = 3;
+constexpr std::size_t minPairBytes = 2;
+constexpr std::size_t minEventBytes = 9;
+
+/// The fields of a message, once for both directions.
+template <class Message>
+struct layout;
+
+template <>
+struct layout<watched_ask>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.small(message.knownVersion);
+    }
+};
+
+template <>
+struct layout<watched_reply>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.small(message.version);
+        codec.list(message.objects, config::maxWireObjects, minObjectBytes,
+                   [](auto &inner, auto &object) {
+                       inner.text(object.key, config::maxWireKeyBytes);
+                       inner.text(object.value, config::maxObjectBytes);
+                       inner.small(object.version);
+                   });
+    }
+};
+
+template <>
+struct layout<body_ask>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.sha256, config::maxNameBytes);
+    }
+};
+
+template <>
+struct layout<body_reply>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.content, config::maxPeerCallBytes);
+    }
+};
+
+template <>
+struct layout<claim_ask>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.key, config::maxWireKeyBytes);
+        codec.text(message.bodyHash, config::maxNameBytes);
+        codec.text(message.nonce, config::maxNameBytes);
+        codec.text(message.owner.text, config::maxNameBytes);
+        codec.small(message.timeLeftMs);
+    }
+};
+
+template <>
+struct layout<claim_reply>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.bodyHash, config::maxNameBytes);
+        codec.text(message.nonce, config::maxNameBytes);
+        codec.text(message.owner.text, config::maxNameBytes);
+    }
+};
+
+template <>
+struct layout<answer_ask>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.key, config::maxWireKeyBytes);
+        codec.text(message.nonce, config::maxNameBytes);
+        codec.small(message.waitMs);
+    }
+};
+
+template <>
+struct layout<answer_reply>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.small(message.state);
+        if (message.state > answer_state::Lost)
+            throw bad_payload("unknown answer state");
+        codec.fixed(message.status);
+        codec.list(message.headers, config::maxWireHeaders, minPairBytes,
+                   [](auto &inner, auto &header) {
+                       inner.text(header.first, config::maxHeaderBytes);
+                       inner.text(header.second, config::maxHeaderBytes);
+                   });
+        codec.text(message.contentType, config::maxHeaderBytes);
+        codec.text(message.body, config::maxPeerCallBytes);
+    }
+};
+
+template <>
+struct layout<events_ask>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.text(message.filter.kind, config::maxWireKeyBytes);
+        codec.text(message.filter.request, config::maxWireKeyBytes);
+        codec.text(message.filter.runner, config::maxWireKeyBytes);
+    }
+};
+
+template <>
+struct layout<event>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &entry)
+    {
+        codec.fixed(entry.at.wallMs);
+        codec.small(entry.at.count);
+        codec.text(entry.instance.text, config::maxNameBytes);
+        codec.text(entry.kind, config::maxWireKeyBytes);
+        codec.list(entry.fields, config::maxWireEventFields, minPairBytes,
+                   [](auto &inner, auto &field) {
+                       inner.text(field.key, config::maxWireKeyBytes);
+                       inner.text(field.value, config::maxHeaderBytes);
+                   });
+    }
+};
+
+template <>
+struct layout<events_reply>
+{
+    template <class Codec, class Value>
+    static void fields(Codec &codec, Value &message)
+    {
+        codec.list(message.events, config::maxWireEvents, minEventBytes,
+                   [](auto &inner, auto &entry) { layout<event>::fields(inner, entry); });
+    }
+};
+
+/// @returns The payload; an empty one, which no decoder takes, where the message breaks a bound.
+template <class Message>
+std::string encodeAny(const Message &message)
+{
+    try {
+        encoder out;
+        layout<Message>::fields(out, message);
+        return out.take();
+    } catch (const bad_payload &) {
+        return {};
+    }
+}
+
+} // namespace
+
+template <class Message>
+result<Message> decode(std::string_view payload)
+{
+    try {
+        decoder in(payload);
+        Message message;
+        layout<Message>::fields(in, message);
+        in.finish();
+        return message;
+    } catch (const bad_payload &fault) {
+        return mayHaveRun(error_code::Broken, fault.what());
+    } catch (const cereal::Exception &) {
+        return mayHaveRun(error_code::Broken, "payload ends early");
+    }
+}
+
+std::string encode(const watched_ask &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const watched_reply &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const body_ask &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const body_reply &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const claim_ask &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const claim_reply &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const answer_ask &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const answer_reply &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const events_ask &message)
+{
+    return encodeAny(message);
+}
+
+std::string encode(const events_reply &message)
+{
+    return encodeAny(message);
+}
+
+template result<watched_ask> decode<watched_ask>(std::string_view);
+template result<watched_reply> decode<watched_reply>(std::string_view);
+template result<body_ask> decode<body_ask>(std::string_view);
+template result<body_reply> decode<body_reply>(std::string_view);
+template result<claim_ask> decode<claim_ask>(std::string_view);
+template result<claim_reply> decode<claim_reply>(std::string_view);
+template result<answer_ask> decode<answer_ask>(std::string_view);
+template result<answer_reply> decode<answer_reply>(std::string_view);
+template result<events_ask> decode<events_ask>(std::string_view);
+template result<events_reply> decode<events_reply>(std::string_view);
+
+} // namespace poplarspool::peer
--- /dev/null
+++ b/src/policy/retry.cpp
@@ -0,0 +1,66 @@
+#include "poplarspool/policy/retry.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplarspool::policy {
+
+namespace {
+
+constexpr std::int64_t oneRetry = 1000; ///< In the budget's unit.
+
+std::int64_t thousandthsOf(double retries)
+{
+    return std::llround(std::max(retries, 0.0) * static_cast<double>(oneRetry));
+}
+
+/// @returns Whether another runner could do better than the one that failed so.
+bool mayDifferElsewhere(error_code code)
+{
+    switch (code) {
+    case error_code::Overloaded:
+    case error_code::Throttled:
+    case error_code::TimedOut:
+    case error_code::Unavailable:
+    case error_code::Broken:
+    case error_code::Stale:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+retry_budget::retry_budget(double share, double burst)
+    : perRequest(thousandthsOf(share)), most(thousandthsOf(burst)), saved(most)
+{ }
+
+void retry_budget::onRequest()
+{
+    std::int64_t now = saved.load(std::memory_order_relaxed);
+    std::int64_t next = std::min(now + perRequest, most);
+    while (next != now && !saved.compare_exchange_weak(now, next, std::memory_order_relaxed))
+        next = std::min(now + perRequest, most);
+}
+
+bool retry_budget::tryTake()
+{
+    std::int64_t now = saved.load(std::memory_order_relaxed);
+    while (now >= oneRetry)
+        if (saved.compare_exchange_weak(now, now - oneRetry, std::memory_order_relaxed))
+            return true;
+    return false;
+}
+
+bool mayRetry(const error &failure, bool isRepeatable, std::uint32_t triesMade,
+              milliseconds timeLeft)
+{
+    if (timeLeft <= milliseconds::zero() || triesMade >= config::maxTries)
+        return false;
+    if (!mayDifferElsewhere(failure.code))
+        return false;
+    return failure.ran == verdict::NotRun || isRepeatable;
+}
+
+} // namespace poplarspool::policy
--- /dev/null
+++ b/src/policy/role_split.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "poplarspool/policy/plan.h"
+
+#include <optional>
+#include <vector>
+
+/// Which roles the engines of a pool should have for a given demand.
+namespace poplarspool::policy {
+
+/// Engines in service, by role.
+struct role_split
+{
+    std::uint32_t mixed = 0;
+    std::uint32_t prefill = 0;
+    std::uint32_t decode = 0;
+
+    std::uint32_t total() const { return mixed + prefill + decode; }
+    bool operator==(const role_split &) const = default;
+};
+
+std::uint32_t &countOf(role_split &split, engine_role role);
+
+/// Whether a request may change engines between prefill and decode.
+enum class serving_mode {
+    Whole, ///< One engine does both.
+    HandedOver, ///< KV memory is exported and imported in between.
+};
+
+struct role_move
+{
+    engine_role from = engine_role::Mixed;
+    engine_role to = engine_role::Mixed;
+
+    bool operator==(const role_move &) const = default;
+};
+
+/// @returns Engine seconds of wanted work a second that the split can't do in time, expected over
+///          the uncertainty of the demand.
+double expectedLoss(const role_split &split, const demand_estimate &demand, serving_mode mode);
+
+struct split_advice
+{
+    double gain = 0; ///< Engine seconds a second that the present split loses against the best.
+    std::vector<role_move> moves; ///< To the best split, the most useful one first.
+
+    bool operator==(const split_advice &) const = default;
+};
+
+split_advice adviseSplit(const role_split &present, const demand_estimate &demand,
+                         serving_mode mode);
+
+} // namespace poplarspool::policy
--- /dev/null
+++ b/src/policy/routing.cpp
@@ -0,0 +1,302 @@
+#include "poplarspool/policy/routing.h"
+
+#include "engine_estimate.h"
+#include "poplarspool/base/hash.h"
+#include "spread.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <optional>
+
+namespace poplarspool::policy {
+
+namespace {
+
+/// One decision's inputs, and what is the same for all its candidates.
+struct routing_task
+{
+    const view &now;
+    const route_request &wanted;
+    std::span<const sent_work> sent;
+    load_question question;
+    std::uint64_t tieBreak;
+    std::uint32_t zone = UINT32_MAX;
+    double secondsLeft = 0;
+};
+
+struct scored_runner
+{
+    const indexed_candidate *candidate = nullptr;
+    time_estimate estimate;
+    double ahead = 0;
+};
+
+/// Candidates that can do it in time, and what is to be said if there are none.
+struct shortlist
+{
+    std::array<scored_runner, config::maxScoredRunners> runners;
+    std::array<double, config::maxScoredRunners> scores;
+    std::size_t count = 0;
+    std::size_t tried = 0;
+    bool hasFitting = false;
+    double leastEnd = std::numeric_limits<double>::infinity();
+    double aheadSum = 0;
+    double sentSinceReport = 0;
+};
+
+const sent_work &sentTo(const routing_task &task, runner_handle runner)
+{
+    static const sent_work nothing;
+    return runner.index < task.sent.size() ? task.sent[runner.index] : nothing;
+}
+
+bool isAvoided(const route_request &wanted, runner_handle runner)
+{
+    return std::find(wanted.avoid.begin(), wanted.avoid.end(), runner) != wanted.avoid.end();
+}
+
+/// @returns Whether the engine has the model loaded. Before the first report it is taken to have
+///          what its pool wants; after that, what it said last, however old: models only change by
+///          order.
+bool hasModel(const routing_task &task, const indexed_candidate &candidate)
+{
+    const runner_state &state = task.now.runners[candidate.runner.index];
+    if (state.reportedAt == mono_time{})
+        return candidate.facts.startsWithModel;
+    return std::any_of(
+            state.report.models.begin(), state.report.models.end(),
+            [&](const model_version &loaded) { return loaded.model == task.wanted.model; });
+}
+
+engine_role roleOf(const routing_task &task, const indexed_candidate &candidate)
+{
+    const runner_state &state = task.now.runners[candidate.runner.index];
+    return state.reportedAt == mono_time{} ? candidate.facts.startRole : state.report.role;
+}
+
+bool isInReach(const routing_task &task, const indexed_candidate &candidate)
+{
+    if (!isOpenForWork(task.now.runners[candidate.runner.index])
+        || isAvoided(task.wanted, candidate.runner))
+        return false;
+    return !task.wanted.service.empty() || hasModel(task, candidate);
+}
+
+scored_runner scoreOf(const routing_task &task, const indexed_candidate &candidate)
+{
+    const runner_state &state = task.now.runners[candidate.runner.index];
+    const runner_rates &rates = candidate.facts.rates;
+    const runner_load load =
+            estimateLoad(rates, state, sentTo(task, candidate.runner), task.question);
+    scored_runner scored{&candidate, {}, load.ahead};
+    if (task.wanted.service.empty())
+        scored.estimate = estimateEngine(rates, roleOf(task, candidate), load, task.wanted);
+    else
+        scored.estimate = estimateService(rates, load);
+    if (task.zone != UINT32_MAX && candidate.facts.zone != task.zone)
+        scored.estimate.score +=
+                config::crossZoneSeconds + config::crossZoneShare * scored.estimate.endSeconds;
+    return scored;
+}
+
+bool canDo(const routing_task &task, const scored_runner &scored)
+{
+    return scored.estimate.fits && scored.estimate.endSeconds <= task.secondsLeft;
+}
+
+void consider(const routing_task &task, const indexed_candidate &candidate, shortlist &found)
+{
+    const scored_runner scored = scoreOf(task, candidate);
+    ++found.tried;
+    if (!scored.estimate.fits)
+        return;
+    found.hasFitting = true;
+    found.leastEnd = std::min(found.leastEnd, scored.estimate.endSeconds);
+    if (!canDo(task, scored))
+        return;
+    found.runners[found.count] = scored;
+    found.scores[found.count] = scored.estimate.score;
+    ++found.count;
+    found.aheadSum += scored.ahead;
+    found.sentSinceReport += sentTo(task, candidate.runner).openSinceReport;
+}
+
+/// Scores candidates from a random place on, until the shortlist is full or enough were tried in
+/// vain. A short list is scored whole; of a long one each decision sees another part, so that its
+/// cost stays bounded, above all when everything is full.
+void scan(const routing_task &task, const candidate_list &list, bool decodeRole, shortlist &found)
+{
+    const std::vector<indexed_candidate> &runners = list.runners;
+    std::size_t at = runners.empty() ? 0 : mixBits(task.tieBreak) % runners.size();
+    for (std::size_t left = runners.size(); left > 0; --left) {
+        if (found.count == found.runners.size() || found.tried == config::maxTriedRunners)
+            return;
+        const indexed_candidate &candidate = runners[at];
+        at = at + 1 < runners.size() ? at + 1 : 0;
+        if ((roleOf(task, candidate) == engine_role::Decode) != decodeRole)
+            continue;
+        if (isInReach(task, candidate))
+            consider(task, candidate, found);
+    }
+}
+
+/// The two candidates that have the highest rendezvous weight for the prefix, in this order.
+std::array<const indexed_candidate *, 2> preferredOf(std::uint64_t prefixHash,
+                                                     const candidate_list &list)
+{
+    std::array<const indexed_candidate *, 2> best{};
+    std::array<std::uint64_t, 2> weights{};
+    for (std::size_t at = 0; at < list.idHashes.size(); ++at) {
+        const std::uint64_t weight = spreadBits(prefixHash ^ list.idHashes[at]);
+        if (weight <= weights[1])
+            continue;
+        weights[1] = weight;
+        best[1] = &list.runners[at];
+        if (weights[1] > weights[0]) {
+            std::swap(weights[0], weights[1]);
+            std::swap(best[0], best[1]);
+        }
+    }
+    return best;
+}
+
+/// @returns Whether the likely cache hit is worth the preferred engine's load. Without the bounds a
+///          prefix that everybody uses would fill one engine while the others stand idle.
+bool isWorthIt(const routing_task &task, const scored_runner &preferred, const shortlist &found)
+{
+    const double mean = found.aheadSum / static_cast<double>(found.count);
+    if (preferred.ahead > mean * config::affinityLoadFactor + config::affinityLoadSlack)
+        return false;
+    double leastStart = preferred.estimate.startSeconds;
+    for (std::size_t at = 0; at < found.count; ++at)
+        leastStart = std::min(leastStart, found.runners[at].estimate.startSeconds);
+    const double saved =
+            task.wanted.promptTokens * preferred.candidate->facts.rates.prefillTokenSeconds;
+    return preferred.estimate.startSeconds <= leastStart + saved * config::affinityWaitShare;
+}
+
+std::optional<scored_runner> chooseByPrefix(const routing_task &task, const candidate_list &list,
+                                            const shortlist &found)
+{
+    if (task.wanted.prefixHash == 0)
+        return std::nullopt;
+    for (const indexed_candidate *candidate : preferredOf(task.wanted.prefixHash, list)) {
+        if (!candidate || !isInReach(task, *candidate)
+            || roleOf(task, *candidate) == engine_role::Decode)
+            continue;
+        const scored_runner scored = scoreOf(task, *candidate);
+        if (canDo(task, scored) && isWorthIt(task, scored, found))
+            return scored;
+    }
+    return std::nullopt;
+}
+
+/// @returns Seconds that one more request such as this one adds to a runner's score.
+double costOf(const routing_task &task, const runner_rates &rates)
+{
+    if (!task.wanted.service.empty())
+        return config::typicalServiceSeconds / rates.slots;
+    return task.wanted.promptTokens * rates.prefillTokenSeconds
+            + task.wanted.outputTokens * rates.decodeTokenSeconds;
+}
+
+/// @returns Requests that other instances are taken to have sent since the reports: each as many
+///          as this one, and a little more, since one that sends rarely has mostly seen none.
+double unseenRequests(const routing_task &task, const shortlist &found)
+{
+    const auto peers =
+            std::count_if(task.now.members.begin(), task.now.members.end(),
+                          [](const member &who) { return who.state == member_state::Alive; });
+    return std::max<double>(0, static_cast<double>(peers) - 1)
+            * (found.sentSinceReport + config::unseenPeerRequests);
+}
+
+scored_runner chooseByLoad(const routing_task &task, const shortlist &found)
+{
+    const std::span<const double> scores(found.scores.data(), found.count);
+    const double unseen =
+            unseenRequests(task, found) * costOf(task, found.runners[0].candidate->facts.rates);
+    return found.runners[drawByLevel(scores, unseen, task.tieBreak)];
+}
+
+milliseconds millisecondsOf(double seconds)
+{
+    return milliseconds(std::llround(seconds * 1000));
+}
+
+milliseconds retryAfterOf(double seconds)
+{
+    const double most = std::chrono::duration<double>(config::maxRetryAfter).count();
+    return std::clamp(millisecondsOf(std::min(seconds, most)), config::minRetryAfter,
+                      config::maxRetryAfter);
+}
+
+error refusalOf(const routing_task &task, const shortlist &found)
+{
+    if (found.tried == 0)
+        return notRun(error_code::Unavailable, "all runners that could are away",
+                      config::awayRetryAfter);
+    if (!found.hasFitting)
+        return notRun(error_code::TooLarge, "prompt and output exceed the KV memory of an engine");
+    return notRun(error_code::Overloaded, "can't be done within the time limit",
+                  retryAfterOf(found.leastEnd - task.secondsLeft));
+}
+
+result<route_choice> choose(const routing_task &task, const candidate_list &list)
+{
+    shortlist found;
+    scan(task, list, false, found);
+    if (found.count == 0)
+        scan(task, list, true, found);
+    if (found.count == 0)
+        return refusalOf(task, found);
+    const auto preferred = chooseByPrefix(task, list, found);
+    const scored_runner chosen = preferred ? *preferred : chooseByLoad(task, found);
+    return route_choice{chosen.candidate->runner, millisecondsOf(chosen.estimate.startSeconds),
+                        millisecondsOf(chosen.estimate.endSeconds)};
+}
+
+result<route_choice> routeByIndex(const view &now, const route_request &wanted,
+                                  std::span<const sent_work> sent, mono_time time,
+                                  std::uint64_t tieBreak, const view_index &index)
+{
+    const bool isService = !wanted.service.empty();
+    const auto &table = isService ? index.services : index.models;
+    const auto list = table.find(isService ? wanted.service : wanted.model);
+    if (list == table.end())
+        return notRun(error_code::NotFound, "no runner for that model or service");
+    routing_task task{now, wanted, sent, questionOf(wanted.rank, time), tieBreak};
+    task.secondsLeft = std::chrono::duration<double>(wanted.timeLeft).count();
+    if (const auto zone = index.zones.find(wanted.zone.text); zone != index.zones.end())
+        task.zone = zone->second;
+    return choose(task, list->second);
+}
+
+} // namespace
+
+result<route_choice> route(const view &now, const route_request &wanted,
+                           std::span<const sent_work> sent, mono_time time, std::uint64_t tieBreak)
+{
+    if (!now.fleet || now.runners.size() != now.fleet->runners.size())
+        return notRun(error_code::Unavailable, "no inventory yet", config::awayRetryAfter);
+    if (now.index && now.index->fleet == now.fleet)
+        return routeByIndex(now, wanted, sent, time, tieBreak, *now.index);
+    return routeByIndex(now, wanted, sent, time, tieBreak, indexOf(now.fleet));
+}
+
+std::uint32_t estimateTokens(std::string_view prompt)
+{
+    return static_cast<std::uint32_t>(prompt.size() / config::bytesPerToken + 1);
+}
+
+std::uint64_t prefixHashOf(std::string_view model, std::string_view prompt)
+{
+    if (prompt.size() < config::prefixBytes)
+        return 0;
+    const std::uint64_t hash = hashOf(prompt.substr(0, config::prefixBytes), hashOf(model));
+    return hash != 0 ? hash : 1;
+}
+
+} // namespace poplarspool::policy
--- a/src/standin/engine_core.cpp
+++ b/src/standin/engine_core.cpp
@@ -102,9 +102,14 @@
 {
     const batch_step step = work.plan(ratesNow());
     const std::uint64_t before = interruptions;
-    const time_point end = steady::now() + scaled(step.duration);
+    // Counted from the last iteration's end, so that the time in which this process hands tokens to
+    // its connections does not slow the emulated engine down.
+    const auto duration = scaled(step.duration);
+    const time_point now = steady::now();
+    const bool isNext = iterationEnd + duration > now;
+    iterationEnd = (isNext ? std::min(iterationEnd, now) : now) + duration;
     const bool interrupted =
-            changed.wait_until(guard, end, [&] { return interruptions != before; });
+            changed.wait_until(guard, iterationEnd, [&] { return interruptions != before; });
     if (!interrupted)
         deliver(work.finish(step));
     noteReport();
--- a/src/standin/engine_core.h
+++ b/src/standin/engine_core.h
@@ -128,6 +128,7 @@
     batch work;
     std::unordered_map<const sequence *, engine_stream_ptr> streams;
     std::uint64_t arrivals = 0;
+    time_point iterationEnd{};
 
     std::uint64_t life;
     engine_setup setup;
--- a/src/standin/stream_channel.h
+++ b/src/standin/stream_channel.h
@@ -27,17 +27,21 @@
 public:
     void advance()
     {
-        const std::lock_guard guard(lock);
-        ++now.produced;
+        {
+            const std::lock_guard guard(lock);
+            ++now.produced;
+        }
         changed.notify_one();
     }
 
     /// The first closing counts.
     void close(stream_state state)
     {
-        const std::lock_guard guard(lock);
-        if (now.state == stream_state::Open)
-            now.state = state;
+        {
+            const std::lock_guard guard(lock);
+            if (now.state == stream_state::Open)
+                now.state = state;
+        }
         changed.notify_one();
     }
 
--- /dev/null
+++ b/src/standin_app/main.cpp
@@ -0,0 +1,80 @@
+#include "standin/engine.h"
+#include "standin/platform.h"
+#include "standin/service.h"
+#include "standin_app/target_options.h"
+
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+/// `poplarspool-standin platform|engine|service OPTION…`: what stands around the product, for
+/// tests, demos and benches. Prints "listening ADDRESS" and runs until SIGTERM or SIGINT.
+namespace {
+
+using namespace poplarspool;
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+constexpr const char *usage = "usage: poplarspool-standin platform|engine|service [--help] ...\n";
+
+/// Blocks the signals before any thread starts, so that only the wait takes them.
+sigset_t blockEndSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+template <class Standin, class Options>
+int serveUntilSignal(const Options &options)
+{
+    const sigset_t signals = blockEndSignals();
+    Standin standin(options);
+    const auto address = standin.start();
+    if (!succeeded(address)) {
+        std::cerr << errorOf(address).message << '\n';
+        return exitFailure;
+    }
+    std::cout << "listening " << textOf(valueOf(address)) << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    standin.stop();
+    return 0;
+}
+
+template <class Standin, class Options>
+int runTarget(const result<std::variant<Options, standin::help_text>> &parsed)
+{
+    if (!succeeded(parsed)) {
+        std::cerr << errorOf(parsed).message << '\n' << usage;
+        return exitUsage;
+    }
+    if (const auto *help = std::get_if<standin::help_text>(&valueOf(parsed))) {
+        std::cout << help->text;
+        return 0;
+    }
+    return serveUntilSignal<Standin>(std::get<Options>(valueOf(parsed)));
+}
+
+} // namespace
+
+int main(int count, char **values)
+{
+    // A reader that goes away is an ordinary event here, not a reason to die.
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::vector<std::string> words(values + 1, values + count);
+    const std::string command = words.empty() ? "" : words.front();
+    const std::vector<std::string> rest(words.begin() + (words.empty() ? 0 : 1), words.end());
+    if (command == "platform")
+        return standin::platformMain(rest);
+    if (command == "engine")
+        return runTarget<standin::engine_standin>(standin::parseEngineOptions(rest));
+    if (command == "service")
+        return runTarget<standin::service_standin>(standin::parseServiceOptions(rest));
+    std::cerr << usage;
+    return exitUsage;
+}
--- a/tests/base/http_fixture.h
+++ b/tests/base/http_fixture.h
@@ -34,13 +34,16 @@
 }
 
 /// Reads until the text is in what was read, or to the end of the connection.
-inline std::string readUntil(int fd, std::string_view text)
+/// @param isReset Becomes true where the connection ended, and not in order.
+inline std::string readUntil(int fd, std::string_view text, bool *isReset = nullptr)
 {
     std::string all;
     std::array<char, 4096> bytes{};
     while (text.empty() || all.find(text) == std::string::npos) {
         const received some = receiveSome(fd, bytes.data(), bytes.size(), safetyEnd(), -1);
         CPPUNIT_ASSERT(some.fault != socket_fault::TimedOut);
+        if (isReset != nullptr)
+            *isReset = some.fault == socket_fault::Closed && !some.isEnd;
         if (some.fault != socket_fault::None)
             break;
         all.append(bytes.data(), some.bytes);
@@ -58,17 +61,17 @@
         connection = std::move(valueOf(outcome));
     }
 
-    void send(std::string_view bytes)
-    {
-        sendAll(connection.get(), bytes, safetyEnd(), -1);
-    }
+    void send(std::string_view bytes) { sendAll(connection.get(), bytes, safetyEnd(), -1); }
 
     void endSending() { shutdown(connection.get(), SHUT_WR); }
-    std::string readToEnd() { return readUntil(connection.get(), {}); }
+    std::string readToEnd() { return readUntil(connection.get(), {}, &isReset); }
     std::string readTo(std::string_view text) { return readUntil(connection.get(), text); }
     int fd() const { return connection.get(); }
+    /// @returns Whether readToEnd() ended with a reset of the connection.
+    bool wasReset() const { return isReset; }
 
 private:
+    bool isReset = false;
     descriptor connection;
 };
 
--- a/tests/base/http_pool_test.cpp
+++ b/tests/base/http_pool_test.cpp
@@ -11,9 +11,10 @@
 class held_server
 {
 public:
-    explicit held_server(metrics_registry &metrics) :
-        server("held", {"127.0.0.1", 0}, defaultHttpLimits(),
-               [this](const http_request &, http_sink &sink) { return hold(sink); }, metrics)
+    explicit held_server(metrics_registry &metrics)
+        : server(
+                "held", {"127.0.0.1", 0}, defaultHttpLimits(),
+                [this](const http_request &, http_sink &sink) { return hold(sink); }, metrics)
     {
         at = valueOf(server.start());
     }
@@ -48,7 +49,8 @@
     CPPUNIT_TEST(closedPortIsNotRun);
     CPPUNIT_TEST(namesAreRefused);
     CPPUNIT_TEST(stopInterruptsCalls);
-    CPPUNIT_TEST(timeLimitHoldsForTricklingReply);
+    CPPUNIT_TEST(timeLimitHoldsForEndlessReply);
+    CPPUNIT_TEST(deadlineHoldsWhereBytesWait);
     CPPUNIT_TEST(doubtfulReplyIsBroken);
     CPPUNIT_TEST(replyWithoutLengthIsMarked);
     CPPUNIT_TEST(bodilessRepliesEndAtOnce);
@@ -92,25 +94,44 @@
         CPPUNIT_ASSERT(errorOf(pool.send(server.at, get, safetyTime)).ran == verdict::NotRun);
     }
 
-    // The server writes without an end, so that no single read ever times out. The limit counts for
-    // the whole call.
-    void timeLimitHoldsForTricklingReply()
+    // The server writes faster than the caller reads and without an end, so that no single read
+    // ever has to wait. The limit counts for the whole call.
+    void timeLimitHoldsForEndlessReply()
     {
         http_server server(
                 "endless", {"127.0.0.1", 0}, defaultHttpLimits(),
                 [](const http_request &, http_sink &sink) -> std::optional<http_reply> {
                     sink.begin(200, {}, "text/plain");
-                    while (sink.write("x"))
-                        std::this_thread::yield();
+                    const std::string piece(64 * 1024, 'x');
+                    const socket_deadline end = safetyEnd();
+                    while (sink.write(piece) && socket_clock::now() < end) { }
                     return std::nullopt;
                 },
                 metrics);
         const auto started = server.start();
-        const auto outcome = pool.send(valueOf(started), get, 100ms);
+        const auto outcome = pool.stream(
+                valueOf(started), get, 100ms, [](const http_reply &) { return true; },
+                [](std::string_view) { return true; });
         CPPUNIT_ASSERT(errorOf(outcome).code == error_code::TimedOut);
         CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::MayHaveRun);
     }
 
+    // Bytes are there at every read, so that it never waits: the deadline must hold all the same,
+    // or a peer that keeps sending holds its thread for ever.
+    void deadlineHoldsWhereBytesWait()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+        const descriptor reader(ends[0]);
+        const descriptor writer(ends[1]);
+        sendAll(writer.get(), "bytes", safetyEnd(), -1);
+        char byte = 0;
+        const received late = receiveSome(reader.get(), &byte, 1, socket_clock::now(), -1);
+        CPPUNIT_ASSERT(late.fault == socket_fault::TimedOut);
+        const received inTime = receiveSome(reader.get(), &byte, 1, safetyEnd(), -1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), inTime.bytes);
+    }
+
     // Each of these replies has bytes that a lenient reader takes for a whole answer.
     void doubtfulReplyIsBroken()
     {
--- a/tests/base/http_test.cpp
+++ b/tests/base/http_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(stopServesWhatHasBegun);
     CPPUNIT_TEST(stopEndsIdleConnections);
     CPPUNIT_TEST(cancelReachesServer);
+    CPPUNIT_TEST(listensAgainAfterFault);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +82,11 @@
         CPPUNIT_ASSERT_EQUAL(200, valueOf(reply).status);
         CPPUNIT_ASSERT_EQUAL(std::string("POST /a/b?c=%20d text"), valueOf(reply).body);
         CPPUNIT_ASSERT_EQUAL(std::string("text/plain"), valueOf(reply).contentType);
+        http_request request = post("/", "");
+        request.method = "HEAD";
+        const auto head = pool.send(at, request, safetyTime);
+        CPPUNIT_ASSERT(headerOf(valueOf(head).headers, "content-length") == "7");
+        CPPUNIT_ASSERT(valueOf(head).body.empty());
     }
 
     void passesHeadersUnchanged()
@@ -94,7 +100,9 @@
         });
         http_request request = post("/", "{}");
         request.contentType = "application/x-www-form-urlencoded";
-        request.headers = {{"X-Key", "a%0d%0aX-Smuggled: 1"},
+        request.headers = {{"Content-Length", "1"},
+                           {"Transfer-Encoding", "chunked"},
+                           {"X-Key", "a%0d%0aX-Smuggled: 1"},
                            {"Range", "bytes=0-1"},
                            {"Accept-Encoding", "gzip"}};
         const auto reply = pool.send(at, request, safetyTime);
@@ -187,7 +195,8 @@
     }
 
     // The caller sees half an answer and then the end of the connection: the server's handler gave
-    // up in the middle. Taken for the whole answer, it would be passed on cut; so it must be Broken.
+    // up in the middle. Taken for the whole answer, it would be passed on cut; so it must be
+    // Broken.
     void cutReplyIsBroken()
     {
         start([](const http_request &, http_sink &sink) -> std::optional<http_reply> {
@@ -301,7 +310,7 @@
         caller.endSending();
         CPPUNIT_ASSERT(caller.readToEnd().ends_with("there"));
         raw_caller half(at);
-        half.send("GET / HT");
+        half.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
         half.endSending();
         CPPUNIT_ASSERT(half.readToEnd().starts_with("HTTP/1.1 400"));
     }
@@ -347,9 +356,10 @@
         auto isIn = entered.get_future();
         await(isIn);
         auto stopping = std::async(std::launch::async, [&] { server->stop(); });
-        result<http_reply> refused = http_reply{};
-        while (succeeded(refused))
-            refused = pool.send(at, post("/", ""), 1ms);
+        const socket_deadline end = safetyEnd();
+        while (succeeded(connectTo(at, end, -1)) && socket_clock::now() < end)
+            std::this_thread::yield();
+        const auto refused = pool.send(at, post("/", ""), safetyTime);
         release.set_value();
         await(stopping);
         CPPUNIT_ASSERT(errorOf(refused).ran == verdict::NotRun);
@@ -398,11 +408,49 @@
         await(isGone);
     }
 
+    // accept() fails with an error that the library takes for the end of listening. The instance
+    // would live on without being reachable; instead it binds its address again, and connections
+    // that were open are served on.
+    void listensAgainAfterFault()
+    {
+        start([](const http_request &request, http_sink &) { return textReply(request.body); });
+        raw_caller open(at);
+        open.send("GET /1 HTTP/1.1\r\n\r\n");
+        open.readTo("\r\n\r\n");
+        breakListener();
+        const socket_deadline end = safetyEnd();
+        result<http_reply> reply = pool.send(at, post("/", "2"), safetyTime);
+        while (!succeeded(reply) && socket_clock::now() < end)
+            reply = pool.send(at, post("/", "2"), safetyTime);
+        CPPUNIT_ASSERT(succeeded(reply));
+        open.send("GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(open.readToEnd().starts_with("HTTP/1.1 200"));
+    }
+
 private:
+    /// Lets accept() fail in the thread that waits in it.
+    void breakListener()
+    {
+        for (int fd = 0; fd < 1024; ++fd) {
+            int isListening = 0;
+            socklen_t size = sizeof isListening;
+            sockaddr_in bound{};
+            socklen_t boundSize = sizeof bound;
+            getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &isListening, &size);
+            if (isListening == 0
+                || getsockname(fd, reinterpret_cast<sockaddr *>(&bound), &boundSize) != 0
+                || ntohs(bound.sin_port) != at.port)
+                continue;
+            shutdown(fd, SHUT_RDWR);
+            return;
+        }
+        CPPUNIT_FAIL("no listening socket");
+    }
+
     void start(http_handler handler)
     {
-        server = std::make_unique<http_server>("test", anyPort, limits, std::move(handler),
-                                               metrics);
+        server =
+                std::make_unique<http_server>("test", anyPort, limits, std::move(handler), metrics);
         const auto started = server->start();
         CPPUNIT_ASSERT(succeeded(started));
         at = valueOf(started);
@@ -425,6 +473,8 @@
         CPPUNIT_ASSERT_MESSAGE(reply, holds(reply, "\"code\":\"" + code + "\""));
         CPPUNIT_ASSERT_MESSAGE(reply, holds(reply, "\"verdict\":\"not_run\""));
         CPPUNIT_ASSERT_MESSAGE(reply, holds(reply, "Connection: close\r\n"));
+        // A reset could destroy the reply on its way to a caller that is still sending.
+        CPPUNIT_ASSERT_MESSAGE(reply, !caller.wasReset());
     }
 
     http_limits limits{};
--- /dev/null
+++ b/tests/node/memory_store.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/platform/object_store.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace poplarspool::node {
+
+/// What becomes of one write that arrives at a memory_store.
+enum class write_fate {
+    Answered,
+    AnswerLost, ///< Takes effect; its writer does not hear so.
+    Held, ///< Stays on its way until deliverHeld(); its writer hears nothing.
+};
+
+/// The platform's object API in memory, shared by any number of clients, with faults on request.
+class memory_store
+{
+public:
+    /// Asked for each write, under the store's lock.
+    std::function<write_fate()> fateOf = [] { return write_fate::Answered; };
+    /// No read is answered.
+    bool isCutOff = false;
+
+    platform::object_api api()
+    {
+        platform::object_api seam;
+        seam.get = [this](const std::string &key) { return get(key); };
+        seam.put = [this](const std::string &key, const std::string &value,
+                          std::uint64_t ifVersion) { return put(key, value, ifVersion); };
+        return seam;
+    }
+
+    /// Lets the held writes take effect, each where its condition still holds.
+    void deliverHeld()
+    {
+        const std::lock_guard guard(lock);
+        for (const held_write &write : held)
+            apply(write.key, write.value, write.ifVersion);
+        held.clear();
+    }
+
+    std::string valueOf(const std::string &key)
+    {
+        const std::lock_guard guard(lock);
+        return objects[key].value;
+    }
+
+    void set(const std::string &key, const std::string &value)
+    {
+        const std::lock_guard guard(lock);
+        objects[key] = {key, value, ++lastVersion};
+    }
+
+    std::uint64_t putCount()
+    {
+        const std::lock_guard guard(lock);
+        return puts;
+    }
+
+private:
+    struct held_write
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t ifVersion;
+    };
+
+    result<platform::object> get(const std::string &key)
+    {
+        const std::lock_guard guard(lock);
+        if (isCutOff)
+            return mayHaveRun(error_code::TimedOut, "no answer");
+        const auto found = objects.find(key);
+        if (found == objects.end())
+            return notRun(error_code::NotFound, "none");
+        return found->second;
+    }
+
+    result<std::uint64_t> put(const std::string &key, const std::string &value,
+                              std::uint64_t ifVersion)
+    {
+        const std::lock_guard guard(lock);
+        ++puts;
+        const write_fate fate = fateOf();
+        if (fate == write_fate::Held)
+            held.push_back({key, value, ifVersion});
+        const auto outcome = fate == write_fate::Held ? result<std::uint64_t>(std::uint64_t(0))
+                                                      : apply(key, value, ifVersion);
+        if (fate != write_fate::Answered)
+            return mayHaveRun(error_code::TimedOut, "no answer");
+        return outcome;
+    }
+
+    result<std::uint64_t> apply(const std::string &key, const std::string &value,
+                                std::uint64_t ifVersion)
+    {
+        const auto found = objects.find(key);
+        const std::uint64_t version =
+                found == objects.end() ? platform::mustNotExist : found->second.version;
+        if (version != ifVersion)
+            return notRun(error_code::Conflict, "another write was first");
+        objects[key] = {key, value, ++lastVersion};
+        return lastVersion;
+    }
+
+    std::mutex lock;
+    std::map<std::string, platform::object> objects;
+    std::vector<held_write> held;
+    std::uint64_t lastVersion = 0;
+    std::uint64_t puts = 0;
+};
+
+/// One instance's client of a memory_store, with a budget that is out of the way.
+struct store_client
+{
+    store_client(memory_store &shared, const clock_source &clock, const std::string &name)
+        : events({name}, clock, 256),
+          store(shared.api(), {1e9, 1e9, milliseconds(1), milliseconds(2)}, clock, metrics, events)
+    { }
+
+    metrics_registry metrics;
+    journal events;
+    platform::object_store store;
+};
+
+} // namespace poplarspool::node
--- /dev/null
+++ b/tests/operators/config_files_test.cpp
@@ -0,0 +1,298 @@
+#include "operators/key_table.h"
+#include "operators/sample_files.h"
+#include "poplarspool/operators/commands.h"
+#include "poplarspool/operators/config_files.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace poplarspool;
+using namespace poplarspool::operators;
+
+namespace {
+
+std::string contentOf(const std::string &path)
+{
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+struct command_outcome
+{
+    int status = 0;
+    std::string out;
+    std::string err;
+};
+
+command_outcome check(const std::vector<std::string> &words)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const int status = checkCommand(words, out, err);
+    return {status, out.str(), err.str()};
+}
+
+template <class T>
+std::string linesOf(const checked<T> &outcome)
+{
+    std::string lines;
+    if (const auto *faults = std::get_if<std::vector<fault>>(&outcome)) {
+        for (const fault &found : *faults)
+            lines += lineOf(found) + '\n';
+    }
+    return lines;
+}
+
+const std::string settingsHead = R"(instance = "a"
+zone = "z"
+deployment = "d"
+caller.address = "127.0.0.1:1"
+operator.address = "127.0.0.1:2"
+platform = { store = "127.0.0.1:4", instances = "127.0.0.1:5", weights = "127.0.0.1:6" }
+)";
+
+} // namespace
+
+class config_files_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(config_files_test);
+    CPPUNIT_TEST(examplesPass);
+    CPPUNIT_TEST(threeFaultsGiveThreeLines);
+    CPPUNIT_TEST(jsonNamesEachFault);
+    CPPUNIT_TEST(badWordsGiveUsage);
+    CPPUNIT_TEST(settingsPageIsUpToDate);
+    CPPUNIT_TEST(syntaxErrorIsOneFault);
+    CPPUNIT_TEST(missingAndMisplacedKeysAreFaults);
+    CPPUNIT_TEST(wrongTypesAndNumbersAreFaults);
+    CPPUNIT_TEST(rulesNeedAClass);
+    CPPUNIT_TEST(secretIsNotShown);
+    CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(defaultsAreInherited);
+    CPPUNIT_TEST(poolsMustFitTheirKind);
+    CPPUNIT_TEST(rulesMustFitTheInventory);
+    CPPUNIT_TEST(kindIsGuessed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void examplesPass()
+    {
+        const std::vector<std::pair<std::string, std::vector<std::string>>> deployments{
+                {"lanka",
+                 {"settings-colombo-a", "settings-colombo-b", "settings-gampaha",
+                  "settings-kalutara", "inventory", "rules"}},
+                {"totara",
+                 {"settings-hamilton-a", "settings-hamilton-b", "settings-te-awamutu",
+                  "settings-cambridge", "inventory", "rules"}},
+                {"demo", {"settings-1", "settings-2", "settings-3", "inventory", "rules"}},
+                {"demo", {"inventory-drain", "rules"}}};
+        for (const auto &[folder, names] : deployments) {
+            std::vector<std::string> files;
+            for (const std::string &name : names)
+                files.push_back("examples/" + folder + '/' + name + ".toml");
+            const command_outcome outcome = check(files);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(outcome.out + outcome.err, 0, outcome.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("examples/lanka/inventory.toml: ok (inventory, 13 runners)\n"),
+                check({"examples/lanka/inventory.toml"}).out);
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("examples/totara/inventory.toml: ok (inventory, 22 runners)\n"),
+                check({"examples/totara/inventory.toml"}).out);
+    }
+
+    void threeFaultsGiveThreeLines()
+    {
+        const std::vector<std::pair<std::string, std::string>> expected{
+                {"settings",
+                 ":7:11: caller.address: is \"localhost:8080\", expected \"IP:PORT\" with a port "
+                 "from 1 to 65535\n"
+                 ":8:8: caller.limits.body_byte: unknown key, the nearest known key is "
+                 "body_bytes\n"
+                 ":16:13: peer.gossip_ms: is 5, expected an integer from 20 to 10000\n"},
+                {"inventory",
+                 ":17:8: runners[0].zone: is \"zone-aa\", expected one of the zones; the nearest "
+                 "is \"zone-a\"\n"
+                 ":25:13: runners[1].kv_pieces: is \"many\", expected an integer from 1 to "
+                 "10000000\n"
+                 ":28:6: runners[2].id: is \"engine-1\", which runners[0].id in line 15 already "
+                 "is\n"},
+                {"rules",
+                 ":2:1: classes[0].rank: is missing, expected an integer from 0 to 1000\n"
+                 ":8:9: requests[0].class: is \"life\", expected a class's name; the nearest is "
+                 "\"live\"\n"
+                 ":9:10: requests[0].repeat: is \"once\", expected \"allowed\" or \"never\"\n"}};
+        for (const auto &[name, lines] : expected) {
+            const std::string file = "examples/faulty/" + name + ".toml";
+            std::string withFile;
+            std::istringstream in(lines);
+            for (std::string line; std::getline(in, line);)
+                withFile += file + line + '\n';
+            const command_outcome outcome = check({file});
+            CPPUNIT_ASSERT_EQUAL(withFile, outcome.out);
+            CPPUNIT_ASSERT_EQUAL(2, outcome.status);
+        }
+    }
+
+    void jsonNamesEachFault()
+    {
+        const command_outcome outcome = check({"--json", "examples/faulty/rules.toml"});
+        CPPUNIT_ASSERT_EQUAL(2, outcome.status);
+        CPPUNIT_ASSERT(outcome.out.find(R"("line":9,"column":10,"key":"requests[0].repeat")")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(outcome.out.find(R"("kind":"rules","ok":false)") != std::string::npos);
+    }
+
+    void badWordsGiveUsage()
+    {
+        for (const auto &words : {std::vector<std::string>{"--jsn"}, std::vector<std::string>{}}) {
+            const command_outcome outcome = check(words);
+            CPPUNIT_ASSERT_EQUAL(2, outcome.status);
+            CPPUNIT_ASSERT(outcome.err.find("Usage:") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, check({"--help"}).status);
+        CPPUNIT_ASSERT_EQUAL(1, check({"examples/no-such-file.toml"}).status);
+        CPPUNIT_ASSERT_EQUAL(1, check({"examples"}).status);
+    }
+
+    void settingsPageIsUpToDate()
+    {
+        const std::string page = contentOf("docs/SETTINGS.md");
+        for (const file_kind kind : {file_kind::Settings, file_kind::Inventory, file_kind::Rules}) {
+            const std::string table = keyTableOf(kind);
+            CPPUNIT_ASSERT_MESSAGE("docs/SETTINGS.md lacks:\n" + table,
+                                   page.find(table) != std::string::npos);
+        }
+    }
+
+    void syntaxErrorIsOneFault()
+    {
+        const auto outcome = parseRules("f", "retry_share = 0.1\nclasses = [\n");
+        const auto &faults = std::get<std::vector<fault>>(outcome);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, faults.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("syntax"), faults[0].key);
+        CPPUNIT_ASSERT(faults[0].line >= 2);
+    }
+
+    void missingAndMisplacedKeysAreFaults()
+    {
+        const std::string text = settingsHead + "peer = 7\nlog.level = \"loud\"\n";
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("f:7:8: peer: is 7, expected a table\n"
+                            "f:8:13: log.level: is \"loud\", expected \"debug\" or \"info\" or "
+                            "\"warn\" or \"error\" or \"off\"\n"),
+                linesOf(parseSettings("f", text)));
+        const std::string noPeer = linesOf(parseSettings("f", settingsHead));
+        CPPUNIT_ASSERT(noPeer.find("peer.address: is missing") != std::string::npos);
+        CPPUNIT_ASSERT(noPeer.find("peer.key: is missing") != std::string::npos);
+    }
+
+    void wrongTypesAndNumbersAreFaults()
+    {
+        const std::string lines = linesOf(parseRules("f",
+                                                     "retry_share = nan\n"
+                                                     "drain_seconds = 1.5\n"
+                                                     "claim_keep_seconds = 9000000000000000000\n"
+                                                     "classes = [1]\n"));
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("f:1:15: retry_share: is nan, expected a number from 0 to 1\n"
+                            "f:2:17: drain_seconds: is 1.5, expected an integer from 1 to 3600\n"
+                            "f:3:22: claim_keep_seconds: is 9000000000000000000, expected an "
+                            "integer from 1 to 86400\n"
+                            "f:4:12: classes[0]: is 1, expected a table\n"),
+                lines);
+    }
+
+    void rulesNeedAClass()
+    {
+        const std::string message = "classes: is missing, expected at least one class\n";
+        CPPUNIT_ASSERT_EQUAL("f:1:1: " + message, linesOf(parseRules("f", "retry_share = 0\n")));
+        CPPUNIT_ASSERT_EQUAL("f:1:11: " + message, linesOf(parseRules("f", "classes = []\n")));
+    }
+
+    // Faults end up in logs and tickets. A key that is too short must be refused without being
+    // shown: the message gives its length only.
+    void secretIsNotShown()
+    {
+        const std::string text =
+                settingsHead + "peer = { address = \"127.0.0.1:3\", key = \"hush\" }\n";
+        const std::string lines = linesOf(parseSettings("f", text));
+        CPPUNIT_ASSERT(lines.find("peer.key: has 4 bytes, expected") != std::string::npos);
+        CPPUNIT_ASSERT(lines.find("hush") == std::string::npos);
+    }
+
+    void settingsAreRead()
+    {
+        const std::string text = settingsHead
+                + "peer = { address = \"127.0.0.1:3\", key = \"0123456789abcdef\", seeds = "
+                  "[\"[::1]:9\"] }\n"
+                  "leave = { grace_seconds = 3, bound_seconds = 4 }\n"
+                  "[caller.limits]\nstreams = 7\nheader_bytes = 2048\n";
+        const auto outcome = parseSettings("f", text);
+        CPPUNIT_ASSERT_EQUAL(std::string(), linesOf(outcome));
+        const auto &choices = std::get<settings>(outcome);
+        CPPUNIT_ASSERT(choices.callerAddress == (endpoint{"127.0.0.1", 1}));
+        CPPUNIT_ASSERT(choices.peerSeeds == std::vector<endpoint>{(endpoint{"::1", 9})});
+        CPPUNIT_ASSERT(choices.leaveGrace == std::chrono::seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{7}, choices.maxStreams);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2048}, choices.callerLimits.headerBytes);
+        CPPUNIT_ASSERT(choices.gossipTime == config::gossipTime);
+    }
+
+    void defaultsAreInherited()
+    {
+        const auto outcome = parseInventory("f", sampleInventory() + "kv_pieces = 256\n");
+        CPPUNIT_ASSERT_EQUAL(std::string(), linesOf(outcome));
+        const auto &runners = std::get<policy::inventory>(outcome).runners;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runners.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("engine-1"), runners[0].id.text);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{256}, runners[0].kvPieces);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{512}, runners[1].kvPieces);
+        CPPUNIT_ASSERT(runners[0].checksFence && runners[1].checksFence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runners[1].mayCarry.size());
+    }
+
+    void poolsMustFitTheirKind()
+    {
+        const std::string text = "deployment = \"d\"\nzones = [\"z\", \"z\"]\n"
+                                 "[[pools]]\nid = \"e\"\nkind = \"engine\"\nservice = \"s\"\n"
+                                 "[[pools]]\nid = \"s\"\nkind = \"service\"\n"
+                                 "[[runners]]\nid = \"r\"\npool = \"t\"\nzone = \"z\"\n"
+                                 "address = \"127.0.0.1:1\"\n";
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("f:2:15: zones[1]: is \"z\", which zones[0] in line 2 already is\n"
+                            "f:3:1: pools[0].serves: is missing, expected a model to serve\n"
+                            "f:6:11: pools[0].service: is for pools of kind \"service\"\n"
+                            "f:7:1: pools[1].service: is missing, expected a service's name\n"
+                            "f:12:8: runners[0].pool: is \"t\", expected a pool's id; the nearest "
+                            "is \"e\"\n"),
+                linesOf(parseInventory("f", text)));
+    }
+
+    void rulesMustFitTheInventory()
+    {
+        const std::string rules = sampleRules()
+                + "[[requests]]\nname = \"r\"\nmodel = \"demo-7\"\n"
+                  "[[plans]]\npool = \"llm\"\nmin_engines = 3\n";
+        CPPUNIT_ASSERT_EQUAL(std::string(), linesOf(parseRules("r", rules)));
+        const auto faults = checkTogether("i", sampleInventory(), "r", rules);
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("r:7:9: requests[0].model: is \"demo-7\", expected a model that a pool "
+                            "serves; the nearest is \"demo-7b\"\n"
+                            "r:10:15: plans[0].min_engines: is 3, but the pool has 2 engines\n"),
+                linesOf(checked<policy::rules>(faults)));
+        CPPUNIT_ASSERT(checkTogether("i", sampleInventory(), "r", sampleRules()).empty());
+    }
+
+    void kindIsGuessed()
+    {
+        CPPUNIT_ASSERT(guessKind(settingsHead) == file_kind::Settings);
+        CPPUNIT_ASSERT(guessKind(sampleInventory()) == file_kind::Inventory);
+        CPPUNIT_ASSERT(guessKind(sampleRules()) == file_kind::Rules);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(config_files_test);
--- /dev/null
+++ b/tests/peer/calls_test.cpp
@@ -0,0 +1,352 @@
+#include "base/socket.h"
+#include "peer/call_wire.h"
+#include "peer/numeric_address.h"
+#include "poplarspool/config.h"
+#include "poplarspool/peer/calls.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <future>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace poplarspool;
+using namespace poplarspool::peer;
+
+namespace {
+
+constexpr milliseconds safety = std::chrono::seconds(30);
+const std::string secret = "secret of all";
+const call_identity serverIdentity{{"server"}, 7, secret};
+const call_identity clientIdentity{{"client"}, 3, secret};
+
+socket_deadline soon()
+{
+    return socket_clock::now() + safety;
+}
+
+struct fixture
+{
+    metrics_registry metrics;
+    journal events{instance_id{"test"}, systemClock(), 64};
+
+    std::uint64_t count(const std::string &name) { return metrics.counterOf(name).get(); }
+};
+
+/// A peer whose every byte the test decides.
+class scripted_peer
+{
+public:
+    explicit scripted_peer(std::function<void(int)> script)
+    {
+        numeric_address address = *numericAddressOf({"127.0.0.1", 0});
+        listener = descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        CPPUNIT_ASSERT_EQUAL(0, bind(listener.get(), address.get(), address.size));
+        CPPUNIT_ASSERT_EQUAL(0, listen(listener.get(), 8));
+        thread = std::thread([this, script = std::move(script)] {
+            const descriptor connection(accept(listener.get(), nullptr, nullptr));
+            if (connection.isOpen())
+                script(connection.get());
+        });
+    }
+
+    ~scripted_peer()
+    {
+        shutdown(listener.get(), SHUT_RDWR);
+        thread.join();
+    }
+
+    endpoint address() const { return boundAddress(listener.get()); }
+
+private:
+    descriptor listener;
+    std::thread thread;
+};
+
+const frame_key key = deriveFrameKey(secret);
+
+void say(int fd, const frame_header &header, std::string_view payload)
+{
+    sendAll(fd, sealFrame(key, header, payload), soon(), -1);
+}
+
+frame_header hear(int fd)
+{
+    return std::get<stream_frame>(readFrame(fd, key, config::maxPeerCallBytes, soon(), -1)).header;
+}
+
+/// @returns Header of the client's call, after both hellos.
+frame_header acceptCall(int fd)
+{
+    frame_header hello;
+    hello.kind = frame_kind::Hello;
+    hello.sender = senderNumber(serverIdentity.instance);
+    hello.senderLife = serverIdentity.life;
+    hello.counter = 1000;
+    say(fd, hello, {});
+    hear(fd);
+    return hear(fd);
+}
+
+frame_header replyTo(const frame_header &question)
+{
+    frame_header reply;
+    reply.kind = frame_kind::Reply;
+    reply.sender = senderNumber(serverIdentity.instance);
+    reply.senderLife = serverIdentity.life;
+    reply.receiverLife = question.senderLife;
+    reply.callId = question.callId;
+    return reply;
+}
+
+std::string answered(const std::string &text)
+{
+    return encodeReply(encode(body_reply{text}));
+}
+
+std::map<call_kind, call_handler> echoHandlers(std::atomic<int> &runs)
+{
+    return {{call_kind::Body,
+             [&runs](std::string_view payload) -> result<std::string> {
+                 ++runs;
+                 const auto question = decode<body_ask>(payload);
+                 if (!succeeded(question))
+                     return errorOf(question);
+                 return encode(body_reply{"body of " + valueOf(question).sha256});
+             }},
+            {call_kind::Claim, [](std::string_view) -> result<std::string> {
+                 return notRun(error_code::Conflict, "other body", milliseconds(40));
+             }}};
+}
+
+} // namespace
+
+class calls_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(calls_test);
+    CPPUNIT_TEST(typedCallsFromManyThreads);
+    CPPUNIT_TEST(errorsKeepCodeAndVerdict);
+    CPPUNIT_TEST(nobodyThereIsNotRun);
+    CPPUNIT_TEST(peerThatStopsAfterTheCallMayHaveRunIt);
+    CPPUNIT_TEST(crossedAnswersAreDropped);
+    CPPUNIT_TEST(lateAnswerDoesNotReachTheNextCall);
+    CPPUNIT_TEST(recordedConnectionIsNotRunAgain);
+    CPPUNIT_TEST(strangerIsTurnedAway);
+    CPPUNIT_TEST(stopInterruptsAnOpenCall);
+    CPPUNIT_TEST_SUITE_END();
+
+    void typedCallsFromManyThreads()
+    {
+        fixture all;
+        std::atomic<int> runs{0};
+        call_server server({"127.0.0.1", 0}, serverIdentity, echoHandlers(runs), all.metrics,
+                           all.events);
+        const endpoint address = valueOf(server.start());
+        call_client client(clientIdentity, all.metrics, all.events);
+        std::vector<std::thread> threads;
+        std::atomic<int> right{0};
+        for (int index = 0; index < 8; ++index) {
+            threads.emplace_back([&, index] {
+                for (int round = 0; round < 50; ++round) {
+                    const std::string name = std::to_string(index * 1000 + round);
+                    const auto reply = ask<body_reply>(client, address, call_kind::Body,
+                                                       body_ask{name}, safety);
+                    if (succeeded(reply) && valueOf(reply).content == "body of " + name)
+                        ++right;
+                }
+            });
+        }
+        for (std::thread &thread : threads)
+            thread.join();
+        CPPUNIT_ASSERT_EQUAL(400, right.load());
+        CPPUNIT_ASSERT_EQUAL(400, runs.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), all.count("poplarspool_peer_stray_answers_total"));
+    }
+
+    void errorsKeepCodeAndVerdict()
+    {
+        fixture all;
+        std::atomic<int> runs{0};
+        call_server server({"127.0.0.1", 0}, serverIdentity, echoHandlers(runs), all.metrics,
+                           all.events);
+        const endpoint address = valueOf(server.start());
+        call_client client(clientIdentity, all.metrics, all.events);
+        const auto refused =
+                ask<claim_reply>(client, address, call_kind::Claim, claim_ask{}, safety);
+        CPPUNIT_ASSERT(errorOf(refused)
+                       == notRun(error_code::Conflict, "other body", milliseconds(40)));
+        const auto unknown =
+                ask<events_reply>(client, address, call_kind::Events, events_ask{}, safety);
+        CPPUNIT_ASSERT(errorOf(unknown).ran == verdict::NotRun);
+        const auto tooLarge = client.call(address, call_kind::Body,
+                                          std::string(config::maxPeerCallBytes, 'x'), safety);
+        CPPUNIT_ASSERT(errorOf(tooLarge).ran == verdict::NotRun);
+    }
+
+    void nobodyThereIsNotRun()
+    {
+        fixture all;
+        endpoint address;
+        {
+            const scripted_peer gone([](int) {});
+            address = gone.address();
+        }
+        call_client client(clientIdentity, all.metrics, all.events);
+        const auto reply = ask<body_reply>(client, address, call_kind::Body, body_ask{"a"}, safety);
+        CPPUNIT_ASSERT(errorOf(reply).ran == verdict::NotRun);
+    }
+
+    void peerThatStopsAfterTheCallMayHaveRunIt()
+    {
+        fixture all;
+        const scripted_peer peer([](int fd) { acceptCall(fd); });
+        call_client client(clientIdentity, all.metrics, all.events);
+        const auto reply =
+                ask<body_reply>(client, peer.address(), call_kind::Body, body_ask{"a"}, safety);
+        CPPUNIT_ASSERT(errorOf(reply).ran == verdict::MayHaveRun);
+    }
+
+    /// The caller gets the answer to its own question. Before it come an answer to another call,
+    /// one for an earlier life of the asking process and one from an earlier life of the peer; each
+    /// would look right by its kind alone.
+    void crossedAnswersAreDropped()
+    {
+        fixture all;
+        const scripted_peer peer([](int fd) {
+            const frame_header right = replyTo(acceptCall(fd));
+            frame_header other = right;
+            other.callId = right.callId + 1;
+            say(fd, other, answered("of another call"));
+            frame_header formerUs = right;
+            formerUs.receiverLife = clientIdentity.life - 1;
+            say(fd, formerUs, answered("for a former life"));
+            frame_header formerPeer = right;
+            formerPeer.senderLife = serverIdentity.life - 1;
+            say(fd, formerPeer, answered("of a former life"));
+            say(fd, right, answered("right"));
+        });
+        call_client client(clientIdentity, all.metrics, all.events);
+        const auto reply =
+                ask<body_reply>(client, peer.address(), call_kind::Body, body_ask{"a"}, safety);
+        CPPUNIT_ASSERT_EQUAL(std::string("right"), valueOf(reply).content);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), all.count("poplarspool_peer_stray_answers_total"));
+    }
+
+    /// The first caller gets "timed out", the second its own answer. The peer answers the first
+    /// call only after its time; that answer must not be the first thing that the second call
+    /// reads.
+    void lateAnswerDoesNotReachTheNextCall()
+    {
+        fixture all;
+        std::promise<void> release;
+        std::shared_future<void> released = release.get_future().share();
+        std::atomic<int> calls{0};
+        std::map<call_kind, call_handler> handlers{
+                {call_kind::Body, [&, released](std::string_view) -> result<std::string> {
+                     const int number = ++calls;
+                     if (number == 1)
+                         released.wait();
+                     return encode(body_reply{std::to_string(number)});
+                 }}};
+        call_server server({"127.0.0.1", 0}, serverIdentity, handlers, all.metrics, all.events);
+        const endpoint address = valueOf(server.start());
+        call_client client(clientIdentity, all.metrics, all.events);
+        const auto first =
+                ask<body_reply>(client, address, call_kind::Body, body_ask{"a"}, milliseconds(300));
+        CPPUNIT_ASSERT(errorOf(first).code == error_code::TimedOut);
+        release.set_value();
+        const auto second =
+                ask<body_reply>(client, address, call_kind::Body, body_ask{"b"}, safety);
+        CPPUNIT_ASSERT(succeeded(second));
+        CPPUNIT_ASSERT(valueOf(second).content != "1");
+    }
+
+    /// Somebody who has recorded a whole connection plays it again. The server speaks first and
+    /// expects its own random number in every frame, so nothing of the recording is run.
+    void recordedConnectionIsNotRunAgain()
+    {
+        fixture all;
+        std::atomic<int> runs{0};
+        call_server server({"127.0.0.1", 0}, serverIdentity, echoHandlers(runs), all.metrics,
+                           all.events);
+        const endpoint address = valueOf(server.start());
+        const auto converse = [&](std::uint64_t counter) {
+            const descriptor socket = std::move(valueOf(*connect(address)));
+            const frame_header hello = hear(socket.get());
+            frame_header call;
+            call.kind = frame_kind::Hello;
+            call.sender = senderNumber(clientIdentity.instance);
+            call.senderLife = clientIdentity.life;
+            call.receiverLife = hello.senderLife;
+            call.counter = counter == 0 ? hello.counter + 1 : counter;
+            const std::uint64_t used = call.counter;
+            say(socket.get(), call, {});
+            call.kind = frame_kind::Call;
+            ++call.counter;
+            say(socket.get(), call, encodeCall(call_kind::Body, encode(body_ask{"a"})));
+            readFrame(socket.get(), key, config::maxPeerCallBytes, soon(), -1);
+            return used;
+        };
+        const std::uint64_t recorded = converse(0);
+        CPPUNIT_ASSERT_EQUAL(1, runs.load());
+        converse(recorded);
+        CPPUNIT_ASSERT_EQUAL(1, runs.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                             all.count("poplarspool_peer_dropped_total{reason=\"replay\"}"));
+    }
+
+    void strangerIsTurnedAway()
+    {
+        fixture all;
+        std::atomic<int> runs{0};
+        call_server server({"127.0.0.1", 0}, serverIdentity, echoHandlers(runs), all.metrics,
+                           all.events);
+        const endpoint address = valueOf(server.start());
+        call_client stranger({{"client"}, 3, "another secret"}, all.metrics, all.events);
+        const auto reply =
+                ask<body_reply>(stranger, address, call_kind::Body, body_ask{"a"}, safety);
+        CPPUNIT_ASSERT(errorOf(reply).ran == verdict::NotRun);
+
+        const descriptor socket = std::move(valueOf(*connect(address)));
+        hear(socket.get());
+        sendAll(socket.get(), "GET / HTTP/1.1\r\n" + std::string(200, 'x'), soon(), -1);
+        const auto end = readFrame(socket.get(), key, 0, soon(), -1);
+        CPPUNIT_ASSERT(std::get<socket_fault>(end) == socket_fault::Closed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                             all.count("poplarspool_peer_dropped_total{reason=\"foreign\"}"));
+        CPPUNIT_ASSERT_EQUAL(0, runs.load());
+    }
+
+    void stopInterruptsAnOpenCall()
+    {
+        fixture all;
+        std::promise<void> arrived;
+        std::promise<void> release;
+        const scripted_peer peer([&](int fd) {
+            acceptCall(fd);
+            arrived.set_value();
+            release.get_future().wait();
+        });
+        call_client client(clientIdentity, all.metrics, all.events);
+        auto reply = std::async(std::launch::async, [&] {
+            return ask<body_reply>(client, peer.address(), call_kind::Body, body_ask{"a"}, safety);
+        });
+        arrived.get_future().wait();
+        client.stop();
+        const auto outcome = reply.get();
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::Cancelled);
+        CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::MayHaveRun);
+        release.set_value();
+    }
+
+    static std::unique_ptr<result<descriptor>> connect(const endpoint &address)
+    {
+        auto socket = std::make_unique<result<descriptor>>(connectTo(address, soon(), -1));
+        CPPUNIT_ASSERT(succeeded(*socket));
+        return socket;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(calls_test);
--- /dev/null
+++ b/tests/runner/service_test.cpp
@@ -0,0 +1,130 @@
+#include "poplarspool/runner/service.h"
+#include "standin/service.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::runner {
+
+namespace {
+
+constexpr milliseconds safetyTime{20000};
+
+struct service_fixture
+{
+    service_fixture() : address(valueOf(service.start())) { }
+
+    result<http_reply> call(const std::string &key, std::string &body)
+    {
+        const http_request request{"POST",
+                                   "/orders?x=1",
+                                   {{"Idempotency-Key", key}, {"Connection", "close"}},
+                                   "abc",
+                                   "text/plain"};
+        return api.call(
+                address, request, safetyTime, [](const http_reply &) { return true; },
+                [&](std::string_view piece) {
+                    body.append(piece);
+                    return true;
+                });
+    }
+
+    metrics_registry metrics;
+    service_api api = httpServiceApi(std::make_shared<http_pool>(4, milliseconds(1000), metrics));
+    standin::service_standin service{{}};
+    endpoint address;
+};
+
+} // namespace
+
+class service_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(service_test);
+    CPPUNIT_TEST(passesRequestsOn);
+    CPPUNIT_TEST(lostAnswerMayHaveRun);
+    CPPUNIT_TEST(passesRefusalsOn);
+    CPPUNIT_TEST(goneServiceIsNotRun);
+    CPPUNIT_TEST(dropsConnectionHeaders);
+    CPPUNIT_TEST(countsAsUpWithoutALoadPage);
+    CPPUNIT_TEST_SUITE_END();
+
+    void passesRequestsOn()
+    {
+        service_fixture fixture;
+        std::string body;
+        const auto reply = fixture.call("k", body);
+        CPPUNIT_ASSERT(succeeded(reply));
+        CPPUNIT_ASSERT_EQUAL(200, valueOf(reply).status);
+        CPPUNIT_ASSERT(body.find("\"path\":\"/orders?x=1\"") != std::string::npos);
+        CPPUNIT_ASSERT(body.find("\"body_bytes\":3") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("k"), fixture.service.records().records.at(0).key);
+    }
+
+    // The service books the order and dies before it answers. The caller must not read "not run":
+    // trusting that, it would send the order again and get two.
+    void lostAnswerMayHaveRun()
+    {
+        service_fixture fixture;
+        fixture.service.setFault({standin::service_fault_mode::DieAfterRun, 1});
+        std::string body;
+        const auto reply = fixture.call("k", body);
+        CPPUNIT_ASSERT(!succeeded(reply));
+        CPPUNIT_ASSERT(errorOf(reply).ran == verdict::MayHaveRun);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), fixture.service.records().runs);
+    }
+
+    void passesRefusalsOn()
+    {
+        service_fixture fixture;
+        fixture.service.setFault({standin::service_fault_mode::Refuse, 1});
+        std::string body;
+        const auto reply = fixture.call("k", body);
+        CPPUNIT_ASSERT_EQUAL(503, valueOf(reply).status);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.service.records().runs);
+    }
+
+    void goneServiceIsNotRun()
+    {
+        service_fixture fixture;
+        fixture.service.stop();
+        std::string body;
+        const auto reply = fixture.call("k", body);
+        CPPUNIT_ASSERT(errorOf(reply).ran == verdict::NotRun);
+    }
+
+    void dropsConnectionHeaders()
+    {
+        const http_headers headers = {
+                {"Connection", "close, X-Hop"},
+                {"x-hop", "1"},
+                {"Keep-Alive", "timeout=5"},
+                {"X-Kept", "2"},
+                {"Upgrade", "h2c"},
+                {"connection", " x-two "},
+                {"X-Two", "3"},
+        };
+        CPPUNIT_ASSERT(endToEndHeaders(headers) == http_headers({{"X-Kept", "2"}}));
+    }
+
+    void countsAsUpWithoutALoadPage()
+    {
+        service_fixture fixture;
+        CPPUNIT_ASSERT(valueOf(fixture.api.load(fixture.address)).life > 0);
+        metrics_registry metrics;
+        int status = 404;
+        http_server other(
+                "other", {"127.0.0.1", 0}, defaultHttpLimits(),
+                [&](const http_request &, http_sink &) {
+                    return http_reply{status, {}, "no", "text/plain"};
+                },
+                metrics);
+        const endpoint address = valueOf(other.start());
+        CPPUNIT_ASSERT(succeeded(fixture.api.load(address)));
+        status = 503;
+        CPPUNIT_ASSERT(!succeeded(fixture.api.load(address)));
+        other.stop();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(service_test);
+
+} // namespace poplarspool::runner
