Let the first list of an empty store be followed by a watch

Cause: the sync told 'never listed' by cursor 0, which is also the version of an empty store, so it listed without a pause: 569 lists in 10 s at an idle store. A flag of its own tells them apart. Also: GET /config had no handler and answered 500.

--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -382,6 +382,7 @@
     operators::operator_handlers handlers;
     handlers.status = [this] { return status(); };
     handlers.timeline = [this](const event_filter &filter) { return timeline(filter); };
+    handlers.config = [this] { return operators::readConfig(store, choices.deployment); };
     handlers.apply = [this](const operators::apply_request &wanted) {
         return operators::applyConfig(store, choices.deployment, wanted,
                                       clock.mono() + config::applyTime);
--- a/src/node/watched_sync.cpp
+++ b/src/node/watched_sync.cpp
@@ -137,23 +137,26 @@
 bool watched_sync::pullFromStore()
 {
     std::uint64_t after = 0;
+    bool isWatch = false;
     {
         const std::lock_guard lock(guard);
         after = cursor;
+        isWatch = hasListed;
     }
     const std::string prefix = operators::watchedPrefix(needs.deployment);
     const mono_time asked = clock.mono();
     const milliseconds wait = config::confirmTime;
-    const auto answer = after == 0 ? store.list(prefix) : store.watch(prefix, after, wait);
+    const auto answer = isWatch ? store.watch(prefix, after, wait) : store.list(prefix);
     if (!succeeded(answer))
         return false;
     const platform::object_list &news = valueOf(answer);
     // A watch that waited in vain says that nothing changed until `asked + wait`. The time of its
     // arrival says less: this process may have been frozen while the answer lay in its socket.
-    const bool waitedInVain = after != 0 && news.objects.empty();
+    const bool waitedInVain = isWatch && news.objects.empty();
     if (!take(news.objects, 0, waitedInVain ? asked + wait : asked))
         return false;
     const std::lock_guard lock(guard);
+    hasListed = true;
     cursor = std::max(cursor, news.version);
     return true;
 }
--- a/src/node/watched_sync.h
+++ b/src/node/watched_sync.h
@@ -83,6 +83,7 @@
     object_map objects;
     std::map<std::string, std::string> bodies; ///< By SHA-256, of the present configuration.
     std::uint64_t complete = 0;
+    bool hasListed = false; ///< The store's list was taken in; from then on it is watched.
     std::uint64_t cursor = 0; ///< Store version from which the next watch asks.
     mono_time confirmed{};
     bool isStopping = false;
