--- a/include/poplarspool/caller/caller_server.h
+++ b/include/poplarspool/caller/caller_server.h
@@ -103,8 +103,8 @@
 class caller_server
 {
 public:
-    caller_server(endpoint bind, http_limits limits, caller_handlers handlers, clock_source clock,
-                  metrics_registry &metrics, journal &events);
+    caller_server(const endpoint &bind, http_limits limits, caller_handlers handlers,
+                  clock_source clock, metrics_registry &metrics, journal &events);
     ~caller_server();
     result<endpoint> start();
     void stop();
--- a/include/poplarspool/node/claims.h
+++ b/include/poplarspool/node/claims.h
@@ -29,8 +29,8 @@
 class claim_book
 {
 public:
-    claim_book(std::string deployment, platform::object_store &store, claim_peers peers,
-               std::function<milliseconds()> keepTime, clock_source clock,
+    claim_book(const std::string &deployment, platform::object_store &store, claim_peers peers,
+               const std::function<milliseconds()> &keepTime, const clock_source &clock,
                metrics_registry &metrics, journal &events);
     ~claim_book();
 
--- a/include/poplarspool/operators/operator_server.h
+++ b/include/poplarspool/operators/operator_server.h
@@ -62,6 +62,9 @@
 /// @returns A /status answer as the commands read it; Broken where it isn't one.
 result<fleet_status> parseFleetStatus(std::string_view json);
 
+/// @returns The listed instances that aren't dead.
+std::size_t countListed(const fleet_status &status);
+
 /// @returns Whether `version` is applied by every listed instance that isn't dead.
 bool isInForce(const fleet_status &status, std::uint64_t version);
 
@@ -70,7 +73,7 @@
 class operator_server
 {
 public:
-    operator_server(endpoint bind, std::string keySha256, operator_handlers handlers,
+    operator_server(const endpoint &bind, std::string keySha256, operator_handlers handlers,
                     metrics_registry &metrics);
     ~operator_server();
     result<endpoint> start();
--- a/include/poplarspool/policy/plan.h
+++ b/include/poplarspool/policy/plan.h
@@ -21,7 +21,7 @@
 {
     double prefillSeconds = 0;
     double decodeSeconds = 0;
-    double prefillSpread = 0; ///< Standard deviation of the estimates.
+    double prefillSpread = 0; ///< Standard deviation of single looks.
     double decodeSpread = 0;
 
     bool operator==(const demand_estimate &) const = default;
@@ -32,7 +32,9 @@
 struct plan_memory
 {
     demand_estimate demand;
-    double regretSeconds = 0; ///< Engine seconds lost so far by not changing (rent-or-buy).
+    /// Engine seconds lost so far by not changing (rent-or-buy): above 0 towards prefill, below 0
+    /// towards decode.
+    double regretSeconds = 0;
     mono_time lookedAt{};
 
     bool operator==(const plan_memory &) const = default;
@@ -53,7 +55,8 @@
 };
 
 /// One look at a pool. Engines without the wanted models get them first; roles change only where
-/// the engine seconds lost by not changing exceed the price of the change.
+/// the engine seconds lost by not changing exceed the price of the change, as often as the rule's
+/// weight says, and never while another change of the pool is in flight (docs/design/role-plan.md).
 /// @param seen Demand since the last look.
 plan_step planPool(const view &now, const pool_id &pool, const plan_rule &rule,
                    const plan_memory &memory, const demand_estimate &seen, mono_time time);
--- /dev/null
+++ b/src/bench/address_book.cpp
@@ -0,0 +1,80 @@
+#include "bench/address_book.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/caller/caller_server.h"
+
+#include <nlohmann/json.hpp>
+
+namespace poplarspool::bench {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds askTime{2000};
+
+std::vector<endpoint> addressesIn(const json &answer)
+{
+    std::vector<endpoint> found;
+    const auto listed = answer.find("addresses");
+    if (listed == answer.end() || !listed->is_array())
+        return found;
+    for (const json &entry : *listed) {
+        if (!entry.is_string())
+            continue;
+        const result<endpoint> parsed = parseEndpoint(entry.get<std::string>());
+        if (succeeded(parsed))
+            found.push_back(valueOf(parsed));
+    }
+    return found;
+}
+
+} // namespace
+
+http_headers headersOf(const caller_identity &who)
+{
+    http_headers headers{{std::string(caller::callerHeader), who.caller}};
+    if (!who.bearerKey.empty())
+        headers.emplace_back("Authorization", "Bearer " + who.bearerKey);
+    return headers;
+}
+
+address_book::address_book(std::vector<endpoint> ask, caller_identity who, http_pool &pool)
+    : ask(std::move(ask)), who(std::move(who)), pool(pool), turn(hashOf(this->who.caller))
+{ }
+
+std::vector<endpoint> address_book::addresses()
+{
+    const std::lock_guard lock(mutex);
+    if (!known.empty() && clock.mono() < keepUntil)
+        return known;
+    for (std::size_t tried = 0; tried < ask.size(); ++tried) {
+        if (askOne(ask[turn++ % ask.size()]))
+            return known;
+    }
+    // Nobody answers: the last answer is still the best guess, and the next request asks again.
+    return known.empty() ? ask : known;
+}
+
+bool address_book::askOne(const endpoint &instance)
+{
+    http_request request;
+    request.path = "/v1/addresses";
+    if (!who.zone.empty())
+        request.path += "?zone=" + who.zone;
+    request.headers = headersOf(who);
+    const result<http_reply> reply = pool.send(instance, request, askTime);
+    if (!succeeded(reply) || valueOf(reply).status != 200)
+        return false;
+    const json answer = json::parse(valueOf(reply).body, nullptr, false);
+    if (!answer.is_object())
+        return false;
+    std::vector<endpoint> found = addressesIn(answer);
+    if (found.empty())
+        return false;
+    known = std::move(found);
+    keepUntil = clock.mono() + std::chrono::seconds(answer.value("keep_seconds", 0));
+    return true;
+}
+
+} // namespace poplarspool::bench
--- /dev/null
+++ b/src/bench/command.cpp
@@ -0,0 +1,95 @@
+#include "bench/command.h"
+
+#include <charconv>
+#include <iostream>
+
+namespace poplarspool::bench {
+
+namespace {
+
+endpoint endpointIn(const std::string &text)
+{
+    const result<endpoint> parsed = parseEndpoint(text);
+    if (!succeeded(parsed))
+        throw usage_error(errorOf(parsed).message);
+    return valueOf(parsed);
+}
+
+int usageFault(const cxxopts::Options &options, const char *message)
+{
+    std::cerr << message << '\n' << options.help();
+    return exitUsage;
+}
+
+} // namespace
+
+int runParsed(cxxopts::Options &options, const words &arguments,
+              const std::function<int(const cxxopts::ParseResult &)> &body)
+{
+    options.add_options()("help", "Show this text");
+    std::vector<const char *> raw{"poplarspool-bench"};
+    for (const std::string &word : arguments)
+        raw.push_back(word.c_str());
+    try {
+        const auto parsed = options.parse(static_cast<int>(raw.size()), raw.data());
+        if (parsed.count("help") == 0)
+            return body(parsed);
+        std::cout << options.help();
+        return exitDone;
+    } catch (const cxxopts::exceptions::exception &fault) {
+        return usageFault(options, fault.what());
+    } catch (const usage_error &fault) {
+        return usageFault(options, fault.what());
+    }
+}
+
+endpoint endpointOption(const cxxopts::ParseResult &parsed, const std::string &name)
+{
+    return endpointIn(parsed[name].as<std::string>());
+}
+
+std::vector<endpoint> endpointsOption(const cxxopts::ParseResult &parsed, const std::string &name)
+{
+    std::vector<endpoint> found;
+    for (const std::string &part : partsOf(parsed[name].as<std::string>(), ','))
+        found.push_back(endpointIn(part));
+    if (found.empty())
+        throw usage_error("--" + name + " names no address");
+    return found;
+}
+
+std::uint64_t countOption(const cxxopts::ParseResult &parsed, const std::string &name,
+                          std::uint64_t least)
+{
+    const std::string text = parsed[name].as<std::string>();
+    std::uint64_t count = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, count);
+    if (fault != std::errc() || stop != end || count < least)
+        throw usage_error("--" + name + " is no count of at least " + std::to_string(least));
+    return count;
+}
+
+std::vector<std::string> partsOf(std::string_view text, char separator)
+{
+    std::vector<std::string> parts;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(separator), text.size());
+        if (end > 0)
+            parts.emplace_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return parts;
+}
+
+double numberIn(const std::string &text)
+{
+    double number = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, number);
+    if (fault != std::errc() || stop != end)
+        throw usage_error("\"" + text + "\" is no number");
+    return number;
+}
+
+} // namespace poplarspool::bench
--- /dev/null
+++ b/src/bench/decisions.cpp
@@ -0,0 +1,191 @@
+#include "bench/decisions.h"
+
+#include "bench/command.h"
+#include "bench/sample_stats.h"
+#include "poplarspool/policy/plan.h"
+#include "poplarspool/policy/routing.h"
+
+#include <iostream>
+#include <random>
+
+namespace poplarspool::bench {
+
+namespace {
+
+using policy::view;
+
+constexpr std::uint32_t runnerCount = 600;
+constexpr std::uint32_t modelCount = 11;
+constexpr std::uint32_t zoneCount = 8;
+constexpr std::uint32_t memberCount = 330;
+constexpr std::uint32_t decisionCount = 100'000;
+constexpr std::uint32_t lookCount = 500;
+constexpr std::uint32_t rankCount = 10'000;
+constexpr std::uint64_t seed = 1;
+constexpr mono_time startTime{std::chrono::hours(1)};
+
+std::string numbered(std::string_view what, std::uint32_t number)
+{
+    const std::string digits = std::to_string(1000 + number);
+    return std::string(what) + digits;
+}
+
+policy::model_version modelOf(std::uint32_t number)
+{
+    return {numbered("model-", number % modelCount), "1"};
+}
+
+zone_id zoneOf(std::uint32_t number)
+{
+    return {numbered("zone-", number % zoneCount)};
+}
+
+/// @param modelsEach Models that each engine may carry and has loaded.
+/// @param poolCount Pools that the engines are spread over.
+std::shared_ptr<const policy::inventory> makeFleet(std::uint32_t modelsEach,
+                                                   std::uint32_t poolCount)
+{
+    auto fleet = std::make_shared<policy::inventory>();
+    fleet->deployment = "bench";
+    for (std::uint32_t i = 0; i < zoneCount; ++i)
+        fleet->zones.push_back(zoneOf(i));
+    for (std::uint32_t i = 0; i < poolCount; ++i) {
+        policy::pool_spec pool;
+        pool.id = {numbered("pool-", i)};
+        pool.serves = {modelOf(i)};
+        fleet->pools.push_back(pool);
+    }
+    for (std::uint32_t i = 0; i < runnerCount; ++i) {
+        policy::runner_spec runner;
+        runner.id = {numbered("engine-", i)};
+        runner.pool = {numbered("pool-", i % poolCount)};
+        runner.zone = zoneOf(i / poolCount);
+        runner.address = {"127.0.0.1", static_cast<std::uint16_t>(10000 + i)};
+        for (std::uint32_t k = 0; k < modelsEach; ++k)
+            runner.mayCarry.push_back(modelOf(i % poolCount + k));
+        fleet->runners.push_back(runner);
+    }
+    return fleet;
+}
+
+view makeView(std::shared_ptr<const policy::inventory> fleet)
+{
+    std::mt19937_64 random(seed);
+    view now;
+    policy::replaceFleet(now, std::move(fleet));
+    for (std::uint32_t i = 0; i < runnerCount; ++i) {
+        policy::runner_state &state = now.runners[i];
+        state.health = policy::runner_health::Up;
+        state.reportedAt = startTime - milliseconds(random() % 250);
+        state.report.running = random() % 48;
+        state.report.kvPiecesTotal = 1000;
+        state.report.kvPiecesUsed = state.report.running * 18;
+        state.report.prefillTokensQueued = random() % 3000;
+        state.report.models = now.fleet->runners[i].mayCarry;
+    }
+    for (std::uint32_t i = 0; i < memberCount; ++i) {
+        policy::member who;
+        who.id = {numbered("instance-", i)};
+        who.zone = zoneOf(i);
+        who.callerAddress = {"127.0.0.1", static_cast<std::uint16_t>(20000 + i)};
+        who.openStreams = random() % 1000;
+        now.members.push_back(who);
+    }
+    return now;
+}
+
+template <class Decision>
+durations timesOf(std::uint32_t count, const Decision &decide)
+{
+    durations times;
+    times.reserve(count);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const auto before = std::chrono::steady_clock::now();
+        decide(i);
+        times.push_back(std::chrono::steady_clock::now() - before);
+    }
+    return times;
+}
+
+void print(const std::string &name, const durations &times)
+{
+    const auto nanoseconds = [&](double share) {
+        return static_cast<double>(quantileOf(times, share).count());
+    };
+    std::cout << "decision=" << name << ' '
+              << lineOf({{"p50_ns", nanoseconds(0.5), 0},
+                         {"p99_ns", nanoseconds(0.99), 0},
+                         {"max_ns", nanoseconds(1), 0},
+                         {"count", static_cast<double>(times.size()), 0}})
+              << std::endl;
+}
+
+void benchRoute(const std::string &name, std::uint32_t modelsEach)
+{
+    const view now = makeView(makeFleet(modelsEach, modelCount));
+    std::vector<policy::sent_work> sent(runnerCount);
+    policy::route_request wanted;
+    wanted.promptTokens = 1200;
+    wanted.outputTokens = 200;
+    wanted.rank = 1;
+    wanted.zone = zoneOf(3);
+    wanted.timeLeft = std::chrono::seconds(60);
+    std::uint64_t refused = 0;
+    const durations times = timesOf(decisionCount, [&](std::uint32_t i) {
+        wanted.model = modelOf(i).model;
+        wanted.prefixHash = i % 3 == 0 ? 0 : i % 997 + 1;
+        const auto choice = policy::route(now, wanted, sent, startTime, i);
+        refused += succeeded(choice) ? 0 : 1;
+        if (succeeded(choice))
+            sent[valueOf(choice).runner.index].openSinceReport = i % 4;
+    });
+    print(name, times);
+    if (refused > 0)
+        std::cout << "refused=" << refused << std::endl;
+}
+
+void benchPlan()
+{
+    const view now = makeView(makeFleet(1, 1));
+    const pool_id pool = now.fleet->pools.front().id;
+    policy::plan_rule rule;
+    rule.goodputWeight = 0;
+    policy::plan_memory memory;
+    std::size_t changes = 0;
+    print("plan_pool_of_600", timesOf(lookCount, [&](std::uint32_t i) {
+              const double swing = i % 100 < 50 ? 700.0 : 200.0;
+              const policy::demand_estimate seen{swing, 800 - swing, swing / 10, swing / 10};
+              const auto step = policy::planPool(now, pool, rule, memory, seen,
+                                                 startTime + i * config::planTime / 10);
+              memory = step.memory;
+              changes += step.changes.size();
+          }));
+    std::cout << "planned_changes=" << changes << std::endl;
+}
+
+void benchAddresses()
+{
+    const view now = makeView(makeFleet(1, modelCount));
+    std::size_t addresses = 0;
+    print("rank_330_addresses", timesOf(rankCount, [&](std::uint32_t i) {
+              addresses += policy::rankAddresses(now, zoneOf(i), i).size();
+          }));
+    std::cout << "addresses_each=" << addresses / rankCount << std::endl;
+}
+
+} // namespace
+
+int decisionsBench(const std::vector<std::string> &words)
+{
+    if (!words.empty()) {
+        std::cerr << "unknown word: " << words.front() << '\n';
+        return exitUsage;
+    }
+    benchRoute("route_2_models_each", 2);
+    benchRoute("route_11_models_each", modelCount);
+    benchPlan();
+    benchAddresses();
+    return exitDone;
+}
+
+} // namespace poplarspool::bench
--- /dev/null
+++ b/src/bench/load_plan.cpp
@@ -0,0 +1,112 @@
+#include "bench/load_plan.h"
+
+#include "bench/command.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+#include "standin/tokens.h"
+
+namespace poplarspool::bench {
+
+namespace {
+
+/// Independent choices for one request; a stream each.
+enum class choice : std::uint64_t { Kind = 1, Name, Mix, Stream, Key, Workspace };
+
+std::uint64_t drawOf(std::uint64_t number, choice which)
+{
+    return hashOf(std::to_string(number), static_cast<std::uint64_t>(which));
+}
+
+/// @returns Whether the draw falls into a share of all.
+bool isWithinShare(std::uint64_t number, choice which, double share)
+{
+    constexpr std::uint64_t steps = 1'000'000;
+    return double(drawOf(number, which) % steps) < share * double(steps);
+}
+
+template <class Value>
+const Value &pick(const std::vector<Value> &values, std::uint64_t number, choice which)
+{
+    return values[drawOf(number, which) % values.size()];
+}
+
+const mix_entry &entryOf(const load_plan &plan, std::uint64_t number,
+                         std::chrono::nanoseconds elapsed)
+{
+    if (!plan.shift)
+        return pick(plan.mix, number, choice::Mix);
+    const auto turn = static_cast<std::size_t>(elapsed / *plan.shift);
+    return plan.mix[turn % plan.mix.size()];
+}
+
+/// @returns A prompt whose first half is the workspace's own, as templates and files are, so that
+///          prefix caches have something to find.
+std::string promptOf(const load_plan &plan, std::uint64_t number, const std::string &workspace,
+                     std::uint32_t tokens)
+{
+    const std::size_t size = std::size_t{tokens} * standin::bytesPerToken;
+    const std::string shared = "standing file of " + workspace + "; ";
+    std::string prompt;
+    while (prompt.size() + shared.size() <= size / 2)
+        prompt += shared;
+    const std::string own = "request " + plan.run + "-" + std::to_string(number) + "; ";
+    prompt += own;
+    if (prompt.size() < size)
+        prompt.resize(size, '.');
+    return prompt;
+}
+
+bool isServiceCall(const load_plan &plan, std::uint64_t number)
+{
+    if (plan.services.empty())
+        return false;
+    return plan.models.empty() || isWithinShare(number, choice::Kind, plan.serviceShare);
+}
+
+std::uint32_t tokensIn(const std::string &text)
+{
+    const double number = numberIn(text);
+    if (number < 1 || number > config::maxOutputTokens)
+        throw usage_error("\"" + text + "\" is no count of tokens");
+    return static_cast<std::uint32_t>(number);
+}
+
+} // namespace
+
+std::vector<mix_entry> parseMix(std::string_view text)
+{
+    std::vector<mix_entry> mix;
+    for (const std::string &part : partsOf(text, ',')) {
+        const std::vector<std::string> lengths = partsOf(part, ':');
+        if (lengths.size() != 2)
+            throw usage_error("\"" + part + "\" is not PROMPT:OUTPUT");
+        mix.push_back({tokensIn(lengths[0]), tokensIn(lengths[1])});
+    }
+    if (mix.empty())
+        throw usage_error("the mix is empty");
+    return mix;
+}
+
+load_call callOf(const load_plan &plan, std::uint64_t number, std::chrono::nanoseconds elapsed)
+{
+    load_call call;
+    call.timeLimit = plan.timeLimit;
+    call.workspace =
+            "workspace-" + std::to_string(drawOf(number, choice::Workspace) % plan.workspaces);
+    if (isServiceCall(plan, number)) {
+        call.service = pick(plan.services, number, choice::Name);
+        call.servicePath = plan.servicePath;
+        call.prompt = plan.run + "-" + std::to_string(number);
+        if (isWithinShare(number, choice::Key, plan.keyShare))
+            call.idempotencyKey = call.prompt;
+        return call;
+    }
+    const mix_entry &entry = entryOf(plan, number, elapsed);
+    call.model = pick(plan.models, number, choice::Name);
+    call.prompt = promptOf(plan, number, call.workspace, entry.promptTokens);
+    call.maxTokens = entry.outputTokens;
+    call.isStreamed = isWithinShare(number, choice::Stream, plan.streamShare);
+    return call;
+}
+
+} // namespace poplarspool::bench
--- /dev/null
+++ b/src/bench/metrics_text.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "poplarspool/base/http.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace poplarspool::bench {
+
+/// Samples of Prometheus' text format: series with its labels, and value.
+using metric_samples = std::map<std::string, double>;
+
+metric_samples parseMetrics(std::string_view text);
+
+/// @returns Sum over all series whose name, without labels, ends so.
+double sumOfSuffix(const metric_samples &samples, std::string_view suffix);
+
+/// Reads `/metrics` on an operator address.
+result<metric_samples> fetchMetrics(const endpoint &from, const std::string &bearerKey,
+                                    http_pool &pool);
+
+} // namespace poplarspool::bench
--- /dev/null
+++ b/src/bench/process_stat.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "poplarspool/base/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace poplarspool::bench {
+
+/// What the system says a process has used.
+struct process_stat
+{
+    std::chrono::nanoseconds cpuTime{0}; ///< User and system time of all its threads.
+    std::uint64_t residentKb = 0;
+
+    bool operator==(const process_stat &) const = default;
+};
+
+/// @param stat Text of /proc/PID/stat.
+/// @param ticksPerSecond Unit of its times.
+result<std::chrono::nanoseconds> cpuTimeIn(std::string_view stat, std::int64_t ticksPerSecond);
+
+/// @param status Text of /proc/PID/status.
+result<std::uint64_t> residentKbIn(std::string_view status);
+
+result<process_stat> readProcess(std::int64_t pid);
+
+} // namespace poplarspool::bench
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -151,12 +151,12 @@
 
 struct caller_server::state
 {
-    state(endpoint bind, http_limits limits, caller_handlers handlers, clock_source clock,
+    state(const endpoint &bind, http_limits limits, caller_handlers handlers, clock_source clock,
           metrics_registry &metrics, journal &events)
         : handlers(std::move(handlers)), clock(std::move(clock)),
           watch(this->clock, metrics, events),
           server(
-                  "caller", std::move(bind), limits,
+                  "caller", bind, limits,
                   [this](const http_request &request, http_sink &connection) {
                       return serve(request, connection);
                   },
@@ -329,10 +329,10 @@
     return {std::nullopt, std::move(outcome)};
 }
 
-caller_server::caller_server(endpoint bind, http_limits limits, caller_handlers handlers,
+caller_server::caller_server(const endpoint &bind, http_limits limits, caller_handlers handlers,
                              clock_source clock, metrics_registry &metrics, journal &events)
-    : inner(std::make_unique<state>(std::move(bind), limits, std::move(handlers), std::move(clock),
-                                    metrics, events))
+    : inner(std::make_unique<state>(bind, limits, std::move(handlers), std::move(clock), metrics,
+                                    events))
 { }
 
 caller_server::~caller_server() = default;
--- a/src/caller/completion_json.cpp
+++ b/src/caller/completion_json.cpp
@@ -68,7 +68,7 @@
                      "null: log probabilities are not supported"},
         usual_member{"stop", [](const json &v) { return v == json::array(); },
                      "null or []: stop sequences are not supported"},
-        usual_member{"suffix", [](const json &v) { return v == ""; },
+        usual_member{"suffix", [](const json &v) { return v == json(""); },
                      "null: insertion is not supported"},
         usual_member{"logit_bias", [](const json &v) { return v == json::object(); },
                      "null or {}: biases are not supported"},
--- a/src/caller/completion_stream.cpp
+++ b/src/caller/completion_stream.cpp
@@ -1,6 +1,5 @@
 #include "caller/completion_stream.h"
 
-#include "caller/errors.h"
 #include "caller/json_text.h"
 
 namespace poplarspool::caller {
@@ -90,7 +89,7 @@
     // An event of its own and no [DONE]: a caller that only waited for the end of the reply would
     // take the part that it has for the whole answer.
     frame = eventHead;
-    frame += bodyOf(failure);
+    frame += replyOf(failure).body;
     frame += eventEnd;
     if (connection.write(frame))
         connection.end();
--- a/src/caller/errors.cpp
+++ b/src/caller/errors.cpp
@@ -1,8 +1,7 @@
-#include "caller/errors.h"
-
-#include "caller/json_text.h"
 #include "poplarspool/caller/caller_server.h"
 
+#include "base/http_text.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -42,20 +41,9 @@
     return 500;
 }
 
-std::string bodyOf(const error &failure)
-{
-    return dumpText({{"error",
-                      {{"code", nameOf(failure.code)},
-                       {"message", failure.message},
-                       {"verdict", nameOf(failure.ran)}}}});
-}
-
 http_reply replyOf(const error &failure)
 {
-    http_reply reply;
-    reply.status = statusOf(failure);
-    reply.contentType = "application/json";
-    reply.body = bodyOf(failure);
+    http_reply reply = errorReply(statusOf(failure), failure.code, failure.ran, failure.message);
     if (failure.retryAfter) {
         // The header has whole seconds: rounded up, as a caller that comes too early is refused
         // again, and never 0, which many clients take for "at once".
--- a/src/node/claim_writer.cpp
+++ b/src/node/claim_writer.cpp
@@ -188,13 +188,14 @@
 
 void claim_writer::undoChanges()
 {
-    for (auto last = changes.rbegin(); last != changes.rend(); ++last) {
-        if (last->before)
-            segment.claims[last->name] = *last->before;
+    while (!changes.empty()) {
+        const change &last = changes.back();
+        if (last.before)
+            segment.claims[last.name] = *last.before;
         else
-            segment.claims.erase(last->name);
+            segment.claims.erase(last.name);
+        changes.pop_back();
     }
-    changes.clear();
 }
 
 /// @returns The outcomes that hold although the changes were not written: claims that stood before.
--- a/src/node/claims.cpp
+++ b/src/node/claims.cpp
@@ -96,9 +96,9 @@
     return peers.ask(batcher, wanted);
 }
 
-claim_book::claim_book(std::string deployment, platform::object_store &store, claim_peers peers,
-                       std::function<milliseconds()> keepTime, clock_source clock,
-                       metrics_registry &metrics, journal &events)
+claim_book::claim_book(const std::string &deployment, platform::object_store &store,
+                       claim_peers peers, const std::function<milliseconds()> &keepTime,
+                       const clock_source &clock, metrics_registry &metrics, journal &events)
     : inner(std::make_unique<state>(deployment, store, std::move(peers), keepTime, clock, metrics,
                                     events))
 { }
--- a/src/node/order_guard.cpp
+++ b/src/node/order_guard.cpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 // glibc names this member only from 2.38 on.
@@ -126,7 +127,7 @@
         return;
     sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    connect(socket, &none, sizeof none);
+    std::ignore = connect(socket, &none, sizeof none);
 }
 
 bool order_guard::adopt(int socket)
--- a/src/node/order_writer.cpp
+++ b/src/node/order_writer.cpp
@@ -245,7 +245,9 @@
     }
     if (!isSendDue(valueOf(report)))
         return;
-    if (hasWindow() || (isSafe && openWindow()))
+    if (!hasWindow() && isSafe)
+        openWindow();
+    if (hasWindow())
         send(spec, valueOf(report));
 }
 
--- a/src/node/planner.cpp
+++ b/src/node/planner.cpp
@@ -52,20 +52,21 @@
                  platform::weight_store weights, runner::engine_api engines, clock_source clock,
                  metrics_registry &metrics, journal &events)
 {
-    const auto send = [engines, clock](const endpoint &engine, const runner::engine_order &order,
-                                       mono_time windowEnd) {
+    order_tools tools{.self = needs.self,
+                      .deployment = needs.deployment,
+                      .appliedEverywhere = needs.appliedEverywhere,
+                      .store = store,
+                      .weights = std::move(weights),
+                      .load = engines.load,
+                      .send = {},
+                      .clock = clock,
+                      .metrics = metrics,
+                      .events = events};
+    tools.send = [engines = std::move(engines), clock = std::move(clock)](
+                         const endpoint &engine, const runner::engine_order &order,
+                         mono_time windowEnd) {
         return sendGuarded(engines, clock, engine, order, windowEnd);
     };
-    order_tools tools{needs.self,
-                      needs.deployment,
-                      needs.appliedEverywhere,
-                      store,
-                      std::move(weights),
-                      engines.load,
-                      send,
-                      clock,
-                      metrics,
-                      events};
     inner = std::make_unique<state>(std::move(needs), views, std::move(tools));
 }
 
--- a/src/node/planner_core.cpp
+++ b/src/node/planner_core.cpp
@@ -3,7 +3,6 @@
 #include "poplarspool/base/hash.h"
 #include "poplarspool/operators/config_store.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace poplarspool::node {
@@ -38,13 +37,17 @@
 bool isPlannerOf(const policy::view &now, const pool_id &pool, const instance_id &self)
 {
     const std::string key = "plan/" + pool.text;
-    std::pair<std::uint64_t, instance_id> best{0, {}};
+    const policy::member *best = nullptr;
+    std::uint64_t bestWeight = 0;
     for (const policy::member &each : now.members) {
-        if (each.state != policy::member_state::Alive)
+        const std::uint64_t weight = rendezvousWeight(each.id.text, key);
+        const bool isAlive = each.state == policy::member_state::Alive;
+        if (!isAlive || (best != nullptr && weight <= bestWeight))
             continue;
-        best = std::max(best, std::pair(rendezvousWeight(each.id.text, key), each.id));
+        best = &each;
+        bestWeight = weight;
     }
-    return best.second == self;
+    return best != nullptr && best->id == self;
 }
 
 planner_core::planner_core(planner_needs needs, view_hub &views, order_tools tools,
--- a/src/node/planner_core.h
+++ b/src/node/planner_core.h
@@ -4,8 +4,8 @@
 #include "poplarspool/node/orders.h"
 #include "poplarspool/node/view_hub.h"
 
-#include <map>
-#include <string>
+#include <functional>
+#include <unordered_map>
 
 /// What a planner does on each look, without its thread.
 namespace poplarspool::node {
@@ -34,7 +34,7 @@
     {
         bool isLoaded = false; ///< Whether the order records were read.
         policy::plan_memory memory;
-        std::map<runner_id, order_writer> writers;
+        std::unordered_map<runner_id, order_writer> writers;
     };
 
     void lookAt(const policy::view &now, const policy::pool_spec &pool);
@@ -47,7 +47,7 @@
     view_hub &views;
     order_tools tools;
     const plan_function decide;
-    std::map<pool_id, pool_desk> desks;
+    std::unordered_map<pool_id, pool_desk> desks;
 };
 
 } // namespace poplarspool::node
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -28,6 +28,51 @@
     std::atomic<std::uint32_t> &count;
 };
 
+/// Hands a runner's reply on to the caller, and keeps a copy where one is wanted. A kept reply is
+/// read to its end even when its caller has gone: the caller's next try gets it.
+class reply_relay
+{
+public:
+    reply_relay(http_sink &sink, http_reply *kept) : sink(sink), kept(kept) { }
+
+    bool onHead(const http_reply &head)
+    {
+        begun = true;
+        if (kept)
+            *kept = head;
+        isCallerGone = !sink.begin(head.status, head.headers, head.contentType);
+        return !isCallerGone || kept;
+    }
+
+    bool onPiece(std::string_view piece)
+    {
+        if (kept && kept->body.size() <= config::maxKeptAnswerBytes)
+            kept->body.append(piece);
+        isCallerGone = isCallerGone || !sink.write(piece);
+        return !isCallerGone || kept;
+    }
+
+    bool hasBegun() const { return begun; }
+
+private:
+    http_sink &sink;
+    http_reply *kept;
+    bool begun = false;
+    bool isCallerGone = false;
+};
+
+runner::generate_request workFor(const caller::completion_ask &ask, const admitted &pass)
+{
+    runner::generate_request work;
+    work.request = ask.head.request;
+    work.workspace = ask.head.workspace;
+    work.model = ask.model;
+    work.prompt = ask.prompt;
+    work.maxTokens = ask.maxTokens;
+    work.rank = pass.ruling.rank;
+    return work;
+}
+
 } // namespace
 
 request_path::request_path(request_needs needs, view_hub &views, work_ledger &ledger,
@@ -36,16 +81,10 @@
                            clock_source clock, metrics_registry &metrics, journal &events)
     : needs(std::move(needs)), views(views), ledger(ledger), demand(demand), duplicates(duplicates),
       answers(answers), engines(std::move(engines)), services(std::move(services)),
-      clock(std::move(clock)), events(events), retries(config::retryShare, config::retryBurst),
-      retried(metrics.counterOf("poplarspool_retries_total")),
+      clock(std::move(clock)), events(events), where(views, ledger, this->clock, metrics, events),
       resumed(metrics.counterOf("poplarspool_resumes_total"))
 { }
 
-milliseconds request_path::timeLeft(const admitted &pass) const
-{
-    return std::chrono::duration_cast<milliseconds>(pass.deadline - clock.mono());
-}
-
 result<admitted> request_path::admit(const caller::request_head &head,
                                      policy::request_facts facts) const
 {
@@ -81,8 +120,7 @@
 {
     const policy::view_ptr now = views.current();
     caller::address_answer answer;
-    answer.addresses =
-            policy::rankAddresses(*now, zone, spread.fetch_add(1, std::memory_order_relaxed));
+    answer.addresses = policy::rankAddresses(*now, zone, where.nextSpread());
     answer.keepTime = now->book ? now->book->addressKeepTime : config::addressKeepTime;
     if (answer.addresses.empty())
         return notRun(error_code::Unavailable, "no instance takes callers", comeBackTime);
@@ -106,128 +144,75 @@
     return names;
 }
 
-result<policy::route_choice> request_path::choose(const policy::view &now,
-                                                  policy::route_request wanted,
-                                                  const std::vector<runner_handle> &avoid)
-{
-    thread_local std::vector<policy::sent_work> sent;
-    ledger.snapshot(now, sent);
-    wanted.avoid = avoid;
-    const mono_time time = clock.mono();
-    const auto slots = ledger.slotsOf(now);
-    for (std::uint32_t i = 0; i < slots->size(); ++i) {
-        const std::int64_t until = (*slots)[i]->avoidUntilNs.load(std::memory_order_relaxed);
-        if (until > time.time_since_epoch().count())
-            wanted.avoid.push_back({i});
-    }
-    return policy::route(now, wanted, sent, time, spread.fetch_add(1, std::memory_order_relaxed));
-}
-
-void request_path::noteFailure(const policy::view &now, const policy::route_choice &choice,
-                               const caller::request_head &head, const error &failure)
-{
-    const policy::runner_spec &spec = now.fleet->runners[choice.runner.index];
-    events.emit("try_failed",
-                {{"request", head.request.text},
-                 {"runner", spec.id.text},
-                 {"code", std::string(nameOf(failure.code))},
-                 {"verdict", std::string(nameOf(failure.ran))},
-                 {"reason", failure.message}});
-    if (failure.code != error_code::Unavailable)
-        return;
-    const mono_time until = clock.mono() + config::avoidTime;
-    ledger.slotOf(now, choice.runner)
-            ->avoidUntilNs.store(until.time_since_epoch().count(), std::memory_order_relaxed);
-}
-
-bool request_path::mayTryAgain(const error &failure, const admitted &pass, std::uint32_t tries)
-{
-    const bool isRepeatable = pass.ruling.repeat == policy::repeat_rule::Allowed;
-    if (!policy::mayRetry(failure, isRepeatable, tries, timeLeft(pass)))
-        return false;
-    if (!retries.tryTake())
-        return false;
-    retried.add();
-    return true;
-}
-
 result<runner::stream_end> request_path::runCompletion(const caller::completion_ask &ask,
                                                        const admitted &pass,
                                                        const text_receiver &onText)
 {
-    policy::route_request wanted;
-    wanted.model = ask.model;
-    wanted.promptTokens = policy::estimateTokens(ask.prompt);
-    wanted.outputTokens = ask.maxTokens;
-    wanted.prefixHash = policy::prefixHashOf(ask.model, ask.prompt);
-    wanted.rank = pass.ruling.rank;
-    wanted.zone = needs.zone;
-
-    runner::generate_request work;
-    work.request = ask.head.request;
-    work.workspace = ask.head.workspace;
-    work.model = ask.model;
-    work.prompt = ask.prompt;
-    work.maxTokens = ask.maxTokens;
-    work.rank = pass.ruling.rank;
-
-    std::vector<runner_handle> avoid;
-    std::shared_ptr<const policy::inventory> avoidFleet;
-    bool mayHaveBegun = false;
-    retries.onRequest();
-    for (std::uint32_t tries = 0;; ++tries) {
-        const policy::view_ptr now = views.current();
-        if (now->fleet != avoidFleet) {
-            avoid.clear();
-            avoidFleet = now->fleet;
-        }
-        wanted.timeLeft = timeLeft(pass);
-        if (wanted.timeLeft <= milliseconds(0)) {
-            error late = notRun(error_code::TimedOut, "the time limit has passed");
-            late.ran = mayHaveBegun ? verdict::MayHaveRun : verdict::NotRun;
-            return late;
-        }
-        const result<policy::route_choice> choice = choose(*now, wanted, avoid);
+    policy::route_request wanted = wantedFor(ask, pass);
+    runner::generate_request work = workFor(ask, pass);
+    try_series tries(where, pass, ask.head.request);
+    for (;;) {
+        const result<chosen_runner> choice = tries.next(wanted);
         if (!succeeded(choice)) {
-            if (!mayHaveBegun)
+            if (errorOf(choice).code == error_code::TimedOut || !tries.mayHaveBegun())
                 return errorOf(choice);
             // A stream that has begun is owed its rest: look again while its time limit lasts.
-            avoid.clear();
+            tries.forgetFailures();
             std::this_thread::sleep_for(config::resumePause);
             continue;
         }
-        const policy::runner_spec &spec = now->fleet->runners[valueOf(choice).runner.index];
-        if (tries == 0)
-            demand.onRequest(spec.pool, wanted.promptTokens / spec.prefillTokensPerSecond,
-                             wanted.outputTokens / spec.decodeTokensPerSecond);
+        const chosen_runner &to = valueOf(choice);
+        if (tries.isFirst())
+            demand.onRequest(to.spec().pool, wanted.promptTokens / to.spec().prefillTokensPerSecond,
+                             wanted.outputTokens / to.spec().decodeTokensPerSecond);
         work.attempt = randomHex128();
         work.timeLeft = wanted.timeLeft;
-        events.emit("dispatched",
-                    {{"request", ask.head.request.text},
-                     {"runner", spec.id.text},
-                     {"resume", std::to_string(work.emitted.size())}});
-        const result<runner::stream_end> outcome = [&] {
-            const open_work entry(ledger.slotOf(*now, valueOf(choice).runner), wanted.promptTokens);
-            return engines.generate(spec.address, work, [&](const runner::stream_token &token) {
-                work.emitted.push_back(token.text);
-                return onText(token.text);
-            });
-        }();
+        const result<runner::stream_end> outcome = tryOnce(to, work, onText);
         if (succeeded(outcome))
             return outcome;
         error failure = errorOf(outcome);
-        noteFailure(*now, valueOf(choice), ask.head, failure);
-        mayHaveBegun = mayHaveBegun || failure.ran == verdict::MayHaveRun || !work.emitted.empty();
-        if (mayHaveBegun)
+        if (!work.emitted.empty())
             failure.ran = verdict::MayHaveRun;
-        if (!mayTryAgain(failure, pass, tries + 1))
-            return failure;
+        const std::optional<error> ending = tries.onFailure(to, failure);
+        if (ending)
+            return *ending;
         if (!work.emitted.empty())
             resumed.add();
-        avoid.push_back(valueOf(choice).runner);
     }
 }
 
+policy::route_request request_path::wantedFor(const caller::completion_ask &ask,
+                                              const admitted &pass) const
+{
+    policy::route_request wanted;
+    wanted.model = ask.model;
+    wanted.promptTokens = policy::estimateTokens(ask.prompt);
+    wanted.outputTokens = ask.maxTokens;
+    wanted.prefixHash = policy::prefixHashOf(ask.model, ask.prompt);
+    wanted.rank = pass.ruling.rank;
+    wanted.zone = needs.zone;
+    return wanted;
+}
+
+result<runner::stream_end> request_path::tryOnce(const chosen_runner &to,
+                                                 runner::generate_request &work,
+                                                 const text_receiver &onText)
+{
+    events.emit("dispatched",
+                {{"request", work.request.text},
+                 {"runner", to.spec().id.text},
+                 {"resume", std::to_string(work.emitted.size())}});
+    const open_work entry(where.slotOf(to), policy::estimateTokens(work.prompt));
+    std::vector<std::string> received;
+    const auto outcome =
+            engines.generate(to.spec().address, work, [&](const runner::stream_token &token) {
+                received.push_back(token.text);
+                return onText(token.text);
+            });
+    std::move(received.begin(), received.end(), std::back_inserter(work.emitted));
+    return outcome;
+}
+
 void request_path::complete(const caller::completion_ask &ask, caller::completion_sink &sink)
 {
     const open_stream counted(streams);
@@ -272,66 +257,33 @@
     wanted.service = ask.service;
     wanted.rank = pass.ruling.rank;
     wanted.zone = needs.zone;
-    std::vector<runner_handle> avoid;
-    std::shared_ptr<const policy::inventory> avoidFleet;
-    bool mayHaveBegun = false;
-    retries.onRequest();
-    for (std::uint32_t tries = 0;; ++tries) {
-        const policy::view_ptr now = views.current();
-        if (now->fleet != avoidFleet) {
-            avoid.clear();
-            avoidFleet = now->fleet;
-        }
-        wanted.timeLeft = timeLeft(pass);
-        if (wanted.timeLeft <= milliseconds(0)) {
-            error late = notRun(error_code::TimedOut, "the time limit has passed");
-            late.ran = mayHaveBegun ? verdict::MayHaveRun : verdict::NotRun;
-            return late;
-        }
-        const result<policy::route_choice> choice = choose(*now, wanted, avoid);
-        if (!succeeded(choice)) {
-            error refusal = errorOf(choice);
-            refusal.ran = mayHaveBegun ? verdict::MayHaveRun : verdict::NotRun;
-            return refusal;
-        }
-        const policy::runner_spec &spec = now->fleet->runners[valueOf(choice).runner.index];
-        events.emit("dispatched", {{"request", ask.head.request.text}, {"runner", spec.id.text}});
-        bool hasBegunReply = false;
-        bool isCallerGone = false;
+    try_series tries(where, pass, ask.head.request);
+    for (;;) {
+        const result<chosen_runner> choice = tries.next(wanted);
+        if (!succeeded(choice))
+            return errorOf(choice);
+        const chosen_runner &to = valueOf(choice);
+        events.emit("dispatched",
+                    {{"request", ask.head.request.text}, {"runner", to.spec().id.text}});
+        reply_relay relay(sink, kept);
         const result<http_reply> outcome = [&] {
-            const open_work entry(ledger.slotOf(*now, valueOf(choice).runner), 0);
+            const open_work entry(where.slotOf(to), 0);
             return services.call(
-                    spec.address, ask.request, wanted.timeLeft,
-                    [&](const http_reply &head) {
-                        hasBegunReply = true;
-                        if (kept)
-                            *kept = head;
-                        isCallerGone = !sink.begin(head.status, head.headers, head.contentType);
-                        return !isCallerGone || kept;
-                    },
-                    [&](std::string_view piece) {
-                        if (kept && kept->body.size() <= config::maxKeptAnswerBytes)
-                            kept->body.append(piece);
-                        isCallerGone = isCallerGone || !sink.write(piece);
-                        return !isCallerGone || kept;
-                    });
+                    to.spec().address, ask.request, wanted.timeLeft,
+                    [&](const http_reply &head) { return relay.onHead(head); },
+                    [&](std::string_view piece) { return relay.onPiece(piece); });
         }();
         if (succeeded(outcome)) {
             sink.end();
             return std::nullopt;
         }
-        error failure = errorOf(outcome);
-        noteFailure(*now, valueOf(choice), ask.head, failure);
-        mayHaveBegun = mayHaveBegun || failure.ran == verdict::MayHaveRun;
-        if (mayHaveBegun)
-            failure.ran = verdict::MayHaveRun;
+        const std::optional<error> ending = tries.onFailure(to, errorOf(outcome));
+        if (ending)
+            return *ending;
         // A reply that broke after its head can't be begun again. The sink goes without end(), so
         // that the caller sees a broken reply and not a short one.
-        if (hasBegunReply)
-            return failure;
-        if (!mayTryAgain(failure, pass, tries + 1))
-            return failure;
-        avoid.push_back(valueOf(choice).runner);
+        if (relay.hasBegun())
+            return mayHaveRun(error_code::Broken, "the runner's reply broke");
     }
 }
 
--- a/src/node/request_path.h
+++ b/src/node/request_path.h
@@ -2,13 +2,13 @@
 
 #include "node/demand.h"
 #include "node/duplicate_guard.h"
+#include "node/try_series.h"
 #include "node/work_ledger.h"
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/caller/caller_server.h"
 #include "poplarspool/node/view_hub.h"
-#include "poplarspool/policy/retry.h"
 #include "poplarspool/policy/routing.h"
 #include "poplarspool/runner/engine.h"
 #include "poplarspool/runner/service.h"
@@ -23,15 +23,6 @@
 /// again, resume.
 namespace poplarspool::node {
 
-/// A request that was let in, with what the rules say of it.
-struct admitted
-{
-    policy::view_ptr seen; ///< The view that let it in.
-    policy::request_facts facts;
-    policy::request_ruling ruling;
-    mono_time deadline{};
-};
-
 struct request_needs
 {
     instance_id self;
@@ -65,14 +56,11 @@
                       caller::completion_sink &sink);
     std::optional<error> runService(const caller::service_ask &ask, const admitted &pass,
                                     http_sink &sink, http_reply *kept);
+    policy::route_request wantedFor(const caller::completion_ask &ask, const admitted &pass) const;
+    result<runner::stream_end> tryOnce(const chosen_runner &to, runner::generate_request &work,
+                                       const text_receiver &onText);
     std::optional<error> callServiceOnce(const caller::service_ask &ask, const admitted &pass,
                                          http_sink &sink);
-    result<policy::route_choice> choose(const policy::view &now, policy::route_request wanted,
-                                        const std::vector<runner_handle> &avoid);
-    void noteFailure(const policy::view &now, const policy::route_choice &choice,
-                     const caller::request_head &head, const error &failure);
-    bool mayTryAgain(const error &failure, const admitted &pass, std::uint32_t tries);
-    milliseconds timeLeft(const admitted &pass) const;
 
     request_needs needs;
     view_hub &views;
@@ -84,8 +72,7 @@
     runner::service_api services;
     clock_source clock;
     journal &events;
-    policy::retry_budget retries;
-    counter &retried;
+    dispatcher where;
     counter &resumed;
     std::atomic<std::uint32_t> streams{0};
     std::atomic<std::uint64_t> spread{0}; ///< Breaks ties between equal runners.
--- /dev/null
+++ b/src/node/try_series.cpp
@@ -0,0 +1,104 @@
+#include "node/try_series.h"
+
+namespace poplarspool::node {
+
+dispatcher::dispatcher(view_hub &views, work_ledger &ledger, clock_source clock,
+                       metrics_registry &metrics, journal &events)
+    : retries(config::retryShare, config::retryBurst),
+      retried(metrics.counterOf("poplarspool_retries_total")), views(views), ledger(ledger),
+      clock(std::move(clock)), events(events)
+{ }
+
+result<chosen_runner> dispatcher::choose(policy::route_request wanted,
+                                         const std::vector<runner_handle> &avoid)
+{
+    thread_local std::vector<policy::sent_work> sent;
+    const policy::view_ptr seen = views.current();
+    if (!seen->fleet)
+        return notRun(error_code::Unavailable, "no configuration yet");
+    ledger.snapshot(*seen, sent);
+    wanted.avoid = avoid;
+    const mono_time time = clock.mono();
+    const auto slots = ledger.slotsOf(*seen);
+    for (std::uint32_t i = 0; i < slots->size(); ++i) {
+        const std::int64_t until = (*slots)[i]->avoidUntilNs.load(std::memory_order_relaxed);
+        if (until > time.time_since_epoch().count())
+            wanted.avoid.push_back({i});
+    }
+    const auto choice = policy::route(*seen, wanted, sent, time, nextSpread());
+    if (!succeeded(choice))
+        return errorOf(choice);
+    return chosen_runner{seen, valueOf(choice).runner};
+}
+
+slot_ptr dispatcher::slotOf(const chosen_runner &choice)
+{
+    return ledger.slotOf(*choice.seen, choice.runner);
+}
+
+void dispatcher::noteFailure(const chosen_runner &choice, const request_id &request,
+                             const error &failure)
+{
+    events.emit("try_failed",
+                {{"request", request.text},
+                 {"runner", choice.spec().id.text},
+                 {"code", std::string(nameOf(failure.code))},
+                 {"verdict", std::string(nameOf(failure.ran))},
+                 {"reason", failure.message}});
+    if (failure.code != error_code::Unavailable)
+        return;
+    const mono_time until = clock.mono() + config::avoidTime;
+    slotOf(choice)->avoidUntilNs.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+try_series::try_series(dispatcher &where, const admitted &pass, request_id request)
+    : where(where), pass(pass), request(std::move(request))
+{
+    where.retries.onRequest();
+}
+
+milliseconds try_series::timeLeft() const
+{
+    return std::chrono::duration_cast<milliseconds>(pass.deadline - where.now());
+}
+
+/// Once a runner may have begun the request, no later "not run" of another one is true of the
+/// whole.
+error try_series::verdictOf(error failure) const
+{
+    if (hasBegun)
+        failure.ran = verdict::MayHaveRun;
+    return failure;
+}
+
+result<chosen_runner> try_series::next(policy::route_request &wanted)
+{
+    const auto fleet = where.current()->fleet;
+    if (fleet != avoidFleet) {
+        avoid.clear();
+        avoidFleet = fleet;
+    }
+    wanted.timeLeft = timeLeft();
+    if (wanted.timeLeft <= milliseconds(0))
+        return verdictOf(notRun(error_code::TimedOut, "the time limit has passed"));
+    const auto choice = where.choose(wanted, avoid);
+    if (!succeeded(choice))
+        return verdictOf(errorOf(choice));
+    return choice;
+}
+
+std::optional<error> try_series::onFailure(const chosen_runner &choice, const error &failure)
+{
+    where.noteFailure(choice, request, failure);
+    ++made;
+    hasBegun = hasBegun || failure.ran == verdict::MayHaveRun;
+    const error whole = verdictOf(failure);
+    const bool isRepeatable = pass.ruling.repeat == policy::repeat_rule::Allowed;
+    if (!policy::mayRetry(whole, isRepeatable, made, timeLeft()) || !where.retries.tryTake())
+        return whole;
+    where.retried.add();
+    avoid.push_back(choice.runner);
+    return std::nullopt;
+}
+
+} // namespace poplarspool::node
--- a/src/operators/apply_command.cpp
+++ b/src/operators/apply_command.cpp
@@ -57,9 +57,10 @@
     return user && *user ? user : "operator";
 }
 
-std::string textOr(const cxxopts::ParseResult &words, const std::string &name, std::string fallback)
+std::string textOr(const cxxopts::ParseResult &words, const std::string &name,
+                   const std::string &fallback)
 {
-    return words.count(name) != 0 ? words[name].as<std::string>() : std::move(fallback);
+    return words.count(name) != 0 ? words[name].as<std::string>() : fallback;
 }
 
 std::vector<fault> checkLocally(const std::string &inventoryFile, const std::string &rulesFile,
@@ -133,12 +134,21 @@
     return valueOf(accepted).version;
 }
 
+/// @returns The status as the first instance that answers sees it.
+result<fleet_status> askStatus(operator_client &client)
+{
+    const result<http_reply> reply = get(client, "/status");
+    if (!succeeded(reply))
+        return errorOf(reply);
+    return parseFleetStatus(valueOf(reply).body);
+}
+
 std::string laggards(const fleet_status &fleet)
 {
     std::string names;
     for (const instance_status &one : fleet.instances) {
         if (!one.inForce && one.who.state != policy::member_state::Dead)
-            names += ' ' + one.who.id.text;
+            names.append(" ").append(one.who.id.text);
     }
     return names;
 }
@@ -146,18 +156,15 @@
 int waitUntilInForce(const apply_run &run, std::uint64_t version, std::chrono::seconds most)
 {
     const auto deadline = std::chrono::steady_clock::now() + most;
-    std::string missing = " no instance answered";
+    std::string missing;
     do {
-        const result<http_reply> reply = get(run.client, "/status");
-        if (succeeded(reply)) {
-            const auto fleet = parseFleetStatus(valueOf(reply).body);
-            if (succeeded(fleet) && isInForce(valueOf(fleet), version)) {
-                run.out << "version " << version << " in force everywhere\n";
-                return exitDone;
-            }
-            if (succeeded(fleet))
-                missing = laggards(valueOf(fleet));
+        const result<fleet_status> fleet = askStatus(run.client);
+        if (succeeded(fleet) && isInForce(valueOf(fleet), version)) {
+            run.out << "version " << version << " in force on all " << countListed(valueOf(fleet))
+                    << " instances that " << valueOf(fleet).answeredBy.text << " knows\n";
+            return exitDone;
         }
+        missing = succeeded(fleet) ? laggards(valueOf(fleet)) : ' ' + errorOf(fleet).message;
         std::this_thread::sleep_for(statusPollTime);
     } while (std::chrono::steady_clock::now() < deadline);
     run.err << run.options.program() << ": version " << version
--- a/src/operators/command_line.h
+++ b/src/operators/command_line.h
@@ -1,5 +1,10 @@
 #pragma once
 
+// Options need no regular expressions, and g++ 12 takes libstdc++'s for uninitialized memory under
+// AddressSanitizer.
+#ifndef CXXOPTS_NO_REGEX
+#define CXXOPTS_NO_REGEX
+#endif
 #include <cxxopts.hpp>
 #include <iosfwd>
 #include <optional>
--- a/src/operators/config_diff.cpp
+++ b/src/operators/config_diff.cpp
@@ -15,9 +15,18 @@
 {
     std::vector<std::string> entries;
 
-    void came(std::string_view what) { entries.push_back('+' + std::string(what)); }
-    void went(std::string_view what) { entries.push_back('-' + std::string(what)); }
-    void changed(std::string_view what) { entries.push_back('~' + std::string(what)); }
+    void came(std::string_view label, std::string_view name) { add('+', label, name); }
+    void went(std::string_view label, std::string_view name) { add('-', label, name); }
+    void changed(std::string_view label, std::string_view name) { add('~', label, name); }
+    void changedKey(std::string_view key) { entries.push_back('~' + std::string(key)); }
+
+private:
+    void add(char sign, std::string_view label, std::string_view name)
+    {
+        std::string entry(1, sign);
+        entry.append(label).append(" ").append(name);
+        entries.push_back(std::move(entry));
+    }
 };
 
 /// @param keyOf Names an item; @param changeOf says in which keys two of one name differ.
@@ -29,25 +38,28 @@
     for (const Item &item : from)
         before.emplace(keyOf(item), &item);
     for (const Item &item : to) {
-        const auto old = before.find(keyOf(item));
+        const std::string key = keyOf(item);
+        const auto old = before.find(key);
         if (old == before.end()) {
-            diff.came(label + ' ' + keyOf(item));
+            diff.came(label, key);
             continue;
         }
         if (!(*old->second == item))
-            diff.changed(label + ' ' + keyOf(item) + changeOf(*old->second, item));
+            diff.changed(label, key + changeOf(*old->second, item));
         before.erase(old);
     }
     for (const auto &[key, item] : before)
-        diff.went(label + ' ' + key);
+        diff.went(label, key);
 }
 
 std::string runnerChange(const runner_spec &from, const runner_spec &to)
 {
     std::string keys;
     const auto compare = [&keys](std::string_view key, bool isSame) {
-        if (!isSame)
-            keys += (keys.empty() ? "" : ", ") + std::string(key);
+        if (isSame)
+            return;
+        keys += keys.empty() ? "" : ", ";
+        keys += key;
     };
     compare("pool", from.pool == to.pool);
     compare("zone", from.zone == to.zone);
@@ -77,9 +89,9 @@
 void compareFleets(diff_list &diff, const policy::inventory &from, const policy::inventory &to)
 {
     if (from.deployment != to.deployment)
-        diff.changed("deployment");
+        diff.changedKey("deployment");
     if (from.zones != to.zones)
-        diff.changed("zones");
+        diff.changedKey("zones");
     compareItems(diff, "pool", from.pools, to.pools, idText, noDetail<policy::pool_spec>);
     compareItems(diff, "runner", from.runners, to.runners, idText, runnerChange);
 }
@@ -94,13 +106,13 @@
     const auto poolText = [](const policy::plan_rule &plan) { return plan.pool.text; };
     compareItems(diff, "plan", from.plans, to.plans, poolText, noDetail<policy::plan_rule>);
     if (from.addressKeepTime != to.addressKeepTime)
-        diff.changed("address_keep_seconds");
+        diff.changedKey("address_keep_seconds");
     if (from.claimKeepTime != to.claimKeepTime)
-        diff.changed("claim_keep_seconds");
+        diff.changedKey("claim_keep_seconds");
     if (from.retryShare != to.retryShare)
-        diff.changed("retry_share");
+        diff.changedKey("retry_share");
     if (from.drainTime != to.drainTime)
-        diff.changed("drain_seconds");
+        diff.changedKey("drain_seconds");
 }
 
 } // namespace
@@ -112,7 +124,7 @@
     compareBooks(diff, from.book, to.book);
     // Equal sets may stand in another order, which counts for classes and request rules.
     if (diff.entries.empty() && !(from == to))
-        diff.changed("order of classes or requests");
+        diff.changedKey("order of classes or requests");
     return diff.entries;
 }
 
@@ -122,8 +134,10 @@
         return "nothing";
     std::string text;
     const std::size_t shown = std::min(differences.size(), maxSummarized);
-    for (std::size_t index = 0; index < shown; ++index)
-        text += (index == 0 ? "" : ", ") + differences[index];
+    for (std::size_t index = 0; index < shown; ++index) {
+        text += index == 0 ? "" : ", ";
+        text += differences[index];
+    }
     if (shown < differences.size())
         text += " and " + std::to_string(differences.size() - shown) + " more";
     return text;
--- a/src/operators/fleet_status.cpp
+++ b/src/operators/fleet_status.cpp
@@ -214,6 +214,11 @@
     }
 }
 
+std::size_t countListed(const fleet_status &status)
+{
+    return shareOf(status).of;
+}
+
 bool isInForce(const fleet_status &status, std::uint64_t version)
 {
     // An instance that hasn't heard of the change yet calls the one before in force.
--- a/src/operators/inventory_file.cpp
+++ b/src/operators/inventory_file.cpp
@@ -177,7 +177,7 @@
     if (!faults.isEmpty())
         return faults.sorted();
     std::sort(read.fleet.runners.begin(), read.fleet.runners.end(),
-              [](const runner_spec &a, const runner_spec &b) { return a.id < b.id; });
+              [](const runner_spec &a, const runner_spec &b) { return a.id.text < b.id.text; });
     return read.fleet;
 }
 
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -214,8 +214,8 @@
     return jsonReply(operators::textOf(poplarspool::valueOf(done)));
 }
 
-operator_server::operator_server(endpoint bind, std::string keySha256, operator_handlers handlers,
-                                 metrics_registry &metrics)
+operator_server::operator_server(const endpoint &bind, std::string keySha256,
+                                 operator_handlers handlers, metrics_registry &metrics)
     : inner(std::make_unique<state>(bind, std::move(keySha256), std::move(handlers), metrics))
 { }
 
--- a/src/operators/wire_json.cpp
+++ b/src/operators/wire_json.cpp
@@ -1,5 +1,7 @@
 #include "operators/wire_json.h"
 
+#include "base/http_text.h"
+
 namespace poplarspool::operators {
 
 using nlohmann::json;
@@ -145,14 +147,7 @@
 
 http_reply replyOf(const error &failure)
 {
-    http_reply reply;
-    reply.status = statusOf(failure.code);
-    reply.contentType = "application/json";
-    reply.body = dumpJson({{"error",
-                            {{"code", nameOf(failure.code)},
-                             {"message", failure.message},
-                             {"verdict", nameOf(failure.ran)}}}});
-    return reply;
+    return errorReply(statusOf(failure.code), failure.code, failure.ran, failure.message);
 }
 
 error errorOfReply(const http_reply &reply)
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -138,7 +138,7 @@
 {
     {
         const std::lock_guard lock(inner->mutex);
-        inner->protocol.setListedLeaving(leaving);
+        inner->protocol.setListedLeaving(std::move(leaving));
     }
     inner->wake();
 }
@@ -168,7 +168,7 @@
 void gossip::spread(rumor news)
 {
     const std::lock_guard lock(inner->mutex);
-    inner->protocol.spread(news, inner->clock.mono());
+    inner->protocol.spread(std::move(news), inner->clock.mono());
 }
 
 std::vector<policy::member> gossip::members() const
--- a/src/peer/gossip_protocol.cpp
+++ b/src/peer/gossip_protocol.cpp
@@ -37,9 +37,10 @@
       budget(choices.bytesPerSecond, now), random(seed), pageAt(now)
 { }
 
-void gossip_protocol::setListedLeaving(const std::vector<instance_id> &ids)
+void gossip_protocol::setListedLeaving(std::vector<instance_id> ids)
 {
-    std::set<instance_id> listed(ids.begin(), ids.end());
+    std::set<instance_id> listed(std::make_move_iterator(ids.begin()),
+                                 std::make_move_iterator(ids.end()));
     if (listed == listedLeaving)
         return;
     listedLeaving = std::move(listed);
@@ -65,6 +66,7 @@
     probeIndirectly(now);
     remindSuspects(now);
     askContacts(now);
+    readOn(now);
     repair(now);
     tellNews(now);
     return std::exchange(outbox, {});
@@ -116,7 +118,7 @@
     if (isSuspect(member->record))
         ping.records.push_back(member->record);
     addNews(ping, roomIn(budget.available() / fanout), table, rumors, tellLimit(), random);
-    send(*member, std::move(ping), callId, now);
+    send(*member, ping, callId, now);
 }
 
 void gossip_protocol::probeIndirectly(mono_time now)
@@ -156,7 +158,7 @@
         const known_member &member = *table.find(id);
         gossip_message reminder;
         reminder.records.push_back(member.record);
-        send(member, std::move(reminder), 0, now);
+        send(member, reminder, 0, now);
     }
 }
 
@@ -171,7 +173,7 @@
             return;
         gossip_message news;
         addNews(news, roomIn(share), table, rumors, tellLimit(), random);
-        send(*targets[index], std::move(news), 0, now);
+        send(*targets[index], news, 0, now);
     }
 }
 
@@ -188,7 +190,7 @@
     gossip_message page = pageFrom(table, nextPage);
     nextPage = std::exchange(page.page, 0);
     page.purpose = gossip_purpose::Tell;
-    send(*targets.front(), std::move(page), 0, now);
+    send(*targets.front(), page, 0, now);
 }
 
 void gossip_protocol::askContacts(mono_time now)
@@ -211,7 +213,7 @@
     gossip_message request;
     request.purpose = gossip_purpose::Join;
     request.records.push_back(table.self().record);
-    send(missing[nextContact++ % missing.size()], 0, std::move(request), 0, now);
+    send(missing[nextContact++ % missing.size()], 0, request, 0, now);
 }
 
 bool gossip_protocol::onDatagram(const incoming &datagram, mono_time now,
@@ -230,13 +232,35 @@
     const bool isNews = join(message, datagram, now);
     meetSender(datagram, now);
     answer(message, datagram, now);
-    // A joining instance reads on while the pages tell it something; what is left comes by repair.
-    if (message.purpose == gossip_purpose::Page && message.page != 0 && isNews)
-        askSender(datagram, 0, now, message.page);
+    if (message.purpose == gossip_purpose::Page)
+        onPage(message, datagram, isNews, now);
     flush(answers);
     return true;
 }
 
+/// A joining instance reads on while the pages tell it something; what is left comes by repair.
+void gossip_protocol::onPage(const gossip_message &message, const incoming &datagram, bool isNews,
+                             mono_time now)
+{
+    wantedPage = isNews ? message.page : 0;
+    isPageAsked = wantedPage != 0;
+    if (isPageAsked)
+        askSender(datagram, 0, now, wantedPage);
+}
+
+/// Whoever was asked for the next page may be out of budget, or gone: another one has it as well.
+void gossip_protocol::readOn(mono_time now)
+{
+    if (wantedPage == 0 || std::exchange(isPageAsked, false))
+        return;
+    gossip_message request;
+    request.purpose = gossip_purpose::Join;
+    request.page = wantedPage;
+    request.records.push_back(table.self().record);
+    for (const known_member *member : pickMembers(1, {}))
+        send(*member, request, 0, now);
+}
+
 void gossip_protocol::onOldLife(const incoming &datagram, mono_time now,
                                 std::vector<outgoing> &answers)
 {
@@ -313,7 +337,7 @@
     gossip_message ack;
     ack.purpose = gossip_purpose::Ack;
     ack.subject = table.self().handle;
-    send(datagram.from, datagram.senderLife, std::move(ack), datagram.callId, now);
+    send(datagram.from, datagram.senderLife, ack, datagram.callId, now);
 }
 
 void gossip_protocol::onAck(const gossip_message &message, const incoming &datagram, mono_time now)
@@ -324,7 +348,7 @@
     gossip_message ack;
     ack.purpose = gossip_purpose::Ack;
     ack.subject = message.subject;
-    send(origin->origin, origin->originLife, std::move(ack), origin->originCall, now);
+    send(origin->origin, origin->originLife, ack, origin->originCall, now);
 }
 
 void gossip_protocol::onPingRequest(const gossip_message &message, const incoming &datagram,
@@ -339,7 +363,7 @@
     ping.purpose = gossip_purpose::Ping;
     if (isSuspect(target->record))
         ping.records.push_back(target->record);
-    send(*target, std::move(ping), callId, now);
+    send(*target, ping, callId, now);
 }
 
 void gossip_protocol::onJoin(const gossip_message &message, const incoming &datagram, mono_time now)
@@ -353,8 +377,9 @@
         page.records.push_back(wanted->record);
     else
         page = pageFrom(table, message.page);
-    page.purpose = gossip_purpose::Page;
-    send(datagram.from, datagram.senderLife, std::move(page), 0, now);
+    // Only pages of a table that is being read lead on to the next.
+    page.purpose = message.page == noPage ? gossip_purpose::Tell : gossip_purpose::Page;
+    send(datagram.from, datagram.senderLife, page, 0, now);
 }
 
 /// Whoever speaks from a life that is over or dead must hear of it: only then can it go on under a
@@ -364,7 +389,7 @@
 {
     gossip_message notice;
     notice.records.push_back(sender.record);
-    send(datagram.from, datagram.senderLife, std::move(notice), 0, now);
+    send(datagram.from, datagram.senderLife, notice, 0, now);
 }
 
 void gossip_protocol::askSender(const incoming &datagram, std::uint64_t subject, mono_time now,
@@ -377,7 +402,7 @@
     request.subject = subject;
     request.page = page;
     request.records.push_back(table.self().record);
-    send(datagram.from, datagram.senderLife, std::move(request), 0, now);
+    send(datagram.from, datagram.senderLife, request, 0, now);
 }
 
 void gossip_protocol::onStopped(mono_time now)
@@ -437,13 +462,13 @@
     return living;
 }
 
-void gossip_protocol::send(const known_member &to, gossip_message message, std::uint64_t callId,
-                           mono_time now)
+void gossip_protocol::send(const known_member &to, const gossip_message &message,
+                           std::uint64_t callId, mono_time now)
 {
-    send(to.record.peerAddress, to.record.life, std::move(message), callId, now);
+    send(to.record.peerAddress, to.record.life, message, callId, now);
 }
 
-void gossip_protocol::send(const endpoint &to, incarnation life, gossip_message message,
+void gossip_protocol::send(const endpoint &to, incarnation life, const gossip_message &message,
                            std::uint64_t callId, mono_time now)
 {
     std::string payload = encodeGossip(message, now);
--- a/src/peer/gossip_protocol.h
+++ b/src/peer/gossip_protocol.h
@@ -48,11 +48,11 @@
 
     void setPeerAddress(const endpoint &address) { table.setPeerAddress(address); }
     void setContacts(std::vector<endpoint> endpoints) { contacts = std::move(endpoints); }
-    void setListedLeaving(const std::vector<instance_id> &ids);
+    void setListedLeaving(std::vector<instance_id> ids);
     void setApplied(std::uint64_t appliedVersion, mono_time confirmedAt);
     void setOpenStreams(std::uint32_t count) { table.setOpenStreams(count); }
     void setLeaving() { table.setLeaving(); }
-    bool spread(const rumor &news, mono_time now) { return rumors.spread(news, now); }
+    bool spread(rumor news, mono_time now) { return rumors.spread(std::move(news), now); }
 
     /// One round: detects, tells news, repairs.
     std::vector<outgoing> onRound(mono_time now);
@@ -86,12 +86,15 @@
     void tellNews(mono_time now);
     void repair(mono_time now);
     void askContacts(mono_time now);
+    void readOn(mono_time now);
 
     /// @returns Whether it told of members that were not known.
     bool join(const gossip_message &message, const incoming &datagram, mono_time now);
     void answer(const gossip_message &message, const incoming &datagram, mono_time now);
     void meetSender(const incoming &datagram, mono_time now);
     void onPing(const incoming &datagram, mono_time now);
+    void onPage(const gossip_message &message, const incoming &datagram, bool isNews,
+                mono_time now);
     void onJoin(const gossip_message &message, const incoming &datagram, mono_time now);
     void onPingRequest(const gossip_message &message, const incoming &datagram, mono_time now);
     void onAck(const gossip_message &message, const incoming &datagram, mono_time now);
@@ -102,9 +105,10 @@
 
     std::vector<const known_member *> livingMembers() const;
     std::vector<const known_member *> pickMembers(std::size_t count, const instance_id &but);
-    void send(const known_member &to, gossip_message message, std::uint64_t callId, mono_time now);
-    void send(const endpoint &to, incarnation life, gossip_message message, std::uint64_t callId,
+    void send(const known_member &to, const gossip_message &message, std::uint64_t callId,
               mono_time now);
+    void send(const endpoint &to, incarnation life, const gossip_message &message,
+              std::uint64_t callId, mono_time now);
 
     const std::size_t fanout;
     gossip_table table;
@@ -119,7 +123,10 @@
     std::vector<outgoing> outbox;
     std::uint64_t round = 0;
     std::size_t nextContact = 0;
-    std::uint32_t nextPage = 0;
+    std::uint32_t nextPage = 0; ///< Of the repair.
+    std::uint32_t wantedPage =
+            0; ///< Of the table that this instance reads while it joins; 0: none.
+    bool isPageAsked = false; ///< In this round or the one before.
     mono_time beatAt{};
     mono_time pageAt{};
     bool isBeatDue = true;
--- a/src/peer/gossip_table.cpp
+++ b/src/peer/gossip_table.cpp
@@ -252,7 +252,7 @@
     if (self.state != policy::member_state::Dead) {
         const auto place = std::lower_bound(
                 result.begin(), result.end(), self,
-                [](const policy::member &a, const policy::member &b) { return a.id < b.id; });
+                [](const policy::member &a, const policy::member &b) { return a.id.text < b.id.text; });
         result.insert(place, std::move(self));
     }
     return result;
@@ -282,6 +282,17 @@
     return result;
 }
 
+bool gossip_table::hasUntold(std::uint32_t limit) const
+{
+    const auto isUntold = [&](const known_member &member) {
+        const bool isPulseUntold = member.told.pulse < limit && !member.record.isDead;
+        return member.told.record < limit || isPulseUntold;
+    };
+    return isUntold(own) || std::any_of(known.begin(), known.end(), [&](const auto &entry) {
+               return isUntold(entry.second);
+           });
+}
+
 std::vector<member_change> gossip_table::takeChanges()
 {
     return std::exchange(changes, {});
--- a/src/peer/gossip_table.h
+++ b/src/peer/gossip_table.h
@@ -93,6 +93,7 @@
     /// Members whose records, or pulses, were told less than `limit` times since they changed.
     std::vector<known_member *> untoldRecords(std::uint32_t limit);
     std::vector<known_member *> untoldPulses(std::uint32_t limit);
+    bool hasUntold(std::uint32_t limit) const;
 
     std::vector<member_change> takeChanges();
     /// @returns Whether members() differs from when this was last asked, but for loads.
--- a/src/peer/news_picker.cpp
+++ b/src/peer/news_picker.cpp
@@ -98,10 +98,9 @@
     addRumors(message, room - used, rumors, limit, random);
 }
 
-bool hasNews(gossip_table &table, rumor_table &rumors, std::uint32_t limit)
+bool hasNews(const gossip_table &table, rumor_table &rumors, std::uint32_t limit)
 {
-    return !table.untoldRecords(limit).empty() || !table.untoldPulses(limit).empty()
-            || !rumors.untold(limit).empty();
+    return table.hasUntold(limit) || !rumors.untold(limit).empty();
 }
 
 gossip_message pageFrom(const gossip_table &table, std::size_t first)
--- a/src/peer/news_picker.h
+++ b/src/peer/news_picker.h
@@ -19,7 +19,7 @@
 void addNews(gossip_message &message, std::size_t room, gossip_table &table, rumor_table &rumors,
              std::uint32_t limit, std::mt19937_64 &random);
 
-bool hasNews(gossip_table &table, rumor_table &rumors, std::uint32_t limit);
+bool hasNews(const gossip_table &table, rumor_table &rumors, std::uint32_t limit);
 
 /// @param first Place in the order of ids.
 /// @returns This instance's record and as many of the others' from `first` on as one datagram
--- a/src/peer/rumor_table.cpp
+++ b/src/peer/rumor_table.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool rumor_table::spread(const rumor &news, mono_time now)
+bool rumor_table::spread(rumor news, mono_time now)
 {
     if (!isBounded(news) || !hasRoom(news.key))
         return false;
@@ -32,7 +32,7 @@
         return false;
     const bool isRenewal = news.version == entry.rumor.news.version;
     const std::uint32_t renewal = isRenewal ? entry.rumor.renewal + 1 : 0;
-    entry = known_rumor{travelling_rumor{news, renewal, now}};
+    entry = known_rumor{travelling_rumor{std::move(news), renewal, now}};
     return true;
 }
 
--- a/src/peer/rumor_table.h
+++ b/src/peer/rumor_table.h
@@ -23,7 +23,7 @@
 
     /// Starts or renews a rumor of this instance.
     /// @returns False where a newer version is known, a bound is broken or the table is full.
-    bool spread(const rumor &news, mono_time now);
+    bool spread(rumor news, mono_time now);
     /// @returns Whether it is a version that was not known.
     bool join(const travelling_rumor &news, mono_time now);
     void expire(mono_time now);
--- a/src/platform/call_gate.cpp
+++ b/src/platform/call_gate.cpp
@@ -29,11 +29,16 @@
     tokens = std::min(bounds.burst, tokens + elapsed.count() * bounds.callsPerSecond);
 }
 
-std::optional<error> call_gate::refusal(mono_time now)
+std::optional<error> call_gate::backoffRefusal(mono_time now) const
+{
+    if (now >= closedUntil)
+        return std::nullopt;
+    return notRun(error_code::Unavailable, "store is failing: backing off",
+                  roundedUp(closedUntil - now));
+}
+
+std::optional<error> call_gate::budgetRefusal() const
 {
-    if (now < closedUntil)
-        return notRun(error_code::Unavailable, "store is failing: backing off",
-                      roundedUp(closedUntil - now));
     if (tokens >= 1.0)
         return std::nullopt;
     const std::chrono::duration<double> wait((1.0 - tokens) / bounds.callsPerSecond);
@@ -41,11 +46,20 @@
 }
 
 result<call_gate::pass> call_gate::enter()
+{
+    {
+        const std::lock_guard guard(lock);
+        if (auto refused = backoffRefusal(clock.mono()))
+            return *refused;
+    }
+    return enterAfterWait();
+}
+
+result<call_gate::pass> call_gate::enterAfterWait()
 {
     const std::lock_guard guard(lock);
-    const mono_time now = clock.mono();
-    refill(now);
-    if (auto refused = refusal(now))
+    refill(clock.mono());
+    if (auto refused = budgetRefusal())
         return *refused;
     tokens -= 1.0;
     return pass{epoch};
@@ -56,8 +70,11 @@
     const std::lock_guard guard(lock);
     const mono_time now = clock.mono();
     refill(now);
-    const auto refused = refusal(now);
-    return refused ? refused->retryAfter.value_or(milliseconds(0)) : milliseconds(0);
+    for (const auto &refused : {backoffRefusal(now), budgetRefusal()}) {
+        if (refused)
+            return refused->retryAfter.value_or(milliseconds(0));
+    }
+    return milliseconds(0);
 }
 
 bool call_gate::onAnswer()
--- a/src/platform/call_gate.h
+++ b/src/platform/call_gate.h
@@ -27,6 +27,8 @@
     /// @returns Throttled where the budget is used up, Unavailable while backing off; both NotRun
     ///          with retryAfter.
     result<pass> enter();
+    /// As enter(), for a caller that has waited for timeLeft() by itself.
+    result<pass> enterAfterWait();
     /// @returns Whether the store was backed off from until now.
     bool onAnswer();
     /// @param askedWait What the store itself asked for.
@@ -37,7 +39,8 @@
 
 private:
     void refill(mono_time now);
-    std::optional<error> refusal(mono_time now);
+    std::optional<error> backoffRefusal(mono_time now) const;
+    std::optional<error> budgetRefusal() const;
     milliseconds drawBackoff(std::optional<milliseconds> askedWait);
 
     const object_store::limits bounds;
--- a/src/platform/object_store.cpp
+++ b/src/platform/object_store.cpp
@@ -45,9 +45,9 @@
 
 struct object_store::state
 {
-    state(object_api api, limits bounds, clock_source clock, metrics_registry &metrics,
+    state(object_api api, limits bounds, clock_source clockSource, metrics_registry &metrics,
           journal &events)
-        : api(std::move(api)), clock(clock), gate(bounds, clock), events(events),
+        : api(std::move(api)), clock(std::move(clockSource)), gate(bounds, clock), events(events),
           getCalls(metrics.counterOf(R"(poplarspool_store_calls_total{kind="get"})")),
           listCalls(metrics.counterOf(R"(poplarspool_store_calls_total{kind="list"})")),
           putCalls(metrics.counterOf(R"(poplarspool_store_calls_total{kind="put"})")),
@@ -88,11 +88,11 @@
                         {{"code", std::string(nameOf(fault.code))}, {"message", fault.message}});
     }
 
-    /// One call through the gate.
+    /// One call that the gate has let through, or not.
     template <class Call>
-    auto callOnce(counter &kind, const Call &call) -> decltype(call())
+    auto callOnce(const result<call_gate::pass> &entered, counter &kind, const Call &call)
+            -> decltype(call())
     {
-        const auto entered = gate.enter();
         if (!succeeded(entered)) {
             refusedCalls.add();
             return errorOf(entered);
@@ -107,26 +107,27 @@
         return outcome;
     }
 
-    result<object> get(const std::string &key)
+    result<object> get(const result<call_gate::pass> &entered, const std::string &key)
     {
-        return callOnce(getCalls, [&] { return api.get(key); });
+        return callOnce(entered, getCalls, [&] { return api.get(key); });
     }
 
-    result<std::uint64_t> putOnce(const std::string &key, const std::string &value,
-                                  std::uint64_t ifVersion)
+    result<std::uint64_t> put(const result<call_gate::pass> &entered, const std::string &key,
+                              const std::string &value, std::uint64_t ifVersion)
     {
-        return callOnce(putCalls, [&] { return api.put(key, value, ifVersion); });
+        return callOnce(entered, putCalls, [&] { return api.put(key, value, ifVersion); });
     }
 
     /// Waits until the gate lets calls through.
+    /// @param waited Grows by the wait; `bound` holds for it also where a test's clock stands.
     /// @returns False where that is not before the deadline.
-    bool waitForGate(mono_time deadline)
+    bool waitForGate(mono_time deadline, milliseconds &waited, milliseconds bound)
     {
         const milliseconds pause = std::max(settlePause, gate.timeLeft());
-        const mono_time now = clock.mono();
-        if (now + pause >= deadline)
+        if (clock.mono() + pause >= deadline || waited + pause >= bound)
             return false;
         std::this_thread::sleep_for(pause);
+        waited += pause;
         return true;
     }
 
@@ -150,8 +151,10 @@
 {
     lostAnswers.add();
     events.emit("store_answer_lost", {{"key", key}});
-    while (waitForGate(deadline)) {
-        const auto seen = get(key);
+    const auto bound = std::chrono::ceil<milliseconds>(deadline - clock.mono());
+    milliseconds waited{0};
+    while (waitForGate(deadline, waited, bound)) {
+        const auto seen = get(gate.enterAfterWait(), key);
         if (!succeeded(seen) && errorOf(seen).code != error_code::NotFound)
             continue;
         if (succeeded(seen) && valueOf(seen).value == value)
@@ -159,7 +162,7 @@
         const std::uint64_t version = succeeded(seen) ? valueOf(seen).version : mustNotExist;
         if (version != ifVersion)
             return overtaken(key);
-        const auto again = putOnce(key, value, ifVersion);
+        const auto again = put(gate.enterAfterWait(), key, value, ifVersion);
         if (succeeded(again))
             return valueOf(again);
     }
@@ -175,18 +178,19 @@
 
 result<object> object_store::get(const std::string &key)
 {
-    return inner->get(key);
+    return inner->get(inner->gate.enter(), key);
 }
 
 result<object_list> object_store::list(const std::string &prefix)
 {
-    return inner->callOnce(inner->listCalls, [&] { return inner->api.list(prefix); });
+    return inner->callOnce(inner->gate.enter(), inner->listCalls,
+                           [&] { return inner->api.list(prefix); });
 }
 
 result<object_list> object_store::watch(const std::string &prefix, std::uint64_t after,
                                         milliseconds wait)
 {
-    return inner->callOnce(inner->watchCalls,
+    return inner->callOnce(inner->gate.enter(), inner->watchCalls,
                            [&] { return inner->api.watch(prefix, after, wait); });
 }
 
@@ -195,7 +199,7 @@
 {
     if (value.size() > config::maxObjectBytes)
         return notRun(error_code::TooLarge, "value of " + key + " is above the store's limit");
-    auto first = inner->putOnce(key, value, ifVersion);
+    auto first = inner->put(inner->gate.enter(), key, value, ifVersion);
     if (succeeded(first) || errorOf(first).ran == verdict::NotRun)
         return first;
     return inner->settleLostWrite(key, value, ifVersion, deadline);
@@ -203,7 +207,8 @@
 
 result<unit> object_store::remove(const std::string &key, std::uint64_t ifVersion)
 {
-    return inner->callOnce(inner->removeCalls, [&] { return inner->api.remove(key, ifVersion); });
+    return inner->callOnce(inner->gate.enter(), inner->removeCalls,
+                           [&] { return inner->api.remove(key, ifVersion); });
 }
 
 mono_time object_store::lastAnswer() const
--- a/src/policy/plan.cpp
+++ b/src/policy/plan.cpp
@@ -105,6 +105,19 @@
     return demand;
 }
 
+/// @returns The demand with the uncertainty of its averages: far less than that of single looks,
+///          whose ups and downs the engines' queues absorb. Planning for the latter hedges against
+///          swings that are none, at the price of role changes.
+demand_estimate withAverageSpread(demand_estimate demand)
+{
+    const double lookSeconds = std::chrono::duration<double>(config::planTime).count();
+    const double weight = 1 - std::exp(-lookSeconds / config::demandSeconds);
+    const double share = std::sqrt(weight / (2 - weight));
+    demand.prefillSpread *= share;
+    demand.decodeSpread *= share;
+    return demand;
+}
+
 /// Hands out changes within the pool's limits.
 class change_budget
 {
@@ -266,7 +279,8 @@
     if (isAnyMissing || engines.inFlight > 0 || !rule.enabled)
         return step;
     const role_split split = splitOf(engines);
-    const split_advice advice = adviseSplit(split, step.memory.demand, serving_mode::Whole);
+    const split_advice advice =
+            adviseSplit(split, withAverageSpread(step.memory.demand), serving_mode::Whole);
     step.memory.regretSeconds = gatherRegret(memory.regretSeconds, advice, split.total(), passed);
     if (advice.gain > config::minPlanGain * split.total())
         planRoles(engines, rule, advice, budget, step);
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -260,8 +260,8 @@
     return refusal ? refusalReply(*refusal) : okReply("{}");
 }
 
-engine_standin::engine_standin(engine_options options)
-    : inner(std::make_unique<state>(std::move(options)))
+engine_standin::engine_standin(const engine_options &options)
+    : inner(std::make_unique<state>(options))
 { }
 
 engine_standin::~engine_standin()
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -12,7 +12,7 @@
 class engine_standin
 {
 public:
-    explicit engine_standin(engine_options options);
+    explicit engine_standin(const engine_options &options);
     ~engine_standin();
 
     /// @returns The address it listens on.
--- a/src/standin/engine_core.h
+++ b/src/standin/engine_core.h
@@ -108,6 +108,8 @@
     std::optional<engine_refusal> refusalNow(const stream_spec &spec) const;
     std::optional<engine_refusal> takeRequestFault(engine_stream &stream);
     void startChange(const engine_setup &wanted);
+    /// @returns A number of life above the last one, of this process or an earlier one.
+    static std::uint64_t newLife(std::uint64_t last);
     engine_stream_ptr findStream(const std::string &request, const std::string &attempt) const;
     bool carries(const std::string &model) const;
     role_rates ratesNow() const;
--- a/src/standin/engine_wire.cpp
+++ b/src/standin/engine_wire.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -49,7 +49,7 @@
 public:
     /// @param bind Port 0 lets the system choose.
     /// @param weightsPerSecond Rate of the weight store.
-    explicit platform_standin(endpoint bind, double weightsPerSecond = 10.0);
+    explicit platform_standin(const endpoint &bind, double weightsPerSecond = 10.0);
     ~platform_standin();
 
     result<endpoint> start();
--- /dev/null
+++ b/tests/bench/load_call_test.cpp
@@ -0,0 +1,222 @@
+#include "bench/load_call.h"
+#include "standin/tokens.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <mutex>
+
+#include <nlohmann/json.hpp>
+
+using namespace poplarspool;
+using namespace poplarspool::bench;
+
+namespace {
+
+http_reply jsonReply(int status, const nlohmann::json &body, http_headers headers = {})
+{
+    return http_reply{status, std::move(headers), body.dump(), "application/json"};
+}
+
+http_reply failureReply(const char *verdictName)
+{
+    return jsonReply(
+            503,
+            {{"error", {{"code", "unavailable"}, {"message", "m"}, {"verdict", verdictName}}}});
+}
+
+/// An instance that answers completions as it was told to, one after the other.
+class fake_instance
+{
+public:
+    using answer = std::function<std::optional<http_reply>(const load_call &, http_sink &)>;
+
+    explicit fake_instance(load_call call)
+        : call(std::move(call)), server(
+                                         "fake", endpoint{"127.0.0.1", 0}, defaultHttpLimits(),
+                                         [this](const http_request &request, http_sink &sink) {
+                                             return serve(request, sink);
+                                         },
+                                         metrics)
+    {
+        address = valueOf(server.start());
+        addresses = {address};
+    }
+
+    ~fake_instance() { server.stop(); }
+
+    call_outcome perform(const std::deque<answer> &wanted)
+    {
+        answers = wanted;
+        http_pool pool(4, milliseconds(1000), metrics);
+        const caller_identity who{"tester", "", ""};
+        address_book book({address}, who, pool);
+        return performCall(call, who, book, pool, systemClock().mono());
+    }
+
+    endpoint address;
+    std::vector<endpoint> addresses; ///< Given to callers.
+    std::vector<std::string> keys; ///< Of all tries.
+
+private:
+    std::optional<http_reply> serve(const http_request &request, http_sink &sink)
+    {
+        if (request.path.starts_with("/v1/addresses"))
+            return addressReply();
+        answer next;
+        {
+            const std::lock_guard lock(mutex);
+            keys.emplace_back(headerOf(request.headers, "Idempotency-Key"));
+            if (answers.empty())
+                return failureReply("may_have_run");
+            next = answers.front();
+            answers.pop_front();
+        }
+        return next(call, sink);
+    }
+
+    http_reply addressReply() const
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const endpoint &one : addresses)
+            list.push_back(textOf(one));
+        return jsonReply(200, {{"addresses", list}, {"keep_seconds", 60}});
+    }
+
+    const load_call call;
+    std::mutex mutex;
+    std::deque<answer> answers;
+    metrics_registry metrics;
+    http_server server;
+};
+
+load_call streamedCall()
+{
+    load_call call;
+    call.model = "m";
+    call.prompt = "a prompt";
+    call.maxTokens = 3;
+    call.isStreamed = true;
+    call.idempotencyKey = "key-1";
+    call.timeLimit = milliseconds(30000);
+    return call;
+}
+
+std::string chunkOf(const std::string &text)
+{
+    return "data: " + nlohmann::json{{"choices", {{{"index", 0}, {"text", text}}}}}.dump() + "\n\n";
+}
+
+/// Streams so many tokens, then the last words.
+fake_instance::answer streaming(std::uint32_t tokens, const std::string &lastWords)
+{
+    return [=](const load_call &call, http_sink &sink) -> std::optional<http_reply> {
+        sink.begin(200, {}, "text/event-stream");
+        for (std::uint32_t index = 0; index < tokens; ++index)
+            sink.write(chunkOf(standin::standinToken(call.prompt, index)));
+        sink.write(lastWords);
+        sink.end();
+        return std::nullopt;
+    };
+}
+
+fake_instance::answer saying(const http_reply &reply)
+{
+    return [reply](const load_call &, http_sink &) { return reply; };
+}
+
+const std::string done = "data: [DONE]\n\n";
+
+} // namespace
+
+class load_call_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(load_call_test);
+    CPPUNIT_TEST(aWholeStreamIsWhole);
+    CPPUNIT_TEST(notRunIsTriedAgainWithTheSameKey);
+    CPPUNIT_TEST(whatMayHaveRunIsNeverTriedAgain);
+    CPPUNIT_TEST(aCutStreamIsNeverTriedAgain);
+    CPPUNIT_TEST(aDeadAddressIsPassedOver);
+    CPPUNIT_TEST(anotherCallsAnswerIsWrong);
+    CPPUNIT_TEST_SUITE_END();
+
+    void aWholeStreamIsWhole()
+    {
+        fake_instance instance(streamedCall());
+        const call_outcome outcome = instance.perform({streaming(3, done)});
+        CPPUNIT_ASSERT(outcome.end == call_end::Whole);
+        CPPUNIT_ASSERT(outcome.firstByte.count() > 0);
+    }
+
+    // The caller is told "not run" twice and the third try serves it. It must send the same key
+    // each time: with a new one, a verdict that was false would run the request twice unseen.
+    void notRunIsTriedAgainWithTheSameKey()
+    {
+        fake_instance instance(streamedCall());
+        const call_outcome outcome =
+                instance.perform({saying(failureReply("not_run")), saying(failureReply("not_run")),
+                                  streaming(3, done)});
+        CPPUNIT_ASSERT(outcome.end == call_end::Whole);
+        CPPUNIT_ASSERT_EQUAL(2U, outcome.notRunAnswers);
+        const std::vector<std::string> expected(3, "key-1");
+        CPPUNIT_ASSERT(instance.keys == expected);
+    }
+
+    void whatMayHaveRunIsNeverTriedAgain()
+    {
+        fake_instance instance(streamedCall());
+        const call_outcome outcome =
+                instance.perform({saying(failureReply("may_have_run")), streaming(3, done)});
+        CPPUNIT_ASSERT(outcome.end == call_end::MayHaveRun);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instance.keys.size());
+    }
+
+    // Two of three tokens come, and then an honest error event, or nothing more. For the caller the
+    // answer is cut either way, and the count of cut answers has to say so.
+    void aCutStreamIsNeverTriedAgain()
+    {
+        const std::string failure = "data: {\"error\":{\"code\":\"broken\",\"message\":\"m\","
+                                    "\"verdict\":\"not_run\"}}\n\n";
+        for (const std::string &lastWords : {failure, done, std::string()}) {
+            fake_instance instance(streamedCall());
+            const call_outcome outcome =
+                    instance.perform({streaming(2, lastWords), streaming(3, done)});
+            CPPUNIT_ASSERT(outcome.end == call_end::Cut);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instance.keys.size());
+        }
+    }
+
+    // An instance was killed a moment ago, and the caller still keeps its address as the best one.
+    // The connection is refused, so nothing can have run, and the next address serves at once.
+    void aDeadAddressIsPassedOver()
+    {
+        endpoint dead;
+        {
+            fake_instance gone(streamedCall());
+            dead = gone.address;
+        }
+        fake_instance instance(streamedCall());
+        instance.addresses = {dead, instance.address};
+        const call_outcome outcome = instance.perform({streaming(3, done)});
+        CPPUNIT_ASSERT(outcome.end == call_end::Whole);
+        CPPUNIT_ASSERT_EQUAL(0U, outcome.notRunAnswers);
+    }
+
+    void anotherCallsAnswerIsWrong()
+    {
+        load_call call;
+        call.service = "desk";
+        call.servicePath = "/orders";
+        call.prompt = "mine";
+        call.idempotencyKey = "mine";
+        fake_instance instance(call);
+        const auto own = instance.perform(
+                {saying(jsonReply(200, {{"key", "mine"}, {"path", "/orders/mine"}}))});
+        CPPUNIT_ASSERT(own.end == call_end::Whole);
+        const auto crossed = instance.perform(
+                {saying(jsonReply(200, {{"key", "other"}, {"path", "/orders/other"}}))});
+        CPPUNIT_ASSERT(crossed.end == call_end::Wrong);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(load_call_test);
--- a/tests/node/memory_store.h
+++ b/tests/node/memory_store.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     std::function<write_fate()> fateOf = [] { return write_fate::Answered; };
     /// No read is answered.
     bool isCutOff = false;
+    /// Instead, every read is refused with that wait.
+    std::optional<milliseconds> busyFor;
 
     platform::object_api api()
     {
@@ -77,6 +80,8 @@
         const std::lock_guard guard(lock);
         if (isCutOff)
             return mayHaveRun(error_code::TimedOut, "no answer");
+        if (busyFor)
+            return notRun(error_code::Unavailable, "busy", *busyFor);
         const auto found = objects.find(key);
         if (found == objects.end())
             return notRun(error_code::NotFound, "none");
--- a/tests/node/orders_test.cpp
+++ b/tests/node/orders_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(crashInTheMiddleGetsSameOrderAgain);
     CPPUNIT_TEST(successorFinishesOpenOrder);
     CPPUNIT_TEST(successorWaitsForEngineThatIgnoresFences);
+    CPPUNIT_TEST(unansweredSendHoldsSettlingBack);
     CPPUNIT_TEST(lostAnswerOfOpenKeepsAuthority);
     CPPUNIT_TEST(overtakenWriterSendsNothing);
     CPPUNIT_TEST(slowStoreLeavesNoWindow);
@@ -187,7 +188,8 @@
         auto instance = makeInstance("a", engine_role::Prefill);
         lookUntilSent(instance);
         engine.crash();
-        lookUntilSent(instance);
+        instance.look();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), engine.received.size());
         CPPUNIT_ASSERT(engine.received.front() == engine.received.back());
         engine.finishChange();
         instance.look();
@@ -242,6 +244,34 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), engine.received.back().fence);
     }
 
+    // The order is sent twice, because the engine crashed; the first copy is still on its way when
+    // the second is obeyed. The engine ignores fencing numbers, so the next order has to wait until
+    // that copy can't arrive any more.
+    void unansweredSendHoldsSettlingBack()
+    {
+        engine.checksFence = false;
+        auto instance = makeInstance("a", engine_role::Prefill);
+        int sends = 0;
+        mono_time lastMoment{};
+        instance.send = [&](const endpoint &, const runner::engine_order &order,
+                            mono_time end) -> result<unit> {
+            lastMoment = end + config::orderDeliveryTime;
+            if (++sends > 1)
+                return engine.order(order);
+            return mayHaveRun(error_code::TimedOut, "no answer");
+        };
+        lookUntil(instance, order_phase::Open);
+        engine.crash();
+        lookUntilSent(instance);
+        engine.finishChange();
+        CPPUNIT_ASSERT_EQUAL(2, sends);
+        while (clock.now + milliseconds(100) < lastMoment) {
+            instance.look(milliseconds(50));
+            CPPUNIT_ASSERT(phase() == order_phase::Open);
+        }
+        lookUntil(instance, order_phase::Settled);
+    }
+
     // Open is written, and the store's answer to it is lost. The writer reads it back, still has
     // its authority and sends; nothing is ordered twice.
     void lostAnswerOfOpenKeepsAuthority()
@@ -298,7 +328,8 @@
         auto instance = makeInstance("a", engine_role::Prefill);
         instance.look();
         engine.report.lastFence = 41;
-        lookUntil(instance, order_phase::Settled);
+        lookUntilSent(instance);
+        CPPUNIT_ASSERT(engine.obeyed.empty());
         CPPUNIT_ASSERT(instance.hasEvent("order_stale"));
         lookUntilSent(instance);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(42), engine.obeyed.back().fence);
--- a/tests/peer/calls_test.cpp
+++ b/tests/peer/calls_test.cpp
@@ -146,6 +146,7 @@
         const endpoint address = valueOf(server.start());
         call_client client(clientIdentity, all.metrics, all.events);
         std::vector<std::thread> threads;
+        threads.reserve(8);
         std::atomic<int> right{0};
         for (int index = 0; index < 8; ++index) {
             threads.emplace_back([&, index] {
--- a/tests/peer/gossip_table_test.cpp
+++ b/tests/peer/gossip_table_test.cpp
@@ -84,6 +84,7 @@
         std::mt19937_64 random(7);
         for (int round = 0; round < 200; ++round) {
             std::vector<member_record> news;
+            news.reserve(12);
             for (int count = 0; count < 12; ++count)
                 news.push_back(randomRecord(random));
             gossip_table first(recordOf("self", 1), times);
