--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build$(if $(SAN),-$(SAN),)
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test demo format lint clean
+.PHONY: deps build test faults demo format lint clean
 
 deps:
 	.ci/run deps
@@ -15,6 +15,10 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Real processes, killed, frozen and cut off; a line a scenario.
+faults: build
+	$(BUILD)/poplarspool-faults $(BUILD)
+
 demo: build
 	scripts/demo.sh $(BUILD)
 
--- a/include/poplarspool/base/ids.h
+++ b/include/poplarspool/base/ids.h
@@ -15,7 +15,7 @@
     std::string text;
 
     bool isValid() const { return !text.empty(); }
-    auto operator<=>(const name_of &) const = default;
+    auto operator<=>(const name_of &) const = default; // NOLINT(modernize-use-nullptr): false alarm
 };
 
 using instance_id = name_of<struct instance_tag>; ///< One machine's process of ours.
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -148,6 +148,8 @@
 inline constexpr std::chrono::milliseconds gossipPageTime = 2s;
 /// Share of the gossip budget that heartbeats may take.
 inline constexpr double heartbeatBudgetShare = 0.67;
+/// Share of a datagram's news that rumors have for sure; heartbeats leave them more where they can.
+inline constexpr double rumorShare = 0.25;
 /// Bytes of IP and UDP headers, which count against the budget as well.
 inline constexpr std::size_t datagramOverheadBytes = 28;
 /// Datagrams of one sender that may arrive out of order.
@@ -220,8 +222,8 @@
 inline constexpr double minTokenSeconds = 0.008;
 /// Candidates that can do a request among which one decision chooses.
 inline constexpr std::size_t maxScoredRunners = 32;
-/// Requests that each other instance is taken to have sent since a report, beyond what this one
-/// sent itself (docs/design/routing.md).
+/// Requests that each other instance is taken to have open, beyond as many as this one has
+/// (docs/design/routing.md).
 inline constexpr double unseenPeerRequests = 0.5;
 /// Time that a plain service takes for a call of which nothing is known.
 inline constexpr double typicalServiceSeconds = 0.05;
--- a/include/poplarspool/node/claims.h
+++ b/include/poplarspool/node/claims.h
@@ -18,7 +18,7 @@
 struct claim_peers
 {
     /// @returns Peer address of the bucket's batcher; none where that is this instance.
-    std::function<std::optional<endpoint>(std::uint32_t bucket)> batcherOf;
+    std::function<std::optional<endpoint>(std::uint32_t)> batcherOf;
     std::function<result<peer::claim_reply>(const endpoint &, const peer::claim_ask &)> ask;
     /// Asks the owner of a standing claim what became of it; Unknown where it is gone.
     std::function<peer::answer_reply(const instance_id &owner, const peer::answer_ask &)> answer;
--- a/include/poplarspool/policy/retry.h
+++ b/include/poplarspool/policy/retry.h
@@ -17,10 +17,14 @@
     /// @param share Retries per request; @param burst retries saved up at most.
     retry_budget(double share, double burst);
     void onRequest();
+    /// As onRequest(), with the share that the rules in force give.
+    void onRequest(double share);
     /// @returns Whether a retry may be made now; takes it off the budget.
     bool tryTake();
 
 private:
+    void add(std::int64_t amount);
+
     std::int64_t perRequest; ///< In thousandths of a retry.
     std::int64_t most;
     std::atomic<std::int64_t> saved;
--- a/include/poplarspool/policy/routing.h
+++ b/include/poplarspool/policy/routing.h
@@ -44,11 +44,13 @@
     bool operator==(const route_choice &) const = default;
 };
 
-/// Chooses a runner, or refuses truly "not run": NotFound where nobody carries the model or
-/// service by the inventory, Overloaded with retryAfter where it can't be done in time, Unavailable
-/// where all who could are away.
+/// Chooses a runner, or refuses truly "not run": NotFound where nobody carries the model or service
+/// by the inventory, TooLarge where its KV memory exceeds that of every engine in reach, Overloaded
+/// with retryAfter where it can't be done in time, Unavailable where all who could are away.
 /// @param sent One entry per runner of the view.
-/// @param tieBreak Any number that differs between requests; equal scores are spread by it.
+/// @param tieBreak Any number that differs between requests, and between instances: what is chosen
+///                 at random is drawn by it, so instances that count from the same start draw the
+///                 same runners.
 result<route_choice> route(const view &now, const route_request &wanted,
                            std::span<const sent_work> sent, mono_time time, std::uint64_t tieBreak);
 
--- a/include/poplarspool/policy/rules.h
+++ b/include/poplarspool/policy/rules.h
@@ -107,6 +107,8 @@
     bool operator==(const request_ruling &) const = default;
 };
 
+/// Where no request rule matches, completions may be repeated, and calls of plain services if HTTP
+/// calls their method idempotent.
 request_ruling rulingOf(const rules &book, const request_facts &facts);
 
 /// @param bearerKey As it came in; empty where there was none.
--- a/include/poplarspool/runner/engine.h
+++ b/include/poplarspool/runner/engine.h
@@ -97,7 +97,10 @@
 struct engine_api
 {
     /// Streams tokens in order, each index once. Failures: NotRun only where the engine can't have
-    /// begun; Broken where it ended without an end event; Cancelled where the receiver said so.
+    /// begun; Broken where it ended without an end event; Cancelled where the receiver said so, or
+    /// where the stream's KV was exported.
+    /// @attention After a time limit or a cancel the connection is closed, but an engine notices it
+    ///            only when it writes; where the request may still be queued, call cancel.
     std::function<result<stream_end>(const endpoint &, const generate_request &,
                                      const token_receiver &)>
             generate;
--- /dev/null
+++ b/model/views.pml
@@ -0,0 +1,245 @@
+/* Views of three instances: the store's objects spread by watch and by peers, answers come late and
+ * crossed, an instance restarts, an instance is cut off, the store goes down.
+ *
+ * The objects are the configuration's head and the reservation of one engine. Whoever waits (the
+ * planner before it sends an order, the operator who asks whether a change is in force) judges by
+ * the heartbeats that have reached it and by the list of instances.
+ * Properties: P_NEVER_BACK, P_IN_FORCE, P_NO_WORK_AFTER_ORDER. See docs/MODEL.md.
+ */
+#define N 3
+#define FRESH 2 /* ticks after which an unconfirmed view is no longer fresh */
+#define DEAD 1  /* ticks after which one that is cut off is taken for dead, and takes others so */
+
+#ifdef NO_WAIT_FOR_FRESHNESS
+#define GONE DEAD
+#else
+#define GONE FRESH
+#endif
+
+#define versionOf(i) (head[i] > reserved[i] -> head[i] : reserved[i])
+
+/* The store. */
+bool isUp = true;
+byte lastVersion = 1;
+byte storeHead = 1;
+byte storeReserved = 0;
+
+/* The instances. */
+byte head[N];
+byte reserved[N];
+byte age[N];     /* ticks since the view was confirmed */
+bool isCut[N];
+byte cutTicks[N];
+bool isListed[N];
+byte toCut = 1, toRestart = 1;
+
+/* An answer of the store, and one of a peer, on its way to each instance. */
+bool storeIs[N];
+byte storeAnswerHead[N], storeAnswerReserved[N], storeAnswerAge[N];
+bool peerIs[N];
+byte peerAnswerHead[N], peerAnswerReserved[N], peerAnswerAge[N];
+
+/* What the heartbeats that have arrived say. */
+byte acked[N];
+
+byte awaitedVersion = 0;
+bool isDone = false; /* the order was sent, or the change was said to be in force */
+
+#define isReachedBy(i, j) (!isCut[i] && !isCut[j])
+#define knowsNewer(i, j) (isReachedBy(i, j) && versionOf(j) > versionOf(i))
+#define reachedCount(i) (1 + isReachedBy(i, (i + 1) % N) + isReachedBy(i, (i + 2) % N))
+/* What one that is cut off believes, until it takes the others for dead. */
+#define believesAll(i) (isCut[i] && cutTicks[i] < DEAD)
+#define hasMajority(i) (believesAll(i) || (reachedCount(i) > N / 2 && !knowsNewer(i, (i + 1) % N) && !knowsNewer(i, (i + 2) % N)))
+
+#ifdef NO_FRESHNESS
+#define isFresh(i) (head[i] > 0)
+#else
+#define isFresh(i) (head[i] > 0 && (age[i] < FRESH || hasMajority(i)))
+#endif
+
+/* freshness.cpp, isAppliedEverywhere: the listed, and whoever is not known to be gone. */
+#define isGone(i) (!isListed[i] && isCut[i] && cutTicks[i] >= GONE)
+#define hasApplied(i) (acked[i] >= awaitedVersion)
+#ifdef NO_ACKNOWLEDGEMENT_OF_ALL
+#define isAppliedEverywhere (hasApplied(0) + hasApplied(1) + hasApplied(2) > N / 2)
+#else
+#define isAppliedEverywhere ((hasApplied(0) || isGone(0)) && (hasApplied(1) || isGone(1)) && (hasApplied(2) || isGone(2)))
+#endif
+
+inline clearStoreAnswer()
+{
+    storeIs[me] = false;
+    storeAnswerHead[me] = 0;
+    storeAnswerReserved[me] = 0;
+    storeAnswerAge[me] = 0
+}
+
+inline clearPeerAnswer()
+{
+    peerIs[me] = false;
+    peerAnswerHead[me] = 0;
+    peerAnswerReserved[me] = 0;
+    peerAnswerAge[me] = 0
+}
+
+/* watched_sync::take */
+inline take(newHead, newReserved, newAge)
+{
+#ifdef P_NEVER_BACK
+#ifdef NO_MONOTONIC_VERSIONS
+    assert(newHead >= head[me] && newReserved >= reserved[me]);
+#endif
+#endif
+#ifdef NO_MONOTONIC_VERSIONS
+    head[me] = newHead;
+    reserved[me] = newReserved;
+#else
+    oldHead = head[me];
+    oldReserved = reserved[me];
+    if
+    :: newHead > head[me] -> head[me] = newHead
+    :: else -> skip
+    fi;
+    if
+    :: newReserved > reserved[me] -> reserved[me] = newReserved
+    :: else -> skip
+    fi;
+#ifdef P_NEVER_BACK
+    assert(head[me] >= oldHead && reserved[me] >= oldReserved);
+#endif
+    oldHead = 0;
+    oldReserved = 0;
+#endif
+    if
+    :: newAge < age[me] -> age[me] = newAge
+    :: else -> skip
+    fi
+}
+
+inline askPeer(j)
+{
+    peerIs[me] = true;
+    peerAnswerHead[me] = head[j];
+    peerAnswerReserved[me] = reserved[j];
+    peerAnswerAge[me] = age[j];
+#ifndef LATE_NEWS_OF_LIFE
+    /* Assumed: the waiting one hears of a new life before that life gets a view from a peer. */
+    if
+    :: head[me] == 0 -> acked[me] = 0
+    :: else -> skip
+    fi
+#endif
+}
+
+proctype instance(byte me)
+{
+    byte oldHead = 0, oldReserved = 0;
+end:
+    do
+    :: d_step { isUp && !isCut[me] && !storeIs[me] ->
+        storeIs[me] = true;
+        storeAnswerHead[me] = storeHead;
+        storeAnswerReserved[me] = storeReserved }
+    :: d_step { storeIs[me] ->
+        take(storeAnswerHead[me], storeAnswerReserved[me], storeAnswerAge[me]);
+        clearStoreAnswer() }
+    :: d_step { isReachedBy(me, (me + 1) % N) && !peerIs[me] && head[(me + 1) % N] > 0 ->
+        askPeer((me + 1) % N) }
+    :: d_step { isReachedBy(me, (me + 2) % N) && !peerIs[me] && head[(me + 2) % N] > 0 ->
+        askPeer((me + 2) % N) }
+    :: d_step { peerIs[me] ->
+        take(peerAnswerHead[me], peerAnswerReserved[me], peerAnswerAge[me]);
+        clearPeerAnswer() }
+    /* A heartbeat arrives. */
+    :: d_step { !isCut[me] && acked[me] != versionOf(me) -> acked[me] = versionOf(me) }
+    :: d_step { toRestart > 0 ->
+        toRestart--;
+        head[me] = 0;
+        reserved[me] = 0;
+        age[me] = FRESH;
+        clearStoreAnswer();
+        clearPeerAnswer() }
+    :: d_step { toCut > 0 -> toCut--; isCut[me] = true }
+    :: d_step { isCut[me] -> isCut[me] = false; cutTicks[me] = 0; isListed[me] = true }
+    :: d_step { isCut[me] && isListed[me] -> isListed[me] = false }
+#ifdef P_NO_WORK_AFTER_ORDER
+    :: d_step { isDone && isFresh(me) && reserved[me] < awaitedVersion -> assert(false) }
+#endif
+#ifdef P_IN_FORCE
+    :: d_step { isDone && isFresh(me) && head[me] < awaitedVersion -> assert(false) }
+#endif
+    od
+}
+
+active proctype platform()
+{
+    do
+    :: d_step { isUp -> isUp = false }
+    :: d_step { !isUp -> isUp = true }
+#ifndef P_IN_FORCE
+    :: d_step { isUp && storeReserved == 0 ->
+        lastVersion++;
+        storeReserved = lastVersion;
+#ifndef P_NEVER_BACK
+        awaitedVersion = lastVersion
+#endif
+        }
+#endif
+#ifndef P_NO_WORK_AFTER_ORDER
+    :: d_step { isUp && storeHead == 1 ->
+        lastVersion++;
+        storeHead = lastVersion;
+#ifndef P_NEVER_BACK
+        awaitedVersion = lastVersion
+#endif
+        }
+#endif
+    od
+}
+
+active proctype waiting()
+{
+    d_step { awaitedVersion > 0 && isAppliedEverywhere -> isDone = true }
+}
+
+inline tickOf(i)
+{
+    if
+    :: age[i] < FRESH -> age[i]++
+    :: else -> skip
+    fi;
+    if
+    :: isCut[i] && cutTicks[i] < FRESH -> cutTicks[i]++
+    :: else -> skip
+    fi;
+    if
+    :: storeIs[i] && storeAnswerAge[i] < FRESH -> storeAnswerAge[i]++
+    :: else -> skip
+    fi;
+    if
+    :: peerIs[i] && peerAnswerAge[i] < FRESH -> peerAnswerAge[i]++
+    :: else -> skip
+    fi
+}
+
+active proctype time()
+{
+    do
+    :: d_step { true ->
+        tickOf(0);
+        tickOf(1);
+        tickOf(2) }
+    od
+}
+
+init {
+    atomic {
+        head[0] = 1; head[1] = 1; head[2] = 1;
+        acked[0] = 1; acked[1] = 1; acked[2] = 1;
+        isListed[0] = true; isListed[1] = true; isListed[2] = true;
+        run instance(0);
+        run instance(1);
+        run instance(2)
+    }
+}
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -217,7 +217,9 @@
     demand.tell([this](peer::rumor news) { talk.spread(std::move(news)); });
     const policy::view_ptr now = views.current();
     if (now->book)
-        answers.forgetOlderThan(now->book->claimKeepTime);
+        // Never sooner than the longest time limit: an attempt that is forgotten while its claim
+        // stands would burn the key, though it never ran.
+        answers.forgetOlderThan(std::max(now->book->claimKeepTime, config::maxTimeLimit));
 }
 
 membership_needs instance::state::membershipNeeds()
@@ -315,7 +317,7 @@
 
 request_needs instance::state::requestNeeds()
 {
-    return {choices.instance, choices.zone, [this] { return isClosed.load(); }};
+    return {choices.instance, choices.zone, choices.maxStreams, [this] { return isClosed.load(); }};
 }
 
 std::map<peer::call_kind, peer::call_handler> instance::state::callHandlers()
@@ -446,7 +448,7 @@
         if (!succeeded(bound))
             return errorOf(bound);
     }
-    const result<unit> talking = inner->talk.start();
+    result<unit> talking = inner->talk.start();
     if (!succeeded(talking))
         return talking;
     inner->members.start();
--- a/src/node/request_once.cpp
+++ b/src/node/request_once.cpp
@@ -16,6 +16,9 @@
 /// Content type under which a completion is kept; it never leaves the system.
 constexpr std::string_view keptCompletionType = "application/x-poplarspool-completion";
 
+/// Hex digits of a body's hash: 128 bits, and half the bytes of a claim.
+constexpr std::size_t hashDigits = 32;
+
 std::string hashOfParts(std::initializer_list<std::string_view> parts)
 {
     std::string joined;
@@ -24,7 +27,7 @@
         joined += ':';
         joined += part;
     }
-    return sha256Hex(joined);
+    return sha256Hex(joined).substr(0, hashDigits);
 }
 
 http_reply keptCompletion(const std::string &text, const runner::stream_end &end)
@@ -48,15 +51,43 @@
                  body.at("output_tokens").get<std::uint32_t>()});
 }
 
-/// Tells the answer book how an attempt that failed has ended.
-void noteEnd(answer_book &answers, const std::string &key, const std::string &nonce,
-             const error &failure)
+/// Tells the answer book how a claimed attempt has ended. One that ends in no known way counts as
+/// lost: left "running", its duplicates would wait for an answer that never comes.
+class claimed_attempt
 {
-    if (failure.ran == verdict::NotRun)
-        answers.onNotDispatched(key, nonce);
-    else
-        answers.onLost(key, nonce);
-}
+public:
+    claimed_attempt(answer_book &answers, std::string key, std::string nonce)
+        : answers(answers), key(std::move(key)), nonce(std::move(nonce))
+    { }
+    ~claimed_attempt()
+    {
+        if (!hasEnded)
+            answers.onLost(key, nonce);
+    }
+    claimed_attempt(const claimed_attempt &) = delete;
+    claimed_attempt &operator=(const claimed_attempt &) = delete;
+
+    void fail(const error &failure)
+    {
+        hasEnded = true;
+        if (failure.ran == verdict::NotRun)
+            answers.onNotDispatched(key, nonce);
+        else
+            answers.onLost(key, nonce);
+    }
+
+    void succeed(const http_reply &reply)
+    {
+        hasEnded = true;
+        answers.onDone(key, nonce, reply);
+    }
+
+private:
+    answer_book &answers;
+    std::string key;
+    std::string nonce;
+    bool hasEnded = false;
+};
 
 } // namespace
 
@@ -72,7 +103,7 @@
         return sink.fail(*refusal);
     if (const auto *earlier = std::get_if<earlier_answer>(&decision))
         return replay(earlier->reply, sink);
-    const std::string &nonce = std::get<may_dispatch>(decision).nonce;
+    claimed_attempt attempt(answers, key, std::get<may_dispatch>(decision).nonce);
     std::string whole;
     const auto outcome = runCompletion(ask, pass, [&](const std::string &text) {
         whole += text;
@@ -81,11 +112,11 @@
         return true;
     });
     if (!succeeded(outcome)) {
-        noteEnd(answers, key, nonce, errorOf(outcome));
+        attempt.fail(errorOf(outcome));
         return sink.fail(errorOf(outcome));
     }
     const runner::stream_end &end = valueOf(outcome);
-    answers.onDone(key, nonce, keptCompletion(whole, end));
+    attempt.succeed(keptCompletion(whole, end));
     sink.finish({std::string(runner::nameOf(end.reason)), end.promptTokens, end.outputTokens});
 }
 
@@ -105,13 +136,13 @@
             sink.end();
         return std::nullopt;
     }
-    const std::string &nonce = std::get<may_dispatch>(decision).nonce;
+    claimed_attempt attempt(answers, key, std::get<may_dispatch>(decision).nonce);
     http_reply kept;
     const std::optional<error> failure = runService(ask, pass, sink, &kept);
     if (failure)
-        noteEnd(answers, key, nonce, *failure);
+        attempt.fail(*failure);
     else
-        answers.onDone(key, nonce, kept);
+        attempt.succeed(kept);
     return failure;
 }
 
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -92,6 +92,8 @@
     pass.seen = views.current();
     if (needs.isClosed())
         return notRun(error_code::Unavailable, "this instance is shutting down", comeBackTime);
+    if (streams.load(std::memory_order_relaxed) > needs.maxStreams)
+        return notRun(error_code::Overloaded, "too many open requests", comeBackTime);
     if (!pass.seen->fleet || !pass.seen->book)
         return notRun(error_code::Unavailable, "no configuration yet", comeBackTime);
     if (!pass.seen->isFresh)
@@ -167,13 +169,14 @@
                              wanted.outputTokens / to.spec().decodeTokensPerSecond);
         work.attempt = randomHex128();
         work.timeLeft = wanted.timeLeft;
-        const result<runner::stream_end> outcome = tryOnce(to, work, onText);
+        result<runner::stream_end> outcome = tryOnce(to, work, onText);
         if (succeeded(outcome))
             return outcome;
         error failure = errorOf(outcome);
         if (!work.emitted.empty())
             failure.ran = verdict::MayHaveRun;
-        const std::optional<error> ending = tries.onFailure(to, failure);
+        const std::optional<error> ending =
+                tries.onFailure(to, failure, work.emitted.empty() ? rest::NotBegun : rest::Owed);
         if (ending)
             return *ending;
         if (!work.emitted.empty())
@@ -204,7 +207,7 @@
                  {"resume", std::to_string(work.emitted.size())}});
     const open_work entry(where.slotOf(to), policy::estimateTokens(work.prompt));
     std::vector<std::string> received;
-    const auto outcome =
+    auto outcome =
             engines.generate(to.spec().address, work, [&](const runner::stream_token &token) {
                 received.push_back(token.text);
                 return onText(token.text);
@@ -226,8 +229,8 @@
     if (valueOf(pass).ruling.repeat == policy::repeat_rule::Never
         && !ask.head.idempotencyKey.empty())
         return completeOnce(ask, valueOf(pass), sink);
-    const auto outcome = runCompletion(ask, valueOf(pass),
-                                       [&](const std::string &text) { return sink.token(text); });
+    auto outcome = runCompletion(ask, valueOf(pass),
+                                 [&](const std::string &text) { return sink.token(text); });
     if (!succeeded(outcome))
         return sink.fail(errorOf(outcome));
     const runner::stream_end &end = valueOf(outcome);
@@ -277,7 +280,7 @@
             sink.end();
             return std::nullopt;
         }
-        const std::optional<error> ending = tries.onFailure(to, errorOf(outcome));
+        const std::optional<error> ending = tries.onFailure(to, errorOf(outcome), rest::NotBegun);
         if (ending)
             return *ending;
         // A reply that broke after its head can't be begun again. The sink goes without end(), so
--- a/src/node/request_path.h
+++ b/src/node/request_path.h
@@ -27,6 +27,7 @@
 {
     instance_id self;
     zone_id zone;
+    std::uint32_t maxStreams = 0; ///< Requests open at once; more are refused.
     /// @returns Whether this instance takes no new work any more.
     std::function<bool()> isClosed;
 };
--- a/src/node/try_series.cpp
+++ b/src/node/try_series.cpp
@@ -1,12 +1,14 @@
 #include "node/try_series.h"
 
+#include <thread>
+
 namespace poplarspool::node {
 
-dispatcher::dispatcher(view_hub &views, work_ledger &ledger, clock_source clock,
+dispatcher::dispatcher(view_hub &views, work_ledger &ledger, const clock_source &clock,
                        metrics_registry &metrics, journal &events)
     : retries(config::retryShare, config::retryBurst),
       retried(metrics.counterOf("poplarspool_retries_total")), views(views), ledger(ledger),
-      clock(std::move(clock)), events(events)
+      clock(clock), events(events)
 { }
 
 result<chosen_runner> dispatcher::choose(policy::route_request wanted,
@@ -54,7 +56,7 @@
 try_series::try_series(dispatcher &where, const admitted &pass, request_id request)
     : where(where), pass(pass), request(std::move(request))
 {
-    where.retries.onRequest();
+    where.retries.onRequest(pass.seen->book->retryShare);
 }
 
 milliseconds try_series::timeLeft() const
@@ -87,15 +89,24 @@
     return choice;
 }
 
-std::optional<error> try_series::onFailure(const chosen_runner &choice, const error &failure)
+std::optional<error> try_series::onFailure(const chosen_runner &choice, const error &failure,
+                                           rest owed)
 {
     where.noteFailure(choice, request, failure);
     ++made;
     hasBegun = hasBegun || failure.ran == verdict::MayHaveRun;
     const error whole = verdictOf(failure);
     const bool isRepeatable = pass.ruling.repeat == policy::repeat_rule::Allowed;
-    if (!policy::mayRetry(whole, isRepeatable, made, timeLeft()) || !where.retries.tryTake())
+    if (!policy::mayRetry(whole, isRepeatable, made, timeLeft()))
         return whole;
+    if (!where.retries.tryTake()) {
+        if (owed == rest::NotBegun)
+            return whole;
+        // When a third of the engines vanish, the budget is used up at once, and refusing the rest
+        // of a stream would cut an answer that its caller has half of. The pause, and the bound on
+        // tries, keep these few from becoming a storm.
+        std::this_thread::sleep_for(config::resumePause * made);
+    }
     where.retried.add();
     avoid.push_back(choice.runner);
     return std::nullopt;
--- a/src/node/try_series.h
+++ b/src/node/try_series.h
@@ -39,8 +39,8 @@
 class dispatcher
 {
 public:
-    dispatcher(view_hub &views, work_ledger &ledger, clock_source clock, metrics_registry &metrics,
-               journal &events);
+    dispatcher(view_hub &views, work_ledger &ledger, const clock_source &clock,
+               metrics_registry &metrics, journal &events);
 
     result<chosen_runner> choose(policy::route_request wanted,
                                  const std::vector<runner_handle> &avoid);
@@ -64,6 +64,9 @@
     std::atomic<std::uint64_t> spread{0};
 };
 
+/// Whether the caller has a part of its answer already and is owed the rest.
+enum class rest { NotBegun, Owed };
+
 class try_series
 {
 public:
@@ -75,7 +78,8 @@
 
     /// Takes in that a try failed.
     /// @returns How the request ends; none where another try may follow.
-    std::optional<error> onFailure(const chosen_runner &choice, const error &failure);
+    /// @attention Pauses before the rest of a stream is tried again without a retry in the budget.
+    std::optional<error> onFailure(const chosen_runner &choice, const error &failure, rest owed);
 
     bool isFirst() const { return made == 0; }
     /// @returns Whether a runner may have begun this request.
--- a/src/node/view_hub.cpp
+++ b/src/node/view_hub.cpp
@@ -23,7 +23,7 @@
 policy::view_ptr view_hub::update(const std::function<bool(policy::view &)> &change)
 {
     const std::lock_guard lock(inner->writers);
-    const policy::view_ptr before = current();
+    policy::view_ptr before = current();
     auto next = std::make_shared<policy::view>(*before);
     if (!change(*next))
         return before;
--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -110,7 +110,7 @@
 {
     if (inner->stopping.isRaised())
         return notRun(error_code::Cancelled, "peer calls are stopped");
-    if (payload.empty() || payload.size() > config::maxPeerCallBytes / 2)
+    if (payload.empty() || payload.size() > maxCallPayloadBytes)
         return notRun(error_code::TooLarge, "question beyond the limit of a peer call");
     const socket_deadline deadline = socket_clock::now() + timeLimit;
     inner->calls.add();
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -7,6 +7,7 @@
 #include "peer/numeric_address.h"
 #include "poplarspool/config.h"
 
+#include <cerrno>
 #include <exception>
 #include <netinet/in.h>
 #include <poll.h>
@@ -18,8 +19,6 @@
 namespace {
 
 constexpr int listenBacklog = 512;
-/// Bytes that a call or reply has around its payload.
-constexpr std::size_t callOverheadBytes = 64;
 
 error bindFailure(const endpoint &bind, std::string_view step)
 {
@@ -235,8 +234,7 @@
         return notRun(error_code::BadRequest, "unknown kind of call");
     try {
         result<std::string> outcome = handler->second(valueOf(request).payload);
-        if (succeeded(outcome)
-            && valueOf(outcome).size() + callOverheadBytes > config::maxPeerCallBytes)
+        if (succeeded(outcome) && valueOf(outcome).size() > maxCallPayloadBytes)
             return mayHaveRun(error_code::TooLarge, "reply beyond the limit of a peer call");
         return outcome;
     } catch (const std::exception &fault) {
--- a/src/peer/call_wire.h
+++ b/src/peer/call_wire.h
@@ -3,6 +3,7 @@
 #include "base/socket.h"
 #include "peer/frame.h"
 #include "poplarspool/base/result.h"
+#include "poplarspool/config.h"
 #include "poplarspool/peer/messages.h"
 
 #include <string>
@@ -17,6 +18,9 @@
 /// take a payload.
 namespace poplarspool::peer {
 
+/// Bytes of one question or answer; the rest of a frame's payload is for what stands around it.
+inline constexpr std::size_t maxCallPayloadBytes = config::maxPeerCallBytes - 64;
+
 struct stream_frame
 {
     frame_header header;
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <mutex>
 #include <netinet/in.h>
 #include <poll.h>
--- a/src/peer/gossip_table.cpp
+++ b/src/peer/gossip_table.cpp
@@ -252,7 +252,7 @@
     if (self.state != policy::member_state::Dead) {
         const auto place = std::lower_bound(
                 result.begin(), result.end(), self,
-                [](const policy::member &a, const policy::member &b) { return a.id.text < b.id.text; });
+                [](const policy::member &a, const policy::member &b) { return a.id < b.id; });
         result.insert(place, std::move(self));
     }
     return result;
--- a/src/peer/news_picker.cpp
+++ b/src/peer/news_picker.cpp
@@ -69,13 +69,15 @@
             [&](const known_rumor &item) { message.rumors.push_back(item.rumor); });
 }
 
-/// Rumors have half of the room for sure, and heartbeats what rumors don't need.
+/// Heartbeats carry the applied versions, for which changes of the fleet wait: under a flood of
+/// rumors they keep most of the room.
 std::size_t roomForPulses(std::size_t room, rumor_table &rumors, std::uint32_t limit)
 {
     std::size_t wanted = 0;
     for (const known_rumor *item : rumors.untold(limit))
         wanted += wireBytesOf(item->rumor);
-    return room - std::min(wanted, room / 2);
+    const auto sure = static_cast<std::size_t>(static_cast<double>(room) * config::rumorShare);
+    return room - std::min(wanted, sure);
 }
 
 } // namespace
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -37,11 +37,21 @@
 { }
 
 void retry_budget::onRequest()
+{
+    add(perRequest);
+}
+
+void retry_budget::onRequest(double share)
+{
+    add(thousandthsOf(share));
+}
+
+void retry_budget::add(std::int64_t amount)
 {
     std::int64_t now = saved.load(std::memory_order_relaxed);
-    std::int64_t next = std::min(now + perRequest, most);
+    std::int64_t next = std::min(now + amount, most);
     while (next != now && !saved.compare_exchange_weak(now, next, std::memory_order_relaxed))
-        next = std::min(now + perRequest, most);
+        next = std::min(now + amount, most);
 }
 
 bool retry_budget::tryTake()
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -43,7 +43,9 @@
     bool hasFitting = false;
     double leastEnd = std::numeric_limits<double>::infinity();
     double aheadSum = 0;
-    double sentSinceReport = 0;
+    double openSum = 0;
+    double ageSum = 0; ///< Of the reports, in seconds.
+    double endSum = 0;
 };
 
 const sent_work &sentTo(const routing_task &task, runner_handle runner)
@@ -106,6 +108,14 @@
     return scored.estimate.fits && scored.estimate.endSeconds <= task.secondsLeft;
 }
 
+double reportAge(const routing_task &task, const indexed_candidate &candidate)
+{
+    const mono_time reported = task.now.runners[candidate.runner.index].reportedAt;
+    const auto age = std::clamp<std::chrono::nanoseconds>(task.question.time - reported, {},
+                                                          config::loadStaleTime);
+    return std::chrono::duration<double>(age).count();
+}
+
 void consider(const routing_task &task, const indexed_candidate &candidate, shortlist &found)
 {
     const scored_runner scored = scoreOf(task, candidate);
@@ -120,7 +130,9 @@
     found.scores[found.count] = scored.estimate.score;
     ++found.count;
     found.aheadSum += scored.ahead;
-    found.sentSinceReport += sentTo(task, candidate.runner).openSinceReport;
+    found.openSum += sentTo(task, candidate.runner).open;
+    found.ageSum += reportAge(task, candidate);
+    found.endSum += scored.estimate.endSeconds;
 }
 
 /// Scores candidates from a random place on, until the shortlist is full or enough were tried in
@@ -202,15 +214,17 @@
             + task.wanted.outputTokens * rates.decodeTokenSeconds;
 }
 
-/// @returns Requests that other instances are taken to have sent since the reports: each as many
-///          as this one, and a little more, since one that sends rarely has mostly seen none.
+/// @returns Requests that other instances are taken to have sent since the reports. Each has as
+///          many open as this one, and a little more, since one that sends rarely mostly has none;
+///          by Little's law they begin at a rate of the open ones by their duration.
 double unseenRequests(const routing_task &task, const shortlist &found)
 {
-    const auto peers =
+    const auto alive =
             std::count_if(task.now.members.begin(), task.now.members.end(),
                           [](const member &who) { return who.state == member_state::Alive; });
-    return std::max<double>(0, static_cast<double>(peers) - 1)
-            * (found.sentSinceReport + config::unseenPeerRequests);
+    const double peers = std::max<double>(0, static_cast<double>(alive) - 1);
+    const double open = peers * (found.openSum + config::unseenPeerRequests);
+    return open * found.ageSum / std::max(found.endSum, config::minTokenSeconds);
 }
 
 scored_runner chooseByLoad(const routing_task &task, const shortlist &found)
--- a/src/standin/engine_types.h
+++ b/src/standin/engine_types.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarspool::standin {
@@ -33,6 +34,11 @@
     bool operator==(const engine_setup &) const = default;
 };
 
+inline bool isRole(std::string_view role)
+{
+    return role == "mixed" || role == "prefill" || role == "decode";
+}
+
 struct engine_options
 {
     endpoint bind{"127.0.0.1", 0};
--- a/src/standin/engine_wire.cpp
+++ b/src/standin/engine_wire.cpp
@@ -67,11 +67,6 @@
     return list;
 }
 
-bool isRole(const std::string &role)
-{
-    return role == "mixed" || role == "prefill" || role == "decode";
-}
-
 json recordJson(const request_record &record)
 {
     return {
--- a/src/standin_app/target_options.cpp
+++ b/src/standin_app/target_options.cpp
@@ -121,6 +121,8 @@
     options.crashInChange = crashModeOf(parsed["crash-in-change"].as<std::string>());
     options.lastFence = parsed["last-fence"].as<std::uint64_t>();
     options.respectsFence = parsed.count("ignore-fence") == 0;
+    if (!isRole(options.setup.role))
+        throw cxxopts::exceptions::parsing("--role is mixed, prefill or decode");
     const bool isUsable = options.batch.kvPieces > 0 && options.batch.pieceTokens > 0
             && options.batch.maxRunning > 0 && options.batch.chunkTokens > 0
             && options.batch.prefillRate > 0 && options.batch.decodeRate > 0 && options.speed > 0
--- /dev/null
+++ b/tests/faults/leaving_scenarios.cpp
@@ -0,0 +1,132 @@
+#include "faults/load.h"
+#include "faults/scenarios.h"
+#include "faults/waiting.h"
+#include "poplarspool/config.h"
+
+#include <chrono>
+
+namespace poplarspool::faults {
+
+namespace {
+
+constexpr std::size_t idlePerTarget = 16;
+constexpr milliseconds connectTime{500};
+
+std::uint64_t startedOn(fleet &site, std::size_t engine)
+{
+    return site.engineRecords(engine).at("started").get<std::uint64_t>();
+}
+
+/// SIGTERM, as the platform does it: it marks the instance as leaving in its list.
+void shutDown(fleet &site, std::size_t index)
+{
+    site.list(index, true);
+    site.instance(index).terminate();
+    const std::optional<int> status = site.instance(index).waitForEnd();
+    expect(status == 0, "a graceful shutdown ends with status 0");
+    site.unlist(index);
+}
+
+// Callers see nothing. An engine is drained by the inventory while the list of instances is minutes
+// old: once the change is in force, the engine begins no request any more, however many come.
+tally drainedEngineListLagging(const stage &place)
+{
+    fleet site(place, {});
+    load work(site, {});
+    work.waitForWhole(20);
+    site.platformLag(120000);
+    site.applyEverywhere({.draining = {0}});
+    const std::uint64_t before = startedOn(site, 0);
+    work.waitForWhole(80);
+    expect(startedOn(site, 0) == before, "the leaving engine gets nothing new");
+    return countOf(site, work.stop(), disturbance::Planned);
+}
+
+// Callers of a frozen instance are refused when it wakes. It slept through a drain and has the old
+// view, and requests wait in its sockets: it can't confirm its view, so that it sends nothing to
+// the leaving engine before it has the new one.
+tally frozenInstanceWakesAfterDrain(const stage &place)
+{
+    fleet site(place, {});
+    load work(site, {});
+    work.waitForWhole(20);
+    site.instance(2).freeze();
+    const auto frozenAt = std::chrono::steady_clock::now();
+    site.platformLag(120000);
+    const change_answer drained = site.apply(0, {.draining = {0}});
+    expect(drained.version != 0, "the drain is accepted");
+    site.waitInForce(drained.version, {2});
+    waitUntil("its view is no longer fresh",
+              [&] { return std::chrono::steady_clock::now() - frozenAt > config::freshTime; });
+    const std::uint64_t before = startedOn(site, 0);
+    site.instance(2).wake();
+    metrics_registry metrics;
+    http_pool pool(idlePerTarget, connectTime, metrics);
+    std::vector<call_record> calls;
+    for (int turn = 0; turn < 20; ++turn)
+        calls.push_back(
+                tryCall({"", "woken " + std::to_string(turn), 5}, site.callerAddress(2), pool));
+    site.waitInForce(drained.version);
+    work.waitForWhole(40);
+    expect(startedOn(site, 0) == before, "the leaving engine gets nothing new");
+    const std::vector<call_record> others = work.stop();
+    calls.insert(calls.end(), others.begin(), others.end());
+    return countOf(site, calls, disturbance::Failures);
+}
+
+// Callers see nothing. An entry instance gets SIGTERM while streams and orders run through it: it
+// serves on while callers may hold its address, then ends with its last stream.
+tally shutdownUnderStreams(const stage &place)
+{
+    fleet site(place, {});
+    load work(site, {.tokens = 200});
+    work.waitForWhole(10);
+    shutDown(site, 1);
+    work.waitForWhole(20);
+    return countOf(site, work.stop(), disturbance::Planned);
+}
+
+// As above while the store is out: an instance that leaves must neither need the store for it, nor
+// give up the streams that it has. Orders are refused as not run meanwhile.
+tally shutdownStoreDown(const stage &place)
+{
+    fleet site(place, {});
+    load work(site, {.tokens = 200});
+    work.waitForWhole(10);
+    site.platformFault({{"mode", "outage"}});
+    shutDown(site, 1);
+    work.waitForWhole(10);
+    site.platformFault({{"mode", "none"}});
+    work.waitForWhole(10);
+    return countOf(site, work.stop(), disturbance::Planned);
+}
+
+// Callers see nothing while every instance is replaced, one by one: for each a new one starts, and
+// the old one is told to end.
+tally allInstancesReplaced(const stage &place)
+{
+    fleet site(place, {});
+    load work(site, {});
+    work.waitForWhole(10);
+    const auto version = site.status(0).at("accepted_version").get<std::uint64_t>();
+    for (std::size_t old : {0, 1, 2}) {
+        site.addInstance();
+        site.waitInForce(version);
+        shutDown(site, old);
+        work.waitForWhole(10);
+    }
+    return countOf(site, work.stop(), disturbance::Planned);
+}
+
+} // namespace
+
+std::vector<scenario> leavingScenarios()
+{
+    return {{"drained_engine_list_lagging", 7, 1, drainedEngineListLagging},
+            {"frozen_instance_wakes_after_drain", 7, 2, frozenInstanceWakesAfterDrain},
+            {"shutdown_under_streams", 8, 1, shutdownUnderStreams},
+            {"shutdown_store_down", 8, 2, shutdownStoreDown},
+            {"all_instances_replaced", 8, 1, allInstancesReplaced}};
+}
+
+} // namespace poplarspool::faults
--- a/tests/policy/routing_test.cpp
+++ b/tests/policy/routing_test.cpp
@@ -122,8 +122,11 @@
     void manyInstancesDontHerd()
     {
         view now = makeView(makeFleet(9), 30);
-        for (std::uint32_t i = 0; i < 9; ++i)
+        for (std::uint32_t i = 0; i < 9; ++i) {
             setStreams(now.runners[i], i == 4 ? 25 : 30);
+            now.runners[i].reportedAt = startTime - milliseconds(500);
+            sent[i].open = 1;
+        }
         const auto counts = countChoices(now, wantReader(), 1000);
         CPPUNIT_ASSERT_EQUAL(std::size_t{9}, counts.size());
         CPPUNIT_ASSERT(counts.at(4) > 1000 / 9);
