Hold an instance's acknowledgement back while a request is on its way to a closed runner

Cause: an instance acknowledged a view with a reserved runner while a request that it had routed on the older view could still be unsent; frozen in between, it would send after the order and the stream would be cut. Change: a try counts itself in before it checks that its runner is still open, and stays counted until the runner has answered; the acknowledgement waits for none such at closed runners. Orders go out under the guard.

--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -5,6 +5,7 @@
 #include "node/fleet_report.h"
 #include "node/load_watch.h"
 #include "node/membership.h"
+#include "node/order_sender.h"
 #include "node/request_path.h"
 #include "node/watched_sync.h"
 #include "node/work_ledger.h"
@@ -93,6 +94,7 @@
 
     void onRumor(const peer::rumor &news);
     void onRound();
+    void acknowledge();
     std::optional<endpoint> batcherOf(std::uint32_t bucket) const;
     peer::answer_reply answerOf(const instance_id &owner, const peer::answer_ask &question);
     std::vector<event> timeline(const event_filter &filter);
@@ -130,6 +132,7 @@
     operators::operator_server operatorServer;
     caller::caller_server callerServer;
 
+    std::mutex acknowledging;
     std::atomic<bool> isClosed{false};
     std::mutex guard;
     std::condition_variable wake;
@@ -145,7 +148,8 @@
       runnerPool(std::make_shared<http_pool>(config::maxIdleConnections, config::connectTime,
                                              metrics)),
       pollPool(std::make_shared<http_pool>(1, config::connectTime, metrics)),
-      engines(runner::httpEngineApi(runnerPool)), pollEngines(runner::httpEngineApi(pollPool)),
+      engines(runner::httpEngineApi(runnerPool)),
+      pollEngines(withGuardedOrders(runner::httpEngineApi(pollPool))),
       services(runner::httpServiceApi(runnerPool)), pollServices(runner::httpServiceApi(pollPool)),
       store(platform::httpObjectApi(choices.storeAddress, platformPool, choices.storeCallTime),
             {choices.storeCallsPerSecond, choices.storeCallBurst, config::storeBackoffFirst,
@@ -211,8 +215,21 @@
         demand.onRumor(news);
 }
 
+/// Tells the others how far this instance's view is complete. A planner takes that as the promise
+/// that nothing more comes from here for a runner that the view has closed; so a version is told
+/// only once no request decided on an older view is on its way to such a runner.
+void instance::state::acknowledge()
+{
+    const std::lock_guard lock(acknowledging);
+    // The pair is read together: a confirmation belongs to the version that was confirmed.
+    const auto [version, confirmedAt] = sync.progress();
+    if (!ledger.hasWorkOnItsWayToClosed(*views.current()))
+        talk.setApplied(version, confirmedAt);
+}
+
 void instance::state::onRound()
 {
+    acknowledge();
     talk.setOpenStreams(requests.openStreams());
     demand.tell([this](peer::rumor news) { talk.spread(std::move(news)); });
     const policy::view_ptr now = views.current();
@@ -248,9 +265,7 @@
                                            config::peerCallTime);
     };
     needs.isWatcher = [this] { return members.isWatcher(); };
-    needs.onApplied = [this](std::uint64_t version, mono_time confirmedAt) {
-        talk.setApplied(version, confirmedAt);
-    };
+    needs.onApplied = [this](std::uint64_t, mono_time) { acknowledge(); };
     return needs;
 }
 
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -152,6 +152,7 @@
 {
     policy::route_request wanted = wantedFor(ask, pass);
     runner::generate_request work = workFor(ask, pass);
+    countDemand(*pass.seen, wanted);
     try_series tries(where, pass, ask.head.request);
     for (;;) {
         const result<chosen_runner> choice = tries.next(wanted);
@@ -164,9 +165,6 @@
             continue;
         }
         const chosen_runner &to = valueOf(choice);
-        if (tries.isFirst())
-            demand.onRequest(to.spec().pool, wanted.promptTokens / to.spec().prefillTokensPerSecond,
-                             wanted.outputTokens / to.spec().decodeTokensPerSecond);
         work.attempt = randomHex128();
         work.timeLeft = wanted.timeLeft;
         result<runner::stream_end> outcome = tryOnce(to, work, onText);
@@ -184,6 +182,21 @@
     }
 }
 
+/// Refused work counts too: it is what the planner has too few engines for.
+void request_path::countDemand(const policy::view &now, const policy::route_request &wanted)
+{
+    for (const policy::runner_spec &spec : now.fleet->runners) {
+        const auto carries = [&](const policy::model_version &entry) {
+            return entry.model == wanted.model;
+        };
+        if (std::none_of(spec.mayCarry.begin(), spec.mayCarry.end(), carries))
+            continue;
+        demand.onRequest(spec.pool, wanted.promptTokens / spec.prefillTokensPerSecond,
+                         wanted.outputTokens / spec.decodeTokensPerSecond);
+        return;
+    }
+}
+
 policy::route_request request_path::wantedFor(const caller::completion_ask &ask,
                                               const admitted &pass) const
 {
@@ -205,10 +218,10 @@
                 {{"request", work.request.text},
                  {"runner", to.spec().id.text},
                  {"resume", std::to_string(work.emitted.size())}});
-    const open_work entry(where.slotOf(to), policy::estimateTokens(work.prompt));
     std::vector<std::string> received;
     auto outcome =
             engines.generate(to.spec().address, work, [&](const runner::stream_token &token) {
+                to.work->onAnswer();
                 received.push_back(token.text);
                 return onText(token.text);
             });
@@ -270,10 +283,12 @@
                     {{"request", ask.head.request.text}, {"runner", to.spec().id.text}});
         reply_relay relay(sink, kept);
         const result<http_reply> outcome = [&] {
-            const open_work entry(where.slotOf(to), 0);
             return services.call(
                     to.spec().address, ask.request, wanted.timeLeft,
-                    [&](const http_reply &head) { return relay.onHead(head); },
+                    [&](const http_reply &head) {
+                        to.work->onAnswer();
+                        return relay.onHead(head);
+                    },
                     [&](std::string_view piece) { return relay.onPiece(piece); });
         }();
         if (succeeded(outcome)) {
--- a/src/node/request_path.h
+++ b/src/node/request_path.h
@@ -57,6 +57,7 @@
                       caller::completion_sink &sink);
     std::optional<error> runService(const caller::service_ask &ask, const admitted &pass,
                                     http_sink &sink, http_reply *kept);
+    void countDemand(const policy::view &now, const policy::route_request &wanted);
     policy::route_request wantedFor(const caller::completion_ask &ask, const admitted &pass) const;
     result<runner::stream_end> tryOnce(const chosen_runner &to, runner::generate_request &work,
                                        const text_receiver &onText);
--- a/src/node/try_series.cpp
+++ b/src/node/try_series.cpp
@@ -1,5 +1,7 @@
 #include "node/try_series.h"
 
+#include "poplarspool/base/hash.h"
+
 #include <thread>
 
 namespace poplarspool::node {
@@ -8,34 +10,53 @@
                        metrics_registry &metrics, journal &events)
     : retries(config::retryShare, config::retryBurst),
       retried(metrics.counterOf("poplarspool_retries_total")), views(views), ledger(ledger),
-      clock(clock), events(events)
+      clock(clock), events(events),
+      // Instances that began at the same number would all break ties towards the same runners.
+      spread(hashOf(randomHex128()))
 { }
 
 result<chosen_runner> dispatcher::choose(policy::route_request wanted,
                                          const std::vector<runner_handle> &avoid)
+{
+    for (;;) {
+        const policy::view_ptr seen = views.current();
+        if (!seen->fleet)
+            return notRun(error_code::Unavailable, "no configuration yet");
+        wanted.avoid = avoid;
+        result<chosen_runner> choice = chooseFrom(seen, wanted);
+        if (!succeeded(choice) || isStillOpen(valueOf(choice)))
+            return choice;
+        // The runner was closed between the look and the choice: its planner may be about to order
+        // it, and the stream would be cut. Counted in before this check, the try either sees the
+        // closed runner here or holds this instance's acknowledgement back.
+    }
+}
+
+result<chosen_runner> dispatcher::chooseFrom(const policy::view_ptr &seen,
+                                             const policy::route_request &wanted)
 {
     thread_local std::vector<policy::sent_work> sent;
-    const policy::view_ptr seen = views.current();
-    if (!seen->fleet)
-        return notRun(error_code::Unavailable, "no configuration yet");
     ledger.snapshot(*seen, sent);
-    wanted.avoid = avoid;
+    policy::route_request allowed = wanted;
     const mono_time time = clock.mono();
     const auto slots = ledger.slotsOf(*seen);
     for (std::uint32_t i = 0; i < slots->size(); ++i) {
         const std::int64_t until = (*slots)[i]->avoidUntilNs.load(std::memory_order_relaxed);
         if (until > time.time_since_epoch().count())
-            wanted.avoid.push_back({i});
+            allowed.avoid.push_back({i});
     }
-    const auto choice = policy::route(*seen, wanted, sent, time, nextSpread());
+    const auto choice = policy::route(*seen, allowed, sent, time, nextSpread());
     if (!succeeded(choice))
         return errorOf(choice);
-    return chosen_runner{seen, valueOf(choice).runner};
+    const runner_handle runner = valueOf(choice).runner;
+    auto work = std::make_shared<open_work>((*slots)[runner.index], wanted.promptTokens);
+    return chosen_runner{seen, runner, std::move(work)};
 }
 
-slot_ptr dispatcher::slotOf(const chosen_runner &choice)
+bool dispatcher::isStillOpen(const chosen_runner &choice) const
 {
-    return ledger.slotOf(*choice.seen, choice.runner);
+    const policy::view_ptr now = views.current();
+    return now->fleet == choice.seen->fleet && policy::isOpenForWork(*now, choice.runner);
 }
 
 void dispatcher::noteFailure(const chosen_runner &choice, const request_id &request,
@@ -50,7 +71,8 @@
     if (failure.code != error_code::Unavailable)
         return;
     const mono_time until = clock.mono() + config::avoidTime;
-    slotOf(choice)->avoidUntilNs.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+    ledger.slotOf(*choice.seen, choice.runner)
+            ->avoidUntilNs.store(until.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
 try_series::try_series(dispatcher &where, const admitted &pass, request_id request)
--- a/src/node/try_series.h
+++ b/src/node/try_series.h
@@ -31,6 +31,7 @@
 {
     policy::view_ptr seen; ///< The view of the choice.
     runner_handle runner;
+    std::shared_ptr<open_work> work; ///< Counts the try while it is open.
 
     const policy::runner_spec &spec() const { return seen->fleet->runners[runner.index]; }
 };
@@ -42,6 +43,7 @@
     dispatcher(view_hub &views, work_ledger &ledger, const clock_source &clock,
                metrics_registry &metrics, journal &events);
 
+    /// Chooses a runner that is open for work at the moment of the choice, and counts the try in.
     result<chosen_runner> choose(policy::route_request wanted,
                                  const std::vector<runner_handle> &avoid);
     /// Writes the failure down; a runner that can't be reached gets nothing for a while.
@@ -51,12 +53,15 @@
     mono_time now() const { return clock.mono(); }
     /// @returns A number that differs between requests, to spread them over equals.
     std::uint64_t nextSpread() { return spread.fetch_add(1, std::memory_order_relaxed); }
-    slot_ptr slotOf(const chosen_runner &choice);
 
     policy::retry_budget retries;
     counter &retried;
 
 private:
+    result<chosen_runner> chooseFrom(const policy::view_ptr &seen,
+                                     const policy::route_request &wanted);
+    bool isStillOpen(const chosen_runner &choice) const;
+
     view_hub &views;
     work_ledger &ledger;
     clock_source clock;
--- a/src/node/watched_sync.cpp
+++ b/src/node/watched_sync.cpp
@@ -11,23 +11,22 @@
 
 namespace {
 
-policy::runner_state stateOf(const policy::view &before, const runner_id &id)
+/// Marks the runners that an order in work has taken out of service.
+void markReserved(policy::view &draft, const std::map<std::string, platform::object> &objects,
+                  const std::string &headKey)
 {
-    if (!before.fleet)
-        return {};
-    const runner_handle old = policy::findRunner(*before.fleet, id);
-    return old.isValid() ? before.runners[old.index] : policy::runner_state{};
-}
-
-/// Carries what is known of each runner over to a fleet with other indices.
-std::vector<policy::runner_state> carryOver(const policy::view &before,
-                                            const policy::inventory &fleet)
-{
-    std::vector<policy::runner_state> states;
-    states.reserve(fleet.runners.size());
-    for (const policy::runner_spec &spec : fleet.runners)
-        states.push_back(stateOf(before, spec.id));
-    return states;
+    for (policy::runner_state &runner : draft.runners)
+        runner.isReserved = false;
+    for (const auto &[key, entry] : objects) {
+        if (key == headKey)
+            continue;
+        const auto record = parseOrderRecord(entry.value);
+        if (!succeeded(record))
+            continue;
+        const runner_handle runner = policy::findRunner(*draft.fleet, valueOf(record).runner);
+        if (runner.isValid())
+            draft.runners[runner.index].isReserved = valueOf(record).phase != order_phase::Settled;
+    }
 }
 
 } // namespace
@@ -96,20 +95,10 @@
     return confirmed;
 }
 
-std::pair<std::string, std::string> watched_sync::texts() const
+std::pair<std::uint64_t, mono_time> watched_sync::progress() const
 {
     const std::lock_guard lock(guard);
-    const auto head = objects.find(operators::headKey(needs.deployment));
-    if (head == objects.end())
-        return {};
-    const auto parsed = operators::parseConfigHead(head->second.value);
-    if (!succeeded(parsed))
-        return {};
-    const auto textOf = [this](const std::string &sha256) {
-        const auto found = bodies.find(sha256);
-        return found == bodies.end() ? std::string() : found->second;
-    };
-    return {textOf(valueOf(parsed).inventorySha), textOf(valueOf(parsed).rulesSha)};
+    return {complete, confirmed};
 }
 
 void watched_sync::storeLoop()
@@ -239,66 +228,66 @@
 
 bool watched_sync::publish(const object_map &next, std::uint64_t completeTo)
 {
-    const auto head = next.find(operators::headKey(needs.deployment));
-    std::shared_ptr<const policy::inventory> fleet = views.current()->fleet;
-    std::shared_ptr<const policy::rules> book = views.current()->book;
-    std::uint64_t configVersion = views.current()->configVersion;
-    if (head != next.end() && head->second.version > configVersion) {
-        const auto parsed = operators::parseConfigHead(head->second.value);
-        if (!succeeded(parsed)) {
-            rejected.add();
-            events.emit("config_rejected", {{"reason", errorOf(parsed).message}});
-            return false;
-        }
-        const auto inventoryText = findBody(valueOf(parsed).inventorySha);
-        const auto rulesText = findBody(valueOf(parsed).rulesSha);
-        if (!succeeded(inventoryText) || !succeeded(rulesText))
+    const std::string headKey = operators::headKey(needs.deployment);
+    const auto head = next.find(headKey);
+    const policy::view_ptr before = views.current();
+    std::optional<loaded_config> loaded;
+    if (head != next.end() && head->second.version > before->configVersion) {
+        loaded = load(head->second);
+        if (!loaded)
             return false;
-        const auto newFleet = operators::parseInventory("inventory", valueOf(inventoryText));
-        const auto newBook = operators::parseRules("rules", valueOf(rulesText));
-        const auto *goodFleet = std::get_if<policy::inventory>(&newFleet);
-        const auto *goodBook = std::get_if<policy::rules>(&newBook);
-        if (!goodFleet || !goodBook) {
-            rejected.add();
-            events.emit("config_rejected", {{"reason", "texts do not pass the check"}});
-            return false;
-        }
-        fleet = std::make_shared<const policy::inventory>(*goodFleet);
-        book = std::make_shared<const policy::rules>(*goodBook);
-        configVersion = head->second.version;
-        const std::lock_guard lock(guard);
-        bodies = {{valueOf(parsed).inventorySha, valueOf(inventoryText)},
-                  {valueOf(parsed).rulesSha, valueOf(rulesText)}};
     }
-    views.update([&](policy::view &draft) {
-        if (fleet && draft.fleet != fleet)
-            draft.runners = carryOver(draft, *fleet);
-        draft.fleet = fleet;
-        draft.book = book;
-        draft.configVersion = configVersion;
-        draft.appliedVersion = completeTo;
-        for (policy::runner_state &runner : draft.runners)
-            runner.isReserved = false;
-        for (const auto &[key, entry] : next) {
-            if (key == operators::headKey(needs.deployment) || !fleet)
-                continue;
-            const auto record = parseOrderRecord(entry.value);
-            if (!succeeded(record))
-                continue;
-            const runner_handle runner = policy::findRunner(*fleet, valueOf(record).runner);
-            if (runner.isValid())
-                draft.runners[runner.index].isReserved =
-                        valueOf(record).phase != order_phase::Settled;
+    const policy::view_ptr after = views.update([&](policy::view &draft) {
+        if (loaded) {
+            policy::replaceFleet(draft, loaded->fleet);
+            draft.book = loaded->book;
+            draft.configVersion = head->second.version;
         }
+        draft.appliedVersion = completeTo;
+        if (draft.fleet)
+            markReserved(draft, next, headKey);
         return true;
     });
     applied.add();
-    events.emit(
-            "view_applied",
-            {{"version", std::to_string(completeTo)}, {"config", std::to_string(configVersion)}});
+    events.emit("view_applied",
+                {{"version", std::to_string(completeTo)},
+                 {"config", std::to_string(after->configVersion)}});
     return true;
 }
 
+/// Fetches and reads the configuration that a head names.
+std::optional<watched_sync::loaded_config> watched_sync::load(const platform::object &head)
+{
+    const auto parsed = operators::parseConfigHead(head.value);
+    if (!succeeded(parsed)) {
+        reject(errorOf(parsed).message);
+        return std::nullopt;
+    }
+    const auto inventoryText = findBody(valueOf(parsed).inventorySha);
+    const auto rulesText = findBody(valueOf(parsed).rulesSha);
+    if (!succeeded(inventoryText) || !succeeded(rulesText))
+        return std::nullopt;
+    const auto fleet = operators::parseInventory("inventory", valueOf(inventoryText));
+    const auto book = operators::parseRules("rules", valueOf(rulesText));
+    const auto *goodFleet = std::get_if<policy::inventory>(&fleet);
+    const auto *goodBook = std::get_if<policy::rules>(&book);
+    if (!goodFleet || !goodBook) {
+        reject("texts do not pass the check");
+        return std::nullopt;
+    }
+    const std::lock_guard lock(guard);
+    bodies = {{valueOf(parsed).inventorySha, valueOf(inventoryText)},
+              {valueOf(parsed).rulesSha, valueOf(rulesText)}};
+    return loaded_config{std::make_shared<const policy::inventory>(*goodFleet),
+                         std::make_shared<const policy::rules>(*goodBook)};
+}
+
+void watched_sync::reject(const std::string &reason)
+{
+    rejected.add();
+    events.emit("config_rejected", {{"reason", reason}});
+}
+
 /// Bodies are named by their content, so a copy from anywhere is as good once its hash fits.
 result<std::string> watched_sync::findBody(const std::string &sha256)
 {
--- a/src/node/watched_sync.h
+++ b/src/node/watched_sync.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -53,12 +54,21 @@
     /// @returns When the store last confirmed, to this instance or to a peer, that nothing newer
     ///          was there.
     mono_time confirmedAt() const;
-    /// @returns The present configuration texts, empty where there are none.
-    std::pair<std::string, std::string> texts() const;
+    /// @returns Both of the above as of one moment.
+    std::pair<std::uint64_t, mono_time> progress() const;
 
 private:
     using object_map = std::map<std::string, platform::object>;
 
+    /// A configuration as it was read from its bodies.
+    struct loaded_config
+    {
+        std::shared_ptr<const policy::inventory> fleet;
+        std::shared_ptr<const policy::rules> book;
+    };
+
+    std::optional<loaded_config> load(const platform::object &head);
+    void reject(const std::string &reason);
     void storeLoop();
     void peerLoop();
     bool pullFromStore();
--- a/src/node/work_ledger.cpp
+++ b/src/node/work_ledger.cpp
@@ -6,6 +6,8 @@
 
 open_work::open_work(slot_ptr slot, std::uint32_t promptTokens) : slot(std::move(slot))
 {
+    // Sequentially consistent: see work_ledger::hasWorkOnItsWayToClosed().
+    this->slot->unanswered.fetch_add(1);
     this->slot->open.fetch_add(1, std::memory_order_relaxed);
     this->slot->sent.fetch_add(1, std::memory_order_relaxed);
     this->slot->sentTokens.fetch_add(promptTokens, std::memory_order_relaxed);
@@ -13,9 +15,16 @@
 
 open_work::~open_work()
 {
+    onAnswer();
     slot->open.fetch_sub(1, std::memory_order_relaxed);
 }
 
+void open_work::onAnswer()
+{
+    if (!isAnswered.exchange(true))
+        slot->unanswered.fetch_sub(1);
+}
+
 std::shared_ptr<const work_ledger::slot_table> work_ledger::tableOf(const policy::view &now)
 {
     std::shared_ptr<const slot_table> present = table.load();
@@ -74,4 +83,20 @@
                                std::memory_order_relaxed);
 }
 
+/// A request counts itself in, and only then looks whether its runner is still open; here the view
+/// is published first, and the counts are read then. So one of the two sees the other, and no
+/// request decided on an older view reaches a runner after this instance acknowledged the newer
+/// one.
+bool work_ledger::hasWorkOnItsWayToClosed(const policy::view &now)
+{
+    if (!now.fleet)
+        return false;
+    const auto slots = slotsOf(now);
+    for (std::uint32_t i = 0; i < slots->size(); ++i) {
+        if (!policy::isOpenForWork(now, {i}) && (*slots)[i]->unanswered.load() > 0)
+            return true;
+    }
+    return false;
+}
+
 } // namespace poplarspool::node
--- a/src/node/work_ledger.h
+++ b/src/node/work_ledger.h
@@ -18,6 +18,9 @@
 struct ledger_slot
 {
     std::atomic<std::uint32_t> open{0};
+    /// Requests that were chosen for this runner and have not heard from it yet: they may still be
+    /// on their way to it.
+    std::atomic<std::uint32_t> unanswered{0};
     std::atomic<std::uint64_t> sent{0}; ///< Requests, since ever.
     std::atomic<std::uint64_t> sentTokens{0}; ///< Prompt tokens, since ever.
     std::atomic<std::uint64_t> sentAtReport{0}; ///< `sent` when the last report came.
@@ -36,8 +39,12 @@
     open_work(const open_work &) = delete;
     open_work &operator=(const open_work &) = delete;
 
+    /// The runner has answered something: nothing of this request is on its way to it any more.
+    void onAnswer();
+
 private:
     slot_ptr slot;
+    std::atomic<bool> isAnswered{false};
 };
 
 class work_ledger
@@ -54,6 +61,10 @@
 
     slot_ptr slotOf(const policy::view &now, runner_handle runner);
 
+    /// @returns Whether a request may still be on its way to a runner that the view has closed for
+    ///          new work.
+    bool hasWorkOnItsWayToClosed(const policy::view &now);
+
 private:
     struct slot_table
     {
