Answer every failure in one form, end all programs by one signal wait, and spread loads once a second

Change: base/error_reply.h and base/end_signal.h; one rumor a second per runner and per instance's demand, changes of service at once.

--- a/include/poplarspool/caller/caller_server.h
+++ b/include/poplarspool/caller/caller_server.h
@@ -93,12 +93,6 @@
     std::function<std::optional<error>(const service_ask &, http_sink &)> callService;
 };
 
-/// @returns HTTP status of a failure: 400, 401, 403, 404, 409, 413, 429, 499, 502, 503, 504, 500.
-int statusOf(const error &failure);
-
-/// @returns `{"error":{…}}` with its status, and Retry-After where another try makes sense.
-http_reply replyOf(const error &failure);
-
 /// The HTTP of callers (docs/API.md).
 class caller_server
 {
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -71,8 +71,10 @@
 inline constexpr std::chrono::milliseconds loadPollTime = 250ms;
 /// Age at which a load report no longer says anything about its runner.
 inline constexpr std::chrono::milliseconds loadStaleTime = 3s;
+/// Shortest time between two rumors of one runner's load, and of one instance's demand.
+inline constexpr std::chrono::milliseconds loadSpreadTime = 1s;
 /// Time after which a load that hasn't changed is spread anew.
-inline constexpr std::chrono::milliseconds loadRenewTime = 1500ms;
+inline constexpr std::chrono::milliseconds loadRenewTime = 2s;
 /// Polls in a row that must fail before a runner counts as down.
 inline constexpr std::uint32_t pollFailuresToDown = 2;
 /// Time for which this instance sends nothing new to a runner that refused its connection.
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -13,6 +13,7 @@
 # model, variant, property, safeguard that is removed (- for none), macros
 searches() {
     cat <<'LIST'
+views - NO_WORK_AFTER_ORDER -
 orders checks_fence ONE_STATE - -DWINDOW=1 -DLATE_FOREVER
 orders checks_fence NO_OLD - -DWINDOW=1 -DLATE_FOREVER
 orders checks_fence ONE_OPEN - -DWINDOW=1 -DLATE_FOREVER
@@ -41,10 +42,10 @@
 claims - NOT_RUN_IS_TRUE FINAL_GIVE_UP
 views - NEVER_BACK -
 views - IN_FORCE -
-views - NO_WORK_AFTER_ORDER -
 views - NEVER_BACK MONOTONIC_VERSIONS
 views - IN_FORCE ACKNOWLEDGEMENT_OF_ALL
 views - NO_WORK_AFTER_ORDER ACKNOWLEDGEMENT_OF_ALL
+views - NO_WORK_AFTER_ORDER HELD_ACKNOWLEDGEMENT
 views - NO_WORK_AFTER_ORDER FRESHNESS
 views - NO_WORK_AFTER_ORDER WAIT_FOR_FRESHNESS
 views - NO_WORK_AFTER_ORDER EARLY_NEWS_OF_LIFE
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,4 +1,5 @@
 #include "app/serve.h"
+#include "poplarspool/base/end_signal.h"
 
 #include "operators/command_line.h"
 #include "poplarspool/base/journal.h"
@@ -17,21 +18,9 @@
 /// many.
 constexpr int mallocArenas = 2;
 
-/// Blocked in every thread that starts later, so that the sigwait() in serve() is the one place
-/// where these signals arrive.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int serve(const settings &choices, std::ostream &out, std::ostream &err)
 {
-    const sigset_t stopSignals = blockStopSignals();
+    blockEndSignals();
     // A caller that goes away in the middle of a write must cost that write only, not the process.
     std::signal(SIGPIPE, SIG_IGN);
     mallopt(M_ARENA_MAX, mallocArenas);
@@ -49,8 +38,7 @@
         << " operators=" << textOf(choices.operatorAddress)
         << " peers=" << textOf(choices.peerAddress) << std::endl;
 
-    int received = 0;
-    sigwait(&stopSignals, &received);
+    waitForEndSignal();
     self.leave();
     self.wait();
     return operators::exitDone;
--- a/src/caller/errors.cpp
+++ b/src/base/error_reply.cpp
@@ -1,11 +1,11 @@
-#include "poplarspool/caller/caller_server.h"
+#include "poplarspool/base/error_reply.h"
 
 #include "base/http_text.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace poplarspool::caller {
+namespace poplarspool {
 
 int statusOf(const error &failure)
 {
@@ -54,4 +54,4 @@
     return reply;
 }
 
-} // namespace poplarspool::caller
+} // namespace poplarspool
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -1,4 +1,5 @@
 #include "poplarspool/caller/caller_server.h"
+#include "poplarspool/base/error_reply.h"
 
 #include "caller/completion_json.h"
 #include "caller/completion_stream.h"
--- a/src/caller/completion_json.cpp
+++ b/src/caller/completion_json.cpp
@@ -1,4 +1,5 @@
 #include "caller/completion_json.h"
+#include "poplarspool/base/error_reply.h"
 
 #include "caller/json_text.h"
 #include "poplarspool/config.h"
--- a/src/node/demand.cpp
+++ b/src/node/demand.cpp
@@ -1,5 +1,7 @@
 #include "node/demand.h"
 
+#include "poplarspool/config.h"
+
 #include <nlohmann/json.hpp>
 
 namespace poplarspool::node {
@@ -37,6 +39,9 @@
     std::map<pool_id, totals> mine;
     {
         const std::lock_guard lock(guard);
+        if (clock.mono() - toldAt < config::loadSpreadTime)
+            return;
+        toldAt = clock.mono();
         mine = own;
     }
     const auto version = static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
--- a/src/node/demand.h
+++ b/src/node/demand.h
@@ -25,7 +25,7 @@
     void onRequest(const pool_id &pool, double prefillSeconds, double decodeSeconds);
     /// A rumor whose key begins with demandRumorPrefix.
     void onRumor(const peer::rumor &news);
-    /// Spreads this instance's totals.
+    /// Spreads this instance's totals, at most once in config::loadSpreadTime.
     void tell(const std::function<void(peer::rumor)> &spread);
 
     /// @returns Engine seconds wanted per second since the last call for that pool.
@@ -46,6 +46,7 @@
     clock_source clock;
     std::mutex guard;
     std::map<pool_id, totals> own;
+    mono_time toldAt{};
     std::map<source, totals> heard; ///< Of all instances, this one too.
     std::map<source, totals> seen; ///< What `since` has counted already.
     std::map<pool_id, mono_time> askedAt;
--- a/src/node/load_watch.cpp
+++ b/src/node/load_watch.cpp
@@ -169,14 +169,20 @@
     tell(spec.id, load);
 }
 
-/// Spreads what has changed; what hasn't is renewed more rarely, to spare the gossip's bytes.
+/// Spreads what has changed, at most once in loadSpreadTime: gossip has room for little more, and
+/// beyond it every rumor grows old. What takes a runner out of service, or back, goes at once.
 void load_watch::tell(const runner_id &runner, const heard_load &load)
 {
     polled &memory = mine[runner];
     heard_load same = load;
     same.report.sequence = memory.told.report.sequence;
     const mono_time now = clock.mono();
-    if (same == memory.told && now - memory.toldAt < config::loadRenewTime)
+    const milliseconds age = std::chrono::duration_cast<milliseconds>(now - memory.toldAt);
+    const bool isUrgent = load.isUp != memory.told.isUp
+            || load.report.isChanging != memory.told.report.isChanging
+            || load.report.life != memory.told.report.life;
+    const milliseconds pause = same == memory.told ? config::loadRenewTime : config::loadSpreadTime;
+    if (!isUrgent && age < pause)
         return;
     if (load.isUp != memory.told.isUp)
         events.emit(load.isUp ? "runner_up" : "runner_down", {{"runner", runner.text}});
--- a/src/node/request_once.cpp
+++ b/src/node/request_once.cpp
@@ -138,7 +138,7 @@
     }
     claimed_attempt attempt(answers, key, std::get<may_dispatch>(decision).nonce);
     http_reply kept;
-    const std::optional<error> failure = runService(ask, pass, sink, &kept);
+    std::optional<error> failure = runService(ask, pass, sink, &kept);
     if (failure)
         attempt.fail(*failure);
     else
--- a/src/node/try_series.cpp
+++ b/src/node/try_series.cpp
@@ -105,7 +105,7 @@
     wanted.timeLeft = timeLeft();
     if (wanted.timeLeft <= milliseconds(0))
         return verdictOf(notRun(error_code::TimedOut, "the time limit has passed"));
-    const auto choice = where.choose(wanted, avoid);
+    auto choice = where.choose(wanted, avoid);
     if (!succeeded(choice))
         return verdictOf(errorOf(choice));
     return choice;
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -1,4 +1,5 @@
 #include "poplarspool/operators/operator_server.h"
+#include "poplarspool/base/error_reply.h"
 
 #include "operators/wire_json.h"
 #include "poplarspool/base/hash.h"
--- a/src/operators/wire_json.cpp
+++ b/src/operators/wire_json.cpp
@@ -1,7 +1,5 @@
 #include "operators/wire_json.h"
 
-#include "base/http_text.h"
-
 namespace poplarspool::operators {
 
 using nlohmann::json;
@@ -9,30 +7,6 @@
 
 namespace {
 
-int statusOf(error_code code)
-{
-    switch (code) {
-    case error_code::BadRequest:
-        return 400;
-    case error_code::Unauthorized:
-        return 401;
-    case error_code::NotFound:
-        return 404;
-    case error_code::Conflict:
-        return 409;
-    case error_code::TooLarge:
-        return 413;
-    case error_code::Throttled:
-        return 429;
-    case error_code::Broken:
-        return 502;
-    case error_code::Internal:
-        return 500;
-    default:
-        return 503;
-    }
-}
-
 /// Calls `read` with the parsed text; whatever doesn't fit becomes one failure.
 template <class T, class Read>
 result<T> parseWith(std::string_view text, error_code code, Read read)
@@ -145,11 +119,6 @@
     return parseWith<stored_config>(text, error_code::Broken, read);
 }
 
-http_reply replyOf(const error &failure)
-{
-    return errorReply(statusOf(failure.code), failure.code, failure.ran, failure.message);
-}
-
 error errorOfReply(const http_reply &reply)
 {
     const auto read = [](const json &value) {
--- a/src/operators/wire_json.h
+++ b/src/operators/wire_json.h
@@ -29,8 +29,6 @@
 std::string textOf(const stored_config &config);
 result<stored_config> parseStoredConfig(std::string_view text);
 
-/// @returns `{"error":{"code","message","verdict"}}` with the fitting status.
-http_reply replyOf(const error &failure);
 /// @returns The failure that a reply other than 200 tells of.
 error errorOfReply(const http_reply &reply);
 
--- a/tests/faults/fleet.h
+++ b/tests/faults/fleet.h
@@ -50,6 +50,7 @@
 {
     std::uint64_t version = 0; ///< 0: not accepted, or not known to be.
     std::string verdict; ///< Where not accepted.
+    std::string detail; ///< What was said then.
 };
 
 /// A small fleet of real processes. Instances, engines and services have numbers from 0.
@@ -95,11 +96,14 @@
     /// @returns Null where it does not answer.
     nlohmann::json status(std::size_t index);
     std::string stateOf(std::size_t index, std::size_t asSeenBy);
+    /// @returns Whether another instance takes that one for dead, or knows it no more.
+    bool isGone(std::size_t index, std::size_t asSeenBy);
     /// @returns Whether that instance's time line has an event of that kind.
     bool hasEvent(std::size_t index, const std::string &kind);
 
     // The stand-ins' own accounts.
     nlohmann::json engineRecords(std::size_t index);
+    std::uint64_t startedOn(std::size_t index); ///< Requests that the engine has taken.
     std::vector<nlohmann::json> allEngineRecords(); ///< Those kept at a kill too.
     std::map<std::string, std::uint64_t> serviceRuns(); ///< By idempotency key.
     /// @returns Whether the engine has done an order for that version.
