--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -113,6 +113,10 @@
 inline constexpr std::chrono::milliseconds applyTime = 8s;
 /// Age of the last confirmation after which a view is no longer fresh.
 inline constexpr std::chrono::milliseconds freshTime = 10s;
+/// What a confirmation heard from a peer may look younger than it is, and clocks differ in speed.
+inline constexpr std::chrono::milliseconds freshMargin = 2s;
+/// Time for which an instance that gossip lost is remembered.
+inline constexpr std::chrono::milliseconds departedTime = 2min;
 /// Instances per availability zone that watch the store; the others learn from them by gossip.
 inline constexpr std::size_t watchersPerZone = 3;
 /// Time between two polls of the instance list.
--- a/src/node/freshness.cpp
+++ b/src/node/freshness.cpp
@@ -59,17 +59,22 @@
                         });
 }
 
-bool isAppliedEverywhere(std::uint64_t version, const std::vector<policy::member> &members,
-                         const std::vector<platform::listed_instance> &listed)
+bool isAppliedEverywhere(const acknowledgements &known)
 {
-    for (const policy::member &other : members) {
-        if (other.state != policy::member_state::Dead && other.appliedVersion < version)
+    for (const policy::member &other : known.members) {
+        if (other.state != policy::member_state::Dead && other.appliedVersion < known.version)
             return false;
     }
-    return std::all_of(listed.begin(), listed.end(), [&](const platform::listed_instance &entry) {
-        const policy::member *known = findMember(members, entry.id);
-        return known && known->appliedVersion >= version;
-    });
+    for (const platform::listed_instance &entry : known.listed) {
+        const policy::member *other = findMember(known.members, entry.id);
+        if (!other || other->appliedVersion < known.version)
+            return false;
+    }
+    if (known.sinceAsked > config::freshTime + config::freshMargin)
+        return true;
+    return std::none_of(
+            known.departed.begin(), known.departed.end(),
+            [&](const departed_member &other) { return other.appliedVersion < known.version; });
 }
 
 } // namespace poplarspool::node
--- a/src/node/freshness.h
+++ b/src/node/freshness.h
@@ -26,9 +26,29 @@
 /// been accepted.
 bool isFresh(const freshness_facts &facts);
 
+/// An instance that gossip has lost sight of and the list doesn't have (any more).
+struct departed_member
+{
+    instance_id id;
+    std::uint64_t appliedVersion = 0; ///< As last heard.
+
+    bool operator==(const departed_member &) const = default;
+};
+
+/// What is known of who has applied a version.
+struct acknowledgements
+{
+    std::uint64_t version = 0;
+    milliseconds sinceAsked{0}; ///< Time since this instance first knew of that version.
+    std::vector<policy::member> members;
+    std::vector<platform::listed_instance> listed;
+    std::vector<departed_member> departed;
+};
+
 /// @returns Whether every instance that may still serve has applied that version: all members and
-///          all listed ones. One that was never heard of, or is silent, holds this back.
-bool isAppliedEverywhere(std::uint64_t version, const std::vector<policy::member> &members,
-                         const std::vector<platform::listed_instance> &listed);
+///          all listed ones. One that was never heard of, or is silent, holds this back. One that
+///          is in neither may be cut off and serve on until its view is no longer fresh, so it
+///          holds this back that long.
+bool isAppliedEverywhere(const acknowledgements &known);
 
 } // namespace poplarspool::node
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -42,10 +42,43 @@
     return all;
 }
 
-bool membership::appliedEverywhere(std::uint64_t version) const
+bool membership::appliedEverywhere(std::uint64_t version)
 {
+    const mono_time now = clock.mono();
+    const std::lock_guard lock(guard);
+    std::erase_if(askedSince, [&](const auto &entry) {
+        return entry.first != version && now - entry.second > config::departedTime;
+    });
+    const mono_time since = askedSince.try_emplace(version, now).first->second;
+    acknowledgements known;
+    known.version = version;
+    known.sinceAsked = std::chrono::duration_cast<milliseconds>(now - since);
+    known.members = talk.members();
+    known.listed = listed;
+    known.departed = departed(known.members);
+    return isAppliedEverywhere(known);
+}
+
+void membership::remember(const std::vector<policy::member> &present)
+{
+    const mono_time now = clock.mono();
     const std::lock_guard lock(guard);
-    return isAppliedEverywhere(version, talk.members(), listed);
+    for (const policy::member &other : present)
+        sightings[other.id] = {other.appliedVersion, now};
+    std::erase_if(sightings, [&](const auto &entry) {
+        return now - entry.second.seenAt > config::departedTime;
+    });
+}
+
+std::vector<departed_member> membership::departed(const std::vector<policy::member> &present) const
+{
+    std::vector<departed_member> gone;
+    for (const auto &[id, last] : sightings) {
+        const auto isSame = [&id = id](const policy::member &other) { return other.id == id; };
+        if (std::none_of(present.begin(), present.end(), isSame))
+            gone.push_back({id, last.appliedVersion});
+    }
+    return gone;
 }
 
 bool membership::isWatcher() const
@@ -112,6 +145,7 @@
         const std::lock_guard lock(guard);
         facts.listed = listed;
     }
+    remember(facts.members);
     const bool fresh = isFresh(facts);
     views.update([&](policy::view &draft) {
         if (draft.isFresh != fresh)
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -37,7 +38,7 @@
 
     /// @returns All members but the dead and this instance.
     std::vector<policy::member> others() const;
-    bool appliedEverywhere(std::uint64_t version) const;
+    bool appliedEverywhere(std::uint64_t version);
     /// @returns Whether this instance is one of those in its zone that watch the store.
     bool isWatcher() const;
 
@@ -45,6 +46,14 @@
     void loop();
     void fetchList();
     void publish();
+    void remember(const std::vector<policy::member> &present);
+    std::vector<departed_member> departed(const std::vector<policy::member> &present) const;
+
+    struct sighting
+    {
+        std::uint64_t appliedVersion = 0;
+        mono_time seenAt{};
+    };
 
     membership_needs needs;
     peer::gossip &talk;
@@ -56,6 +65,8 @@
     mutable std::mutex guard;
     std::condition_variable wake;
     std::vector<platform::listed_instance> listed;
+    std::map<instance_id, sighting> sightings;
+    std::map<std::uint64_t, mono_time> askedSince; ///< By version, when it was first asked for.
     mono_time listAskedAt{};
     bool hasAsked = false;
     bool isStopping = false;
--- a/src/node/order_writer.cpp
+++ b/src/node/order_writer.cpp
@@ -235,17 +235,19 @@
     const auto report = tools.load(spec.address);
     if (!succeeded(report))
         return;
-    // An engine that ignores fencing numbers would obey an order that arrives late, after the next
-    // one: until none can arrive any more, the order is neither settled nor taken over.
-    const bool isSafe = spec.checksFence || tools.clock.mono() >= unsafeUntil;
+    // An order that arrives late, after the engine is back in service, cuts what runs there: one
+    // that ignores fencing numbers obeys it even after the next order, and one that checks them may
+    // have restarted without its number. So no order is settled while a copy may still arrive, and
+    // one of an engine that ignores numbers is not taken over either.
+    const bool isQuiet = tools.clock.mono() >= unsafeUntil;
     if (hasReached(spec, valueOf(report))) {
-        if (isSafe)
+        if (isQuiet)
             settle("order_settled");
         return;
     }
     if (!isSendDue(valueOf(report)))
         return;
-    if (!hasWindow() && isSafe)
+    if (!hasWindow() && (spec.checksFence || isQuiet))
         openWindow();
     if (hasWindow())
         send(spec, valueOf(report));
@@ -282,6 +284,9 @@
 
 void order_writer::settle(std::string_view event)
 {
+    // The write may take effect after we gave up on its answer. With the window still open this
+    // order could then be sent once more, after a successor saw it settled and sent the next one.
+    window.reset();
     if (write(order_phase::Settled))
         emit(event);
 }
