Let a view say until when it is fresh, so that a frozen instance wakes to an old one

Change: the view carries the time until which new work may be accepted on it; admission and every choice of a runner compare it with the clock.

--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -113,6 +113,8 @@
 inline constexpr std::chrono::milliseconds applyTime = 8s;
 /// Age of the last confirmation after which a view is no longer fresh.
 inline constexpr std::chrono::milliseconds freshTime = 10s;
+/// Time for which one look at a majority of the instances keeps a view fresh.
+inline constexpr std::chrono::milliseconds reachTime = 1s;
 /// What a confirmation heard from a peer may look younger than it is, and clocks differ in speed.
 inline constexpr std::chrono::milliseconds freshMargin = 2s;
 /// Time for which an instance that gossip lost is remembered.
--- a/include/poplarspool/policy/view.h
+++ b/include/poplarspool/policy/view.h
@@ -77,7 +77,9 @@
     std::uint64_t version = 0; ///< Grows with each view of this process.
     std::uint64_t configVersion = 0; ///< Store version of the configuration head; 0: none yet.
     std::uint64_t appliedVersion = 0; ///< Store version up to which this view is complete.
-    bool isFresh = false; ///< May new work be accepted (docs/design/freshness.md)?
+    /// Until when new work may be accepted on this view (docs/design/freshness.md). A time and not
+    /// a flag: a process that was frozen must see that its view is old before it looks anew.
+    mono_time freshUntil{};
     std::shared_ptr<const inventory> fleet;
     std::shared_ptr<const rules> book;
     std::vector<runner_state> runners; ///< Same indices as fleet->runners.
@@ -92,6 +94,9 @@
 /// both, by their ids.
 void replaceFleet(view &now, std::shared_ptr<const inventory> fleet);
 
+/// @returns Whether new work may be accepted on this view now.
+bool isFresh(const view &now, mono_time time);
+
 /// @returns Whether the report is young enough to say anything about its runner's load.
 bool isFreshReport(const runner_state &runner, mono_time time);
 
--- a/src/node/fleet_report.cpp
+++ b/src/node/fleet_report.cpp
@@ -38,12 +38,12 @@
 } // namespace
 
 operators::fleet_status reportOf(const policy::view &now, const instance_id &self,
-                                 bool isStoreReachable)
+                                 bool isStoreReachable, mono_time time)
 {
     operators::fleet_status status;
     status.answeredBy = self;
     status.acceptedVersion = now.configVersion;
-    status.isFresh = now.isFresh;
+    status.isFresh = policy::isFresh(now, time);
     status.isStoreReachable = isStoreReachable;
     for (const policy::member &other : now.members)
         status.instances.push_back({other, other.appliedVersion >= now.configVersion});
--- a/src/node/fleet_report.h
+++ b/src/node/fleet_report.h
@@ -7,7 +7,7 @@
 namespace poplarspool::node {
 
 operators::fleet_status reportOf(const policy::view &now, const instance_id &self,
-                                 bool isStoreReachable);
+                                 bool isStoreReachable, mono_time time);
 
 /// @returns All events in one order, cause before effect.
 std::vector<event> mergeTimelines(std::vector<std::vector<event>> parts);
--- a/src/node/freshness.cpp
+++ b/src/node/freshness.cpp
@@ -44,19 +44,20 @@
 
 } // namespace
 
-bool isFresh(const freshness_facts &facts)
+mono_time freshUntil(const freshness_facts &facts)
 {
     if (facts.appliedVersion == 0)
-        return false;
-    if (facts.now - facts.confirmedAt <= config::freshTime)
-        return true;
+        return {};
+    const mono_time confirmedUntil = facts.confirmedAt + config::freshTime;
+    if (facts.now < confirmedUntil)
+        return confirmedUntil;
     const auto [voters, reached] = reachedOf(facts);
-    if (reached * 2 <= voters)
-        return false;
-    return std::none_of(facts.members.begin(), facts.members.end(),
-                        [&](const policy::member &other) {
-                            return other.appliedVersion > facts.appliedVersion;
-                        });
+    const auto isNewer = [&](const policy::member &other) {
+        return other.appliedVersion > facts.appliedVersion;
+    };
+    if (reached * 2 <= voters || std::any_of(facts.members.begin(), facts.members.end(), isNewer))
+        return confirmedUntil;
+    return facts.now + config::reachTime;
 }
 
 bool isAppliedEverywhere(const acknowledgements &known)
--- a/src/node/freshness.h
+++ b/src/node/freshness.h
@@ -24,7 +24,9 @@
 /// for all, or this instance may be cut off; only one that reaches a majority of the listed
 /// instances, none of which has more or a younger confirmation, may take it that nothing newer has
 /// been accepted.
-bool isFresh(const freshness_facts &facts);
+///
+/// @returns Until when; a time that has passed where it is not fresh.
+mono_time freshUntil(const freshness_facts &facts);
 
 /// An instance that gossip has lost sight of and the list doesn't have (any more).
 struct departed_member
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -378,7 +378,7 @@
 operators::fleet_status instance::state::status()
 {
     const bool isStoreReachable = clock.mono() - store.lastAnswer() <= config::freshTime;
-    return reportOf(*views.current(), choices.instance, isStoreReachable);
+    return reportOf(*views.current(), choices.instance, isStoreReachable, clock.mono());
 }
 
 std::vector<event> instance::state::timeline(const event_filter &filter)
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -146,12 +146,14 @@
         facts.listed = listed;
     }
     remember(facts.members);
-    const bool fresh = isFresh(facts);
+    const mono_time until = freshUntil(facts);
+    const bool isFreshNow = facts.now < until;
+    if (isFreshNow != wasFresh)
+        events.emit(isFreshNow ? "view_fresh" : "view_not_fresh");
+    wasFresh = isFreshNow;
     views.update([&](policy::view &draft) {
-        if (draft.isFresh != fresh)
-            events.emit(fresh ? "view_fresh" : "view_not_fresh");
-        const bool isSame = draft.isFresh == fresh && draft.members == facts.members;
-        draft.isFresh = fresh;
+        const bool isSame = draft.freshUntil == until && draft.members == facts.members;
+        draft.freshUntil = until;
         draft.members = std::move(facts.members);
         return !isSame;
     });
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -69,6 +69,7 @@
     std::map<std::uint64_t, mono_time> askedSince; ///< By version, when it was first asked for.
     mono_time listAskedAt{};
     bool hasAsked = false;
+    bool wasFresh = false; ///< At the last look; of the worker alone.
     bool isStopping = false;
     std::thread worker;
 };
--- a/src/node/planner_core.cpp
+++ b/src/node/planner_core.cpp
@@ -80,7 +80,7 @@
     if (!desk.isLoaded && !loadRecords(pool.id, desk))
         return;
     stepOrders(now, pool.id, desk);
-    if (now.isFresh)
+    if (policy::isFresh(now, tools.clock.mono()))
         plan(now, pool.id, desk);
 }
 
--- a/src/node/request_path.cpp
+++ b/src/node/request_path.cpp
@@ -96,7 +96,7 @@
         return notRun(error_code::Overloaded, "too many open requests", comeBackTime);
     if (!pass.seen->fleet || !pass.seen->book)
         return notRun(error_code::Unavailable, "no configuration yet", comeBackTime);
-    if (!pass.seen->isFresh)
+    if (!policy::isFresh(*pass.seen, clock.mono()))
         return notRun(error_code::Unavailable, "this instance can't confirm its configuration",
                       comeBackTime);
     const policy::rules &book = *pass.seen->book;
--- a/src/node/try_series.cpp
+++ b/src/node/try_series.cpp
@@ -22,6 +22,10 @@
         const policy::view_ptr seen = views.current();
         if (!seen->fleet)
             return notRun(error_code::Unavailable, "no configuration yet");
+        // Admission has looked already; but retries come later, and a process may have been frozen
+        // in between.
+        if (!policy::isFresh(*seen, clock.mono()))
+            return notRun(error_code::Unavailable, "this instance can't confirm its configuration");
         wanted.avoid = avoid;
         result<chosen_runner> choice = chooseFrom(seen, wanted);
         if (!succeeded(choice) || isStillOpen(valueOf(choice)))
--- a/src/policy/view.cpp
+++ b/src/policy/view.cpp
@@ -32,6 +32,11 @@
     now.fleet = std::move(fleet);
 }
 
+bool isFresh(const view &now, mono_time time)
+{
+    return time < now.freshUntil;
+}
+
 bool isFreshReport(const runner_state &runner, mono_time time)
 {
     return runner.reportedAt != mono_time{} && time - runner.reportedAt <= config::loadStaleTime;
--- a/tests/faults/order_scenarios.cpp
+++ b/tests/faults/order_scenarios.cpp
@@ -3,6 +3,7 @@
 #include "faults/waiting.h"
 
 #include <atomic>
+#include <functional>
 
 namespace poplarspool::faults {
 
@@ -12,15 +13,15 @@
 
 constexpr std::size_t noInstance = SIZE_MAX;
 
-/// Strikes the instance that is the first to open an order, after its record has taken effect and
-/// before it hears so: the order is recorded and not sent.
+/// Strikes where the first order is opened, after its record has taken effect and before its writer
+/// hears so: the order is recorded and not sent.
 class writer_trap
 {
 public:
-    using strike = void (child_process::*)();
+    using strike = std::function<void(std::size_t instance, std::size_t engine)>;
 
     writer_trap(fleet &site, std::size_t instances, strike how)
-        : site(site), instances(instances), how(how)
+        : site(site), instances(instances), how(std::move(how))
     {
         for (std::size_t index = 0; index < instances; ++index)
             site.gate(index).setHook([this](const http_request &write) { return onWrite(write); });
@@ -39,6 +40,16 @@
         return caught;
     }
 
+    /// Freezes the writer between its record and its send: as long as the engine is frozen, the
+    /// writer can't get the load report that it wants before it sends.
+    std::size_t freezeWriter()
+    {
+        const std::size_t writer = waitForCatch();
+        site.instance(writer).freeze();
+        site.engine(engine).wake();
+        return writer;
+    }
+
 private:
     bool onWrite(const http_request &write)
     {
@@ -47,7 +58,8 @@
         if (record.value("phase", "") != "open" || caught != noInstance)
             return true;
         const std::size_t writer = fleet::numberOf(record.at("writer").get<std::string>());
-        (site.instance(writer).*how)();
+        engine = fleet::numberOf(record.at("runner").get<std::string>());
+        how(writer, engine);
         caught = writer;
         return true;
     }
@@ -55,6 +67,7 @@
     fleet &site;
     const std::size_t instances;
     const strike how;
+    std::atomic<std::size_t> engine{0};
     std::atomic<std::size_t> caught{noInstance};
 };
 
@@ -77,9 +90,10 @@
     spec.checksFence = checksFence;
     fleet site(place, spec);
     load work(site, {});
-    writer_trap trap(site, spec.instances, &child_process::freeze);
+    writer_trap trap(site, spec.instances,
+                     [&](std::size_t, std::size_t engine) { site.engine(engine).freeze(); });
     expect(site.apply(0, {.version = "2"}).version != 0, "the change is accepted");
-    const std::size_t frozen = trap.waitForCatch();
+    const std::size_t frozen = trap.freezeWriter();
     const std::size_t other = otherThan(frozen);
     site.unlist(frozen);
     waitForVersion(site, spec.engines, "2");
@@ -121,9 +135,10 @@
     spec.checksFence = false;
     fleet site(place, spec);
     load work(site, {});
-    writer_trap trap(site, spec.instances, &child_process::freeze);
+    writer_trap trap(site, spec.instances,
+                     [&](std::size_t, std::size_t engine) { site.engine(engine).freeze(); });
     const change_answer change = site.apply(0, {.version = "2"});
-    const std::size_t frozen = trap.waitForCatch();
+    const std::size_t frozen = trap.freezeWriter();
     waitUntil("another planner takes over", [&] { return site.isGone(frozen, otherThan(frozen)); });
     site.platformFault({{"mode", "lose_answers"}, {"count", 12}});
     site.instance(frozen).wake();
@@ -143,7 +158,8 @@
     spec.engineOptions = {"--crash-in-change", "drop"};
     fleet site(place, spec);
     load work(site, {});
-    writer_trap trap(site, spec.instances, &child_process::kill);
+    writer_trap trap(site, spec.instances,
+                     [&](std::size_t writer, std::size_t) { site.instance(writer).kill(); });
     expect(site.apply(0, {.version = "2"}).version != 0, "the change is accepted");
     const std::size_t killed = trap.waitForCatch();
     site.killInstance(killed);
--- a/tests/node/dispatch_test.cpp
+++ b/tests/node/dispatch_test.cpp
@@ -35,6 +35,7 @@
         views.update([&](policy::view &draft) {
             policy::replaceFleet(draft, fleet);
             draft.book = std::make_shared<policy::rules>();
+            draft.freshUntil = mono_time::max();
             return true;
         });
     }
--- a/tests/node/freshness_test.cpp
+++ b/tests/node/freshness_test.cpp
@@ -37,12 +37,19 @@
     return facts;
 }
 
+/// @returns Whether new work may be accepted at the time of the facts.
+bool isFresh(const freshness_facts &facts)
+{
+    return facts.now < freshUntil(facts);
+}
+
 } // namespace
 
 class freshness_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(freshness_test);
     CPPUNIT_TEST(testConfirmedViewIsFresh);
+    CPPUNIT_TEST(testFrozenInstanceWakesToAnOldView);
     CPPUNIT_TEST(testCutOffInstanceIsNotFresh);
     CPPUNIT_TEST(testStoreDownForAllServesOn);
     CPPUNIT_TEST(testMajorityWithNewerViewIsNotFresh);
@@ -55,10 +62,28 @@
     void testConfirmedViewIsFresh()
     {
         freshness_facts facts = factsOfThree();
-        facts.now = facts.confirmedAt + config::freshTime;
+        facts.now = facts.confirmedAt + config::freshTime - milliseconds(1);
         CPPUNIT_ASSERT(isFresh(facts));
     }
 
+    // An instance is frozen with callers waiting in its sockets, a runner is drained meanwhile, and
+    // it wakes. Whatever thread runs first, the view that it has says itself that it is too old, so
+    // no waiting caller is sent to the drained runner before the instance has looked anew.
+    void testFrozenInstanceWakesToAnOldView()
+    {
+        freshness_facts facts = factsOfThree();
+        facts.now = facts.confirmedAt;
+        policy::view published;
+        published.freshUntil = freshUntil(facts);
+        CPPUNIT_ASSERT(policy::isFresh(published, facts.now));
+        CPPUNIT_ASSERT(!policy::isFresh(published, facts.now + config::freshTime));
+        facts.now = facts.confirmedAt + 2 * config::freshTime;
+        facts.members.push_back(memberOf("b", 7));
+        published.freshUntil = freshUntil(facts);
+        CPPUNIT_ASSERT(policy::isFresh(published, facts.now));
+        CPPUNIT_ASSERT(!policy::isFresh(published, facts.now + config::reachTime));
+    }
+
     // The caller gets a true "not run" from an instance that can reach neither the store nor its
     // peers. It was cut off before a drain was accepted; served on, it would send new work to the
     // draining target for as long as the cut lasts.
--- a/tests/node/order_fakes.h
+++ b/tests/node/order_fakes.h
@@ -209,7 +209,7 @@
             now.appliedVersion = UINT64_MAX;
             now.members.resize(1);
             now.members.front().id = self;
-            now.isFresh = true;
+            now.freshUntil = mono_time::max();
             return true;
         });
     }
