--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -132,8 +132,9 @@
 inline constexpr std::chrono::milliseconds gossipTime = 200ms;
 /// Peers told per gossip round.
 inline constexpr std::size_t gossipFanout = 3;
-/// Bytes a second that one instance spends on gossip (letter 1 allows 17 KB for all control).
-inline constexpr std::size_t gossipBytesPerSecond = 12 * 1024;
+/// Bytes a second that one instance sends as gossip. It receives as many, and letter 1 allows 17 KB
+/// for all control.
+inline constexpr std::size_t gossipBytesPerSecond = 8 * 1024;
 /// Silence after which a member is suspected, and a suspect is taken for dead.
 inline constexpr std::chrono::milliseconds suspectTime = 1500ms;
 inline constexpr std::chrono::milliseconds deadTime = 4s;
--- a/src/node/watched_sync.cpp
+++ b/src/node/watched_sync.cpp
@@ -170,12 +170,13 @@
     std::sort(peers.begin(), peers.end(), [](const policy::member &a, const policy::member &b) {
         return a.appliedVersion > b.appliedVersion;
     });
+    mono_time confirmedByPeers{};
     for (const policy::member &other : peers) {
         if (other.appliedVersion == 0 || other.appliedVersion < known)
-            return;
+            break;
         if (other.appliedVersion == known) {
             // Same version, so what the store confirmed to that peer it confirmed of our view too.
-            take({}, known, other.confirmedAt);
+            confirmedByPeers = std::max(confirmedByPeers, other.confirmedAt);
             continue;
         }
         const auto reply = needs.askState(other.peerAddress, {known});
@@ -187,6 +188,8 @@
         if (take(changed, valueOf(reply).version, other.confirmedAt))
             return;
     }
+    if (confirmedByPeers > confirmedAt())
+        take({}, known, confirmedByPeers);
 }
 
 /// Works an update in. Each object only ever moves to a higher version, so an answer that comes
