--- a/include/poplarspool/base/http.h
+++ b/include/poplarspool/base/http.h
@@ -69,6 +69,9 @@
     /// @returns Whether the receiver has certainly gone away (reset, or closed both ways). One that
     ///          only ended its sending side may still read its answer and is not gone.
     virtual bool isGone() const = 0;
+    /// @returns What can be polled for the receiver's end of the connection; -1 where there is
+    /// none.
+    virtual int descriptorNumber() const { return -1; }
 };
 
 /// Serves one request on a thread of the server. Either fills a reply and returns it, or takes the
@@ -89,6 +92,11 @@
     /// Binds and starts to accept.
     /// @returns The address it listens on.
     result<endpoint> start();
+    /// Takes other limits from the next connection on; the number of connections stays.
+    void setLimits(const http_limits &limits);
+    /// From now on each reply says that the connection closes after it, so that callers move on
+    /// before stop() without losing a request.
+    void announceEnd();
     /// Refuses new connections and waits for running requests.
     void stop();
     std::uint32_t openConnections() const;
--- a/include/poplarspool/base/journal.h
+++ b/include/poplarspool/base/journal.h
@@ -84,8 +84,10 @@
     std::unique_ptr<state> inner;
 };
 
-/// Sets up log4cxx for the process: one key=value line per event on standard error.
+enum class log_stream { Output, Error };
+
+/// Sets up log4cxx for the process: one key=value line per event.
 /// @param level "debug", "info", "warn", "error" or "off".
-void setUpLog(std::string_view level);
+void setUpLog(std::string_view level, log_stream stream);
 
 } // namespace poplarspool
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -138,6 +138,13 @@
 /// Silence after which a member is suspected, and a suspect is taken for dead.
 inline constexpr std::chrono::milliseconds suspectTime = 1500ms;
 inline constexpr std::chrono::milliseconds deadTime = 4s;
+/// Time between two messages of one instance on what it has sent to runners; and how many it sends
+/// a second to all others together, above which the time grows.
+inline constexpr std::chrono::milliseconds loadNewsTime = 40ms;
+inline constexpr std::size_t loadNewsPerSecond = 150;
+/// Bounds of one such message, so that it fits into a datagram.
+inline constexpr std::size_t maxLoadItems = 64;
+inline constexpr std::size_t maxCachedNews = 48;
 /// Bytes of one rumor's payload.
 inline constexpr std::size_t maxRumorBytes = 512;
 /// Bytes of one call between instances.
--- /dev/null
+++ b/include/poplarspool/gateway/catalogue.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/endpoint.h"
+#include "poplarspool/base/ids.h"
+#include "poplarspool/base/published.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What a gateway knows of the world: routes, services and runners. All plain immutable values.
+namespace poplarspool::gateway {
+
+using service_id = name_of<struct service_tag>; ///< Runners that are interchangeable.
+
+/// What may be done with a request that has been sent once.
+enum class repeat_rule {
+    Idempotent, ///< May run more than once.
+    AtMostOnce, ///< Another send only where the first truly did not run.
+};
+
+struct weighted_service
+{
+    service_id service;
+    std::uint32_t weight = 0;
+
+    bool operator==(const weighted_service &) const = default;
+};
+
+struct route
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    bool isStream = false; ///< The answer is a series of events.
+    bool isResumable = false; ///< A stream may go on elsewhere after its last event.
+    repeat_rule repeats = repeat_rule::AtMostOnce;
+    milliseconds timeLimit{0}; ///< Longest time that a caller is kept waiting.
+    milliseconds objective{
+            0}; ///< Time to the first event, or to the whole answer, that is aimed at.
+    std::uint32_t rank = 0; ///< 0 is the most urgent.
+    std::uint32_t maxRunners = 1; ///< Runners on which one request may run.
+    std::vector<weighted_service> services; ///< Traffic is split over them by weight.
+
+    bool operator==(const route &) const = default;
+};
+
+/// Of services whose runners are model engines.
+struct engine_traits
+{
+    std::uint32_t batch = 0; ///< Requests that one engine runs at once.
+    std::uint64_t kvTokens = 0; ///< Memory, in tokens.
+    std::uint64_t kvBytesPerToken = 0;
+    double linkMbps = 0; ///< Between engines.
+
+    bool operator==(const engine_traits &) const = default;
+};
+
+struct service
+{
+    service_id id;
+    std::optional<engine_traits> engine; ///< None for plain services.
+
+    bool operator==(const service &) const = default;
+};
+
+/// How much a caller may send, and how slowly.
+struct caller_bounds
+{
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
+    milliseconds headerTime{0};
+    milliseconds idleTime{0}; ///< Connections idle for less than this are in use.
+
+    bool operator==(const caller_bounds &) const = default;
+};
+
+/// One configuration of the operators; never changed, only replaced.
+struct route_table
+{
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service> services;
+    caller_bounds bounds;
+
+    bool operator==(const route_table &) const = default;
+};
+
+enum class engine_stage {
+    None, ///< A plain service.
+    Prefill, ///< Reads prompts only.
+    Decode, ///< Runs requests; reads prompts too, more slowly.
+};
+
+std::string_view nameOf(engine_stage stage);
+
+/// One life of a target, as it entered itself in the platform's list.
+struct runner
+{
+    runner_id id; ///< New with every start.
+    service_id service;
+    endpoint address;
+    zone_id zone;
+    std::uint32_t slots = 1; ///< Requests at once.
+    bool isDraining = false;
+    engine_stage stage = engine_stage::None;
+
+    bool operator==(const runner &) const = default;
+};
+
+using runner_map = std::map<runner_id, std::shared_ptr<const runner>>;
+
+/// Everything that a request's path reads of the world.
+struct catalogue
+{
+    std::shared_ptr<const route_table> table; ///< Null: none is known yet.
+    runner_map runners;
+    bool areRunnersKnown = false; ///< The list was read at least once.
+    mono_time tableConfirmedAt{}; ///< When the store last said that the table is the newest.
+
+    bool operator==(const catalogue &) const = default;
+};
+
+using catalogue_hub = published<catalogue>;
+
+/// @param path With or without a query.
+/// @returns The host's route with the longest prefix that begins the path; null where there is
+/// none.
+const route *findRoute(const route_table &table, std::string_view host, std::string_view path);
+
+/// @param draw Any number, evenly spread.
+/// @returns The service that the draw falls on by weight; invalid where all weights are 0.
+service_id drawService(const route &chosen, std::uint64_t draw);
+
+const service *findService(const route_table &table, const service_id &id);
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "poplarspool/base/journal.h"
+#include "poplarspool/gateway/catalogue.h"
+
+#include <map>
+#include <vector>
+
+namespace poplarspool::gateway {
+
+/// Turns the store's news into the catalogue. Routes and runners may come from two threads; each
+/// of them in the store's order.
+class catalogue_keeper
+{
+public:
+    catalogue_keeper(catalogue_hub &hub, clock_source clock, journal &events);
+
+    // Of the thread that follows the routes.
+
+    /// Takes a newer table; an older one is dropped.
+    void setTable(route_table table);
+    /// The store has just said that the table is the newest.
+    /// @param at When it was asked, or later.
+    void confirmTable(mono_time at);
+
+    // Of the thread that follows the runners.
+
+    /// Takes the whole list.
+    void setRunners(const std::vector<runner> &listed);
+    void putRunner(runner entry);
+    void removeRunner(const runner_id &id);
+    /// A call to the store failed.
+    void noteStoreLost();
+    /// The store answered.
+    void noteStoreAnswer();
+    /// Drops the runners whose time to come back is over. To be called after each answer.
+    void settle();
+
+private:
+    bool isForgiving() const;
+    void takeAway(catalogue &next, const runner_id &id);
+
+    catalogue_hub &hub;
+    const clock_source clock;
+    journal &events;
+    mono_time lostAt{}; ///< First failure since the last answer; 0: none.
+    mono_time forgivingUntil{};
+    std::map<runner_id, mono_time> missing; ///< Until when each is kept nevertheless.
+};
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/include/poplarspool/gateway/dialect.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "poplarspool/base/http.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarspool::gateway {
+
+/// KV cache that an engine keeps for one request after it has read its prompt.
+struct kv_handle
+{
+    std::string id;
+    std::uint64_t tokens = 0;
+
+    bool operator==(const kv_handle &) const = default;
+};
+
+/// The names under which callers and runners exchange what the gateway needs to know. The gateway
+/// itself knows no such name: the platform's adapter fills them in.
+struct dialect
+{
+    // Headers of callers, passed on to runners.
+    std::string requestId;
+    std::string timeLimitMs; ///< Rewritten with what is left.
+    std::string model;
+    std::string tokenCount; ///< "PROMPT,OUTPUT", the latter at most.
+    std::string promptParts; ///< "ID:TOKENS,…", in the prompt's order.
+    std::string lastEvent; ///< A stream goes on after this event.
+
+    // Headers that only the gateway may set.
+    std::string expectedRunner;
+    std::string priority; ///< 0 is the most urgent.
+    std::string stage;
+    std::string kvSource; ///< "ADDRESS/HANDLE": take over what was read there.
+    std::string kvFetch; ///< "ADDRESS": copy cached parts from there first.
+    std::string prefillStage; ///< The value of `stage` that only has the prompt read.
+    /// All headers that are dropped from callers: a caller that sets them would act in our name.
+    std::vector<std::string> reserved;
+
+    // Headers of runners' replies.
+    std::string seal; ///< On each reply that a runner made itself.
+    std::string notRun; ///< The runner refused, and has not run the request.
+
+    /// @returns The handle in an engine's reply to a prefill.
+    std::function<std::optional<kv_handle>(std::string_view body)> readHandle;
+    /// @returns The request that frees a handle that nobody will take.
+    std::function<http_request(const std::string &handle)> freeHandle;
+};
+
+/// @returns Whether a status promises that the request has not run and never will.
+bool promisesNotRun(int status);
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/include/poplarspool/gateway/gateway.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/gateway/catalogue.h"
+#include "poplarspool/gateway/catalogue_keeper.h"
+#include "poplarspool/gateway/dialect.h"
+#include "poplarspool/gateway/gateway_settings.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarspool::gateway {
+
+/// Another instance, as it entered itself in the store.
+struct listed_gateway
+{
+    instance_id id;
+    endpoint peerAddress; ///< Gossip.
+    endpoint loadAddress; ///< News of load.
+
+    bool operator==(const listed_gateway &) const = default;
+};
+
+/// One instance that passes requests on. It gets its knowledge of routes and runners from whoever
+/// follows the platform's store, through `keeper()`.
+class gateway
+{
+public:
+    /// @param names How callers and runners name things.
+    gateway(gateway_settings choices, dialect names, clock_source clock, metrics_registry &metrics,
+            journal &events);
+    ~gateway();
+
+    /// Binds the callers' address and begins to talk to other instances.
+    result<unit> start();
+
+    catalogue_keeper &keeper();
+    /// Instances that the store lists; asked until they answer.
+    void setListed(const std::vector<listed_gateway> &listed);
+
+    /// @returns Whether callers may be sent here: routes and runners are known, and it stays.
+    bool isReady() const;
+    /// @returns Instances to give to a caller, this one among them unless it is leaving.
+    std::vector<endpoint> addressesFor(const zone_id &callerZone) const;
+
+    /// Begins a graceful end: no new callers, replies say that their connections close.
+    void leave();
+    /// Serves until what was begun is done, at most for the settings' time to leave.
+    void finish();
+
+private:
+    struct state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/include/poplarspool/gateway/limits.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "poplarspool/config.h"
+
+/// Limits and weights of the gateway, and of what follows the platform's store for it.
+namespace poplarspool::config {
+
+/// Prompt tokens that an engine of the prefill stage reads in a millisecond: the users' sheets.
+inline constexpr double prefillTokensPerMs = 112;
+/// What a decode engine reads prompts with, as a share of that: the users' sheets.
+inline constexpr double decodeStagePrefillShare = 0.5;
+/// Time before the first byte of a KV transfer between engines: the users' sheets.
+inline constexpr double kvTransferSetupMs = 8;
+/// Prompt tokens that such an engine reads in one step, what a decode engine reads as a share of
+/// that, and the time that a step takes beside its work: the users' sheets.
+inline constexpr double prefillChunkTokens = 1024;
+inline constexpr double decodeStageChunkShare = 0.25;
+inline constexpr double engineStepMs = 3.41;
+/// For each million pairs of tokens that attend to each other: the users' sheets.
+inline constexpr double attentionMsPerMillionPairs = 0.218;
+/// From the end of reading to the first token: measured at 31 ms on idle engines.
+inline constexpr double firstTokenMs = 31;
+/// By how much each running request slows an engine's step: the users' sheets give 0.097 ms a
+/// request; some tens of steps lie between a request's first event and its last.
+inline constexpr double decodeCostMsPerRequest = 1.5;
+/// Worth of keeping a request in its zone, of not copying KV cache, and of not handing it over, in
+/// milliseconds of the caller's time: each is priced, and small beside a late answer.
+inline constexpr double engineCrossZoneMs = 3;
+inline constexpr double kvCopyCostMs = 10;
+inline constexpr double handOverCostMs = 15;
+/// Worth of having shared parts that nobody holds read where all instances have them read.
+inline constexpr double coldElsewhereMs = 60;
+/// Prompts shorter than this are read where they run: the hand-over would take as long.
+inline constexpr std::uint32_t handOverLeastTokens = 400;
+/// For plain services, as a share of one request's time.
+inline constexpr double serviceCrossZoneCost = 0.2;
+/// Spreads what is equal otherwise; too small to outweigh anything.
+inline constexpr double tieBreakCost = 0.05;
+/// Share of a service's runners that stay in use however many have failed lately: a common cause
+/// (a lossy link of ours) must not send everything to the last few.
+inline constexpr double leastOpenShare = 0.5;
+/// Time for which a runner is set aside after its first failure in a row, and at most: a crashed
+/// runner is back after some seconds under a new id, so that longer would gain nothing.
+inline constexpr std::chrono::milliseconds setAsideFirst = 500ms;
+inline constexpr std::chrono::milliseconds setAsideMost = 4s;
+/// Time for which a runner that refused as full is passed over: a few requests' duration.
+inline constexpr std::chrono::milliseconds refusedPause = 60ms;
+/// Last sends by which a runner is judged, and what part of them, and how many at least, must have
+/// failed: above a service's usual failures (0.14 at one of the users).
+inline constexpr std::size_t judgedSends = 10;
+inline constexpr double failingShare = 0.4;
+inline constexpr std::size_t leastFailures = 3;
+/// Time after which a runner's slowness is forgotten, so that it is tried again.
+inline constexpr std::chrono::milliseconds slownessMemory = 3s;
+/// From how many times its siblings' time a runner counts as slow, and the most that is believed.
+inline constexpr double slowRatio = 1.8;
+inline constexpr double mostSlowness = 20;
+/// Times below this are not compared: they are all overhead.
+inline constexpr double leastUsualStartMs = 10;
+/// Time for which another instance's news of its load counts.
+inline constexpr std::chrono::milliseconds loadNewsMemory = 1500ms;
+/// Times that each new part in a runner's cache is told, against lost datagrams.
+inline constexpr std::uint32_t cachedNewsRepeats = 2;
+/// Parts of prompts remembered per runner, and for how long beyond that.
+inline constexpr std::size_t maxCachedParts = 20000;
+inline constexpr std::chrono::milliseconds cachedPartMemory = 60s;
+/// Part of the fleet's retry budget that is used: instances count their members late.
+inline constexpr double retryBudgetUse = 0.75;
+/// Sends of one request, refused ones among them.
+inline constexpr std::uint32_t maxSends = 4;
+/// Time to connect to a runner: 40 round trips, and below TCP's first retransmission, after which
+/// another runner is the better choice.
+inline constexpr std::chrono::milliseconds runnerConnectTime = 150ms;
+/// Silence after which a runner's connection counts as lost.
+inline constexpr std::chrono::seconds runnerSilence = 1s;
+/// Idle connections kept per runner and instance, and for how long at most.
+inline constexpr std::size_t maxIdleRunnerConnections = 8;
+inline constexpr std::chrono::milliseconds runnerIdleTime = 2500ms;
+/// Bytes of a plain answer that is read whole before its first byte is passed on, so that a runner
+/// that breaks off can be replaced.
+inline constexpr std::size_t maxHeldAnswerBytes = 512 * 1024;
+/// Replies to other requests that are skipped on one connection before it is given up.
+inline constexpr std::uint32_t maxForeignReplies = 2;
+/// Time beyond a request's limit that its runner's own last word is waited for.
+inline constexpr std::chrono::milliseconds lastWordTime = 60ms;
+/// Time for freeing KV cache that nobody takes over.
+inline constexpr std::chrono::milliseconds freeHandleTime = 100ms;
+/// Time left below which no send is begun.
+inline constexpr std::chrono::milliseconds leastSendTime = 10ms;
+/// When to come back after a refusal, where nothing better is known.
+inline constexpr std::chrono::milliseconds refusedRetryAfter = 300ms;
+/// When to come back to an instance that knows no configuration yet: it asks for it at this pace.
+inline constexpr std::chrono::milliseconds startingRetryAfter = 300ms;
+/// Age of the last confirmation of the routes up to which an unknown route is truly unknown: below
+/// the 2 s in which a change must be in force everywhere.
+inline constexpr std::chrono::milliseconds routesTrustTime = 1900ms;
+
+/// Calls to the platform's store: time to connect, to read, to write. A slow store takes 60 times
+/// its usual 4 ms.
+inline constexpr std::chrono::milliseconds storeConnectTime = 500ms;
+inline constexpr std::chrono::milliseconds storeReadTime = 1000ms;
+inline constexpr std::chrono::milliseconds storeWriteTime = 1500ms;
+inline constexpr std::size_t maxIdleStoreConnections = 2;
+/// Time for which one watch waits: each answer confirms what is known (routesTrustTime), and each
+/// is priced.
+inline constexpr std::chrono::milliseconds gatewayWatchTime = 1400ms;
+/// Pauses between tries to reach the store: first, and bound. A change must be in force 2 s after
+/// the store took it.
+inline constexpr std::chrono::milliseconds gatewayStorePauseFirst = 50ms;
+inline constexpr std::chrono::milliseconds gatewayStorePauseMost = 400ms;
+/// By how much an answer that the store held back may be older than its arrival.
+inline constexpr std::chrono::milliseconds storeConfirmDelay = 300ms;
+/// Connections to the small servers beside the callers' one, and bytes of a question there.
+inline constexpr std::uint32_t maxQuestionConnections = 64;
+inline constexpr std::size_t maxQuestionBytes = 4096;
+/// Time between two looks at the list of instances.
+inline constexpr std::chrono::milliseconds instancesLookTime = 4s;
+/// Time without an answer of the store after which entries may have lapsed while it was away, and
+/// the time in which those of living runners are back: the users' pages say about two seconds.
+inline constexpr std::chrono::milliseconds storeOutageTime = 500ms;
+inline constexpr std::chrono::milliseconds entryReturnTime = 2200ms;
+/// Between gateways: rounds and time to suspicion. Callers keep an address for 2 s, and lose 1 s on
+/// one that is dark.
+inline constexpr std::chrono::milliseconds gatewayGossipTime = 250ms;
+inline constexpr std::chrono::milliseconds gatewaySuspectTime = 1000ms;
+/// Time beyond the idle bound for which callers' connections are kept.
+inline constexpr std::chrono::milliseconds idleMargin = 2s;
+/// Instances in a caller's zone from which on it is sent to these only: with one, its loss would
+/// leave the caller with nobody.
+inline constexpr std::size_t enoughNearAddresses = 2;
+/// Time before the end by which the last answer must be out, and time for which callers that have
+/// just been told of this instance are served on.
+inline constexpr std::chrono::milliseconds leaveMargin = 900ms;
+inline constexpr std::chrono::milliseconds lastCallersTime = 500ms;
+
+} // namespace poplarspool::config
--- /dev/null
+++ b/include/poplarspool/gateway/placing.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "poplarspool/gateway/catalogue.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+/// Which runner gets a request. Pure functions over plain values: no I/O, no clock, no threads.
+namespace poplarspool::gateway {
+
+/// What is known of one runner at the moment of choosing, over all instances.
+struct runner_load
+{
+    std::uint32_t open = 0; ///< Requests sent and not ended.
+    double readingMs = 0; ///< Time that it needs for the prompts that it has not read yet.
+    mono_time setAsideUntil{}; ///< It failed lately: others are preferred until then.
+    double slowness = 1; ///< Time that it takes, against its siblings.
+
+    bool operator==(const runner_load &) const = default;
+};
+
+struct place_candidate
+{
+    std::shared_ptr<const runner> target;
+    runner_load load;
+    std::uint32_t cachedTokens = 0; ///< Of this prompt's beginning, as far as known.
+    bool isTried = false; ///< By this request, without success.
+
+    bool operator==(const place_candidate &) const = default;
+};
+
+struct place_wish
+{
+    service_id service;
+    zone_id zone; ///< Where this instance stands.
+    std::optional<engine_traits> engine; ///< None for plain services.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t sharedTokens = 0; ///< Of the prompt's parts that other requests share.
+    std::uint64_t affinityKey = 0; ///< Of the shared parts; 0: none.
+    bool mayHandOver = true; ///< Another engine may read the prompt first.
+    bool isRead = false; ///< Another engine has read it: its KV cache only has to be taken over.
+    mono_time now{};
+    std::uint64_t draw = 0; ///< Any number, evenly spread: breaks ties.
+
+    bool operator==(const place_wish &) const = default;
+};
+
+struct placement
+{
+    std::shared_ptr<const runner> serving;
+    std::shared_ptr<const runner> prefill; ///< Reads the prompt first; null: `serving` does.
+    /// Whoever reads the prompt copies cached parts from it first; null: from nobody.
+    std::shared_ptr<const runner> cacheHolder;
+    double readingMs = 0; ///< For the prompt, where it is read.
+    double expectedStartMs = 0; ///< Until the first event.
+
+    bool operator==(const placement &) const = default;
+};
+
+/// No runner is there to take the request: it has not run, and can't for now.
+struct no_place
+{
+    bool areAllTried = false; ///< There are some, but this request has tried them all.
+
+    bool operator==(const no_place &) const = default;
+};
+
+std::variant<placement, no_place> choosePlace(const place_wish &wish,
+                                              std::span<const place_candidate> candidates);
+
+/// @param cached Tokens at its beginning that need not be read.
+/// @returns Milliseconds in which an engine of that stage reads a prompt and does nothing else.
+double readingTimeMs(engine_stage stage, std::uint32_t promptTokens, std::uint32_t cached);
+
+/// @returns Milliseconds in which that much KV cache is moved between two idle links.
+double transferTimeMs(const engine_traits &traits, std::uint32_t tokens);
+
+} // namespace poplarspool::gateway
--- a/include/poplarspool/node/instance.h
+++ b/include/poplarspool/node/instance.h
@@ -15,6 +15,8 @@
 
     /// Binds all addresses and starts all threads.
     result<unit> start();
+    /// Was asked to read its settings anew: they are read at the start only, and the log says so.
+    void noteReload();
     /// Begins a graceful shutdown: marked leaving, serves for the grace time and until the last
     /// stream is done. Returns at once.
     void leave();
--- a/include/poplarspool/operators/config_files.h
+++ b/include/poplarspool/operators/config_files.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarspool/base/settings.h"
+#include "poplarspool/gateway/gateway_settings.h"
 #include "poplarspool/policy/inventory.h"
 #include "poplarspool/policy/rules.h"
 
@@ -31,6 +32,8 @@
 using checked = std::variant<T, std::vector<fault>>;
 
 checked<settings> parseSettings(const std::string &file, std::string_view text);
+checked<gateway::gateway_settings> parseGatewaySettings(const std::string &file,
+                                                        std::string_view text);
 checked<policy::inventory> parseInventory(const std::string &file, std::string_view text);
 checked<policy::rules> parseRules(const std::string &file, std::string_view text);
 
@@ -38,7 +41,7 @@
 std::vector<fault> checkTogether(const std::string &inventoryFile, std::string_view inventoryText,
                                  const std::string &rulesFile, std::string_view rulesText);
 
-enum class file_kind { Settings, Inventory, Rules };
+enum class file_kind { Settings, Gateway, Inventory, Rules };
 
 /// @returns By the top-level keys that are there.
 file_kind guessKind(std::string_view text);
--- /dev/null
+++ b/include/poplarspool/peer/load_exchange.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "poplarspool/base/clock.h"
+#include "poplarspool/base/endpoint.h"
+#include "poplarspool/base/ids.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/base/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarspool::peer {
+
+/// What one instance has going on at one runner.
+struct runner_work
+{
+    std::uint32_t runner = 0; ///< runnerKey() of its id.
+    std::uint32_t open = 0; ///< Requests sent and not ended.
+    std::uint32_t readingMs = 0; ///< Time for reading the prompts of those not begun.
+
+    bool operator==(const runner_work &) const = default;
+};
+
+/// A runner has been given a prompt that begins so, and keeps it in its cache for a while.
+struct cached_chain
+{
+    std::uint32_t runner = 0;
+    std::uint32_t chain = 0; ///< Low half of the chain's hash.
+
+    bool operator==(const cached_chain &) const = default;
+};
+
+/// What one instance tells the others. A hint: it may be lost, and what it says is soon old.
+struct load_news
+{
+    std::vector<runner_work> work; ///< All of it; runners that aren't named have none.
+    std::vector<cached_chain> cached; ///< New since lately.
+
+    bool operator==(const load_news &) const = default;
+};
+
+/// @returns The number that stands for a runner in these messages.
+std::uint32_t runnerKey(const runner_id &id);
+
+std::string encode(const load_news &news);
+result<load_news> decodeLoadNews(std::string_view payload);
+
+struct load_exchange_settings
+{
+    instance_id self;
+    incarnation life = 0;
+    endpoint address; ///< Bound for UDP.
+    std::string key; ///< Secret of the MAC.
+};
+
+/// Tells every other instance what this one has sent where, some times a second, and hears the
+/// same from them. Gossip would spread it too, but two or three rounds late, and half of a
+/// request's time is over by then.
+class load_exchange
+{
+public:
+    /// @param collect Gives what to tell; called on the exchange's thread, as is onNews.
+    /// @param onNews Gets a sender's number and its news, in the sender's order.
+    load_exchange(load_exchange_settings choices, std::function<load_news()> collect,
+                  std::function<void(std::uint64_t sender, const load_news &)> onNews,
+                  clock_source clock, metrics_registry &metrics);
+    ~load_exchange();
+
+    result<unit> start();
+    void stop();
+    /// Whom to tell.
+    void setPeers(std::vector<endpoint> addresses);
+
+private:
+    struct state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace poplarspool::peer
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "app/gateway_command.h"
 #include "app/serve.h"
 #include "operators/command_line.h"
 #include "poplarspool/operators/commands.h"
@@ -35,6 +36,8 @@
 
 constexpr std::array subcommands{
         subcommand{"serve", "Run one entry instance", app::serveCommand},
+        subcommand{"gateway", "Run one instance that passes requests on to listed runners",
+                   app::gatewayCommand},
         subcommand{"check", "Check settings, inventories and rules", operators::checkCommand},
         subcommand{"apply", "Make an inventory and rules the configuration",
                    operators::applyCommand},
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,30 +1,21 @@
 #include "app/serve.h"
-#include "poplarspool/base/end_signal.h"
-
+#include "app/process.h"
 #include "operators/command_line.h"
+#include "poplarspool/base/end_signal.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/node/instance.h"
 #include "poplarspool/operators/config_files.h"
 
-#include <csignal>
-#include <malloc.h>
 #include <ostream>
 
 namespace poplarspool::app {
 
 namespace {
 
-/// Each arena keeps the memory that its threads freed; with a thread per connection there would be
-/// many.
-constexpr int mallocArenas = 2;
-
 int serve(const settings &choices, std::ostream &out, std::ostream &err)
 {
-    blockEndSignals();
-    // A caller that goes away in the middle of a write must cost that write only, not the process.
-    std::signal(SIGPIPE, SIG_IGN);
-    mallopt(M_ARENA_MAX, mallocArenas);
-    setUpLog(choices.logLevel);
+    prepareProcess();
+    setUpLog(choices.logLevel, log_stream::Error);
 
     node::instance self(choices);
     const result<unit> started = self.start();
@@ -38,7 +29,9 @@
         << " operators=" << textOf(choices.operatorAddress)
         << " peers=" << textOf(choices.peerAddress) << std::endl;
 
-    waitForEndSignal();
+    // Settings are read at the start only; the signal must not end the process.
+    while (waitForSignal() == process_signal::Reload)
+        self.noteReload();
     self.leave();
     self.wait();
     return operators::exitDone;
--- /dev/null
+++ b/src/base/connection_pool.cpp
@@ -0,0 +1,96 @@
+#include "base/connection_pool.h"
+
+#include "poplarspool/config.h"
+
+#include <algorithm>
+
+namespace poplarspool {
+
+connection_pool::connection_pool(std::size_t idlePerTarget, milliseconds connectTime,
+                                 metrics_registry &metrics)
+    : idlePerTarget(idlePerTarget), connectTime(connectTime),
+      connects(metrics.counterOf("poplarspool_pool_connects_total")),
+      reuses(metrics.counterOf("poplarspool_pool_reuses_total")),
+      idleCount(metrics.gaugeOf("poplarspool_pool_idle"))
+{ }
+
+connection_pool::~connection_pool()
+{
+    stop();
+}
+
+result<descriptor> connection_pool::take(const endpoint &to, socket_deadline deadline,
+                                         int interruptFd)
+{
+    descriptor kept = takeIdle(to);
+    if (kept.isOpen())
+        return kept;
+    return connect(to, deadline, interruptFd);
+}
+
+result<descriptor> connection_pool::connect(const endpoint &to, socket_deadline deadline,
+                                            int interruptFd)
+{
+    connects.add();
+    const socket_deadline connectEnd = socket_clock::now() + connectTime;
+    return connectTo(to, std::min(deadline, connectEnd), interruptFd);
+}
+
+/// Takes the one used last: the others age, so that a peak's connections are given up after it.
+descriptor connection_pool::takeIdle(const endpoint &to)
+{
+    const std::lock_guard lock(guard);
+    const socket_deadline now = socket_clock::now();
+    dropExpired(now);
+    const auto found = idle.find(to);
+    if (found == idle.end())
+        return descriptor();
+    std::vector<idle_connection> &kept = found->second;
+    while (!kept.empty()) {
+        idle_connection last = std::move(kept.back());
+        kept.pop_back();
+        idleCount.add(-1);
+        // One that the server has closed meanwhile would lose the request.
+        if (last.expires > now && isIdleAndOpen(last.connection.get())) {
+            reuses.add();
+            return std::move(last.connection);
+        }
+    }
+    return descriptor();
+}
+
+void connection_pool::keep(const endpoint &to, descriptor connection, milliseconds time)
+{
+    const std::lock_guard lock(guard);
+    const socket_deadline now = socket_clock::now();
+    dropExpired(now);
+    std::vector<idle_connection> &kept = idle[to];
+    if (isStopped || kept.size() >= idlePerTarget)
+        return;
+    kept.push_back({std::move(connection), now + time});
+    idleCount.add(1);
+}
+
+/// Also closes the connections of targets that no one calls any more.
+void connection_pool::dropExpired(socket_deadline now)
+{
+    if (now < nextSweep)
+        return;
+    nextSweep = now + config::poolSweepTime;
+    for (auto target = idle.begin(); target != idle.end();) {
+        const auto isExpired = [now](const idle_connection &one) { return one.expires <= now; };
+        const std::size_t dropped = std::erase_if(target->second, isExpired);
+        idleCount.add(-static_cast<std::int64_t>(dropped));
+        target = target->second.empty() ? idle.erase(target) : std::next(target);
+    }
+}
+
+void connection_pool::stop()
+{
+    const std::lock_guard lock(guard);
+    isStopped = true;
+    idle.clear();
+    idleCount.set(0);
+}
+
+} // namespace poplarspool
--- a/src/base/end_signal.cpp
+++ b/src/base/end_signal.cpp
@@ -15,6 +15,20 @@
     return signals;
 }
 
+sigset_t allSignals()
+{
+    sigset_t signals = endSignals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+int waitForOne(const sigset_t &signals)
+{
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return signal;
+}
+
 } // namespace
 
 void blockEndSignals()
@@ -23,11 +37,20 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+void blockSignals()
+{
+    const sigset_t signals = allSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void waitForEndSignal()
 {
-    const sigset_t signals = endSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForOne(endSignals());
+}
+
+process_signal waitForSignal()
+{
+    return waitForOne(allSignals()) == SIGHUP ? process_signal::Reload : process_signal::End;
 }
 
 } // namespace poplarspool
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -48,8 +48,8 @@
 {
     state(const std::string &name, const endpoint &bind, http_limits limits, http_handler handler,
           metrics_registry &metrics)
-        : bind(bind), limits(limits), handler(std::move(handler)),
-          connections(metrics.gaugeOf(labelled("connections", name))),
+        : bind(bind), limits(std::make_shared<const http_limits>(limits)),
+          handler(std::move(handler)), connections(metrics.gaugeOf(labelled("connections", name))),
           refused(metrics.counterOf(labelled("refused_total", name))),
           timeouts(metrics.counterOf(labelled("timeouts_total", name))),
           badRequests(metrics.counterOf(labelled("bad_requests_total", name))),
@@ -60,11 +60,11 @@
     void accept(int fd);
     void refuse(const std::shared_ptr<descriptor> &connection);
     void serve(descriptor &connection);
-    bool answer(int fd, const arrived_request &arrived, bool closes);
-    void rejectBad(descriptor &connection, const bad_request &bad);
+    bool answer(int fd, const arrived_request &arrived, milliseconds writeTime, bool closes);
+    void rejectBad(descriptor &connection, milliseconds writeTime, const bad_request &bad);
 
     const endpoint bind;
-    const http_limits limits;
+    std::atomic<std::shared_ptr<const http_limits>> limits;
     const http_handler handler;
     gauge &connections;
     counter &refused;
@@ -72,6 +72,7 @@
     counter &badRequests;
     counter &faults; ///< Exceptions out of the handler.
     std::atomic<std::uint32_t> open{0};
+    std::atomic<bool> isEnding{false};
     raised_flag stopping;
     connection_threads serving;
     connection_threads lingering;
@@ -111,31 +112,32 @@
 
 void http_server::state::serve(descriptor &connection)
 {
-    request_reader reader(connection.get(), limits, stopping.descriptorNumber());
-    milliseconds idleTime = limits.readTime;
+    const auto bounds = limits.load();
+    request_reader reader(connection.get(), *bounds, stopping.descriptorNumber());
+    milliseconds idleTime = bounds->readTime;
     std::size_t served = 0;
     while (true) {
         const reading outcome = reader.next(idleTime);
         if (std::holds_alternative<no_request>(outcome))
             return;
         if (const auto *bad = std::get_if<bad_request>(&outcome))
-            return rejectBad(connection, *bad);
+            return rejectBad(connection, bounds->writeTime, *bad);
         const auto &arrived = std::get<arrived_request>(outcome);
         ++served;
-        const bool closes =
-                !arrived.keepsAlive || served >= limits.keepAliveRequests || stopping.isRaised();
-        if (!answer(connection.get(), arrived, closes))
+        const bool closes = !arrived.keepsAlive || served >= bounds->keepAliveRequests
+                || isEnding.load() || stopping.isRaised();
+        if (!answer(connection.get(), arrived, bounds->writeTime, closes))
             return;
-        idleTime = limits.keepAliveTime;
+        idleTime = bounds->keepAliveTime;
     }
 }
 
 /// @returns Whether the connection can serve another request.
-bool http_server::state::answer(int fd, const arrived_request &arrived, bool closes)
+bool http_server::state::answer(int fd, const arrived_request &arrived, milliseconds writeTime,
+                                bool closes)
 {
     const http_request &request = arrived.request;
-    reply_writer writer(fd, limits.writeTime,
-                        {request.method == "HEAD", arrived.takesChunks, closes});
+    reply_writer writer(fd, writeTime, {request.method == "HEAD", arrived.takesChunks, closes});
     std::optional<http_reply> reply;
     try {
         reply = handler(request, writer);
@@ -149,11 +151,12 @@
     return writer.isWhole() && !writer.closes();
 }
 
-void http_server::state::rejectBad(descriptor &connection, const bad_request &bad)
+void http_server::state::rejectBad(descriptor &connection, milliseconds writeTime,
+                                   const bad_request &bad)
 {
     counter &kind = bad.status == 408 ? timeouts : badRequests;
     kind.add();
-    reply_writer writer(connection.get(), limits.writeTime, {.closes = true});
+    reply_writer writer(connection.get(), writeTime, {.closes = true});
     writer.writeWhole(errorReply(bad.status, codeOf(bad.status), verdict::NotRun, bad.message));
     closeAfterReply(std::move(connection), socket_clock::now() + config::closeTime,
                     stopping.descriptorNumber());
@@ -174,6 +177,16 @@
     return inner->listener.start(inner->bind);
 }
 
+void http_server::setLimits(const http_limits &limits)
+{
+    inner->limits.store(std::make_shared<const http_limits>(limits));
+}
+
+void http_server::announceEnd()
+{
+    inner->isEnding.store(true);
+}
+
 void http_server::stop()
 {
     inner->stopping.raise();
--- a/src/base/journal.cpp
+++ b/src/base/journal.cpp
@@ -236,12 +236,14 @@
     return found;
 }
 
-void setUpLog(std::string_view level)
+void setUpLog(std::string_view level, log_stream stream)
 {
     const int threshold = thresholdOf(level);
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-            layout, log4cxx::ConsoleAppender::getSystemErr());
+            layout,
+            stream == log_stream::Output ? log4cxx::ConsoleAppender::getSystemOut()
+                                         : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(threshold));
--- a/src/base/reply_writer.h
+++ b/src/base/reply_writer.h
@@ -22,6 +22,7 @@
     bool write(std::string_view piece) override;
     void end() override;
     bool isGone() const override;
+    int descriptorNumber() const override { return fd; }
 
     /// Writes a reply whose body is known; not after begin().
     void writeWhole(const http_reply &reply);
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -92,10 +92,11 @@
     eventfd_write(event.get(), 1);
 }
 
-socket_fault waitForSocket(int fd, short events, socket_deadline deadline, int interruptFd)
+socket_fault waitForSocket(int fd, short events, socket_deadline deadline, int interruptFd,
+                           short interruptEvents)
 {
     while (true) {
-        std::array<pollfd, 2> looks{pollfd{fd, events, 0}, pollfd{interruptFd, POLLIN, 0}};
+        std::array<pollfd, 2> looks{pollfd{fd, events, 0}, pollfd{interruptFd, interruptEvents, 0}};
         const int ready = poll(looks.data(), looks.size(), pollTimeOf(deadline));
         if (ready < 0 && errno != EINTR)
             return socket_fault::Closed;
@@ -201,6 +202,20 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void noticeSilence(int fd, std::chrono::seconds silence)
+{
+    const int on = 1;
+    const int seconds = std::max(1, static_cast<int>(silence.count()));
+    const int probes = 2;
+    const int interval = std::max(1, seconds / (probes + 1));
+    const int milliseconds = seconds * 1000;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
 void abortOnClose(int fd)
 {
     const linger now{1, 0};
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <poll.h>
 #include <string_view>
 #include <sys/types.h>
 
@@ -54,7 +55,9 @@
 
 /// Waits until `events` (as for poll()) hold on a socket.
 /// @param interruptFd Readable where the wait shall end early; -1 for none.
-socket_fault waitForSocket(int fd, short events, socket_deadline deadline, int interruptFd);
+/// @param interruptEvents What must hold on interruptFd instead of being readable.
+socket_fault waitForSocket(int fd, short events, socket_deadline deadline, int interruptFd,
+                           short interruptEvents = POLLIN);
 
 struct received
 {
@@ -86,6 +89,12 @@
 
 void sendWithoutDelay(int fd);
 
+/// Makes a connection fail whose other end has silently vanished: a partition or a lost machine
+/// sends no reset, so that reads would wait for ever and writes until the kernel gives up after
+/// minutes.
+/// @param silence Time without any sign of the peer; whole seconds, at least one.
+void noticeSilence(int fd, std::chrono::seconds silence);
+
 /// Makes the next close abort the connection, so that its end can't be taken for an orderly one.
 void abortOnClose(int fd);
 
--- /dev/null
+++ b/src/gateway/catalogue_keeper.cpp
@@ -0,0 +1,136 @@
+#include "poplarspool/gateway/catalogue_keeper.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <set>
+
+namespace poplarspool::gateway {
+
+catalogue_keeper::catalogue_keeper(catalogue_hub &hub, clock_source clock, journal &events)
+    : hub(hub), clock(std::move(clock)), events(events)
+{ }
+
+/// Versions only rise: a late answer must not bring back routes that were replaced since.
+void catalogue_keeper::setTable(route_table table)
+{
+    const std::uint64_t version = table.version;
+    const std::size_t routes = table.routes.size();
+    bool isTaken = false;
+    const auto shared = std::make_shared<const route_table>(std::move(table));
+    hub.update([&](catalogue &next) {
+        if (next.table && next.table->version >= version)
+            return false;
+        next.table = shared;
+        isTaken = true;
+        return true;
+    });
+    if (isTaken)
+        events.emit("routes_applied",
+                    {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
+}
+
+void catalogue_keeper::confirmTable(mono_time at)
+{
+    hub.update([at](catalogue &next) {
+        next.tableConfirmedAt = at;
+        return true;
+    });
+}
+
+/// While the store is away, runners can't renew their entries, and the store drops them although
+/// they live. An instance that believed this at once would have nobody left to send to, just when
+/// the store is back. They renew within about two seconds of its return.
+bool catalogue_keeper::isForgiving() const
+{
+    return clock.mono() < forgivingUntil;
+}
+
+void catalogue_keeper::noteStoreLost()
+{
+    if (lostAt == mono_time{})
+        lostAt = clock.mono();
+}
+
+void catalogue_keeper::noteStoreAnswer()
+{
+    if (lostAt == mono_time{})
+        return;
+    const mono_time now = clock.mono();
+    if (now - lostAt >= config::storeOutageTime)
+        forgivingUntil = now + config::entryReturnTime;
+    lostAt = {};
+}
+
+void catalogue_keeper::takeAway(catalogue &next, const runner_id &id)
+{
+    const auto found = next.runners.find(id);
+    if (found == next.runners.end())
+        return;
+    // One that was leaving anyway has no reason to come back.
+    if (isForgiving() && !found->second->isDraining) {
+        missing.try_emplace(id, forgivingUntil);
+        return;
+    }
+    events.emit("runner_gone", {{"runner", id.text}, {"address", textOf(found->second->address)}});
+    missing.erase(id);
+    next.runners.erase(found);
+}
+
+void catalogue_keeper::setRunners(const std::vector<runner> &listed)
+{
+    hub.update([&](catalogue &next) {
+        std::set<runner_id> present;
+        for (const runner &entry : listed) {
+            present.insert(entry.id);
+            missing.erase(entry.id);
+            next.runners[entry.id] = std::make_shared<const runner>(entry);
+        }
+        std::vector<runner_id> absent;
+        for (const auto &known : next.runners) {
+            if (!present.contains(known.first))
+                absent.push_back(known.first);
+        }
+        for (const runner_id &id : absent)
+            takeAway(next, id);
+        next.areRunnersKnown = true;
+        return true;
+    });
+    events.emit("runners_listed", {{"count", std::to_string(listed.size())}});
+}
+
+void catalogue_keeper::putRunner(runner entry)
+{
+    missing.erase(entry.id);
+    events.emit("runner_entry",
+                {{"runner", entry.id.text},
+                 {"address", textOf(entry.address)},
+                 {"stage", std::string(nameOf(entry.stage))},
+                 {"draining", entry.isDraining ? "yes" : "no"}});
+    const auto shared = std::make_shared<const runner>(std::move(entry));
+    hub.update([&](catalogue &next) {
+        next.runners[shared->id] = shared;
+        return true;
+    });
+}
+
+void catalogue_keeper::removeRunner(const runner_id &id)
+{
+    hub.update([&](catalogue &next) {
+        takeAway(next, id);
+        return true;
+    });
+}
+
+void catalogue_keeper::settle()
+{
+    if (missing.empty() || isForgiving())
+        return;
+    const auto overdue = std::exchange(missing, {});
+    hub.update([&](catalogue &next) {
+        for (const auto &entry : overdue)
+            takeAway(next, entry.first);
+        return true;
+    });
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/envelope.cpp
@@ -0,0 +1,173 @@
+#include "gateway/envelope.h"
+
+#include "base/http_text.h"
+#include "poplarspool/base/hash.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+
+/// Parts of one prompt that are looked at; placing needs the first few only.
+constexpr std::size_t maxPromptParts = 64;
+
+template <class Number>
+std::optional<Number> numberOf(std::string_view digits)
+{
+    Number number = 0;
+    const char *end = digits.data() + digits.size();
+    const auto [stop, fault] = std::from_chars(digits.data(), end, number);
+    if (digits.empty() || fault != std::errc{} || stop != end)
+        return std::nullopt;
+    return number;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Calls `onItem` for each item of a comma-separated list.
+template <class OnItem>
+void forEachItem(std::string_view list, const OnItem &onItem)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        onItem(trimmed(list.substr(0, comma)));
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+}
+
+std::vector<prompt_part> readPrompt(std::string_view text)
+{
+    std::vector<prompt_part> parts;
+    std::uint64_t chain = 0;
+    forEachItem(text, [&](std::string_view item) {
+        const std::size_t colon = item.rfind(':');
+        if (colon == std::string_view::npos || parts.size() >= maxPromptParts)
+            return;
+        chain = hashOf(item.substr(0, colon), chain);
+        const auto tokens = numberOf<std::uint32_t>(item.substr(colon + 1));
+        parts.push_back({chain, tokens.value_or(0)});
+    });
+    return parts;
+}
+
+bool isSameName(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size()
+            && std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
+                   return std::tolower(a) == std::tolower(b);
+               });
+}
+
+/// @returns The names that a message's Connection headers declare as its connection's own.
+std::vector<std::string> connectionNames(const http_headers &headers)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, value] : headers) {
+        if (isSameName(name, "connection"))
+            forEachItem(value, [&names](std::string_view item) { names.emplace_back(item); });
+    }
+    return names;
+}
+
+bool holds(const std::vector<std::string> &names, std::string_view name)
+{
+    return std::ranges::any_of(names,
+                               [name](const std::string &one) { return isSameName(one, name); });
+}
+
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append(lineEnd);
+}
+
+/// Headers that each send sets anew.
+bool isReplaced(std::string_view name, const dialect &names, const send_extras &extras)
+{
+    return isSameName(name, names.timeLimitMs)
+            || (!extras.lastEvent.empty() && isSameName(name, names.lastEvent))
+            || holds(names.reserved, name);
+}
+
+void appendExtras(std::string &text, const dialect &names, const send_extras &extras)
+{
+    appendHeader(text, names.timeLimitMs, std::to_string(extras.timeLeft.count()));
+    appendHeader(text, names.expectedRunner, extras.runner);
+    if (extras.priority)
+        appendHeader(text, names.priority, std::to_string(*extras.priority));
+    if (!extras.lastEvent.empty())
+        appendHeader(text, names.lastEvent, extras.lastEvent);
+    if (!extras.kvSource.empty())
+        appendHeader(text, names.kvSource, extras.kvSource);
+    if (!extras.kvFetch.empty())
+        appendHeader(text, names.kvFetch, extras.kvFetch);
+    if (extras.isPrefillOnly)
+        appendHeader(text, names.stage, names.prefillStage);
+}
+
+} // namespace
+
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+envelope readEnvelope(const http_request &request, const dialect &names)
+{
+    envelope read;
+    read.id = headerOf(request.headers, names.requestId);
+    read.lastEvent = headerOf(request.headers, names.lastEvent);
+    const auto limit = numberOf<std::int64_t>(headerOf(request.headers, names.timeLimitMs));
+    if (limit && *limit >= 0)
+        read.timeLimit = milliseconds(*limit);
+    const std::string_view counts = headerOf(request.headers, names.tokenCount);
+    const std::size_t comma = std::min(counts.find(','), counts.size());
+    read.promptTokens = numberOf<std::uint32_t>(trimmed(counts.substr(0, comma))).value_or(0);
+    if (comma < counts.size())
+        read.outputTokens = numberOf<std::uint32_t>(trimmed(counts.substr(comma + 1))).value_or(0);
+    read.prompt = readPrompt(headerOf(request.headers, names.promptParts));
+    return read;
+}
+
+std::string runnerRequestText(const http_request &request, const endpoint &to, const dialect &names,
+                              const send_extras &extras)
+{
+    std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
+    const std::vector<std::string> ownNames = connectionNames(request.headers);
+    bool hasHost = false;
+    for (const auto &[name, value] : request.headers) {
+        hasHost = hasHost || isSameName(name, "host");
+        if (!isHopHeader(name) && !holds(ownNames, name) && !isReplaced(name, names, extras))
+            appendHeader(text, name, value);
+    }
+    if (!hasHost)
+        appendHeader(text, "Host", textOf(to));
+    appendExtras(text, names, extras);
+    const bool isBodyUsual = request.method != "GET" && request.method != "HEAD";
+    if (!request.body.empty() || isBodyUsual)
+        appendHeader(text, "Content-Length", std::to_string(request.body.size()));
+    text.reserve(text.size() + lineEnd.size() + request.body.size());
+    return text.append(lineEnd).append(request.body);
+}
+
+http_headers passedReplyHeaders(const http_headers &headers)
+{
+    const std::vector<std::string> ownNames = connectionNames(headers);
+    http_headers passed;
+    for (const auto &header : headers) {
+        if (!isHopHeader(header.first) && !holds(ownNames, header.first))
+            passed.push_back(header);
+    }
+    return passed;
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,213 @@
+#include "poplarspool/gateway/gateway.h"
+
+#include "base/connection_pool.h"
+#include "gateway/request_relay.h"
+#include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/gossip.h"
+#include "poplarspool/peer/load_exchange.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+/// What instances authenticate each other's datagrams with. The platform hands out no secret; its
+/// network is the users' own. The key keeps out strays of other deployments, not attackers.
+std::string peerKeyOf(const gateway_settings &choices)
+{
+    return "poplarspool-gateway:" + textOf(choices.storeAddress);
+}
+
+/// Grows with each start, unless the time of day jumps back meanwhile; gossip mends that.
+incarnation lifeOf(const clock_source &clock)
+{
+    return static_cast<incarnation>(clock.wall().time_since_epoch().count());
+}
+
+peer::gossip_settings gossipSettingsOf(const gateway_settings &choices, const clock_source &clock)
+{
+    peer::gossip_settings made;
+    made.self.id = choices.instance;
+    made.self.zone = choices.zone;
+    made.self.callerAddress = choices.callerAddress;
+    made.self.peerAddress = choices.peerAddress;
+    made.self.life = lifeOf(clock);
+    made.key = peerKeyOf(choices);
+    made.roundTime = config::gatewayGossipTime;
+    made.suspectTime = config::gatewaySuspectTime;
+    made.deadTime = config::deadTime;
+    made.fanout = config::gossipFanout;
+    made.bytesPerSecond = config::gossipBytesPerSecond;
+    return made;
+}
+
+http_limits callerLimitsOf(const caller_bounds &bounds)
+{
+    http_limits limits = defaultHttpLimits();
+    limits.headerBytes = bounds.headerBytes;
+    limits.bodyBytes = bounds.bodyBytes;
+    limits.readTime = std::max(bounds.headerTime, config::requestReadTime);
+    // Callers use connections that have been idle for nearly the whole bound: closed at the bound
+    // itself, some would be closed under a request.
+    limits.keepAliveTime = bounds.idleTime + config::idleMargin;
+    return limits;
+}
+
+} // namespace
+
+struct gateway::state
+{
+    state(gateway_settings given, dialect spoken, clock_source time, metrics_registry &registry,
+          journal &log)
+        : choices(std::move(given)), names(std::move(spoken)), clock(std::move(time)), events(log),
+          keeper(hub, clock, log), ledger(clock), retries({choices.retryShare, choices.retryExtra}),
+          connections(config::maxIdleRunnerConnections, config::runnerConnectTime, registry),
+          metrics(registry), parts{names,   hub,    ledger, retries,      connections,
+                                   metrics, events, clock,  choices.zone, leavesAt},
+          members(gossipSettingsOf(choices, clock), {}, clock, registry, log),
+          loads(
+                  {choices.instance, lifeOf(clock), choices.loadAddress, peerKeyOf(choices)},
+                  [this] { return ledger.collectNews(); },
+                  [this](std::uint64_t sender, const peer::load_news &news) {
+                      ledger.takeNews(sender, news);
+                  },
+                  clock, registry),
+          callers(
+                  "callers", choices.callerAddress, defaultHttpLimits(),
+                  [this](const http_request &request, http_sink &caller) {
+                      return relay(request, caller);
+                  },
+                  registry)
+    { }
+
+    std::optional<http_reply> relay(const http_request &request, http_sink &caller);
+    void followTable();
+
+    const gateway_settings choices;
+    const milliseconds leaveTime{static_cast<std::int64_t>(choices.leaveSeconds * 1000)};
+    const dialect names;
+    const clock_source clock;
+    journal &events;
+    catalogue_hub hub{catalogue{}};
+    catalogue_keeper keeper;
+    runner_ledger ledger;
+    retry_budgets retries;
+    connection_pool connections;
+    relay_metrics metrics;
+    std::atomic<std::int64_t> leavesAt{INT64_MAX};
+    std::atomic<bool> isLeaving{false};
+    std::atomic<std::uint64_t> limitsVersion{0};
+    const relay_parts parts;
+    peer::gossip members;
+    peer::load_exchange loads;
+    http_server callers;
+    mono_time leftAt{};
+};
+
+std::optional<http_reply> gateway::state::relay(const http_request &request, http_sink &caller)
+{
+    followTable();
+    return request_relay(parts, request, caller).run();
+}
+
+/// The callers' bounds are part of the routes' configuration.
+void gateway::state::followTable()
+{
+    const auto now = hub.current();
+    if (!now->table || limitsVersion.exchange(now->table->version) == now->table->version)
+        return;
+    callers.setLimits(callerLimitsOf(now->table->bounds));
+    ledger.forgetAllBut(now->runners);
+}
+
+gateway::gateway(gateway_settings choices, dialect names, clock_source clock,
+                 metrics_registry &metrics, journal &events)
+    : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(clock), metrics,
+                                    events))
+{ }
+
+gateway::~gateway() = default;
+
+result<unit> gateway::start()
+{
+    const auto talking = inner->members.start();
+    if (!succeeded(talking))
+        return errorOf(talking);
+    const auto exchanging = inner->loads.start();
+    if (!succeeded(exchanging))
+        return errorOf(exchanging);
+    const auto listening = inner->callers.start();
+    if (!succeeded(listening))
+        return errorOf(listening);
+    return unit{};
+}
+
+catalogue_keeper &gateway::keeper()
+{
+    return inner->keeper;
+}
+
+void gateway::setListed(const std::vector<listed_gateway> &listed)
+{
+    std::vector<endpoint> contacts;
+    std::vector<endpoint> loadPeers;
+    for (const listed_gateway &one : listed) {
+        if (one.id == inner->choices.instance)
+            continue;
+        contacts.push_back(one.peerAddress);
+        loadPeers.push_back(one.loadAddress);
+    }
+    inner->members.setContacts(std::move(contacts));
+    inner->loads.setPeers(std::move(loadPeers));
+    inner->retries.setInstances(std::max(listed.size(), inner->members.members().size()));
+}
+
+bool gateway::isReady() const
+{
+    const auto now = inner->hub.current();
+    return now->table && now->areRunnersKnown && !inner->isLeaving.load();
+}
+
+std::vector<endpoint> gateway::addressesFor(const zone_id &callerZone) const
+{
+    std::vector<endpoint> near;
+    std::vector<endpoint> all;
+    for (const policy::member &one : inner->members.members()) {
+        const bool isSelf = one.id == inner->choices.instance;
+        const bool isOpen = isSelf ? isReady() : one.state == policy::member_state::Alive;
+        if (!isOpen || !one.callerAddress.isValid())
+            continue;
+        all.push_back(one.callerAddress);
+        if (one.zone == callerZone)
+            near.push_back(one.callerAddress);
+    }
+    return near.size() >= config::enoughNearAddresses ? near : all;
+}
+
+void gateway::leave()
+{
+    inner->isLeaving = true;
+    inner->leftAt = inner->clock.mono();
+    const mono_time end = inner->leftAt + inner->leaveTime - config::leaveMargin;
+    inner->leavesAt = end.time_since_epoch().count();
+    inner->members.setLeaving();
+    inner->callers.announceEnd();
+    inner->events.emit("leaving", {{"time_ms", std::to_string(inner->leaveTime.count())}});
+}
+
+/// Callers keep the address for a while; during that time they are served as before. After it,
+/// requests that have arrived are finished, and connections at rest are closed.
+void gateway::finish()
+{
+    const auto keep = std::chrono::duration_cast<milliseconds>(inner->choices.addressKeepTime)
+            + config::lastCallersTime;
+    std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
+    inner->callers.stop();
+    inner->connections.stop();
+    inner->loads.stop();
+    inner->members.stop();
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/hand_over.cpp
@@ -0,0 +1,121 @@
+#include "gateway/request_relay.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <cmath>
+
+namespace poplarspool::gateway {
+
+/// Has an engine read the prompt. It keeps what it read until another engine takes it over.
+/// @returns The handle to it; none where the engine could not or would not read it.
+std::optional<std::string> request_relay::readPrompt(const placement &place)
+{
+    const runner &reader = *place.prefill;
+    runner_ledger::open_send record(parts.ledger, reader.id, place.readingMs);
+    parts.ledger.noteCached(reader.id, read.prompt);
+    parts.metrics.handOvers.add();
+    const auto reply = askPrefill(place, record);
+    const auto handle = reply ? parts.names.readHandle(reply->body) : std::nullopt;
+    if (handle) {
+        record.noteEnd(send_end::Served);
+        log("prefill_end",
+            {{"runner", reader.id.text},
+             {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
+             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+             {"reading_ms", std::to_string(std::lround(place.readingMs))},
+             {"left_ms", std::to_string(timeLeft().count())}});
+        return handle->id;
+    }
+    // Only the first such call is free of the retry budget, and only where it was accepted. What
+    // was refused is booked like another send; whether the budget had it is decided at that one.
+    static_cast<void>(parts.retries.tryTake(service));
+    log("prefill_lost",
+        {{"runner", reader.id.text},
+         {"status", reply ? std::to_string(reply->status) : "none"},
+         {"fault", lastFault},
+         {"left_ms", std::to_string(timeLeft().count())}});
+    return std::nullopt;
+}
+
+std::optional<http_reply> request_relay::askPrefill(const placement &place,
+                                                    runner_ledger::open_send &record)
+{
+    const runner &reader = *place.prefill;
+    const socket_deadline deadline = deadlineIn(timeLeft());
+    auto connection = parts.connections.take(reader.address, deadline, -1);
+    if (!succeeded(connection)) {
+        lastFault = "prefill_unreachable";
+        record.noteEnd(send_end::Unreachable);
+        return std::nullopt;
+    }
+    noticeSilence(valueOf(connection).get(), config::runnerSilence);
+    send_extras extras;
+    extras.runner = reader.id.text;
+    extras.timeLeft = timeLeft();
+    extras.priority = chosen->rank;
+    extras.isPrefillOnly = true;
+    if (place.cacheHolder) {
+        extras.kvFetch = poplarspool::textOf(place.cacheHolder->address);
+        parts.metrics.kvCopies.add();
+    }
+    runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
+    const std::string text = runnerRequestText(request, reader.address, parts.names, extras);
+    call_fault fault = call.send(text, deadline);
+    if (fault != call_fault::None) {
+        lastFault = "prefill_" + std::string(nameOf(fault));
+        record.noteEnd(fault == call_fault::CallerGone ? send_end::Unknown : send_end::Failed);
+        call.abort();
+        return std::nullopt;
+    }
+    const auto head = readOwnHead(call, deadline);
+    http_reply reply;
+    if (const auto *arrived = std::get_if<reply_head>(&head)) {
+        reply.status = arrived->status;
+        body_piece piece;
+        while (!piece.isLast && piece.fault == call_fault::None
+               && reply.body.size() < config::maxHeldAnswerBytes) {
+            piece = call.readBody(deadline);
+            reply.body += piece.bytes;
+        }
+        fault = piece.fault;
+        if (piece.isLast) {
+            keepConnection(call, *arrived, reader.address);
+            const bool isRefused = !headerOf(arrived->headers, parts.names.notRun).empty();
+            record.noteEnd(isRefused ? send_end::Refused : send_end::Failed);
+            return reply;
+        }
+    } else {
+        fault = std::get<call_fault>(head);
+    }
+    lastFault = "prefill_" + std::string(nameOf(fault));
+    record.noteEnd(fault == call_fault::CallerGone || fault == call_fault::TimedOut
+                           ? send_end::Unknown
+                           : send_end::Failed);
+    call.abort();
+    return std::nullopt;
+}
+
+/// What nobody takes over occupies the engine's memory until it lapses.
+void request_relay::freeHandle(const runner &reader, const std::string &handle)
+{
+    const socket_deadline deadline = deadlineIn(config::freeHandleTime);
+    auto connection = parts.connections.take(reader.address, deadline, -1);
+    if (!succeeded(connection))
+        return;
+    runner_call call(std::move(valueOf(connection)), -1);
+    http_request asked = parts.names.freeHandle(handle);
+    const std::string text = asked.method + " " + asked.path
+            + " HTTP/1.1\r\nHost: " + poplarspool::textOf(reader.address) + "\r\n"
+            + parts.names.expectedRunner + ": " + reader.id.text + "\r\n\r\n";
+    if (call.send(text, deadline) != call_fault::None)
+        return;
+    const auto head = call.readHead(deadline);
+    if (const auto *arrived = std::get_if<reply_head>(&head)) {
+        body_piece piece;
+        while (!piece.isLast && piece.fault == call_fault::None)
+            piece = call.readBody(deadline);
+        keepConnection(call, *arrived, reader.address);
+    }
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/placing.cpp
@@ -0,0 +1,239 @@
+#include "poplarspool/gateway/placing.h"
+
+#include "poplarspool/base/hash.h"
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using candidate_list = std::vector<const place_candidate *>;
+
+bool isSetAside(const place_candidate &one, mono_time now)
+{
+    return one.load.setAsideUntil > now;
+}
+
+/// An engine that names no stage does all the work of one.
+bool serves(const runner &target, engine_stage stage)
+{
+    return target.stage == stage
+            || (stage == engine_stage::Decode && target.stage == engine_stage::None);
+}
+
+/// The runners that may take the request: those that failed lately only where no other is left, and
+/// also where so many are set aside that the rest would be overrun.
+candidate_list openCandidates(const place_wish &wish, std::span<const place_candidate> candidates,
+                              engine_stage stage)
+{
+    candidate_list all;
+    candidate_list good;
+    for (const place_candidate &one : candidates) {
+        if (one.target->service != wish.service || one.target->isDraining || one.isTried
+            || !serves(*one.target, stage))
+            continue;
+        all.push_back(&one);
+        if (!isSetAside(one, wish.now))
+            good.push_back(&one);
+    }
+    const auto least = static_cast<double>(all.size()) * config::leastOpenShare;
+    return static_cast<double>(good.size()) >= least && !good.empty() ? good : all;
+}
+
+/// Evenly spread in [0, 1), and different for each pair of request and runner.
+double tieBreak(const place_wish &wish, const runner &target)
+{
+    const std::uint64_t bits = hashOf(target.id.text, wish.draw);
+    return static_cast<double>(bits >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
+double serviceScore(const place_wish &wish, const place_candidate &one)
+{
+    const auto slots = static_cast<double>(std::max(one.target->slots, 1U));
+    const double crossing = one.target->zone == wish.zone ? 0 : config::serviceCrossZoneCost;
+    const double queueing = one.load.open / slots;
+    return (1 + queueing + crossing) * one.load.slowness
+            + config::tieBreakCost * tieBreak(wish, *one.target);
+}
+
+std::variant<placement, no_place> chooseService(const place_wish &wish,
+                                                std::span<const place_candidate> candidates)
+{
+    const candidate_list open = openCandidates(wish, candidates, engine_stage::None);
+    if (open.empty())
+        return no_place{};
+    const auto best = std::ranges::min_element(
+            open, {}, [&](const place_candidate *one) { return serviceScore(wish, *one); });
+    placement chosen;
+    chosen.serving = (*best)->target;
+    return chosen;
+}
+
+/// The runner that all instances choose, without a message, to read shared parts that nobody has:
+/// two that read them at the same time would do so twice.
+const place_candidate *homeOf(const candidate_list &open, std::uint64_t key)
+{
+    const auto home = std::ranges::max_element(open, {}, [key](const place_candidate *one) {
+        return hashOf(one->target->id.text, key);
+    });
+    return key == 0 || home == open.end() ? nullptr : *home;
+}
+
+/// Who has the most of this prompt's beginning in its cache; null where nobody has any.
+const place_candidate *holderOf(const place_wish &wish, std::span<const place_candidate> candidates)
+{
+    const place_candidate *holder = nullptr;
+    for (const place_candidate &one : candidates) {
+        const bool isUsable = one.target->service == wish.service && one.cachedTokens > 0
+                && !isSetAside(one, wish.now);
+        if (isUsable && (holder == nullptr || one.cachedTokens > holder->cachedTokens))
+            holder = &one;
+    }
+    return holder;
+}
+
+/// One way of getting the prompt read.
+struct reading
+{
+    const place_candidate *at = nullptr;
+    const place_candidate *copyFrom = nullptr;
+    double ownMs = 0; ///< For this prompt.
+    double costMs = std::numeric_limits<double>::infinity(); ///< With all that is weighed.
+    double startMs = 0; ///< Until it is read.
+};
+
+/// What is there to choose from, looked up once.
+struct engine_choice
+{
+    const place_wish &wish;
+    const place_candidate *holder;
+    const place_candidate *home;
+};
+
+reading readAt(const engine_choice &choice, const place_candidate &at,
+               const place_candidate *copyFrom)
+{
+    const place_wish &wish = choice.wish;
+    const double slowness = std::max(at.load.slowness, 1.0);
+    std::uint32_t cached = at.cachedTokens;
+    reading made;
+    made.at = &at;
+    double copyMs = 0;
+    if (copyFrom != nullptr) {
+        copyMs = transferTimeMs(*wish.engine, copyFrom->cachedTokens - cached);
+        cached = copyFrom->cachedTokens;
+        made.copyFrom = copyFrom;
+        made.costMs = config::kvCopyCostMs;
+    } else {
+        made.costMs = 0;
+    }
+    made.ownMs = readingTimeMs(at.target->stage, wish.promptTokens, cached) * slowness;
+    made.startMs = at.load.readingMs * slowness + copyMs + made.ownMs;
+    const bool isColdElsewhere = cached < wish.sharedTokens && choice.home != &at;
+    made.costMs += made.startMs + (isColdElsewhere ? config::coldElsewhereMs : 0)
+            + (at.target->zone == wish.zone ? 0 : config::engineCrossZoneMs)
+            + config::tieBreakCost * tieBreak(wish, *at.target);
+    return made;
+}
+
+/// The best way to have the prompt read by one of these engines.
+reading bestReading(const engine_choice &choice, const candidate_list &engines)
+{
+    reading best;
+    const auto keepBetter = [&best](const reading &other) {
+        if (other.costMs < best.costMs)
+            best = other;
+    };
+    for (const place_candidate *one : engines) {
+        keepBetter(readAt(choice, *one, nullptr));
+        if (choice.holder != nullptr && choice.holder->cachedTokens > one->cachedTokens)
+            keepBetter(readAt(choice, *one, choice.holder));
+    }
+    return best;
+}
+
+/// How much later the events of a request come for what already runs there. Prompts that wait to be
+/// read there don't count: what was read elsewhere is admitted before them.
+double decodeLoadMs(const place_candidate &one)
+{
+    return config::decodeCostMsPerRequest * one.load.open * std::max(one.load.slowness, 1.0);
+}
+
+const place_candidate *leastDecoding(const place_wish &wish, const candidate_list &open)
+{
+    const auto least = std::ranges::min_element(open, {}, [&](const place_candidate *one) {
+        const double spared =
+                transferTimeMs(*wish.engine, std::min(one->cachedTokens, wish.promptTokens));
+        return decodeLoadMs(*one) - spared + config::tieBreakCost * tieBreak(wish, *one->target);
+    });
+    return *least;
+}
+
+std::variant<placement, no_place> chooseEngine(const place_wish &wish,
+                                               std::span<const place_candidate> candidates)
+{
+    const candidate_list decoders = openCandidates(wish, candidates, engine_stage::Decode);
+    if (decoders.empty())
+        return no_place{};
+    placement chosen;
+    if (wish.isRead) {
+        chosen.serving = leastDecoding(wish, decoders)->target;
+        return chosen;
+    }
+    const place_candidate *holder = holderOf(wish, candidates);
+    const engine_choice direct{wish, holder, homeOf(decoders, wish.affinityKey)};
+    candidate_list readers;
+    if (wish.mayHandOver && wish.promptTokens >= config::handOverLeastTokens)
+        readers = openCandidates(wish, candidates, engine_stage::Prefill);
+    reading best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (const place_candidate *one : decoders) {
+        const reading here = bestReading(direct, {one});
+        const double cost = here.costMs + decodeLoadMs(*one);
+        if (cost < bestCost) {
+            best = here;
+            bestCost = cost;
+            chosen.serving = one->target;
+        }
+    }
+    if (!readers.empty()) {
+        const place_candidate *at = leastDecoding(wish, decoders);
+        const reading there =
+                bestReading({wish, holder, homeOf(readers, wish.affinityKey)}, readers);
+        const double moveMs = transferTimeMs(*wish.engine, wish.promptTokens);
+        const double cost = there.costMs + moveMs + decodeLoadMs(*at) + config::handOverCostMs;
+        if (cost < bestCost) {
+            best = there;
+            best.startMs += moveMs;
+            chosen.serving = at->target;
+            chosen.prefill = there.at->target;
+        }
+    }
+    chosen.cacheHolder = best.copyFrom != nullptr ? best.copyFrom->target : nullptr;
+    chosen.readingMs = best.ownMs;
+    chosen.expectedStartMs = best.startMs + config::firstTokenMs;
+    return chosen;
+}
+
+bool hasTried(const place_wish &wish, std::span<const place_candidate> candidates)
+{
+    return std::ranges::any_of(candidates, [&](const place_candidate &one) {
+        return one.isTried && one.target->service == wish.service && !one.target->isDraining;
+    });
+}
+
+} // namespace
+
+std::variant<placement, no_place> choosePlace(const place_wish &wish,
+                                              std::span<const place_candidate> candidates)
+{
+    auto chosen = wish.engine ? chooseEngine(wish, candidates) : chooseService(wish, candidates);
+    if (std::holds_alternative<no_place>(chosen))
+        return no_place{hasTried(wish, candidates)};
+    return chosen;
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/retry_budgets.cpp
@@ -0,0 +1,46 @@
+#include "gateway/retry_budgets.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+
+namespace poplarspool::gateway {
+
+retry_budgets::retry_budgets(retry_bounds bounds) : bounds(bounds) { }
+
+/// With more instances, what was saved up for fewer would exceed the fleet's extra: all start anew.
+void retry_budgets::setInstances(std::size_t count)
+{
+    const std::lock_guard lock(guard);
+    const std::size_t next = std::max<std::size_t>(count, 1);
+    if (next == instances)
+        return;
+    instances = next;
+    budgets.clear();
+}
+
+/// @attention With the guard held.
+policy::retry_budget &retry_budgets::budgetOf(const service_id &service)
+{
+    std::unique_ptr<policy::retry_budget> &budget = budgets[service];
+    if (!budget) {
+        const double burst = config::retryBudgetUse * bounds.extra / static_cast<double>(instances);
+        budget = std::make_unique<policy::retry_budget>(config::retryBudgetUse * bounds.share,
+                                                        burst);
+    }
+    return *budget;
+}
+
+void retry_budgets::onRequest(const service_id &service)
+{
+    const std::lock_guard lock(guard);
+    budgetOf(service).onRequest();
+}
+
+bool retry_budgets::tryTake(const service_id &service)
+{
+    const std::lock_guard lock(guard);
+    return budgetOf(service).tryTake();
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/runner_call.cpp
@@ -0,0 +1,285 @@
+#include "gateway/runner_call.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 16 * 1024;
+/// Replies below it only announce another one.
+constexpr int firstFinalStatus = 200;
+/// Bytes of the line before a chunk, or of a trailer.
+constexpr std::size_t maxChunkLineBytes = 1024;
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+body_piece failed(call_fault fault)
+{
+    return {{}, false, fault};
+}
+
+} // namespace
+
+std::string_view nameOf(call_fault fault)
+{
+    switch (fault) {
+    case call_fault::CallerGone:
+        return "caller_gone";
+    case call_fault::TimedOut:
+        return "timed_out";
+    case call_fault::Closed:
+        return "closed";
+    case call_fault::Malformed:
+        return "malformed";
+    case call_fault::None:
+        break;
+    }
+    return "none";
+}
+
+runner_call::runner_call(descriptor connection, int callerFd)
+    : connection(std::move(connection)), callerFd(callerFd)
+{ }
+
+/// Only the caller's half close is waited for, not its bytes: those of a next request may lie there
+/// all the while.
+call_fault runner_call::await(short events, socket_deadline deadline) const
+{
+    switch (waitForSocket(connection.get(), events, deadline, callerFd, POLLRDHUP)) {
+    case socket_fault::None:
+        return call_fault::None;
+    case socket_fault::Interrupted:
+        return call_fault::CallerGone;
+    case socket_fault::TimedOut:
+        return call_fault::TimedOut;
+    case socket_fault::Closed:
+        break;
+    }
+    return call_fault::Closed;
+}
+
+bool runner_call::hasWholeHead() const
+{
+    return buffer.find(headEnd) != std::string::npos;
+}
+
+call_fault runner_call::send(std::string_view request, socket_deadline deadline)
+{
+    while (bytesSent < request.size()) {
+        const std::string_view left = request.substr(bytesSent);
+        const ssize_t count =
+                ::send(connection.get(), left.data(), left.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count > 0) {
+            bytesSent += static_cast<std::size_t>(count);
+            continue;
+        }
+        if (count < 0 && errno == EINTR)
+            continue;
+        // A runner may refuse a long body before it has read it and close: its answer still counts.
+        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+            return bytesSent > 0 ? call_fault::None : call_fault::Closed;
+        const call_fault fault = await(POLLOUT | POLLIN, deadline);
+        if (fault != call_fault::None)
+            return fault;
+        if (isIdleAndOpen(connection.get()))
+            continue;
+        // Bytes of the rest of this body must never be followed by another request's: a connection
+        // that was answered early is closed after its reply (isSentWhole stays false).
+        if (fill(deadline) != call_fault::None || hasWholeHead())
+            return call_fault::None;
+    }
+    isSentWhole = true;
+    return call_fault::None;
+}
+
+call_fault runner_call::fill(socket_deadline deadline)
+{
+    if (hasEnded)
+        return call_fault::Closed;
+    std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
+    while (true) {
+        const ssize_t count = recv(connection.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+        if (count > 0) {
+            buffer.append(bytes.data(), static_cast<std::size_t>(count));
+            return call_fault::None;
+        }
+        if (count == 0) {
+            hasEnded = true;
+            return call_fault::Closed;
+        }
+        if (errno == EINTR)
+            continue;
+        if (errno != EAGAIN && errno != EWOULDBLOCK)
+            return call_fault::Closed;
+        const call_fault fault = await(POLLIN, deadline);
+        if (fault != call_fault::None)
+            return fault;
+    }
+}
+
+std::variant<reply_head, call_fault> runner_call::readHead(socket_deadline deadline)
+{
+    while (true) {
+        const std::size_t end = buffer.find(headEnd);
+        if (std::min(end, buffer.size()) > config::maxReplyHeaderBytes)
+            return call_fault::Malformed;
+        if (end == std::string::npos) {
+            const call_fault fault = fill(deadline);
+            if (fault != call_fault::None)
+                return fault;
+            continue;
+        }
+        const std::size_t bytes = end + headEnd.size();
+        auto head = parseReplyHead(std::string_view(buffer).substr(0, bytes));
+        if (!head)
+            return call_fault::Malformed;
+        buffer.erase(0, bytes);
+        if (head->status < firstFinalStatus)
+            continue;
+        keepsAlive = head->keepsAlive;
+        bodyLeft = head->bodyBytes.value_or(0);
+        isInChunk = false;
+        if (!mayHaveBody(head->status))
+            body = framing::None;
+        else if (head->isChunked)
+            body = framing::Chunked;
+        else
+            body = head->bodyBytes ? framing::Sized : framing::ToClose;
+        return *head;
+    }
+}
+
+body_piece runner_call::readBody(socket_deadline deadline)
+{
+    body_piece piece;
+    switch (body) {
+    case framing::None:
+        piece.isLast = true;
+        break;
+    case framing::Sized:
+        piece = readSized(deadline);
+        break;
+    case framing::Chunked:
+        piece = readChunk(deadline);
+        break;
+    case framing::ToClose:
+        piece = readToClose(deadline);
+        break;
+    }
+    isReplyWhole = piece.isLast;
+    return piece;
+}
+
+body_piece runner_call::readSized(socket_deadline deadline)
+{
+    if (bodyLeft > 0 && buffer.empty()) {
+        const call_fault fault = fill(deadline);
+        if (fault != call_fault::None)
+            return failed(fault);
+    }
+    body_piece piece;
+    const std::size_t count = std::min(bodyLeft, buffer.size());
+    piece.bytes = buffer.substr(0, count);
+    buffer.erase(0, count);
+    bodyLeft -= count;
+    piece.isLast = bodyLeft == 0;
+    return piece;
+}
+
+/// The end of the connection is the end of the body, and only an orderly one is: after a reset,
+/// nobody knows how much is missing.
+body_piece runner_call::readToClose(socket_deadline deadline)
+{
+    if (buffer.empty()) {
+        const call_fault fault = fill(deadline);
+        if (fault == call_fault::Closed && hasEnded)
+            return {{}, true, call_fault::None};
+        if (fault != call_fault::None)
+            return failed(fault);
+    }
+    return {std::exchange(buffer, {}), false, call_fault::None};
+}
+
+call_fault runner_call::readLine(std::string &line, socket_deadline deadline)
+{
+    while (true) {
+        const std::size_t end = buffer.find(lineEnd);
+        if (std::min(end, buffer.size()) > maxChunkLineBytes)
+            return call_fault::Malformed;
+        if (end != std::string::npos) {
+            line = buffer.substr(0, end);
+            buffer.erase(0, end + lineEnd.size());
+            return call_fault::None;
+        }
+        const call_fault fault = fill(deadline);
+        if (fault != call_fault::None)
+            return fault;
+    }
+}
+
+call_fault runner_call::skipTrailers(socket_deadline deadline)
+{
+    std::string line;
+    do {
+        const call_fault fault = readLine(line, deadline);
+        if (fault != call_fault::None)
+            return fault;
+    } while (!line.empty());
+    return call_fault::None;
+}
+
+body_piece runner_call::readChunk(socket_deadline deadline)
+{
+    if (!isInChunk) {
+        std::string line;
+        call_fault fault = readLine(line, deadline);
+        if (fault != call_fault::None)
+            return failed(fault);
+        const auto size = chunkSizeOf(line);
+        if (!size)
+            return failed(call_fault::Malformed);
+        if (*size == 0) {
+            fault = skipTrailers(deadline);
+            return fault == call_fault::None ? body_piece{{}, true, fault} : failed(fault);
+        }
+        bodyLeft = *size;
+        isInChunk = true;
+    }
+    body_piece piece = readSized(deadline);
+    piece.isLast = false;
+    if (piece.fault != call_fault::None || bodyLeft > 0)
+        return piece;
+    isInChunk = false;
+    std::string end;
+    const call_fault fault = readLine(end, deadline);
+    if (fault != call_fault::None)
+        return failed(fault);
+    if (!end.empty())
+        return failed(call_fault::Malformed);
+    return piece;
+}
+
+descriptor runner_call::takeConnection()
+{
+    const bool isReusable = isSentWhole && isReplyWhole && keepsAlive && !hasEnded
+            && body != framing::ToClose && buffer.empty();
+    if (!isReusable)
+        return descriptor();
+    return std::move(connection);
+}
+
+void runner_call::abort()
+{
+    if (!connection.isOpen())
+        return;
+    abortOnClose(connection.get());
+    connection.reset();
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/runner_ledger.cpp
@@ -0,0 +1,283 @@
+#include "gateway/runner_ledger.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+/// Share of a new time in the moving mean: the last handful of requests count.
+constexpr double newestShare = 0.25;
+/// Times of a runner that must have been seen before it is compared with its siblings.
+constexpr std::uint32_t leastStarts = 3;
+
+std::chrono::nanoseconds setAsideTime(std::uint32_t failuresInRow)
+{
+    const auto doublings = std::min(failuresInRow, 4U) - 1;
+    return std::min<std::chrono::nanoseconds>(config::setAsideFirst * (1U << doublings),
+                                              config::setAsideMost);
+}
+
+double medianOf(std::vector<double> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace
+
+std::string_view nameOf(send_end end)
+{
+    switch (end) {
+    case send_end::Served:
+        return "served";
+    case send_end::Refused:
+        return "refused";
+    case send_end::Misdirected:
+        return "misdirected";
+    case send_end::Unreachable:
+        return "unreachable";
+    case send_end::Failed:
+        return "failed";
+    case send_end::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+runner_ledger::runner_ledger(clock_source clock) : clock(std::move(clock)) { }
+
+runner_ledger::open_send::open_send(runner_ledger &ledger, const runner_id &target,
+                                    double readingMs)
+    : ledger(ledger), target(peer::runnerKey(target)), readingMs(readingMs),
+      sentAt(ledger.clock.mono())
+{
+    ledger.opened(this->target, readingMs);
+}
+
+runner_ledger::open_send::~open_send()
+{
+    noteStart();
+    ledger.ended(target, end);
+}
+
+void runner_ledger::open_send::noteStart()
+{
+    if (std::exchange(hasStarted, true))
+        return;
+    ledger.started(target, readingMs, sentAt);
+}
+
+void runner_ledger::opened(std::uint32_t target, double readingMs)
+{
+    const std::lock_guard lock(guard);
+    record &entry = records[target];
+    ++entry.open;
+    entry.readingMs += readingMs;
+}
+
+void runner_ledger::started(std::uint32_t target, double readingMs, mono_time sentAt)
+{
+    const std::lock_guard lock(guard);
+    record &entry = records[target];
+    entry.readingMs = std::max(entry.readingMs - readingMs, 0.0);
+    const mono_time now = clock.mono();
+    const double tookMs = std::chrono::duration<double, std::milli>(now - sentAt).count();
+    const bool isOld = now - entry.startedAt > config::slownessMemory;
+    entry.meanStartMs = isOld || entry.starts == 0
+            ? tookMs
+            : entry.meanStartMs + newestShare * (tookMs - entry.meanStartMs);
+    entry.starts = isOld ? 1 : entry.starts + 1;
+    entry.startedAt = now;
+}
+
+void runner_ledger::ended(std::uint32_t target, send_end how)
+{
+    const std::lock_guard lock(guard);
+    record &entry = records[target];
+    entry.open -= std::min(entry.open, 1U);
+    noteOutcome(entry, how, clock.mono());
+}
+
+/// A runner that fails part of its requests while it calls itself healthy is seen by its outcomes
+/// only. A service's usual failures (one in seven at one of the users) must not set a runner aside,
+/// so that a share of the last sends counts, not the first failure.
+void runner_ledger::noteOutcome(record &of, send_end how, mono_time now)
+{
+    switch (how) {
+    case send_end::Unknown:
+        return;
+    case send_end::Refused:
+        of.setAsideUntil = std::max(of.setAsideUntil, now + config::refusedPause);
+        return;
+    case send_end::Misdirected:
+    case send_end::Unreachable:
+        ++of.failuresInRow;
+        of.setAsideUntil = now + setAsideTime(of.failuresInRow);
+        return;
+    case send_end::Served:
+    case send_end::Failed:
+        break;
+    }
+    if (how == send_end::Served)
+        of.failuresInRow = 0;
+    of.outcomes.push_back(how == send_end::Failed);
+    if (of.outcomes.size() > config::judgedSends)
+        of.outcomes.pop_front();
+    const auto failures = static_cast<std::size_t>(std::ranges::count(of.outcomes, true));
+    const double share = static_cast<double>(failures) / static_cast<double>(of.outcomes.size());
+    if (how != send_end::Failed || failures < config::leastFailures || share < config::failingShare)
+        return;
+    ++of.failuresInRow;
+    of.setAsideUntil = now + setAsideTime(of.failuresInRow);
+    of.outcomes.clear();
+}
+
+std::uint32_t runner_ledger::cachedTokens(const record &of,
+                                          const std::vector<prompt_part> &prompt) const
+{
+    std::uint32_t tokens = 0;
+    for (const prompt_part &part : prompt) {
+        if (!of.cached.contains(static_cast<std::uint32_t>(part.chain)))
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+std::vector<place_candidate> runner_ledger::candidatesOf(const catalogue &known,
+                                                         const service_id &service,
+                                                         const std::vector<prompt_part> &prompt,
+                                                         const std::vector<runner_id> &tried)
+{
+    std::vector<place_candidate> candidates;
+    const std::lock_guard lock(guard);
+    const mono_time now = clock.mono();
+    for (const auto &[id, target] : known.runners) {
+        if (target->service != service)
+            continue;
+        place_candidate one;
+        one.target = target;
+        one.isTried = std::ranges::find(tried, id) != tried.end();
+        const std::uint32_t key = peer::runnerKey(id);
+        const auto found = records.find(key);
+        if (found != records.end()) {
+            one.load.open = found->second.open;
+            one.load.readingMs = found->second.readingMs;
+            one.load.setAsideUntil = found->second.setAsideUntil;
+            one.cachedTokens = cachedTokens(found->second, prompt);
+        }
+        addPeersLoad(key, one.load, now);
+        candidates.push_back(std::move(one));
+    }
+    judgeSlowness(candidates, now);
+    return candidates;
+}
+
+void runner_ledger::addPeersLoad(std::uint32_t target, runner_load &load, mono_time now) const
+{
+    for (const auto &[sender, peer] : peers) {
+        // An instance that has died says nothing of its requests' end.
+        if (now - peer.heardAt > config::loadNewsMemory)
+            continue;
+        const auto found = peer.work.find(target);
+        if (found == peer.work.end())
+            continue;
+        load.open += found->second.open;
+        load.readingMs += found->second.readingMs;
+    }
+}
+
+peer::load_news runner_ledger::collectNews()
+{
+    peer::load_news told;
+    const std::lock_guard lock(guard);
+    for (const auto &[key, entry] : records) {
+        if (entry.open > 0 && told.work.size() < config::maxLoadItems)
+            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs)});
+    }
+    const std::size_t count = std::min(news.size(), config::maxCachedNews);
+    for (std::size_t i = 0; i < count; ++i) {
+        cached_news one = news.front();
+        news.pop_front();
+        told.cached.push_back(one.chain);
+        if (--one.repeatsLeft > 0)
+            news.push_back(one);
+    }
+    return told;
+}
+
+void runner_ledger::takeNews(std::uint64_t sender, const peer::load_news &told)
+{
+    const std::lock_guard lock(guard);
+    const mono_time now = clock.mono();
+    peer_record &entry = peers[sender];
+    entry.heardAt = now;
+    entry.work.clear();
+    for (const peer::runner_work &one : told.work)
+        entry.work[one.runner] = one;
+    for (const peer::cached_chain &one : told.cached)
+        records[one.runner].cached[one.chain] = now;
+}
+
+/// A slow runner is compared with its siblings: how long a request takes depends on the load of
+/// all.
+void runner_ledger::judgeSlowness(std::vector<place_candidate> &candidates, mono_time now)
+{
+    const auto meanOf = [&](const place_candidate &one) {
+        const auto found = records.find(peer::runnerKey(one.target->id));
+        const bool isKnown = found != records.end() && found->second.starts >= leastStarts
+                && now - found->second.startedAt <= config::slownessMemory;
+        return isKnown ? found->second.meanStartMs : 0.0;
+    };
+    std::vector<double> means;
+    for (const place_candidate &one : candidates) {
+        const double mean = meanOf(one);
+        if (mean > 0)
+            means.push_back(mean);
+    }
+    if (means.size() < 2)
+        return;
+    const double usual = std::max(medianOf(means), config::leastUsualStartMs);
+    for (place_candidate &one : candidates) {
+        const double ratio = meanOf(one) / usual;
+        if (ratio > config::slowRatio)
+            one.load.slowness = std::min(ratio, config::mostSlowness);
+    }
+}
+
+void runner_ledger::noteCached(const runner_id &target, const std::vector<prompt_part> &prompt)
+{
+    const std::lock_guard lock(guard);
+    const std::uint32_t runner = peer::runnerKey(target);
+    record &entry = records[runner];
+    const mono_time now = clock.mono();
+    for (std::size_t i = 0; i < prompt.size(); ++i) {
+        const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
+        const bool isNew = entry.cached.insert_or_assign(chain, now).second;
+        // The last part is the request's own: nobody else will ask for it.
+        if (isNew && i + 1 < prompt.size())
+            news.push_back({{runner, chain}, config::cachedNewsRepeats});
+    }
+    if (entry.cached.size() <= config::maxCachedParts)
+        return;
+    std::erase_if(entry.cached,
+                  [now](const auto &part) { return now - part.second > config::cachedPartMemory; });
+}
+
+void runner_ledger::forgetAllBut(const runner_map &listed)
+{
+    const std::lock_guard lock(guard);
+    std::unordered_set<std::uint32_t> present;
+    for (const auto &entry : listed)
+        present.insert(peer::runnerKey(entry.first));
+    std::erase_if(records, [&present](const auto &entry) {
+        return entry.second.open == 0 && !present.contains(entry.first);
+    });
+}
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/runner_ledger.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "gateway/envelope.h"
+#include "poplarspool/gateway/placing.h"
+#include "poplarspool/peer/load_exchange.h"
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace poplarspool::gateway {
+
+/// How a send to a runner ended, as far as it says something of the runner.
+enum class send_end {
+    Served,
+    Refused, ///< It said that it did not run the request: full, or on its way out.
+    Misdirected, ///< Another runner has this address by now.
+    Unreachable, ///< No connection.
+    Failed, ///< It answered with a failure of its own, with nonsense, or broke off.
+    Unknown, ///< The caller left, or its time was over.
+};
+
+std::string_view nameOf(send_end end);
+
+/// What this instance has going on at each runner, and what it has lately met there.
+class runner_ledger
+{
+public:
+    explicit runner_ledger(clock_source clock);
+
+    /// A send that is going on. Ends when it goes out of scope.
+    class open_send
+    {
+    public:
+        /// @param readingMs That the runner needs for the prompt; 0 where it has been read.
+        open_send(runner_ledger &ledger, const runner_id &target, double readingMs);
+        open_send(const open_send &) = delete;
+        open_send &operator=(const open_send &) = delete;
+        ~open_send();
+
+        /// The runner has begun to answer.
+        void noteStart();
+        void noteEnd(send_end how) { end = how; }
+
+    private:
+        runner_ledger &ledger;
+        const std::uint32_t target;
+        const double readingMs;
+        const mono_time sentAt;
+        bool hasStarted = false;
+        send_end end = send_end::Unknown;
+    };
+
+    /// @param tried Runners that the request has been sent to without success.
+    std::vector<place_candidate> candidatesOf(const catalogue &known, const service_id &service,
+                                              const std::vector<prompt_part> &prompt,
+                                              const std::vector<runner_id> &tried);
+
+    /// The runner is about to read this prompt, and keeps it in its cache.
+    void noteCached(const runner_id &target, const std::vector<prompt_part> &prompt);
+
+    /// @returns What the other instances are told.
+    peer::load_news collectNews();
+    /// Takes what another instance has told.
+    void takeNews(std::uint64_t sender, const peer::load_news &news);
+
+    /// Forgets runners that are listed no more and have nothing open.
+    void forgetAllBut(const runner_map &listed);
+
+private:
+    struct record
+    {
+        std::uint32_t open = 0;
+        double readingMs = 0;
+        std::uint32_t failuresInRow = 0;
+        std::deque<bool> outcomes; ///< Of the last sends; true: failed.
+        mono_time setAsideUntil{};
+        double meanStartMs = 0; ///< Moving mean of the time to the first byte.
+        std::uint32_t starts = 0;
+        mono_time startedAt{}; ///< When the last start was noted.
+        std::unordered_map<std::uint32_t, mono_time> cached; ///< By low half of the chain's hash.
+    };
+
+    struct peer_record
+    {
+        mono_time heardAt{};
+        std::unordered_map<std::uint32_t, peer::runner_work> work; ///< By runner.
+    };
+
+    struct cached_news
+    {
+        peer::cached_chain chain;
+        std::uint32_t repeatsLeft = 0;
+    };
+
+    void opened(std::uint32_t target, double readingMs);
+    void started(std::uint32_t target, double readingMs, mono_time sentAt);
+    void ended(std::uint32_t target, send_end how);
+    void noteOutcome(record &of, send_end how, mono_time now);
+    std::uint32_t cachedTokens(const record &of, const std::vector<prompt_part> &prompt) const;
+    void addPeersLoad(std::uint32_t target, runner_load &load, mono_time now) const;
+    void judgeSlowness(std::vector<place_candidate> &candidates, mono_time now);
+
+    const clock_source clock;
+    std::mutex guard;
+    std::unordered_map<std::uint32_t, record> records; ///< By runner.
+    std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
+    std::deque<cached_news> news;
+};
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/runner_try.cpp
@@ -0,0 +1,322 @@
+#include "gateway/request_relay.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+/// @returns Time for which the runner promises to keep the connection; none where it doesn't say.
+std::optional<milliseconds> keepAliveTimeOf(const http_headers &headers)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text = headerOf(headers, "keep-alive");
+    const std::size_t at = text.find(key);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = text.substr(at + key.size());
+    std::int64_t seconds = 0;
+    const auto fault = std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec;
+    if (fault != std::errc{} || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+socket_deadline request_relay::deadlineIn(milliseconds time) const
+{
+    return socket_clock::now() + std::max(time, milliseconds(1));
+}
+
+request_relay::try_end request_relay::tryAt(const placement &place, const std::string &kvSource)
+{
+    const runner &target = *place.serving;
+    ++sends;
+    tried.push_back(target.id);
+    lastRunner = target.id.text;
+    lastFault.clear();
+    parts.ledger.noteCached(target.id, read.prompt);
+    try_end end = try_end::Lost;
+    {
+        runner_ledger::open_send record(parts.ledger, target.id,
+                                        kvSource.empty() ? place.readingMs : 0);
+        sending now{place, kvSource, record, deadlineIn(timeLeft() + config::lastWordTime)};
+        end = sendTo(now);
+    }
+    log("send_end",
+        {{"runner", target.id.text},
+         {"address", poplarspool::textOf(target.address)},
+         {"prefill", place.prefill ? place.prefill->id.text : ""},
+         {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
+         {"reading_ms", std::to_string(std::lround(place.readingMs))},
+         {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+         {"fault", lastFault},
+         {"left_ms", std::to_string(timeLeft().count())}});
+    const bool isTaken = end == try_end::Answered || end == try_end::Lost || hasBegun;
+    if (place.prefill && !isTaken)
+        freeHandle(*place.prefill, kvSource.substr(kvSource.find('/') + 1));
+    return end;
+}
+
+/// A request that may not be repeated never goes over a kept connection: its runner may be closing
+/// it at this moment, and then nobody could say whether the request has run. A new connection costs
+/// a round trip, and a failure to connect proves that it has not.
+result<descriptor> request_relay::connectionTo(const endpoint &to, socket_deadline deadline) const
+{
+    auto connection = chosen->repeats == repeat_rule::Idempotent
+            ? parts.connections.take(to, deadline, caller.descriptorNumber())
+            : parts.connections.connect(to, deadline, -1);
+    if (succeeded(connection))
+        noticeSilence(valueOf(connection).get(), config::runnerSilence);
+    return connection;
+}
+
+send_extras request_relay::extrasFor(const sending &now) const
+{
+    send_extras extras;
+    extras.runner = now.place.serving->id.text;
+    extras.timeLeft = std::max(timeLeft(), milliseconds(1));
+    if (engine != nullptr)
+        extras.priority = now.kvSource.empty() ? chosen->rank + 1 : 0;
+    if (lastEvent)
+        extras.lastEvent = std::to_string(*lastEvent);
+    extras.kvSource = now.kvSource;
+    if (now.place.cacheHolder)
+        extras.kvFetch = poplarspool::textOf(now.place.cacheHolder->address);
+    return extras;
+}
+
+request_relay::try_end request_relay::sendTo(sending &now)
+{
+    const runner &target = *now.place.serving;
+    auto connection = connectionTo(target.address, now.deadline);
+    if (!succeeded(connection)) {
+        lastFault = "unreachable";
+        now.record.noteEnd(send_end::Unreachable);
+        return caller.isGone() ? try_end::CallerGone : try_end::NotRun;
+    }
+    if (now.place.cacheHolder)
+        parts.metrics.kvCopies.add();
+    if (hasBegun)
+        parts.metrics.resumes.add();
+    runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
+    const std::string text =
+            runnerRequestText(request, target.address, parts.names, extrasFor(now));
+    const call_fault fault = call.send(text, now.deadline);
+    if (fault != call_fault::None)
+        return endOfFault(call, fault, now);
+    const auto head = readOwnHead(call, now.deadline);
+    if (const auto *failed = std::get_if<call_fault>(&head))
+        return endOfFault(call, *failed, now);
+    return takeReply(call, std::get<reply_head>(head), now);
+}
+
+/// A faulty runner may send a second reply after a whole one. It then lies on the kept connection
+/// where the next request's reply is expected; handed on, a caller would get another caller's
+/// answer. Its id tells.
+std::variant<reply_head, call_fault> request_relay::readOwnHead(runner_call &call,
+                                                                socket_deadline deadline)
+{
+    for (std::uint32_t skipped = 0; skipped <= config::maxForeignReplies; ++skipped) {
+        auto head = call.readHead(deadline);
+        const auto *arrived = std::get_if<reply_head>(&head);
+        if (arrived == nullptr)
+            return head;
+        const std::string_view id = headerOf(arrived->headers, parts.names.requestId);
+        if (id.empty() || id == read.id)
+            return head;
+        parts.metrics.foreignReplies.add();
+        body_piece piece;
+        while (!piece.isLast && piece.fault == call_fault::None)
+            piece = call.readBody(deadline);
+        if (piece.fault != call_fault::None)
+            return piece.fault;
+    }
+    return call_fault::Malformed;
+}
+
+/// What a failed step means for the request and for the runner's record.
+request_relay::try_end request_relay::endOfFault(runner_call &call, call_fault fault, sending &now)
+{
+    const bool mayHaveRun = call.mayHaveArrived();
+    call.abort();
+    lastFault = nameOf(fault);
+    if (mayHaveRun)
+        ++runs;
+    if (fault == call_fault::CallerGone)
+        return try_end::CallerGone;
+    if (fault != call_fault::TimedOut)
+        now.record.noteEnd(mayHaveRun ? send_end::Failed : send_end::Unreachable);
+    return mayHaveRun ? try_end::Lost : try_end::NotRun;
+}
+
+request_relay::try_end request_relay::takeReply(runner_call &call, const reply_head &head,
+                                                sending &now)
+{
+    const bool isRefused = !headerOf(head.headers, parts.names.notRun).empty();
+    if (isRefused || (head.status == 421 && headerOf(head.headers, parts.names.seal).empty()))
+        return takeRefusal(call, head, now);
+    // Without its seal a reply is not the runner's own, whatever its status says.
+    if (headerOf(head.headers, parts.names.seal).empty())
+        return endOfFault(call, call_fault::Malformed, now);
+    if (chosen->isStream && isSuccess(head.status))
+        return passStream(call, head, now);
+    return passPlain(call, head, now);
+}
+
+/// The runner has not run the request, and says so.
+request_relay::try_end request_relay::takeRefusal(runner_call &call, const reply_head &head,
+                                                  sending &now)
+{
+    lastFault = "refused_" + std::to_string(head.status);
+    now.record.noteEnd(head.status == 421 ? send_end::Misdirected : send_end::Refused);
+    body_piece piece;
+    std::size_t bytes = 0;
+    while (!piece.isLast && piece.fault == call_fault::None && bytes < config::maxHeldAnswerBytes) {
+        piece = call.readBody(now.deadline);
+        bytes += piece.bytes.size();
+    }
+    if (piece.isLast)
+        keepConnection(call, head, now.place.serving->address);
+    return piece.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
+}
+
+void request_relay::noteFirstByte(sending &now)
+{
+    now.record.noteStart();
+    if (firstByteAt != mono_time{})
+        return;
+    firstByteAt = parts.clock.mono();
+    parts.metrics.firstByte.record(firstByteAt - arrivedAt);
+}
+
+bool request_relay::beginReply(const reply_head &head)
+{
+    // A resumed stream goes on within the reply that its first runner began.
+    if (hasBegun)
+        return true;
+    hasBegun = true;
+    return caller.begin(head.status, passedReplyHeaders(head.headers), {});
+}
+
+/// Hands the whole events on. Those up to the last one passed on are repeats of a runner that was
+/// resumed a little too early.
+/// @returns False where the caller is gone.
+bool request_relay::passEvents(event_splitter &events, const reply_head &head)
+{
+    while (auto event = events.next()) {
+        if (event->id && lastEvent && *event->id <= *lastEvent)
+            continue;
+        if (!beginReply(head) || !caller.write(event->text))
+            return false;
+        if (event->id)
+            lastEvent = event->id;
+    }
+    return true;
+}
+
+request_relay::try_end request_relay::passStream(runner_call &call, const reply_head &head,
+                                                 sending &now)
+{
+    event_splitter events;
+    while (true) {
+        const body_piece piece = call.readBody(now.deadline);
+        events.add(piece.bytes);
+        if (!piece.bytes.empty())
+            noteFirstByte(now);
+        if (!passEvents(events, head)) {
+            call.abort();
+            ++runs;
+            return try_end::CallerGone;
+        }
+        if (piece.fault != call_fault::None)
+            return endOfFault(call, piece.fault, now);
+        if (piece.isLast)
+            break;
+    }
+    // Half an event before a proper end: the runner has lost the rest.
+    if (!events.isAtBoundary())
+        return endOfFault(call, call_fault::Malformed, now);
+    ++runs;
+    now.record.noteEnd(send_end::Served);
+    keepConnection(call, head, now.place.serving->address);
+    if (!beginReply(head))
+        return try_end::CallerGone;
+    caller.end();
+    return try_end::Answered;
+}
+
+/// Holds the answer until it is whole, so that a runner that breaks off can be replaced.
+request_relay::try_end request_relay::passPlain(runner_call &call, const reply_head &head,
+                                                sending &now)
+{
+    std::string body;
+    body_piece piece;
+    while (!piece.isLast) {
+        piece = call.readBody(now.deadline);
+        if (piece.fault != call_fault::None)
+            return endOfFault(call, piece.fault, now);
+        body += piece.bytes;
+        if (body.size() > config::maxHeldAnswerBytes && !piece.isLast)
+            return passLarge(call, head, std::move(body), now);
+    }
+    ++runs;
+    noteFirstByte(now);
+    keepConnection(call, head, now.place.serving->address);
+    http_reply reply;
+    reply.status = head.status;
+    reply.headers = passedReplyHeaders(head.headers);
+    reply.body = std::move(body);
+    held = std::move(reply);
+    const bool isFault = head.status >= 500;
+    now.record.noteEnd(isFault ? send_end::Failed : send_end::Served);
+    lastFault = isFault ? "runner_" + std::to_string(head.status) : "";
+    return isFault ? try_end::Failed : try_end::Held;
+}
+
+request_relay::try_end request_relay::passLarge(runner_call &call, const reply_head &head,
+                                                std::string held, sending &now)
+{
+    noteFirstByte(now);
+    body_piece piece;
+    piece.bytes = std::move(held);
+    while (true) {
+        if (!beginReply(head) || !caller.write(piece.bytes)) {
+            call.abort();
+            ++runs;
+            return try_end::CallerGone;
+        }
+        if (piece.isLast)
+            break;
+        piece = call.readBody(now.deadline);
+        if (piece.fault != call_fault::None)
+            return endOfFault(call, piece.fault, now);
+    }
+    ++runs;
+    now.record.noteEnd(send_end::Served);
+    keepConnection(call, head, now.place.serving->address);
+    caller.end();
+    return try_end::Answered;
+}
+
+void request_relay::keepConnection(runner_call &call, const reply_head &head, const endpoint &to)
+{
+    constexpr milliseconds margin{1000}; // The runner's count began earlier than ours.
+    const milliseconds promised = keepAliveTimeOf(head.headers).value_or(config::runnerIdleTime);
+    const milliseconds time = std::min(promised - margin, config::runnerIdleTime);
+    descriptor reusable = call.takeConnection();
+    if (reusable.isOpen() && time > milliseconds::zero())
+        parts.connections.keep(to, std::move(reusable), time);
+}
+
+} // namespace poplarspool::gateway
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -464,6 +464,11 @@
     return unit{};
 }
 
+void instance::noteReload()
+{
+    inner->events.emit("reload_ignored", {{"reason", "settings are read at the start only"}});
+}
+
 void instance::leave()
 {
     const std::lock_guard lock(inner->guard);
--- a/src/operators/check_command.cpp
+++ b/src/operators/check_command.cpp
@@ -32,6 +32,8 @@
     file.kind = guessKind(file.text);
     if (file.kind == file_kind::Settings)
         file.faults = faultsIn(parseSettings(path, file.text));
+    if (file.kind == file_kind::Gateway)
+        file.faults = faultsIn(parseGatewaySettings(path, file.text));
     if (file.kind == file_kind::Rules)
         file.faults = faultsIn(parseRules(path, file.text));
     if (file.kind == file_kind::Inventory) {
@@ -95,7 +97,8 @@
 
 void printKeys(std::ostream &out)
 {
-    for (const file_kind kind : {file_kind::Settings, file_kind::Inventory, file_kind::Rules})
+    for (const file_kind kind :
+         {file_kind::Settings, file_kind::Gateway, file_kind::Inventory, file_kind::Rules})
         out << "## " << nameOf(kind) << "\n\n" << keyTableOf(kind) << '\n';
 }
 
@@ -110,7 +113,7 @@
             "against each other. Exit status: 0 no fault, 1 unreadable file, 2 faults.");
     options.custom_help("[OPTION...]").positional_help("FILE...");
     options.add_options()("json", "Print one JSON object instead");
-    options.add_options()("print-keys", "Print the keys of all three kinds of files as Markdown");
+    options.add_options()("print-keys", "Print the keys of all kinds of files as Markdown");
     options.add_options("hidden")("files", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"files"});
     const words_or_exit parsed = parseWords(options, words, out, err);
--- a/src/operators/config_files.cpp
+++ b/src/operators/config_files.cpp
@@ -40,6 +40,8 @@
     switch (kind) {
     case file_kind::Settings:
         return "settings";
+    case file_kind::Gateway:
+        return "gateway settings";
     case file_kind::Inventory:
         return "inventory";
     case file_kind::Rules:
@@ -53,6 +55,8 @@
     switch (kind) {
     case file_kind::Settings:
         return rowsOf(settingsKeys());
+    case file_kind::Gateway:
+        return rowsOf(gatewayKeys());
     case file_kind::Inventory:
         return rowsOf(inventoryKeys());
     case file_kind::Rules:
@@ -66,7 +70,7 @@
     fault_sink ignored("");
     const toml::table root = parseToml(text, ignored);
     file_kind best = file_kind::Settings;
-    for (const file_kind kind : {file_kind::Inventory, file_kind::Rules}) {
+    for (const file_kind kind : {file_kind::Gateway, file_kind::Inventory, file_kind::Rules}) {
         if (countKnown(root, kind) > countKnown(root, best))
             best = kind;
     }
--- a/src/operators/file_keys.h
+++ b/src/operators/file_keys.h
@@ -2,12 +2,13 @@
 
 #include "operators/toml_reader.h"
 #include "poplarspool/base/settings.h"
+#include "poplarspool/gateway/gateway_settings.h"
 #include "poplarspool/policy/inventory.h"
 #include "poplarspool/policy/rules.h"
 
 #include <vector>
 
-/// The declared keys of each of the three files.
+/// The declared keys of each of the four files.
 namespace poplarspool::operators {
 
 /// An inventory file as it stands, before the pools' defaults went into the runners.
@@ -18,6 +19,7 @@
 };
 
 const table_keys<settings> &settingsKeys();
+const table_keys<gateway::gateway_settings> &gatewayKeys();
 const table_keys<inventory_file> &inventoryKeys();
 const table_keys<policy::rules> &rulesKeys();
 
--- /dev/null
+++ b/src/operators/gateway_file.cpp
@@ -0,0 +1,110 @@
+#include "operators/file_keys.h"
+#include "operators/value_rules.h"
+
+#include <array>
+#include <utility>
+
+namespace poplarspool::operators {
+
+namespace {
+
+using gateway::gateway_settings;
+using std::chrono::seconds;
+
+table_keys<gateway_settings> addressKeys()
+{
+    using s = gateway_settings;
+    return {
+            requiredKey<s>("instance", "", &s::instance, idRule<instance_id>(nameRule()),
+                           "Name of this instance, unique among those of one store."),
+            requiredKey<s>("zone", "", &s::zone, idRule<zone_id>(nameRule()),
+                           "Availability zone that it stands in."),
+            requiredKey<s>("caller.address", "", &s::callerAddress, endpointRule(),
+                           "Where callers send requests, as they are told it."),
+            requiredKey<s>("readiness.address", "", &s::readinessAddress, endpointRule(),
+                           "Where the platform asks whether callers may come."),
+            requiredKey<s>("directory.address", "", &s::directoryAddress, endpointRule(),
+                           "Where callers ask which instances to connect to."),
+            optionalKey<s>("directory.keep_seconds", "s", &s::addressKeepTime,
+                           timeRule<seconds>(seconds(1), seconds(60)),
+                           "For which callers may keep that answer."),
+            requiredKey<s>("peer.address", "", &s::peerAddress, endpointRule(),
+                           "Between instances: UDP."),
+            requiredKey<s>("peer.load_address", "", &s::loadAddress, endpointRule(),
+                           "Between instances: UDP, for news of load."),
+            requiredKey<s>("metrics.address", "", &s::metricsAddress, endpointRule(),
+                           "Where metrics are read, at /metrics."),
+            requiredKey<s>("store.address", "", &s::storeAddress, endpointRule(),
+                           "The platform's metadata store."),
+    };
+}
+
+table_keys<gateway_settings> boundKeys()
+{
+    using s = gateway_settings;
+    const auto level = choiceRule<std::string>({{"debug", "debug"},
+                                                {"info", "info"},
+                                                {"warn", "warn"},
+                                                {"error", "error"},
+                                                {"off", "off"}});
+    return {
+            optionalKey<s>("retries.share", "", &s::retryShare, realRule(0, 1),
+                           "Sends beyond each request's first, as a share of the requests."),
+            optionalKey<s>("retries.extra", "", &s::retryExtra, realRule(0, 100000),
+                           "Beside the share, of all instances together."),
+            optionalKey<s>("leave.seconds", "s", &s::leaveSeconds, realRule(1, 600),
+                           "From SIGTERM to the end of the process."),
+            optionalKey<s>("log.level", "", &s::logLevel, level,
+                           "Least level written to standard output."),
+    };
+}
+
+table_keys<gateway_settings> allKeys()
+{
+    table_keys<gateway_settings> keys = addressKeys();
+    for (key_decl<gateway_settings> &declared : boundKeys())
+        keys.push_back(std::move(declared));
+    return keys;
+}
+
+/// Two servers on one address: the second one could not bind.
+void checkAddresses(const gateway_settings &choices, const toml::table &root, fault_sink &faults)
+{
+    const std::array<std::pair<std::string, endpoint>, 4> bound{{
+            {"caller.address", choices.callerAddress},
+            {"readiness.address", choices.readinessAddress},
+            {"directory.address", choices.directoryAddress},
+            {"metrics.address", choices.metricsAddress},
+    }};
+    for (std::size_t i = 0; i < bound.size(); ++i) {
+        for (std::size_t k = 0; k < i; ++k) {
+            if (bound[i].second.isValid() && bound[i].second == bound[k].second)
+                faults.add(regionOf(root, bound[i].first), bound[i].first,
+                           "is the same address as " + bound[k].first);
+        }
+    }
+}
+
+} // namespace
+
+const table_keys<gateway_settings> &gatewayKeys()
+{
+    static const table_keys<gateway_settings> keys = allKeys();
+    return keys;
+}
+
+checked<gateway_settings> parseGatewaySettings(const std::string &file, std::string_view text)
+{
+    fault_sink faults(file);
+    gateway_settings choices;
+    const toml::table root = parseToml(text, faults);
+    if (!faults.isEmpty())
+        return faults.sorted();
+    readTable(root, "", gatewayKeys(), choices, faults);
+    checkAddresses(choices, root, faults);
+    if (!faults.isEmpty())
+        return faults.sorted();
+    return choices;
+}
+
+} // namespace poplarspool::operators
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -14,10 +14,11 @@
 
 /// What a frame is; datagrams and TCP streams share one header.
 enum class frame_kind : std::uint8_t {
-    Gossip = 1, ///< The only kind in a datagram.
+    Gossip = 1, ///< In a datagram.
     Hello = 2, ///< First frame of either side of a connection; no payload.
     Call = 3,
     Reply = 4,
+    Load = 5, ///< In a datagram.
 };
 
 /// Head of every frame between instances.
--- /dev/null
+++ b/src/peer/load_news.cpp
@@ -0,0 +1,55 @@
+#include "peer/codec.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/config.h"
+#include "poplarspool/peer/load_exchange.h"
+
+namespace poplarspool::peer {
+
+namespace {
+
+/// Bytes of the smallest item of either list.
+constexpr std::size_t leastWorkBytes = 6;
+constexpr std::size_t leastChainBytes = 8;
+
+template <class Codec, class News>
+void describe(Codec &codec, News &news)
+{
+    codec.list(news.work, config::maxLoadItems, leastWorkBytes, [](Codec &each, auto &item) {
+        each.fixed(item.runner);
+        each.small(item.open);
+        each.small(item.readingMs);
+    });
+    codec.list(news.cached, config::maxCachedNews, leastChainBytes, [](Codec &each, auto &item) {
+        each.fixed(item.runner);
+        each.fixed(item.chain);
+    });
+}
+
+} // namespace
+
+std::uint32_t runnerKey(const runner_id &id)
+{
+    return static_cast<std::uint32_t>(hashOf(id.text));
+}
+
+std::string encode(const load_news &news)
+{
+    encoder out;
+    describe(out, news);
+    return out.take();
+}
+
+result<load_news> decodeLoadNews(std::string_view payload)
+{
+    try {
+        decoder in(payload);
+        load_news news;
+        describe(in, news);
+        in.finish();
+        return news;
+    } catch (const std::exception &) {
+        return notRun(error_code::Broken, "malformed load news");
+    }
+}
+
+} // namespace poplarspool::peer
--- a/tests/operators/config_files_test.cpp
+++ b/tests/operators/config_files_test.cpp
@@ -166,7 +166,8 @@
     void settingsPageIsUpToDate()
     {
         const std::string page = contentOf("docs/SETTINGS.md");
-        for (const file_kind kind : {file_kind::Settings, file_kind::Inventory, file_kind::Rules}) {
+        for (const file_kind kind :
+             {file_kind::Settings, file_kind::Gateway, file_kind::Inventory, file_kind::Rules}) {
             const std::string table = keyTableOf(kind);
             CPPUNIT_ASSERT_MESSAGE("docs/SETTINGS.md lacks:\n" + table,
                                    page.find(table) != std::string::npos);
