Apply a runner's removal in time after an outage of the store, and believe in its cache for as long as it lasts

Now only what is missing right at the return is put off, and each such entry carries the time until which it is used.

--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -109,6 +109,8 @@
     std::uint32_t slots = 1; ///< Requests at once.
     bool isDraining = false;
     engine_stage stage = engine_stage::None;
+    /// Set where it is listed no more, but may come back: not used any more from then on.
+    mono_time keptUntil = mono_time::max();
 
     bool operator==(const runner &) const = default;
 };
--- a/include/poplarspool/gateway/catalogue_keeper.h
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -3,7 +3,7 @@
 #include "poplarspool/base/journal.h"
 #include "poplarspool/gateway/catalogue.h"
 
-#include <map>
+#include <set>
 #include <vector>
 
 namespace poplarspool::gateway {
@@ -39,13 +39,14 @@
 private:
     bool isForgiving() const;
     void takeAway(catalogue &next, const runner_id &id);
+    void drop(catalogue &next, const runner_id &id);
 
     catalogue_hub &hub;
     const clock_source clock;
     journal &events;
     mono_time lostAt{}; ///< First failure since the last answer; 0: none.
-    mono_time forgivingUntil{};
-    std::map<runner_id, mono_time> missing; ///< Until when each is kept nevertheless.
+    mono_time backAt{}; ///< When the store came back last.
+    std::set<runner_id> missing; ///< Kept although listed no more.
 };
 
 } // namespace poplarspool::gateway
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -61,9 +61,10 @@
 inline constexpr std::chrono::milliseconds loadNewsMemory = 1500ms;
 /// Times that each new part in a runner's cache is told, against lost datagrams.
 inline constexpr std::uint32_t cachedNewsRepeats = 2;
-/// Parts of prompts remembered per runner, and for how long beyond that.
+/// Parts of prompts remembered per runner; beyond that, the older half is forgotten.
 inline constexpr std::size_t maxCachedParts = 20000;
-inline constexpr std::chrono::milliseconds cachedPartMemory = 60s;
+/// Share of an engine's memory that caches parts; the rest holds running requests.
+inline constexpr double cacheShare = 0.6;
 /// Part of the fleet's retry budget that is used: instances count their members late.
 inline constexpr double retryBudgetUse = 0.75;
 /// Sends of one request, refused ones among them.
@@ -118,7 +119,9 @@
 /// Time without an answer of the store after which entries may have lapsed while it was away, and
 /// the time in which those of living runners are back: the users' pages say about two seconds.
 inline constexpr std::chrono::milliseconds storeOutageTime = 500ms;
-inline constexpr std::chrono::milliseconds entryReturnTime = 2200ms;
+inline constexpr std::chrono::milliseconds entryReturnTime = 2000ms;
+/// Time after its return in which entries that lapsed while it was away are found missing.
+inline constexpr std::chrono::milliseconds entryLapseTime = 500ms;
 /// Between gateways: rounds and time to suspicion. Callers keep an address for 2 s, and lose 1 s on
 /// one that is dark.
 inline constexpr std::chrono::milliseconds gatewayGossipTime = 250ms;
--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -21,6 +21,8 @@
     std::uint32_t runner = 0; ///< runnerKey() of its id.
     std::uint32_t open = 0; ///< Requests sent and not ended.
     std::uint32_t readingMs = 0; ///< Time for reading the prompts of those not begun.
+    /// Tokens of prompts that this instance has put into its cache; counts on, and wraps around.
+    std::uint32_t tokensIn = 0;
 
     bool operator==(const runner_work &) const = default;
 };
--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -2,7 +2,7 @@
 
 #include "poplarspool/gateway/limits.h"
 
-#include <set>
+#include <utility>
 
 namespace poplarspool::gateway {
 
@@ -39,10 +39,12 @@
 
 /// While the store is away, runners can't renew their entries, and the store drops them although
 /// they live. An instance that believed this at once would have nobody left to send to, just when
-/// the store is back. They renew within about two seconds of its return.
+/// the store is back. They renew within about two seconds of its return. Only what is missing at
+/// the return is forgiven: a runner that is taken away later is on its way out, and the bound for
+/// leaving it alone runs.
 bool catalogue_keeper::isForgiving() const
 {
-    return clock.mono() < forgivingUntil;
+    return backAt != mono_time{} && clock.mono() - backAt < config::entryLapseTime;
 }
 
 void catalogue_keeper::noteStoreLost()
@@ -57,22 +59,31 @@
         return;
     const mono_time now = clock.mono();
     if (now - lostAt >= config::storeOutageTime)
-        forgivingUntil = now + config::entryReturnTime;
+        backAt = now;
     lostAt = {};
 }
 
 void catalogue_keeper::takeAway(catalogue &next, const runner_id &id)
 {
     const auto found = next.runners.find(id);
-    if (found == next.runners.end())
+    if (found == next.runners.end() || missing.contains(id))
         return;
     // One that was leaving anyway has no reason to come back.
-    if (isForgiving() && !found->second->isDraining) {
-        missing.try_emplace(id, forgivingUntil);
+    if (!isForgiving() || found->second->isDraining)
+        return drop(next, id);
+    runner kept = *found->second;
+    kept.keptUntil = backAt + config::entryReturnTime;
+    found->second = std::make_shared<const runner>(std::move(kept));
+    missing.insert(id);
+    events.emit("runner_missing", {{"runner", id.text}});
+}
+
+void catalogue_keeper::drop(catalogue &next, const runner_id &id)
+{
+    const auto found = next.runners.find(id);
+    if (found == next.runners.end())
         return;
-    }
     events.emit("runner_gone", {{"runner", id.text}, {"address", textOf(found->second->address)}});
-    missing.erase(id);
     next.runners.erase(found);
 }
 
@@ -123,12 +134,12 @@
 
 void catalogue_keeper::settle()
 {
-    if (missing.empty() || isForgiving())
+    if (missing.empty() || clock.mono() < backAt + config::entryReturnTime)
         return;
     const auto overdue = std::exchange(missing, {});
     hub.update([&](catalogue &next) {
-        for (const auto &entry : overdue)
-            takeAway(next, entry.first);
+        for (const runner_id &id : overdue)
+            drop(next, id);
         return true;
     });
 }
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -176,7 +176,7 @@
     wish.draw = hashOf(read.id, sends);
     if (engine != nullptr)
         wish.engine = *engine;
-    const auto candidates = parts.ledger.candidatesOf(*latest, service, read.prompt, tried);
+    const auto candidates = parts.ledger.candidatesOf(*latest, service, engine, read.prompt, tried);
     const auto found = choosePlace(wish, candidates);
     if (const auto *place = std::get_if<placement>(&found))
         return *place;
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -137,12 +137,16 @@
     of.outcomes.clear();
 }
 
-std::uint32_t runner_ledger::cachedTokens(const record &of,
-                                          const std::vector<prompt_part> &prompt) const
+/// The least recently used parts yield: one is taken for gone once as many other tokens have come
+/// in as the cache holds beside running requests. Believed in for longer, it would be copied from a
+/// runner that has nothing, and read once more after all.
+std::uint32_t runner_ledger::cachedTokens(const record &of, const std::vector<prompt_part> &prompt,
+                                          std::uint64_t capacity)
 {
     std::uint32_t tokens = 0;
     for (const prompt_part &part : prompt) {
-        if (!of.cached.contains(static_cast<std::uint32_t>(part.chain)))
+        const auto found = of.cached.find(static_cast<std::uint32_t>(part.chain));
+        if (found == of.cached.end() || of.tokensIn - found->second > capacity)
             break;
         tokens += part.tokens;
     }
@@ -151,10 +155,15 @@
 
 std::vector<place_candidate> runner_ledger::candidatesOf(const catalogue &known,
                                                          const service_id &service,
+                                                         const engine_traits *engine,
                                                          const std::vector<prompt_part> &prompt,
                                                          const std::vector<runner_id> &tried)
 {
     std::vector<place_candidate> candidates;
+    const std::uint64_t capacity = engine == nullptr
+            ? 0
+            : static_cast<std::uint64_t>(config::cacheShare
+                                         * static_cast<double>(engine->kvTokens));
     const std::lock_guard lock(guard);
     const mono_time now = clock.mono();
     for (const auto &[id, target] : known.runners) {
@@ -169,7 +178,7 @@
             one.load.open = found->second.open;
             one.load.readingMs = found->second.readingMs;
             one.load.setAsideUntil = found->second.setAsideUntil;
-            one.cachedTokens = cachedTokens(found->second, prompt);
+            one.cachedTokens = cachedTokens(found->second, prompt, capacity);
         }
         addPeersLoad(key, one.load, now);
         candidates.push_back(std::move(one));
@@ -198,7 +207,8 @@
     const std::lock_guard lock(guard);
     for (const auto &[key, entry] : records) {
         if (entry.open > 0 && told.work.size() < config::maxLoadItems)
-            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs)});
+            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
+                                 static_cast<std::uint32_t>(entry.ownTokensIn)});
     }
     const std::size_t count = std::min(news.size(), config::maxCachedNews);
     for (std::size_t i = 0; i < count; ++i) {
@@ -217,11 +227,21 @@
     const mono_time now = clock.mono();
     peer_record &entry = peers[sender];
     entry.heardAt = now;
-    entry.work.clear();
-    for (const peer::runner_work &one : told.work)
-        entry.work[one.runner] = one;
-    for (const peer::cached_chain &one : told.cached)
-        records[one.runner].cached[one.chain] = now;
+    for (auto &known : entry.work) {
+        known.second.open = 0;
+        known.second.readingMs = 0;
+    }
+    for (const peer::runner_work &one : told.work) {
+        const auto [known, isNew] = entry.work.try_emplace(one.runner, one);
+        // The first number of a sender says nothing of what came in since when.
+        if (!isNew)
+            records[one.runner].tokensIn += one.tokensIn - known->second.tokensIn;
+        known->second = one;
+    }
+    for (const peer::cached_chain &one : told.cached) {
+        record &of = records[one.runner];
+        of.cached[one.chain] = of.tokensIn;
+    }
 }
 
 /// A slow runner is compared with its siblings: how long a request takes depends on the load of
@@ -255,18 +275,23 @@
     const std::lock_guard lock(guard);
     const std::uint32_t runner = peer::runnerKey(target);
     record &entry = records[runner];
-    const mono_time now = clock.mono();
+    for (const prompt_part &part : prompt) {
+        if (!entry.cached.contains(static_cast<std::uint32_t>(part.chain))) {
+            entry.tokensIn += part.tokens;
+            entry.ownTokensIn += part.tokens;
+        }
+    }
     for (std::size_t i = 0; i < prompt.size(); ++i) {
         const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
-        const bool isNew = entry.cached.insert_or_assign(chain, now).second;
+        entry.cached[chain] = entry.tokensIn;
         // The last part is the request's own: nobody else will ask for it.
-        if (isNew && i + 1 < prompt.size())
+        if (i + 1 < prompt.size())
             news.push_back({{runner, chain}, config::cachedNewsRepeats});
     }
     if (entry.cached.size() <= config::maxCachedParts)
         return;
-    std::erase_if(entry.cached,
-                  [now](const auto &part) { return now - part.second > config::cachedPartMemory; });
+    const std::uint64_t middle = entry.tokensIn / 2;
+    std::erase_if(entry.cached, [middle](const auto &part) { return part.second < middle; });
 }
 
 void runner_ledger::forgetAllBut(const runner_map &listed)
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -53,8 +53,10 @@
         send_end end = send_end::Unknown;
     };
 
+    /// @param engine Of the service; null for plain ones.
     /// @param tried Runners that the request has been sent to without success.
     std::vector<place_candidate> candidatesOf(const catalogue &known, const service_id &service,
+                                              const engine_traits *engine,
                                               const std::vector<prompt_part> &prompt,
                                               const std::vector<runner_id> &tried);
 
@@ -80,7 +82,11 @@
         double meanStartMs = 0; ///< Moving mean of the time to the first byte.
         std::uint32_t starts = 0;
         mono_time startedAt{}; ///< When the last start was noted.
-        std::unordered_map<std::uint32_t, mono_time> cached; ///< By low half of the chain's hash.
+        /// Tokens that have been put into its cache so far, by all instances as far as known.
+        std::uint64_t tokensIn = 0;
+        std::uint64_t ownTokensIn = 0; ///< Of these, by this instance.
+        /// tokensIn at the last use of each part, by the low half of its chain's hash.
+        std::unordered_map<std::uint32_t, std::uint64_t> cached;
     };
 
     struct peer_record
@@ -99,7 +105,8 @@
     void started(std::uint32_t target, double readingMs, mono_time sentAt);
     void ended(std::uint32_t target, send_end how);
     void noteOutcome(record &of, send_end how, mono_time now);
-    std::uint32_t cachedTokens(const record &of, const std::vector<prompt_part> &prompt) const;
+    static std::uint32_t cachedTokens(const record &of, const std::vector<prompt_part> &prompt,
+                                      std::uint64_t capacity);
     void addPeersLoad(std::uint32_t target, runner_load &load, mono_time now) const;
     void judgeSlowness(std::vector<place_candidate> &candidates, mono_time now);
 
