--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -104,7 +104,9 @@
 inline constexpr std::size_t maxIdleStoreConnections = 2;
 /// Time for which one watch waits: each answer confirms what is known (routesTrustTime), and each
 /// is priced.
-inline constexpr std::chrono::milliseconds gatewayWatchTime = 1400ms;
+inline constexpr std::chrono::milliseconds gatewayWatchTime = 3500ms;
+/// Time from one watch to the next at least. A runner that leaves must be left alone after 2 s.
+inline constexpr std::chrono::milliseconds gatewayWatchGap = 500ms;
 /// Pauses between tries to reach the store: first, and bound. A change must be in force 2 s after
 /// the store took it.
 inline constexpr std::chrono::milliseconds gatewayStorePauseFirst = 50ms;
