--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -139,9 +139,10 @@
 inline constexpr std::chrono::milliseconds suspectTime = 1500ms;
 inline constexpr std::chrono::milliseconds deadTime = 4s;
 /// Time between two messages of one instance on what it has sent to runners; and how many it sends
-/// a second to all others together, above which the time grows.
+/// a second to those in its zone and to all others, above which the time grows.
 inline constexpr std::chrono::milliseconds loadNewsTime = 40ms;
 inline constexpr std::size_t loadNewsPerSecond = 150;
+inline constexpr std::size_t farLoadNewsPerSecond = 100;
 /// Bounds of one such message, so that it fits into a datagram.
 inline constexpr std::size_t maxLoadItems = 64;
 inline constexpr std::size_t maxCachedNews = 48;
--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -19,6 +19,7 @@
     instance_id id;
     endpoint peerAddress; ///< Gossip.
     endpoint loadAddress; ///< News of load.
+    zone_id zone;
 
     bool operator==(const listed_gateway &) const = default;
 };
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -57,8 +57,16 @@
 inline constexpr double mostSlowness = 20;
 /// Times below this are not compared: they are all overhead.
 inline constexpr double leastUsualStartMs = 10;
+/// Priorities at engines, 0 to 9: prompts that were read elsewhere and only have to be run, urgent
+/// requests by their rank, and those that are late anyway.
+inline constexpr std::uint32_t readPriority = 0;
+inline constexpr std::uint32_t urgentPriority = 1;
+inline constexpr std::uint32_t laterPriority = 6;
+inline constexpr std::uint32_t mostRank = 3;
+/// Share of the time to the objective by which a request must be expected to start to be urgent.
+inline constexpr double urgentShare = 0.9;
 /// Time for which another instance's news of its load counts.
-inline constexpr std::chrono::milliseconds loadNewsMemory = 1500ms;
+inline constexpr std::chrono::milliseconds loadNewsMemory = 2s;
 /// Times that each new part in a runner's cache is told, against lost datagrams.
 inline constexpr std::uint32_t cachedNewsRepeats = 2;
 /// Parts of prompts remembered per runner; beyond that, the older half is forgotten.
--- a/include/poplarspool/gateway/placing.h
+++ b/include/poplarspool/gateway/placing.h
@@ -15,7 +15,8 @@
 struct runner_load
 {
     std::uint32_t open = 0; ///< Requests sent and not ended.
-    double readingMs = 0; ///< Time that it needs for the prompts that it has not read yet.
+    double readingMs = 0; ///< Time that it needs for the urgent prompts that it has not read yet.
+    double laterMs = 0; ///< The same for those that all urgent ones overtake.
     mono_time setAsideUntil{}; ///< It failed lately: others are preferred until then.
     double slowness = 1; ///< Time that it takes, against its siblings.
 
@@ -42,12 +43,19 @@
     std::uint64_t affinityKey = 0; ///< Of the shared parts; 0: none.
     bool mayHandOver = true; ///< Another engine may read the prompt first.
     bool isRead = false; ///< Another engine has read it: its KV cache only has to be taken over.
+    double objectiveLeftMs = 0; ///< In which it should start.
     mono_time now{};
     std::uint64_t draw = 0; ///< Any number, evenly spread: breaks ties.
 
     bool operator==(const place_wish &) const = default;
 };
 
+/// Whether a request can still be on time.
+enum class send_class {
+    Urgent, ///< It can: it goes before those that can't.
+    Later, ///< It can't: it is served when nothing urgent waits.
+};
+
 struct placement
 {
     std::shared_ptr<const runner> serving;
@@ -56,6 +64,7 @@
     std::shared_ptr<const runner> cacheHolder;
     double readingMs = 0; ///< For the prompt, where it is read.
     double expectedStartMs = 0; ///< Until the first event.
+    send_class urgency = send_class::Urgent;
 
     bool operator==(const placement &) const = default;
 };
--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -20,7 +20,8 @@
 {
     std::uint32_t runner = 0; ///< runnerKey() of its id.
     std::uint32_t open = 0; ///< Requests sent and not ended.
-    std::uint32_t readingMs = 0; ///< Time for reading the prompts of those not begun.
+    std::uint32_t readingMs = 0; ///< Time for reading the prompts of urgent ones not begun.
+    std::uint32_t laterMs = 0; ///< The same of those that all urgent ones overtake.
     /// Tokens of prompts that this instance has put into its cache; counts on, and wraps around.
     std::uint32_t tokensIn = 0;
 
@@ -59,8 +60,8 @@
     std::string key; ///< Secret of the MAC.
 };
 
-/// Tells every other instance what this one has sent where, some times a second, and hears the
-/// same from them. Gossip would spread it too, but two or three rounds late, and half of a
+/// Tells every other instance what this one has sent where, and hears the same from them; those of
+/// the own availability zone many times a second, in large fleets the others more rarely. Gossip would spread it too, but two or three rounds late, and half of a
 /// request's time is over by then.
 class load_exchange
 {
@@ -75,7 +76,10 @@
     result<unit> start();
     void stop();
     /// Whom to tell.
-    void setPeers(std::vector<endpoint> addresses);
+    /// @param near In the own availability zone: told most often, since requests mostly stay in
+    ///             their zone and bytes between zones are dear.
+    /// @param far All others.
+    void setPeers(std::vector<endpoint> near, std::vector<endpoint> far);
 
 private:
     struct state;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -152,15 +152,16 @@
 void gateway::setListed(const std::vector<listed_gateway> &listed)
 {
     std::vector<endpoint> contacts;
-    std::vector<endpoint> loadPeers;
+    std::vector<endpoint> near;
+    std::vector<endpoint> far;
     for (const listed_gateway &one : listed) {
         if (one.id == inner->choices.instance)
             continue;
         contacts.push_back(one.peerAddress);
-        loadPeers.push_back(one.loadAddress);
+        (one.zone == inner->choices.zone ? near : far).push_back(one.loadAddress);
     }
     inner->members.setContacts(std::move(contacts));
-    inner->loads.setPeers(std::move(loadPeers));
+    inner->loads.setPeers(std::move(near), std::move(far));
     inner->retries.setInstances(std::max(listed.size(), inner->members.members().size()));
 }
 
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -11,7 +11,7 @@
 std::optional<std::string> request_relay::readPrompt(const placement &place)
 {
     const runner &reader = *place.prefill;
-    runner_ledger::open_send record(parts.ledger, reader.id, place.readingMs);
+    runner_ledger::open_send record(parts.ledger, reader.id, place.readingMs, place.urgency);
     parts.ledger.noteCached(reader.id, read.prompt);
     parts.metrics.handOvers.add();
     const auto reply = askPrefill(place, record);
@@ -52,7 +52,7 @@
     send_extras extras;
     extras.runner = reader.id.text;
     extras.timeLeft = timeLeft();
-    extras.priority = chosen->rank;
+    extras.priority = priorityOf(place.urgency);
     extras.isPrefillOnly = true;
     if (place.cacheHolder) {
         extras.kvFetch = poplarspool::textOf(place.cacheHolder->address);
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -102,13 +102,14 @@
     const place_candidate *copyFrom = nullptr;
     double ownMs = 0; ///< For this prompt.
     double costMs = std::numeric_limits<double>::infinity(); ///< With all that is weighed.
-    double startMs = 0; ///< Until it is read.
+    double startMs = 0; ///< Until the first token.
 };
 
 /// What is there to choose from, looked up once.
 struct engine_choice
 {
     const place_wish &wish;
+    send_class urgency;
     const place_candidate *holder;
     const place_candidate *home;
 };
@@ -131,7 +132,9 @@
         made.costMs = 0;
     }
     made.ownMs = readingTimeMs(at.target->stage, wish.promptTokens, cached) * slowness;
-    made.startMs = at.load.readingMs * slowness + copyMs + made.ownMs;
+    const double aheadMs = at.load.readingMs
+            + (choice.urgency == send_class::Later ? at.load.laterMs : 0);
+    made.startMs = aheadMs * slowness + copyMs + made.ownMs + config::firstTokenMs;
     const bool isColdElsewhere = cached < wish.sharedTokens && choice.home != &at;
     made.costMs += made.startMs + (isColdElsewhere ? config::coldElsewhereMs : 0)
             + (at.target->zone == wish.zone ? 0 : config::engineCrossZoneMs)
@@ -172,25 +175,24 @@
     return *least;
 }
 
-std::variant<placement, no_place> chooseEngine(const place_wish &wish,
-                                               std::span<const place_candidate> candidates)
+/// The engines that are open to a request.
+struct engine_lists
+{
+    candidate_list decoders;
+    candidate_list readers; ///< That may read the prompt first.
+    const place_candidate *holder;
+};
+
+/// The best way to serve a request of that class, over all engines and hand-overs.
+placement chooseWay(const place_wish &wish, const engine_lists &engines, send_class urgency)
 {
-    const candidate_list decoders = openCandidates(wish, candidates, engine_stage::Decode);
-    if (decoders.empty())
-        return no_place{};
     placement chosen;
-    if (wish.isRead) {
-        chosen.serving = leastDecoding(wish, decoders)->target;
-        return chosen;
-    }
-    const place_candidate *holder = holderOf(wish, candidates);
-    const engine_choice direct{wish, holder, homeOf(decoders, wish.affinityKey)};
-    candidate_list readers;
-    if (wish.mayHandOver && wish.promptTokens >= config::handOverLeastTokens)
-        readers = openCandidates(wish, candidates, engine_stage::Prefill);
+    chosen.urgency = urgency;
     reading best;
     double bestCost = std::numeric_limits<double>::infinity();
-    for (const place_candidate *one : decoders) {
+    const engine_choice direct{wish, urgency, engines.holder,
+                               homeOf(engines.decoders, wish.affinityKey)};
+    for (const place_candidate *one : engines.decoders) {
         const reading here = bestReading(direct, {one});
         const double cost = here.costMs + decodeLoadMs(*one);
         if (cost < bestCost) {
@@ -199,13 +201,13 @@
             chosen.serving = one->target;
         }
     }
-    if (!readers.empty()) {
-        const place_candidate *at = leastDecoding(wish, decoders);
-        const reading there =
-                bestReading({wish, holder, homeOf(readers, wish.affinityKey)}, readers);
+    if (!engines.readers.empty()) {
+        const place_candidate *at = leastDecoding(wish, engines.decoders);
+        const engine_choice handed{wish, urgency, engines.holder,
+                                   homeOf(engines.readers, wish.affinityKey)};
+        const reading there = bestReading(handed, engines.readers);
         const double moveMs = transferTimeMs(*wish.engine, wish.promptTokens);
-        const double cost = there.costMs + moveMs + decodeLoadMs(*at) + config::handOverCostMs;
-        if (cost < bestCost) {
+        if (there.costMs + moveMs + decodeLoadMs(*at) + config::handOverCostMs < bestCost) {
             best = there;
             best.startMs += moveMs;
             chosen.serving = at->target;
@@ -214,10 +216,34 @@
     }
     chosen.cacheHolder = best.copyFrom != nullptr ? best.copyFrom->target : nullptr;
     chosen.readingMs = best.ownMs;
-    chosen.expectedStartMs = best.startMs + config::firstTokenMs;
+    chosen.expectedStartMs = best.startMs;
     return chosen;
 }
 
+/// On the heaviest days more prompts come than the engines can read in time. Served in the order of
+/// arrival, all of them start late. So a request that can still start in time only waits for others
+/// that can; the rest is served in the gaps.
+std::variant<placement, no_place> chooseEngine(const place_wish &wish,
+                                               std::span<const place_candidate> candidates)
+{
+    engine_lists engines;
+    engines.decoders = openCandidates(wish, candidates, engine_stage::Decode);
+    if (engines.decoders.empty())
+        return no_place{};
+    if (wish.isRead) {
+        placement chosen;
+        chosen.serving = leastDecoding(wish, engines.decoders)->target;
+        return chosen;
+    }
+    engines.holder = holderOf(wish, candidates);
+    if (wish.mayHandOver && wish.promptTokens >= config::handOverLeastTokens)
+        engines.readers = openCandidates(wish, candidates, engine_stage::Prefill);
+    placement urgent = chooseWay(wish, engines, send_class::Urgent);
+    if (urgent.expectedStartMs <= wish.objectiveLeftMs * config::urgentShare)
+        return urgent;
+    return chooseWay(wish, engines, send_class::Later);
+}
+
 bool hasTried(const place_wish &wish, std::span<const place_candidate> candidates)
 {
     return std::ranges::any_of(candidates, [&](const place_candidate &one) {
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -112,6 +112,7 @@
     void keepConnection(runner_call &call, const reply_head &head, const endpoint &to);
     send_extras extrasFor(const sending &now) const;
     socket_deadline deadlineIn(milliseconds time) const;
+    std::uint32_t priorityOf(send_class urgency) const;
     void noteFirstByte(sending &now);
 
     const relay_parts &parts;
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -52,11 +52,11 @@
 runner_ledger::runner_ledger(clock_source clock) : clock(std::move(clock)) { }
 
 runner_ledger::open_send::open_send(runner_ledger &ledger, const runner_id &target,
-                                    double readingMs)
-    : ledger(ledger), target(peer::runnerKey(target)), readingMs(readingMs),
+                                    double readingMs, send_class urgency)
+    : ledger(ledger), target(peer::runnerKey(target)), readingMs(readingMs), urgency(urgency),
       sentAt(ledger.clock.mono())
 {
-    ledger.opened(this->target, readingMs);
+    ledger.opened(*this);
 }
 
 runner_ledger::open_send::~open_send()
@@ -69,24 +69,30 @@
 {
     if (std::exchange(hasStarted, true))
         return;
-    ledger.started(target, readingMs, sentAt);
+    ledger.started(*this);
 }
 
-void runner_ledger::opened(std::uint32_t target, double readingMs)
+double &runner_ledger::readingOf(record &of, send_class urgency)
+{
+    return urgency == send_class::Urgent ? of.readingMs : of.laterMs;
+}
+
+void runner_ledger::opened(const open_send &sent)
 {
     const std::lock_guard lock(guard);
-    record &entry = records[target];
+    record &entry = records[sent.target];
     ++entry.open;
-    entry.readingMs += readingMs;
+    readingOf(entry, sent.urgency) += sent.readingMs;
 }
 
-void runner_ledger::started(std::uint32_t target, double readingMs, mono_time sentAt)
+void runner_ledger::started(const open_send &sent)
 {
     const std::lock_guard lock(guard);
-    record &entry = records[target];
-    entry.readingMs = std::max(entry.readingMs - readingMs, 0.0);
+    record &entry = records[sent.target];
+    double &reading = readingOf(entry, sent.urgency);
+    reading = std::max(reading - sent.readingMs, 0.0);
     const mono_time now = clock.mono();
-    const double tookMs = std::chrono::duration<double, std::milli>(now - sentAt).count();
+    const double tookMs = std::chrono::duration<double, std::milli>(now - sent.sentAt).count();
     const bool isOld = now - entry.startedAt > config::slownessMemory;
     entry.meanStartMs = isOld || entry.starts == 0
             ? tookMs
@@ -166,6 +172,7 @@
                                          * static_cast<double>(engine->kvTokens));
     const std::lock_guard lock(guard);
     const mono_time now = clock.mono();
+    dropSilentPeers(now);
     for (const auto &[id, target] : known.runners) {
         if (target->service != service)
             continue;
@@ -175,29 +182,39 @@
         const std::uint32_t key = peer::runnerKey(id);
         const auto found = records.find(key);
         if (found != records.end()) {
-            one.load.open = found->second.open;
-            one.load.readingMs = found->second.readingMs;
+            one.load.open = found->second.open + found->second.openElsewhere;
+            one.load.readingMs = found->second.readingMs + found->second.readingMsElsewhere;
+            one.load.laterMs = found->second.laterMs + found->second.laterMsElsewhere;
             one.load.setAsideUntil = found->second.setAsideUntil;
             one.cachedTokens = cachedTokens(found->second, prompt, capacity);
         }
-        addPeersLoad(key, one.load, now);
         candidates.push_back(std::move(one));
     }
     judgeSlowness(candidates, now);
     return candidates;
 }
 
-void runner_ledger::addPeersLoad(std::uint32_t target, runner_load &load, mono_time now) const
+/// Takes what an instance has told off the sums.
+void runner_ledger::takeOff(const peer_record &told)
 {
-    for (const auto &[sender, peer] : peers) {
-        // An instance that has died says nothing of its requests' end.
-        if (now - peer.heardAt > config::loadNewsMemory)
-            continue;
-        const auto found = peer.work.find(target);
-        if (found == peer.work.end())
+    for (const auto &[runner, work] : told.work) {
+        record &of = records[runner];
+        of.openElsewhere -= std::min(of.openElsewhere, work.open);
+        of.readingMsElsewhere = std::max(of.readingMsElsewhere - work.readingMs, 0.0);
+        of.laterMsElsewhere = std::max(of.laterMsElsewhere - work.laterMs, 0.0);
+    }
+}
+
+/// An instance that has died says nothing of its requests' end.
+void runner_ledger::dropSilentPeers(mono_time now)
+{
+    for (auto peer = peers.begin(); peer != peers.end();) {
+        if (now - peer->second.heardAt <= config::loadNewsMemory) {
+            ++peer;
             continue;
-        load.open += found->second.open;
-        load.readingMs += found->second.readingMs;
+        }
+        takeOff(peer->second);
+        peer = peers.erase(peer);
     }
 }
 
@@ -207,7 +224,7 @@
     const std::lock_guard lock(guard);
     for (const auto &[key, entry] : records) {
         if (entry.open > 0 && told.work.size() < config::maxLoadItems)
-            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
+            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs), static_cast<std::uint32_t>(entry.laterMs),
                                  static_cast<std::uint32_t>(entry.ownTokensIn)});
     }
     const std::size_t count = std::min(news.size(), config::maxCachedNews);
@@ -227,15 +244,21 @@
     const mono_time now = clock.mono();
     peer_record &entry = peers[sender];
     entry.heardAt = now;
+    takeOff(entry);
     for (auto &known : entry.work) {
         known.second.open = 0;
         known.second.readingMs = 0;
+        known.second.laterMs = 0;
     }
     for (const peer::runner_work &one : told.work) {
+        record &of = records[one.runner];
+        of.openElsewhere += one.open;
+        of.readingMsElsewhere += one.readingMs;
+        of.laterMsElsewhere += one.laterMs;
         const auto [known, isNew] = entry.work.try_emplace(one.runner, one);
         // The first number of a sender says nothing of what came in since when.
         if (!isNew)
-            records[one.runner].tokensIn += one.tokensIn - known->second.tokensIn;
+            of.tokensIn += one.tokensIn - known->second.tokensIn;
         known->second = one;
     }
     for (const peer::cached_chain &one : told.cached) {
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -35,7 +35,8 @@
     {
     public:
         /// @param readingMs That the runner needs for the prompt; 0 where it has been read.
-        open_send(runner_ledger &ledger, const runner_id &target, double readingMs);
+        open_send(runner_ledger &ledger, const runner_id &target, double readingMs,
+                  send_class urgency);
         open_send(const open_send &) = delete;
         open_send &operator=(const open_send &) = delete;
         ~open_send();
@@ -45,9 +46,12 @@
         void noteEnd(send_end how) { end = how; }
 
     private:
+        friend class runner_ledger;
+
         runner_ledger &ledger;
         const std::uint32_t target;
         const double readingMs;
+        const send_class urgency;
         const mono_time sentAt;
         bool hasStarted = false;
         send_end end = send_end::Unknown;
@@ -76,6 +80,10 @@
     {
         std::uint32_t open = 0;
         double readingMs = 0;
+        double laterMs = 0;
+        std::uint32_t openElsewhere = 0; ///< As last told by the other instances, summed up.
+        double readingMsElsewhere = 0;
+        double laterMsElsewhere = 0;
         std::uint32_t failuresInRow = 0;
         std::deque<bool> outcomes; ///< Of the last sends; true: failed.
         mono_time setAsideUntil{};
@@ -101,13 +109,15 @@
         std::uint32_t repeatsLeft = 0;
     };
 
-    void opened(std::uint32_t target, double readingMs);
-    void started(std::uint32_t target, double readingMs, mono_time sentAt);
+    void opened(const open_send &sent);
+    static double &readingOf(record &of, send_class urgency);
+    void started(const open_send &sent);
     void ended(std::uint32_t target, send_end how);
     void noteOutcome(record &of, send_end how, mono_time now);
     static std::uint32_t cachedTokens(const record &of, const std::vector<prompt_part> &prompt,
                                       std::uint64_t capacity);
-    void addPeersLoad(std::uint32_t target, runner_load &load, mono_time now) const;
+    void takeOff(const peer_record &told);
+    void dropSilentPeers(mono_time now);
     void judgeSlowness(std::vector<place_candidate> &candidates, mono_time now);
 
     const clock_source clock;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -38,6 +38,14 @@
     return socket_clock::now() + std::max(time, milliseconds(1));
 }
 
+/// Within each class the operators' ranks decide. What can't be on time any more is read when
+/// nothing else waits: before it, each late request would make the next one late too.
+std::uint32_t request_relay::priorityOf(send_class urgency) const
+{
+    const std::uint32_t rank = std::min(chosen->rank, config::mostRank);
+    return (urgency == send_class::Urgent ? config::urgentPriority : config::laterPriority) + rank;
+}
+
 request_relay::try_end request_relay::tryAt(const placement &place, const std::string &kvSource)
 {
     const runner &target = *place.serving;
@@ -49,7 +57,7 @@
     try_end end = try_end::Lost;
     {
         runner_ledger::open_send record(parts.ledger, target.id,
-                                        kvSource.empty() ? place.readingMs : 0);
+                                        kvSource.empty() ? place.readingMs : 0, place.urgency);
         sending now{place, kvSource, record, deadlineIn(timeLeft() + config::lastWordTime)};
         end = sendTo(now);
     }
@@ -87,7 +95,8 @@
     extras.runner = now.place.serving->id.text;
     extras.timeLeft = std::max(timeLeft(), milliseconds(1));
     if (engine != nullptr)
-        extras.priority = now.kvSource.empty() ? chosen->rank + 1 : 0;
+        extras.priority =
+                now.kvSource.empty() ? priorityOf(now.place.urgency) : config::readPriority;
     if (lastEvent)
         extras.lastEvent = std::to_string(*lastEvent);
     extras.kvSource = now.kvSource;
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -28,15 +28,21 @@
     auto operator<=>(const sender_mark &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// With more instances each tells more rarely, so that its datagrams stay within a budget.
+milliseconds intervalFor(std::size_t peers, std::size_t datagramsPerSecond)
+{
+    return std::max(milliseconds(1000 * peers / datagramsPerSecond), config::loadNewsTime);
+}
+
 } // namespace
 
 struct load_exchange::state
 {
     void run();
-    void tellAll();
+    void tellDue(mono_time now);
+    void tell(const std::vector<endpoint> &to, const load_news &news);
     void hearAll();
     void hear(std::string_view bytes);
-    milliseconds interval() const;
 
     load_exchange_settings choices;
     std::function<load_news()> collect;
@@ -49,11 +55,13 @@
     raised_flag stopping;
     std::thread thread;
     std::mutex guard;
-    std::vector<endpoint> peers;
+    std::vector<endpoint> near;
+    std::vector<endpoint> far;
 
     // Of the thread alone.
     std::map<std::uint64_t, sender_mark> marks;
     std::uint64_t counterSent = 0;
+    mono_time farAt{}; ///< When the far ones are due.
     bool wasQuiet = false;
 };
 
@@ -98,17 +106,11 @@
         inner->thread.join();
 }
 
-void load_exchange::setPeers(std::vector<endpoint> addresses)
+void load_exchange::setPeers(std::vector<endpoint> near, std::vector<endpoint> far)
 {
     const std::lock_guard lock(inner->guard);
-    inner->peers = std::move(addresses);
-}
-
-/// With more instances each tells more rarely, so that its datagrams stay within a budget.
-milliseconds load_exchange::state::interval() const
-{
-    const auto bySize = milliseconds(1000 * peers.size() / config::loadNewsPerSecond);
-    return std::max(bySize, config::loadNewsTime);
+    inner->near = std::move(near);
+    inner->far = std::move(far);
 }
 
 void load_exchange::state::run()
@@ -117,35 +119,44 @@
     while (!stopping.isRaised()) {
         const mono_time now = clock.mono();
         if (now >= nextAt) {
-            tellAll();
+            tellDue(now);
             const std::lock_guard lock(guard);
-            nextAt = now + interval();
+            nextAt = now + intervalFor(near.size(), config::loadNewsPerSecond);
         }
         const auto left = std::chrono::ceil<milliseconds>(nextAt - clock.mono());
-        waitForSocket(socket.get(), POLLIN, socket_clock::now() + std::max(left, milliseconds(0)),
+        waitForSocket(socket.get(), POLLIN,
+                      socket_clock::now() + std::max(left, milliseconds(0)),
                       stopping.descriptorNumber());
         hearAll();
     }
 }
 
-void load_exchange::state::tellAll()
+void load_exchange::state::tellDue(mono_time now)
 {
+    std::vector<endpoint> to;
+    {
+        const std::lock_guard lock(guard);
+        to = near;
+        if (now >= farAt) {
+            to.insert(to.end(), far.begin(), far.end());
+            farAt = now + intervalFor(far.size(), config::farLoadNewsPerSecond);
+        }
+    }
     const load_news news = collect();
     // The first empty news says that all is done; more of the same say nothing.
     const bool isQuiet = news.work.empty() && news.cached.empty();
-    if (std::exchange(wasQuiet, isQuiet) && isQuiet)
-        return;
+    if (!std::exchange(wasQuiet, isQuiet) || !isQuiet)
+        tell(to, news);
+}
+
+void load_exchange::state::tell(const std::vector<endpoint> &to, const load_news &news)
+{
     frame_header header;
     header.kind = frame_kind::Load;
     header.sender = senderNumber(choices.self);
     header.senderLife = choices.life;
     header.counter = ++counterSent;
     const std::string frame = sealFrame(key, header, encode(news));
-    std::vector<endpoint> to;
-    {
-        const std::lock_guard lock(guard);
-        to = peers;
-    }
     for (const endpoint &peer : to) {
         const auto address = numericAddressOf(peer);
         if (!address)
--- a/src/peer/load_news.cpp
+++ b/src/peer/load_news.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Bytes of the smallest item of either list.
-constexpr std::size_t leastWorkBytes = 10;
+constexpr std::size_t leastWorkBytes = 11;
 constexpr std::size_t leastChainBytes = 8;
 
 template <class Codec, class News>
@@ -18,6 +18,7 @@
         each.fixed(item.runner);
         each.small(item.open);
         each.small(item.readingMs);
+        each.small(item.laterMs);
         each.fixed(item.tokensIn);
     });
     codec.list(news.cached, config::maxCachedNews, leastChainBytes, [](Codec &each, auto &item) {
