--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -61,8 +61,8 @@
 };
 
 /// Tells every other instance what this one has sent where, and hears the same from them; those of
-/// the own availability zone many times a second, in large fleets the others more rarely. Gossip would spread it too, but two or three rounds late, and half of a
-/// request's time is over by then.
+/// the own availability zone many times a second, in large fleets the others more rarely. Gossip
+/// would spread it too, but two or three rounds late, and half of a request's time is over by then.
 class load_exchange
 {
 public:
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -132,8 +132,8 @@
         made.costMs = 0;
     }
     made.ownMs = readingTimeMs(at.target->stage, wish.promptTokens, cached) * slowness;
-    const double aheadMs = at.load.readingMs
-            + (choice.urgency == send_class::Later ? at.load.laterMs : 0);
+    const double aheadMs =
+            at.load.readingMs + (choice.urgency == send_class::Later ? at.load.laterMs : 0);
     made.startMs = aheadMs * slowness + copyMs + made.ownMs + config::firstTokenMs;
     const bool isColdElsewhere = cached < wish.sharedTokens && choice.home != &at;
     made.costMs += made.startMs + (isColdElsewhere ? config::coldElsewhereMs : 0)
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -173,9 +173,9 @@
     wish.mayHandOver = !isHandOverLost && sends == 0;
     wish.isRead = isRead;
     wish.now = parts.clock.mono();
-    wish.objectiveLeftMs = std::chrono::duration<double, std::milli>(arrivedAt + chosen->objective
-                                                                     - wish.now)
-                                   .count();
+    wish.objectiveLeftMs =
+            std::chrono::duration<double, std::milli>(arrivedAt + chosen->objective - wish.now)
+                    .count();
     wish.draw = hashOf(read.id, sends);
     if (engine != nullptr)
         wish.engine = *engine;
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -224,7 +224,8 @@
     const std::lock_guard lock(guard);
     for (const auto &[key, entry] : records) {
         if (entry.open > 0 && told.work.size() < config::maxLoadItems)
-            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs), static_cast<std::uint32_t>(entry.laterMs),
+            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
+                                 static_cast<std::uint32_t>(entry.laterMs),
                                  static_cast<std::uint32_t>(entry.ownTokensIn)});
     }
     const std::size_t count = std::min(news.size(), config::maxCachedNews);
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -124,8 +124,7 @@
             nextAt = now + intervalFor(near.size(), config::loadNewsPerSecond);
         }
         const auto left = std::chrono::ceil<milliseconds>(nextAt - clock.mono());
-        waitForSocket(socket.get(), POLLIN,
-                      socket_clock::now() + std::max(left, milliseconds(0)),
+        waitForSocket(socket.get(), POLLIN, socket_clock::now() + std::max(left, milliseconds(0)),
                       stopping.descriptorNumber());
         hearAll();
     }
--- /dev/null
+++ b/tests/adapter/decode_test.cpp
@@ -0,0 +1,89 @@
+#include "platform/decode.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+json sampleRoutes()
+{
+    return json::parse(R"({"version":7,"unknown":1,"routes":[
+        {"name":"r1","host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":3000,
+         "targetLatencyMs":1000,"priority":1,"service":"llm","attempts":1,"resumable":true},
+        {"name":"r2","host":"h","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":600,
+         "priority":2,"split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+         "attempts":2},
+        {"name":"r3","host":"h","pathPrefix":"/c/","kind":"something new","timeoutMs":1,
+         "service":"x","resumable":true}],
+        "services":[{"name":"llm","engine":{"slots":128,"kvCapacity":808015,"kvTokenBytes":18432,
+          "linkMbps":350000.0}},{"name":"x"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+          "idleTimeoutMs":15000}})");
+}
+
+} // namespace
+
+class decode_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(decode_test);
+    CPPUNIT_TEST(routesSayWhatTheyHold);
+    CPPUNIT_TEST(brokenRoutesNameWhatIsWrong);
+    CPPUNIT_TEST(runnersSayWhatTheyHold);
+    CPPUNIT_TEST(instancesSurviveTheStore);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void routesSayWhatTheyHold()
+    {
+        const auto table = valueOf(decodeRoutes(sampleRoutes()));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, table.version);
+        CPPUNIT_ASSERT(table.routes[0].isStream && table.routes[0].isResumable);
+        CPPUNIT_ASSERT(table.routes[0].repeats == gateway::repeat_rule::Idempotent);
+        CPPUNIT_ASSERT(table.routes[0].timeLimit == 3s && table.routes[0].objective == 1s);
+        CPPUNIT_ASSERT(table.routes[1].repeats == gateway::repeat_rule::AtMostOnce);
+        CPPUNIT_ASSERT_EQUAL(90U, table.routes[1].services[0].weight);
+        CPPUNIT_ASSERT_EQUAL(2U, table.routes[1].maxRunners);
+        // A kind that isn't known may run once at most, whatever else the route says.
+        CPPUNIT_ASSERT(table.routes[2].repeats == gateway::repeat_rule::AtMostOnce);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{808015}, table.services[0].engine->kvTokens);
+        CPPUNIT_ASSERT(!table.services[1].engine);
+        CPPUNIT_ASSERT(table.bounds.idleTime == 15s);
+    }
+
+    void brokenRoutesNameWhatIsWrong()
+    {
+        json broken = sampleRoutes();
+        broken.erase("limits");
+        const auto outcome = decodeRoutes(broken);
+        CPPUNIT_ASSERT(errorOf(outcome).message.find("limits") != std::string::npos);
+        CPPUNIT_ASSERT(!succeeded(decodeRoutes(json::array())));
+    }
+
+    void runnersSayWhatTheyHold()
+    {
+        const json entry = json::parse(R"({"service":"llm","address":"10.128.0.9:8080",
+            "zone":"a","slots":128,"state":"draining","stage":"prefill","seq":4})");
+        const auto made = valueOf(decodeRunner("i-1", entry));
+        CPPUNIT_ASSERT(made.isDraining && made.stage == gateway::engine_stage::Prefill);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), textOf(made.address));
+        const auto plain = decodeRunner("i-2", {{"service", "x"}, {"address", "10.0.0.1:80"}});
+        CPPUNIT_ASSERT(valueOf(plain).stage == gateway::engine_stage::None);
+        CPPUNIT_ASSERT(!succeeded(decodeRunner("i-3", {{"service", "x"}, {"address", "nowhere"}})));
+    }
+
+    void instancesSurviveTheStore()
+    {
+        const gateway::listed_gateway self{
+                {"edge-1"}, {"10.0.0.1", 7300}, {"10.0.0.1", 7301}, {"a"}};
+        CPPUNIT_ASSERT(valueOf(decodeInstance("edge-1", encodeInstance(self))) == self);
+        CPPUNIT_ASSERT(!succeeded(decodeInstance("edge-1", json::object())));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(decode_test);
+
+} // namespace poplarspool::adapter
--- /dev/null
+++ b/tests/adapter/kind_watch_test.cpp
@@ -0,0 +1,123 @@
+#include "platform/kind_watch.h"
+
+#include <condition_variable>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <mutex>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A store that gives its answers by script, and writes down what it was asked.
+struct scripted_store
+{
+    explicit scripted_store(std::deque<http_reply> given)
+        : answers(std::move(given)),
+          server(
+                  "store", {"127.0.0.1", 0}, defaultHttpLimits(),
+                  [this](const http_request &request, http_sink &) { return answer(request); },
+                  metrics)
+    {
+        address = valueOf(server.start());
+    }
+
+    std::optional<http_reply> answer(const http_request &request)
+    {
+        const std::lock_guard lock(guard);
+        asked.push_back(request.method + " " + request.path);
+        if (answers.empty())
+            return http_reply{503, {}, {}, {}};
+        http_reply next = answers.front();
+        answers.pop_front();
+        return next;
+    }
+
+    metrics_registry metrics;
+    std::mutex guard;
+    std::deque<http_reply> answers;
+    std::vector<std::string> asked;
+    http_server server;
+    endpoint address;
+};
+
+http_reply jsonReply(const std::string &body, int status = 200)
+{
+    return {status, {}, body, "application/json"};
+}
+
+} // namespace
+
+class kind_watch_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(kind_watch_test);
+    CPPUNIT_TEST(listsGoOnWhereTheyWereCut);
+    CPPUNIT_TEST(forgottenHistoryIsListedAnew);
+    CPPUNIT_TEST(objectsAreReplacedOrCreated);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// A list comes in two pages, and an object changes between them. Watched from the second
+    /// page's revision, that change would never be seen.
+    void listsGoOnWhereTheyWereCut()
+    {
+        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a"},"spec":1}],
+                                            "truncated":true,"currentRev":5})"),
+                              jsonReply(R"({"items":[{"metadata":{"name":"b"},"spec":2}],
+                                            "truncated":false,"currentRev":9})")});
+        store_client client(store.address, store.metrics);
+        const auto all = valueOf(client.list("k", read_mode::Current));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, all.objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, all.revision);
+        CPPUNIT_ASSERT(store.asked[1].ends_with("k?after=a"));
+    }
+
+    /// The store drops its history while a runner leaves: the watch gets 410. Only a new list shows
+    /// that the runner is gone, and it comes at once.
+    void forgottenHistoryIsListedAnew()
+    {
+        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"currentRev":5})"),
+                              jsonReply("{}", 410), jsonReply(R"({"items":[],"currentRev":8})")});
+        store_client client(store.address, store.metrics);
+        journal events{{"test"}, systemClock(), 16};
+        std::mutex guard;
+        std::condition_variable listed;
+        std::vector<std::size_t> sizes;
+        kind_handlers handlers;
+        handlers.onList = [&](const std::vector<store_object> &objects) {
+            const std::lock_guard lock(guard);
+            sizes.push_back(objects.size());
+            listed.notify_all();
+        };
+        handlers.onChange = [](const store_change &) {};
+        handlers.onAnswer = [](mono_time) {};
+        handlers.onFailure = [] {};
+        kind_watch watch("k", client, handlers, systemClock(), events);
+        watch.start();
+        {
+            std::unique_lock lock(guard);
+            CPPUNIT_ASSERT(listed.wait_for(lock, 20s, [&] { return sizes.size() == 2; }));
+        }
+        client.stop();
+        watch.stop();
+        CPPUNIT_ASSERT(sizes == (std::vector<std::size_t>{1, 0}));
+        const std::lock_guard lock(store.guard);
+        CPPUNIT_ASSERT(store.asked[1].find("watch=5") != std::string::npos);
+    }
+
+    void objectsAreReplacedOrCreated()
+    {
+        scripted_store store({jsonReply("{}", 404), jsonReply("{}")});
+        store_client client(store.address, store.metrics);
+        CPPUNIT_ASSERT(succeeded(client.put("k", "n", {{"x", 1}})));
+        CPPUNIT_ASSERT(store.asked[0].starts_with("PUT ") && store.asked[0].ends_with("/k/n"));
+        CPPUNIT_ASSERT(store.asked[1].starts_with("POST ") && store.asked[1].ends_with("/k"));
+        CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Stale)).code == error_code::Unavailable);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(kind_watch_test);
+
+} // namespace poplarspool::adapter
--- /dev/null
+++ b/tests/gateway/catalogue_keeper_test.cpp
@@ -0,0 +1,137 @@
+#include "poplarspool/gateway/catalogue_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+runner runnerOf(const std::string &id, bool isDraining = false)
+{
+    runner made;
+    made.id.text = id;
+    made.service.text = "s";
+    made.address = {"127.0.0.1", 80};
+    made.isDraining = isDraining;
+    return made;
+}
+
+struct world
+{
+    mono_time now{std::chrono::hours(1)};
+    clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
+    journal events{{"test"}, clock, 16};
+    catalogue_hub hub{catalogue{}};
+    catalogue_keeper keeper{hub, clock, events};
+
+    /// The store fails for a while and then answers again.
+    void loseStoreFor(milliseconds time)
+    {
+        keeper.noteStoreLost();
+        now += time;
+        keeper.noteStoreAnswer();
+    }
+
+    /// @returns Whether requests are sent to it.
+    bool isUsed(const std::string &id) const
+    {
+        const auto known = hub.current();
+        const auto found = known->runners.find({id});
+        return found != known->runners.end() && found->second->keptUntil > now;
+    }
+};
+
+} // namespace
+
+class catalogue_keeper_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(catalogue_keeper_test);
+    CPPUNIT_TEST(listedRunnersAreKnownByTheirIds);
+    CPPUNIT_TEST(olderRoutesNeverComeBack);
+    CPPUNIT_TEST(runnersThatLapsedWithTheStoreAreKeptForAWhile);
+    CPPUNIT_TEST(lapsedRunnersThatReturnStay);
+    CPPUNIT_TEST(runnersThatLeaveAfterTheStoresReturnAreDroppedAtOnce);
+    CPPUNIT_TEST(drainingRunnersAreNotForgiven);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// All instances are killed and start again. They list the runners in one answer, and callers
+    /// got 503 "no runner" for good, because every runner was entered under an empty id.
+    void listedRunnersAreKnownByTheirIds()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a"), runnerOf("b")});
+        CPPUNIT_ASSERT(test.isUsed("a") && test.isUsed("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.hub.current()->runners.size());
+        test.keeper.putRunner(runnerOf("c"));
+        CPPUNIT_ASSERT(test.isUsed("c"));
+        CPPUNIT_ASSERT(test.hub.current()->areRunnersKnown);
+    }
+
+    void olderRoutesNeverComeBack()
+    {
+        world test;
+        route_table table;
+        table.version = 7;
+        test.keeper.setTable(table);
+        table.version = 5;
+        test.keeper.setTable(table);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, test.hub.current()->table->version);
+    }
+
+    /// The store is down for seconds. Runners can't renew their entries and the store drops them,
+    /// so that its first answer lists nobody. Callers would be refused although all runners live.
+    void runnersThatLapsedWithTheStoreAreKeptForAWhile()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a"), runnerOf("b")});
+        test.loseStoreFor(4s);
+        test.keeper.setRunners({runnerOf("b")});
+        CPPUNIT_ASSERT(test.isUsed("a") && test.isUsed("b"));
+        test.now += 2001ms;
+        CPPUNIT_ASSERT(!test.isUsed("a")); // Also where no further answer comes.
+        test.keeper.settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.hub.current()->runners.size());
+    }
+
+    void lapsedRunnersThatReturnStay()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a")});
+        test.loseStoreFor(4s);
+        test.keeper.removeRunner({"a"});
+        test.now += 1s;
+        test.keeper.putRunner(runnerOf("a"));
+        test.now += 10s;
+        test.keeper.settle();
+        CPPUNIT_ASSERT(test.isUsed("a"));
+    }
+
+    /// The store was away, and a second after its return a runner leaves and its entry is removed.
+    /// Forgiven like a lapsed one, it got requests for over two seconds, and callers whose request
+    /// outlasted its end were cut off.
+    void runnersThatLeaveAfterTheStoresReturnAreDroppedAtOnce()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a")});
+        test.loseStoreFor(4s);
+        test.now += 1200ms;
+        test.keeper.removeRunner({"a"});
+        CPPUNIT_ASSERT(!test.isUsed("a"));
+    }
+
+    void drainingRunnersAreNotForgiven()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a", true)});
+        test.loseStoreFor(4s);
+        test.keeper.setRunners({});
+        CPPUNIT_ASSERT(!test.isUsed("a"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_keeper_test);
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/tests/gateway/envelope_test.cpp
@@ -0,0 +1,106 @@
+#include "gateway/envelope.h"
+
+#include "fixture.h"
+#include "gateway/event_splitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::gateway {
+
+using test::requestOf;
+using test::testDialect;
+
+class envelope_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(envelope_test);
+    CPPUNIT_TEST(promptPartsAreKnownByAllBeforeThem);
+    CPPUNIT_TEST(whatCantBeReadCountsAsAbsent);
+    CPPUNIT_TEST(callersCantSpeakInOurName);
+    CPPUNIT_TEST(methodPathAndBodyStayAsTheyAre);
+    CPPUNIT_TEST(eventsAreHandedOnWhole);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void promptPartsAreKnownByAllBeforeThem()
+    {
+        const dialect names = testDialect();
+        const auto chainsOf = [&names](const std::string &parts) {
+            return readEnvelope(requestOf("POST", "/", {{"Parts", parts}}), names).prompt;
+        };
+        const auto first = chainsOf("a:800, b:410,c:250");
+        const auto second = chainsOf("a:800,b:410,d:1");
+        const auto other = chainsOf("x:800,b:410");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, first.size());
+        CPPUNIT_ASSERT_EQUAL(410U, first[1].tokens);
+        CPPUNIT_ASSERT(first[1] == second[1]);
+        CPPUNIT_ASSERT(first[2].chain != second[2].chain);
+        CPPUNIT_ASSERT(first[1].chain != other[1].chain);
+    }
+
+    void whatCantBeReadCountsAsAbsent()
+    {
+        const auto read = readEnvelope(
+                requestOf("POST", "/",
+                          {{"Limit", "soon"}, {"Tokens", "12,x"}, {"Parts", "a,b:c,:"}}),
+                testDialect());
+        CPPUNIT_ASSERT(!read.timeLimit);
+        CPPUNIT_ASSERT_EQUAL(12U, read.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(0U, read.outputTokens);
+        CPPUNIT_ASSERT(read.id.empty());
+    }
+
+    /// A caller sets a header by which only the gateway orders an engine to take over another
+    /// request's memory. Passed on, the caller would get an answer made from someone else's prompt.
+    void callersCantSpeakInOurName()
+    {
+        send_extras extras;
+        extras.runner = "r-1";
+        extras.timeLeft = milliseconds(42);
+        const std::string text = runnerRequestText(requestOf("GET", "/p",
+                                                             {{"Host", "h"},
+                                                              {"source", "10.0.0.1:1/stolen"},
+                                                              {"RUNNER", "r-9"},
+                                                              {"Limit", "5000"},
+                                                              {"Connection", "keep-alive, X-Mine"},
+                                                              {"X-Mine", "1"},
+                                                              {"X-Other", "2"}}),
+                                                   {"10.0.0.1", 80}, testDialect(), extras);
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /p HTTP/1.1\r\nHost: h\r\nX-Other: 2\r\n"
+                                         "Limit: 42\r\nRunner: r-1\r\n\r\n"),
+                             text);
+    }
+
+    void methodPathAndBodyStayAsTheyAre()
+    {
+        const std::string body("a\0\r\n\r\nGET / HTTP/1.1\r\n\r\n", 23);
+        send_extras extras;
+        extras.isPrefillOnly = true;
+        extras.lastEvent = "7";
+        extras.kvFetch = "10.0.0.2:80";
+        const std::string text = runnerRequestText(
+                requestOf("POST", "/%7e/../x?a=%20b", {{"Host", "h"}, {"Last", "3"}}, body),
+                {"10.0.0.1", 80}, testDialect(), extras);
+        CPPUNIT_ASSERT(text.starts_with("POST /%7e/../x?a=%20b HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(text.ends_with("Content-Length: 23\r\n\r\n" + body));
+        CPPUNIT_ASSERT(text.find("Last: 7\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("Last: 3\r\n") == std::string::npos);
+        CPPUNIT_ASSERT(text.find("Stage: prefill\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("Fetch: 10.0.0.2:80\r\n") != std::string::npos);
+    }
+
+    void eventsAreHandedOnWhole()
+    {
+        event_splitter events;
+        events.add("id: 1\ndata: a\n");
+        CPPUNIT_ASSERT(!events.next());
+        events.add("\nversion: 2\r\nid:2\r\ndata: b\r\n\r\ndata: c");
+        CPPUNIT_ASSERT(events.next() == (stream_event{"id: 1\ndata: a\n\n", 1}));
+        CPPUNIT_ASSERT(events.next() == (stream_event{"version: 2\r\nid:2\r\ndata: b\r\n\r\n", 2}));
+        CPPUNIT_ASSERT(!events.next());
+        CPPUNIT_ASSERT(!events.isAtBoundary());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(envelope_test);
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/tests/gateway/fixture.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "poplarspool/gateway/dialect.h"
+
+#include <string>
+
+namespace poplarspool::gateway::test {
+
+/// Names as short as can be, none of any platform.
+inline dialect testDialect()
+{
+    dialect names;
+    names.requestId = "Id";
+    names.timeLimitMs = "Limit";
+    names.model = "Model";
+    names.tokenCount = "Tokens";
+    names.promptParts = "Parts";
+    names.lastEvent = "Last";
+    names.expectedRunner = "Runner";
+    names.priority = "Priority";
+    names.stage = "Stage";
+    names.kvSource = "Source";
+    names.kvFetch = "Fetch";
+    names.prefillStage = "prefill";
+    names.reserved = {"Runner", "Priority", "Stage", "Source", "Fetch"};
+    names.seal = "Seal";
+    names.notRun = "Not-Run";
+    names.readHandle = [](std::string_view body) -> std::optional<kv_handle> {
+        if (body.empty())
+            return std::nullopt;
+        return kv_handle{std::string(body), 0};
+    };
+    names.freeHandle = [](const std::string &handle) {
+        http_request request;
+        request.method = "DELETE";
+        request.path = "/handles/" + handle;
+        return request;
+    };
+    return names;
+}
+
+inline http_request requestOf(std::string method, std::string path, http_headers headers,
+                              std::string body = {})
+{
+    http_request request;
+    request.method = std::move(method);
+    request.path = std::move(path);
+    request.headers = std::move(headers);
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace poplarspool::gateway::test
--- /dev/null
+++ b/tests/gateway/runner_call_test.cpp
@@ -0,0 +1,143 @@
+#include "gateway/runner_call.h"
+
+#include <array>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct pair_of_ends
+{
+    descriptor ours;
+    descriptor theirs;
+
+    pair_of_ends()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+        ours = descriptor(ends[0]);
+        theirs = descriptor(ends[1]);
+    }
+
+    void say(std::string_view bytes) const
+    {
+        sendAll(theirs.get(), bytes, socket_clock::now() + 20s, -1);
+    }
+};
+
+socket_deadline safetyEnd()
+{
+    return socket_clock::now() + 20s;
+}
+
+std::string bodyOf(runner_call &call, call_fault &fault)
+{
+    std::string body;
+    body_piece piece;
+    while (!piece.isLast && piece.fault == call_fault::None) {
+        piece = call.readBody(safetyEnd());
+        body += piece.bytes;
+    }
+    fault = piece.fault;
+    return body;
+}
+
+} // namespace
+
+class runner_call_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(runner_call_test);
+    CPPUNIT_TEST(wholeRepliesLeaveAConnectionForTheNext);
+    CPPUNIT_TEST(surplusBytesEndTheConnection);
+    CPPUNIT_TEST(chunksAreReadToTheirEnd);
+    CPPUNIT_TEST(missingLastChunkIsNoEnd);
+    CPPUNIT_TEST(earlyRepliesEndTheConnection);
+    CPPUNIT_TEST(nothingSentIsKnownAsSuch);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void wholeRepliesLeaveAConnectionForTheNext()
+    {
+        pair_of_ends runner;
+        runner_call call(std::move(runner.ours), -1);
+        CPPUNIT_ASSERT(call.send("GET / HTTP/1.1\r\n\r\n", safetyEnd()) == call_fault::None);
+        runner.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT_EQUAL(200, std::get<reply_head>(call.readHead(safetyEnd())).status);
+        call_fault fault = call_fault::None;
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), bodyOf(call, fault));
+        CPPUNIT_ASSERT(call.takeConnection().isOpen());
+    }
+
+    /// A faulty runner sends bytes after a whole reply. On a kept connection they would be the
+    /// answer to somebody else's request.
+    void surplusBytesEndTheConnection()
+    {
+        pair_of_ends runner;
+        runner_call call(std::move(runner.ours), -1);
+        call.send("GET / HTTP/1.1\r\n\r\n", safetyEnd());
+        runner.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+        call.readHead(safetyEnd());
+        call_fault fault = call_fault::None;
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), bodyOf(call, fault));
+        CPPUNIT_ASSERT(!call.takeConnection().isOpen());
+    }
+
+    void chunksAreReadToTheirEnd()
+    {
+        pair_of_ends runner;
+        runner_call call(std::move(runner.ours), -1);
+        call.send("GET / HTTP/1.1\r\n\r\n", safetyEnd());
+        runner.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n");
+        call.readHead(safetyEnd());
+        call_fault fault = call_fault::None;
+        CPPUNIT_ASSERT_EQUAL(std::string("abcde"), bodyOf(call, fault));
+        CPPUNIT_ASSERT(fault == call_fault::None);
+        CPPUNIT_ASSERT(call.takeConnection().isOpen());
+    }
+
+    void missingLastChunkIsNoEnd()
+    {
+        pair_of_ends runner;
+        runner_call call(std::move(runner.ours), -1);
+        call.send("GET / HTTP/1.1\r\n\r\n", safetyEnd());
+        runner.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        runner.theirs.reset();
+        call.readHead(safetyEnd());
+        call_fault fault = call_fault::None;
+        bodyOf(call, fault);
+        CPPUNIT_ASSERT(fault == call_fault::Closed);
+    }
+
+    /// A runner answers before it has read a long body and goes on reading. Another request on that
+    /// connection would be read as the rest of the body.
+    void earlyRepliesEndTheConnection()
+    {
+        pair_of_ends runner;
+        runner_call call(std::move(runner.ours), -1);
+        runner.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        const std::string longBody(64UL * 1024 * 1024, 'x');
+        CPPUNIT_ASSERT(call.send(longBody, safetyEnd()) == call_fault::None);
+        CPPUNIT_ASSERT_EQUAL(503, std::get<reply_head>(call.readHead(safetyEnd())).status);
+        CPPUNIT_ASSERT(call.readBody(safetyEnd()).isLast);
+        CPPUNIT_ASSERT(!call.takeConnection().isOpen());
+    }
+
+    void nothingSentIsKnownAsSuch()
+    {
+        pair_of_ends runner;
+        runner.theirs.reset();
+        runner_call call(std::move(runner.ours), -1);
+        CPPUNIT_ASSERT(call.send("GET / HTTP/1.1\r\n\r\n", safetyEnd()) == call_fault::Closed);
+        CPPUNIT_ASSERT(!call.mayHaveArrived());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(runner_call_test);
+
+} // namespace poplarspool::gateway
--- /dev/null
+++ b/tests/gateway/scripted_runner.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/http_fixture.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace poplarspool::gateway::test {
+
+/// How a scripted connection ends after its bytes.
+enum class script_end {
+    Close, ///< In order.
+    Reset,
+    Stay, ///< Stays open until the caller ends it.
+};
+
+struct script
+{
+    std::string bytes;
+    script_end end = script_end::Close;
+};
+
+/// A runner that answers its n-th connection by the n-th script, and writes down what it was asked.
+class scripted_runner
+{
+public:
+    explicit scripted_runner(std::vector<script> scripts)
+        : scripts(std::move(scripts)), listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *raw = reinterpret_cast<sockaddr *>(&address);
+        socklen_t size = sizeof address;
+        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
+        CPPUNIT_ASSERT(listen(listener.get(), 16) == 0);
+        getsockname(listener.get(), raw, &size);
+        at = {"127.0.0.1", ntohs(address.sin_port)};
+        thread = std::thread([this] { run(); });
+    }
+
+    ~scripted_runner()
+    {
+        shutdown(listener.get(), SHUT_RDWR);
+        thread.join();
+    }
+
+    const endpoint &address() const { return at; }
+    std::vector<std::string> requests() const
+    {
+        const std::lock_guard lock(guard);
+        return asked;
+    }
+    /// @returns Whether a staying connection was ended by the other side.
+    bool wasLeft() const { return isLeft; }
+
+private:
+    void run()
+    {
+        for (const script &each : scripts) {
+            descriptor connection(accept(listener.get(), nullptr, nullptr));
+            if (!connection.isOpen())
+                return;
+            std::string request = poplarspool::test::readUntil(connection.get(), "\r\n\r\n");
+            {
+                const std::lock_guard lock(guard);
+                asked.push_back(std::move(request));
+            }
+            sendAll(connection.get(), each.bytes, poplarspool::test::safetyEnd(), -1);
+            if (each.end == script_end::Reset)
+                abortOnClose(connection.get());
+            if (each.end == script_end::Stay) {
+                poplarspool::test::readUntil(connection.get(), {});
+                isLeft = true;
+            }
+        }
+    }
+
+    const std::vector<script> scripts;
+    descriptor listener;
+    endpoint at;
+    mutable std::mutex guard;
+    std::vector<std::string> asked;
+    std::atomic<bool> isLeft{false};
+    std::thread thread;
+};
+
+} // namespace poplarspool::gateway::test
--- /dev/null
+++ b/tests/peer/load_news_test.cpp
@@ -0,0 +1,85 @@
+#include "poplarspool/peer/load_exchange.h"
+
+#include <condition_variable>
+#include <cppunit/extensions/HelperMacros.h>
+#include <mutex>
+
+namespace poplarspool::peer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+load_news sampleNews()
+{
+    return {{{1, 2, 300, 4000, 50000}}, {{1, 77}, {2, 88}}};
+}
+
+/// An exchange that tells the sample, and keeps what it hears.
+struct speaker
+{
+    speaker(const std::string &name, std::uint16_t port, const std::string &key)
+        : exchange(
+                {{name}, 1, {"127.0.0.1", port}, key}, [] { return sampleNews(); },
+                [this](std::uint64_t, const load_news &news) {
+                    const std::lock_guard lock(guard);
+                    heard = news;
+                    told.notify_all();
+                },
+                systemClock(), metrics)
+    { }
+
+    bool hearsWithin(milliseconds time)
+    {
+        std::unique_lock lock(guard);
+        return told.wait_for(lock, time, [this] { return heard.has_value(); });
+    }
+
+    metrics_registry metrics;
+    std::mutex guard;
+    std::condition_variable told;
+    std::optional<load_news> heard;
+    load_exchange exchange;
+};
+
+} // namespace
+
+class load_news_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(load_news_test);
+    CPPUNIT_TEST(newsSurviveTheWire);
+    CPPUNIT_TEST(malformedNewsAreRefused);
+    CPPUNIT_TEST(instancesHearEachOther);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void newsSurviveTheWire()
+    {
+        CPPUNIT_ASSERT(valueOf(decodeLoadNews(encode(sampleNews()))) == sampleNews());
+        CPPUNIT_ASSERT(valueOf(decodeLoadNews(encode({}))) == load_news{});
+    }
+
+    void malformedNewsAreRefused()
+    {
+        const std::string bytes = encode(sampleNews());
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+            CPPUNIT_ASSERT(!succeeded(decodeLoadNews(bytes.substr(0, size))));
+        CPPUNIT_ASSERT(!succeeded(decodeLoadNews(bytes + "x")));
+        CPPUNIT_ASSERT(!succeeded(decodeLoadNews("\xff\xff\xff\xff\x0f")));
+    }
+
+    void instancesHearEachOther()
+    {
+        speaker first("a", 39471, "key-of-the-test-fleet");
+        speaker second("b", 39472, "key-of-the-test-fleet");
+        first.exchange.setPeers({{"127.0.0.1", 39472}}, {});
+        CPPUNIT_ASSERT(succeeded(second.exchange.start()));
+        CPPUNIT_ASSERT(succeeded(first.exchange.start()));
+        CPPUNIT_ASSERT(second.hearsWithin(20s));
+        CPPUNIT_ASSERT(*second.heard == sampleNews());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(load_news_test);
+
+} // namespace poplarspool::peer
