--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -296,6 +296,8 @@
 
 /// Events that one instance's ring keeps.
 inline constexpr std::size_t eventRingSize = 4096;
+/// Log lines that one process writes in a second; those beyond are counted and left out.
+inline constexpr std::uint64_t maxLogLinesPerSecond = 500;
 /// How far ahead of ours a peer's wall clock may be for its times to move our hybrid clock.
 inline constexpr std::chrono::milliseconds maxClockLead = 10min;
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,5 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 build=${1:-build}
-git ls-files --cached --others --exclude-standard 'src/*.cpp' 'tests/*.cpp' \
+git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' \
     | xargs -P "$(nproc)" -n 2 clang-tidy-14 --quiet -p "$build"
--- a/src/base/journal.cpp
+++ b/src/base/journal.cpp
@@ -1,5 +1,6 @@
 #include "poplarspool/base/journal.h"
 
+#include "base/line_budget.h"
 #include "poplarspool/config.h"
 
 #include <log4cxx/basicconfigurator.h>
@@ -13,7 +14,9 @@
 #include <cstdio>
 #include <ctime>
 #include <deque>
+#include <fcntl.h>
 #include <mutex>
+#include <unistd.h>
 
 namespace poplarspool {
 
@@ -42,15 +45,32 @@
 
 void writeLine(const event &entry)
 {
+    static line_budget budget(config::maxLogLinesPerSecond);
     const int threshold = logThreshold.load(std::memory_order_relaxed);
     if (threshold > log4cxx::Level::WARN_INT)
         return;
     const log4cxx::LevelPtr level = levelOf(entry);
     if (level->toInt() < threshold)
         return;
+    std::uint64_t leftOut = 0;
+    if (!budget.take(entry.at.wallMs / 1000, leftOut))
+        return;
+    if (leftOut > 0) {
+        const event note{
+                entry.at, entry.instance, "log_left_out", {{"lines", std::to_string(leftOut)}}};
+        eventLogger()->forcedLog(log4cxx::Level::getWarn(), lineOf(note));
+    }
     eventLogger()->forcedLog(level, lineOf(entry));
 }
 
+/// A reader of the log that stalls must cost lines, not requests.
+void neverBlock(int fd)
+{
+    const int flags = fcntl(fd, F_GETFL);
+    if (flags >= 0)
+        fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
 int thresholdOf(std::string_view level)
 {
     if (level == "debug")
@@ -239,6 +259,7 @@
 void setUpLog(std::string_view level, log_stream stream)
 {
     const int threshold = thresholdOf(level);
+    neverBlock(stream == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO);
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
             layout,
--- a/tests/base/journal_test.cpp
+++ b/tests/base/journal_test.cpp
@@ -1,4 +1,6 @@
 #include "poplarspool/base/journal.h"
+
+#include "base/line_budget.h"
 #include "poplarspool/config.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,6 +35,7 @@
     CPPUNIT_TEST(theRingKeepsTheLatest);
     CPPUNIT_TEST(filtersTakeFieldsAndKind);
     CPPUNIT_TEST(threadsGetTimesOfTheirOwn);
+    CPPUNIT_TEST(linesOfASecondAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
     void aLineIsKeysAndValues()
@@ -132,6 +135,21 @@
         for (std::size_t index = 1; index < kept.size(); ++index)
             CPPUNIT_ASSERT(kept[index - 1].at < kept[index].at);
     }
+
+    /// Thousands of requests fail within a second, with a line each. Written out, the lines would
+    /// take the time that the requests after them need.
+    void linesOfASecondAreBounded()
+    {
+        line_budget budget(2);
+        std::uint64_t leftOut = 0;
+        CPPUNIT_ASSERT(budget.take(7, leftOut) && budget.take(7, leftOut));
+        CPPUNIT_ASSERT(!budget.take(7, leftOut) && !budget.take(7, leftOut));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leftOut);
+        CPPUNIT_ASSERT(budget.take(8, leftOut));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, leftOut);
+        CPPUNIT_ASSERT(budget.take(8, leftOut));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leftOut);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(journal_test);
--- a/tests/operators/config_files_test.cpp
+++ b/tests/operators/config_files_test.cpp
@@ -76,6 +76,8 @@
     CPPUNIT_TEST(rulesNeedAClass);
     CPPUNIT_TEST(secretIsNotShown);
     CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(gatewaySettingsAreRead);
+    CPPUNIT_TEST(gatewaySettingsNameTheirFaults);
     CPPUNIT_TEST(defaultsAreInherited);
     CPPUNIT_TEST(poolsMustFitTheirKind);
     CPPUNIT_TEST(rulesMustFitTheInventory);
@@ -248,6 +250,29 @@
         CPPUNIT_ASSERT(choices.gossipTime == config::gossipTime);
     }
 
+    void gatewaySettingsAreRead()
+    {
+        const std::string path = "examples/gateway/settings.toml";
+        const auto outcome = parseGatewaySettings(path, contentOf(path));
+        const auto &choices = std::get<gateway::gateway_settings>(outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("gampaha"), choices.zone.text);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7381}, choices.loadAddress.port);
+        CPPUNIT_ASSERT_EQUAL(52.0, choices.retryExtra);
+        CPPUNIT_ASSERT(guessKind(contentOf(path)) == file_kind::Gateway);
+        CPPUNIT_ASSERT_EQUAL(0, check({path}).status);
+    }
+
+    void gatewaySettingsNameTheirFaults()
+    {
+        std::string text = contentOf("examples/gateway/settings.toml");
+        text.replace(text.find("8141"), 4, "8149");
+        text.replace(text.find("share = 0.2"), 11, "share = 2");
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("f:15:11: readiness.address: is the same address as caller.address\n"
+                            "f:36:9: retries.share: is 2, expected a number from 0 to 1\n"),
+                linesOf(parseGatewaySettings("f", text)));
+    }
+
     void defaultsAreInherited()
     {
         const auto outcome = parseInventory("f", sampleInventory() + "kv_pieces = 256\n");
