--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -26,10 +26,10 @@
 /// Worth of keeping a request in its zone, of not copying KV cache, and of not handing it over, in
 /// milliseconds of the caller's time: each is priced, and small beside a late answer.
 inline constexpr double engineCrossZoneMs = 3;
-inline constexpr double kvCopyCostMs = 10;
+inline constexpr double kvCopyCostMs = 150;
 inline constexpr double handOverCostMs = 15;
 /// Worth of having shared parts that nobody holds read where all instances have them read.
-inline constexpr double coldElsewhereMs = 60;
+inline constexpr double coldElsewhereMs = 100;
 /// Prompts shorter than this are read where they run: the hand-over would take as long.
 inline constexpr std::uint32_t handOverLeastTokens = 400;
 /// For plain services, as a share of one request's time.
@@ -72,7 +72,7 @@
 /// Parts of prompts remembered per runner; beyond that, the older half is forgotten.
 inline constexpr std::size_t maxCachedParts = 20000;
 /// Share of an engine's memory that caches parts; the rest holds running requests.
-inline constexpr double cacheShare = 0.6;
+inline constexpr double cacheShare = 0.9;
 /// Part of the fleet's retry budget that is used: instances count their members late.
 inline constexpr double retryBudgetUse = 0.75;
 /// Sends of one request, refused ones among them.
@@ -114,7 +114,7 @@
 /// is priced.
 inline constexpr std::chrono::milliseconds gatewayWatchTime = 3500ms;
 /// Time from one watch to the next at least. A runner that leaves must be left alone after 2 s.
-inline constexpr std::chrono::milliseconds gatewayWatchGap = 500ms;
+inline constexpr std::chrono::milliseconds gatewayWatchGap = 900ms;
 /// Pauses between tries to reach the store: first, and bound. A change must be in force 2 s after
 /// the store took it.
 inline constexpr std::chrono::milliseconds gatewayStorePauseFirst = 50ms;
--- a/include/poplarspool/policy/retry.h
+++ b/include/poplarspool/policy/retry.h
@@ -21,6 +21,10 @@
     void onRequest(double share);
     /// @returns Whether a retry may be made now; takes it off the budget.
     bool tryTake();
+    /// @returns Whether the budget is not overdrawn.
+    bool hasRoom() const;
+    /// Takes a retry that has been made already; the budget may be overdrawn by it.
+    void takeAnyway();
 
 private:
     void add(std::int64_t amount);
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -26,9 +26,10 @@
              {"left_ms", std::to_string(timeLeft().count())}});
         return handle->id;
     }
-    // Only the first such call is free of the retry budget, and only where it was accepted. What
-    // was refused is booked like another send; whether the budget had it is decided at that one.
-    static_cast<void>(parts.retries.tryTake(service));
+    // Such a call is free of the retry budget only where it was accepted. While engines refuse or
+    // break off, each hand-over would cost a second send: once the budget is overdrawn, prompts are
+    // read where they run.
+    parts.retries.takeAnyway(service);
     log("prefill_lost",
         {{"runner", reader.id.text},
          {"status", reply ? std::to_string(reply->status) : "none"},
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -170,7 +170,7 @@
     wish.promptTokens = read.promptTokens;
     wish.sharedTokens = std::min(sharedTokensOf(read.prompt), read.promptTokens);
     wish.affinityKey = read.prompt.size() < 2 ? 0 : read.prompt[read.prompt.size() - 2].chain;
-    wish.mayHandOver = !isHandOverLost && sends == 0;
+    wish.mayHandOver = !isHandOverLost && sends == 0 && parts.retries.hasRoom(service);
     wish.isRead = isRead;
     wish.now = parts.clock.mono();
     wish.objectiveLeftMs =
--- a/src/gateway/retry_budgets.cpp
+++ b/src/gateway/retry_budgets.cpp
@@ -24,7 +24,9 @@
 {
     std::unique_ptr<policy::retry_budget> &budget = budgets[service];
     if (!budget) {
-        const double burst = config::retryBudgetUse * bounds.extra / static_cast<double>(instances);
+        // Below one, nothing could ever be saved up for a retry.
+        const double part = bounds.extra / static_cast<double>(instances);
+        const double burst = std::max(config::retryBudgetUse * part, 1.0);
         budget = std::make_unique<policy::retry_budget>(config::retryBudgetUse * bounds.share,
                                                         burst);
     }
@@ -43,4 +45,16 @@
     return budgetOf(service).tryTake();
 }
 
+bool retry_budgets::hasRoom(const service_id &service)
+{
+    const std::lock_guard lock(guard);
+    return budgetOf(service).hasRoom();
+}
+
+void retry_budgets::takeAnyway(const service_id &service)
+{
+    const std::lock_guard lock(guard);
+    budgetOf(service).takeAnyway();
+}
+
 } // namespace poplarspool::gateway
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/retry_budgets.h
@@ -30,6 +30,10 @@
     void onRequest(const service_id &service);
     /// @returns Whether another send may be made now; takes it off the budget.
     bool tryTake(const service_id &service);
+    /// @returns Whether a send that may turn out to be an extra one may be made.
+    bool hasRoom(const service_id &service);
+    /// A send has turned out to be an extra one.
+    void takeAnyway(const service_id &service);
 
 private:
     policy::retry_budget &budgetOf(const service_id &service);
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -63,6 +63,16 @@
     return false;
 }
 
+bool retry_budget::hasRoom() const
+{
+    return saved.load(std::memory_order_relaxed) >= 0;
+}
+
+void retry_budget::takeAnyway()
+{
+    saved.fetch_sub(oneRetry, std::memory_order_relaxed);
+}
+
 bool mayRetry(const error &failure, bool isRepeatable, std::uint32_t triesMade,
               milliseconds timeLeft)
 {
--- a/tests/policy/retry_test.cpp
+++ b/tests/policy/retry_test.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(retry_test);
     CPPUNIT_TEST(retriesAreAShareOfRequests);
+    CPPUNIT_TEST(anOverdrawnBudgetHasNoRoom);
     CPPUNIT_TEST(threadsShareOneBudget);
     CPPUNIT_TEST(onlyWhatMayAndCanStillWork);
     CPPUNIT_TEST_SUITE_END();
@@ -29,6 +30,21 @@
         CPPUNIT_ASSERT_EQUAL(104, retries); // The first finds the budget full: its share is lost.
     }
 
+    /// Engines break off while they read prompts for others. Each such call counts once it has
+    /// failed, whatever the budget holds; unnoticed, they exceeded the fleet's budget by a third.
+    void anOverdrawnBudgetHasNoRoom()
+    {
+        retry_budget budget(0.5, 1);
+        CPPUNIT_ASSERT(budget.hasRoom());
+        budget.takeAnyway();
+        CPPUNIT_ASSERT(budget.hasRoom() && !budget.tryTake());
+        budget.takeAnyway();
+        CPPUNIT_ASSERT(!budget.hasRoom());
+        budget.onRequest();
+        budget.onRequest();
+        CPPUNIT_ASSERT(budget.hasRoom() && !budget.tryTake());
+    }
+
     void threadsShareOneBudget()
     {
         constexpr int threadCount = 4;
