Count only what arrived as a retry, and draw a few engines by chance in large fleets

Cause 2: what others send is known up to half a second late, and all instances chose the same least loaded engine.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -26,7 +26,7 @@
 /// Worth of keeping a request in its zone, of not copying KV cache, and of not handing it over, in
 /// milliseconds of the caller's time: each is priced, and small beside a late answer.
 inline constexpr double engineCrossZoneMs = 3;
-inline constexpr double kvCopyCostMs = 150;
+inline constexpr double kvCopyCostMs = 20;
 inline constexpr double handOverCostMs = 15;
 /// Worth of having shared parts that nobody holds read where all instances have them read.
 inline constexpr double coldElsewhereMs = 100;
@@ -34,6 +34,8 @@
 inline constexpr std::uint32_t handOverLeastTokens = 400;
 /// For plain services, as a share of one request's time.
 inline constexpr double serviceCrossZoneCost = 0.2;
+/// Engines of a stage that one request looks at, beside the home of its shared parts.
+inline constexpr std::ptrdiff_t drawnEngines = 4;
 /// Spreads what is equal otherwise; too small to outweigh anything.
 inline constexpr double tieBreakCost = 0.05;
 /// Share of a service's runners that stay in use however many have failed lately: a common cause
@@ -41,7 +43,7 @@
 inline constexpr double leastOpenShare = 0.5;
 /// Time for which a runner is set aside after its first failure in a row, and at most: a crashed
 /// runner is back after some seconds under a new id, so that longer would gain nothing.
-inline constexpr std::chrono::milliseconds setAsideFirst = 500ms;
+inline constexpr std::chrono::milliseconds setAsideFirst = 1500ms;
 inline constexpr std::chrono::milliseconds setAsideMost = 4s;
 /// Time for which a runner that refused as full is passed over: a few requests' duration.
 inline constexpr std::chrono::milliseconds refusedPause = 60ms;
@@ -75,8 +77,10 @@
 inline constexpr double cacheShare = 0.9;
 /// Part of the fleet's retry budget that is used: instances count their members late.
 inline constexpr double retryBudgetUse = 0.75;
-/// Sends of one request, refused ones among them.
-inline constexpr std::uint32_t maxSends = 4;
+/// Sends of one request that arrived, refused ones among them; and tries, also those that reached
+/// nobody.
+inline constexpr std::uint32_t maxArrivals = 4;
+inline constexpr std::uint32_t maxSends = 10;
 /// Time to connect to a runner: 40 round trips, and below TCP's first retransmission, after which
 /// another runner is the better choice.
 inline constexpr std::chrono::milliseconds runnerConnectTime = 150ms;
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -6,6 +6,12 @@
 
 namespace poplarspool::gateway {
 
+namespace {
+
+constexpr std::string_view unreachableFault = "prefill_unreachable";
+
+} // namespace
+
 /// Has an engine read the prompt. It keeps what it read until another engine takes it over.
 /// @returns The handle to it; none where the engine could not or would not read it.
 std::optional<std::string> request_relay::readPrompt(const placement &place)
@@ -26,10 +32,16 @@
              {"left_ms", std::to_string(timeLeft().count())}});
         return handle->id;
     }
+    const bool isUnreachable = !reply && lastFault == unreachableFault;
     // Such a call is free of the retry budget only where it was accepted. While engines refuse or
     // break off, each hand-over would cost a second send: once the budget is overdrawn, prompts are
     // read where they run.
-    parts.retries.takeAnyway(service);
+    if (!isUnreachable)
+        parts.retries.takeAnyway(service);
+    // The prompt is read where the request runs then: that costs time, not the answer. An engine
+    // that could not be reached has cost little; another one may be.
+    isHandOverLost = !isUnreachable;
+    tried.push_back(reader.id);
     log("prefill_lost",
         {{"runner", reader.id.text},
          {"status", reply ? std::to_string(reply->status) : "none"},
@@ -45,7 +57,7 @@
     const socket_deadline deadline = deadlineIn(timeLeft());
     auto connection = parts.connections.take(reader.address, deadline, -1);
     if (!succeeded(connection)) {
-        lastFault = "prefill_unreachable";
+        lastFault = unreachableFault;
         record.noteEnd(send_end::Unreachable);
         return std::nullopt;
     }
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -82,6 +82,23 @@
     return key == 0 || home == open.end() ? nullptr : *home;
 }
 
+/// In a large fleet, what others have sent is known late: if all chose the least loaded engine, all
+/// would choose the same one, and its queue would be the longest before anyone hears of it. So each
+/// request looks at a few engines drawn by chance, and at the home of its shared parts.
+candidate_list drawn(const place_wish &wish, candidate_list engines)
+{
+    if (std::ssize(engines) <= config::drawnEngines)
+        return engines;
+    const place_candidate *home = homeOf(engines, wish.affinityKey);
+    std::ranges::partial_sort(
+            engines, engines.begin() + config::drawnEngines, {},
+            [&wish](const place_candidate *one) { return tieBreak(wish, *one->target); });
+    engines.resize(config::drawnEngines);
+    if (home != nullptr && std::ranges::find(engines, home) == engines.end())
+        engines.push_back(home);
+    return engines;
+}
+
 /// Who has the most of this prompt's beginning in its cache; null where nobody has any.
 const place_candidate *holderOf(const place_wish &wish, std::span<const place_candidate> candidates)
 {
@@ -227,7 +244,7 @@
                                                std::span<const place_candidate> candidates)
 {
     engine_lists engines;
-    engines.decoders = openCandidates(wish, candidates, engine_stage::Decode);
+    engines.decoders = drawn(wish, openCandidates(wish, candidates, engine_stage::Decode));
     if (engines.decoders.empty())
         return no_place{};
     if (wish.isRead) {
@@ -237,7 +254,7 @@
     }
     engines.holder = holderOf(wish, candidates);
     if (wish.mayHandOver && wish.promptTokens >= config::handOverLeastTokens)
-        engines.readers = openCandidates(wish, candidates, engine_stage::Prefill);
+        engines.readers = drawn(wish, openCandidates(wish, candidates, engine_stage::Prefill));
     placement urgent = chooseWay(wish, engines, send_class::Urgent);
     if (urgent.expectedStartMs <= wish.objectiveLeftMs * config::urgentShare)
         return urgent;
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -90,9 +90,7 @@
         if (place->prefill) {
             const auto reader = place->prefill;
             const auto handle = readPrompt(*place);
-            // The prompt is read where the request runs then: that costs time, not the answer.
-            isHandOverLost = !handle;
-            if (isHandOverLost)
+            if (!handle)
                 continue;
             // Reading took a while: the engine that was to serve may be leaving by now, and another
             // may have less to do.
@@ -104,7 +102,8 @@
             place->prefill = reader;
             kvSource = poplarspool::textOf(reader->address) + "/" + *handle;
         }
-        const bool isExtra = sends > 0;
+        // A runner that could not be reached has seen nothing of the request.
+        const bool isExtra = arrivals > 0;
         if (isExtra && !parts.retries.tryTake(service)) {
             lastFault += lastFault.empty() ? "retry_budget" : "+retry_budget";
             break;
@@ -190,7 +189,7 @@
 
 bool request_relay::mayTryAgain(try_end end) const
 {
-    if (sends >= config::maxSends || runs >= chosen->maxRunners)
+    if (arrivals >= config::maxArrivals || sends >= config::maxSends || runs >= chosen->maxRunners)
         return false;
     if (hasBegun)
         return chosen->isResumable;
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -127,7 +127,8 @@
     const engine_traits *engine = nullptr;
     mono_time endsAt{};
 
-    std::uint32_t sends = 0;
+    std::uint32_t sends = 0; ///< Tries, also those that reached nobody.
+    std::uint32_t arrivals = 0; ///< Sends of which a byte left: these count in the budget.
     std::uint32_t runs = 0; ///< Sends that may have run.
     std::vector<runner_id> tried;
     bool isHandOverLost = false; ///< One has failed: the next try reads the prompt itself.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -122,6 +122,8 @@
     const std::string text =
             runnerRequestText(request, target.address, parts.names, extrasFor(now));
     const call_fault fault = call.send(text, now.deadline);
+    if (call.mayHaveArrived())
+        ++arrivals;
     if (fault != call_fault::None)
         return endOfFault(call, fault, now);
     const auto head = readOwnHead(call, now.deadline);
--- a/tests/gateway/placing_test.cpp
+++ b/tests/gateway/placing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 
 namespace poplarspool::gateway {
@@ -68,6 +69,7 @@
     CPPUNIT_TEST(longPromptsAreReadByPrefillEngines);
     CPPUNIT_TEST(readPromptsGoWhereLeastRuns);
     CPPUNIT_TEST(whatIsLateDoesNotHoldUpWhatIsNot);
+    CPPUNIT_TEST(largeFleetsDontAllChooseTheSameEngine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +203,30 @@
         CPPUNIT_ASSERT(late.urgency == send_class::Later);
         CPPUNIT_ASSERT(late.expectedStartMs > 5600);
     }
+
+    /// Sixty instances place at the same moment, and all know the same loads, half a second old.
+    /// Each choosing the least loaded engine, all chose one, and its callers waited seconds.
+    /// Before: 60 of 60 at one engine. Now: at most 12, while none gets the most loaded ones.
+    void largeFleetsDontAllChooseTheSameEngine()
+    {
+        std::vector<place_candidate> all;
+        for (int i = 0; i < 60; ++i) {
+            all.push_back(candidateOf("e" + std::to_string(i), engine_stage::Decode));
+            all.back().load.readingMs = 5.0 * i;
+        }
+        std::map<std::string, int> counts;
+        for (std::uint64_t draw = 0; draw < 60; ++draw) {
+            place_wish wish = engineWish();
+            wish.promptTokens = 1000;
+            wish.sharedTokens = 0;
+            wish.affinityKey = 0;
+            wish.draw = draw * 7919;
+            ++counts[servingOf(wish, all)];
+        }
+        for (const auto &[id, count] : counts)
+            CPPUNIT_ASSERT_MESSAGE(id, count <= 12);
+        CPPUNIT_ASSERT_EQUAL(0, counts["e59"]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placing_test);
--- a/tests/gateway/request_relay_test.cpp
+++ b/tests/gateway/request_relay_test.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(whatMayHaveRunIsNotSentAgain);
     CPPUNIT_TEST(whatTrulyHasNotRunIsSentAgain);
     CPPUNIT_TEST(aRefusalByAllIsTrueAndSaysWhenToComeBack);
+    CPPUNIT_TEST(unreachableRunnersCostNoRetry);
     CPPUNIT_TEST(repeatableRequestsGoOnElsewhere);
     CPPUNIT_TEST(aCutAnswerIsNeverPassedAsWhole);
     CPPUNIT_TEST(anUnframedAnswerIsWholeOnlyAtAnOrderlyEnd);
@@ -190,6 +191,24 @@
         CPPUNIT_ASSERT(reply->body.find("not_run") != std::string::npos);
     }
 
+    /// Some runners have crashed and refuse connections. A caller whose request met one of them got
+    /// 503, because going on to the next counted as a retry and the budget was used up; but nobody
+    /// had seen a byte of the request.
+    void unreachableRunnersCostNoRetry()
+    {
+        scripted_runner alive({{sealed("200 OK", "a")}});
+        std::vector<std::unique_ptr<scripted_runner>> gone;
+        std::vector<const scripted_runner *> all{&alive};
+        for (int i = 0; i < 4; ++i) {
+            gone.push_back(std::make_unique<scripted_runner>(std::vector<script>{}));
+            all.push_back(gone.back().get());
+        }
+        world test(all);
+        gone.clear();
+        while (test.retries.tryTake({"s"})) { }
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/once/1")->status);
+    }
+
     void repeatableRequestsGoOnElsewhere()
     {
         const std::vector<script> scripts{{"", script_end::Reset}, {sealed("200 OK", "a")}};
