Call what the project already has, and log what the operators' page tells of

- Comparing, trimming and writing headers stood in the gateway as well as in http_text: one copy now.
- The views' hub and the catalogue's were two read-copy-updates: the hub calls the other one.
- A runner's reply was read to its end by four loops: one, with a bound for each.

--- a/include/poplarspool/base/published.h
+++ b/include/poplarspool/base/published.h
@@ -19,12 +19,17 @@
 
     /// Publishes a changed copy. Writers take turns, so that no change is lost.
     /// @param change Returns false to leave the value as it is.
-    void update(const std::function<bool(T &)> &change)
+    /// @returns The value that stands afterwards.
+    std::shared_ptr<const T> update(const std::function<bool(T &)> &change)
     {
         const std::lock_guard lock(writers);
-        T next = *current();
-        if (change(next))
-            now.store(std::make_shared<const T>(std::move(next)), std::memory_order_release);
+        std::shared_ptr<const T> before = current();
+        auto next = std::make_shared<T>(*before);
+        if (!change(*next))
+            return before;
+        std::shared_ptr<const T> after = std::move(next);
+        now.store(after, std::memory_order_release);
+        return after;
     }
 
 private:
--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -2,7 +2,6 @@
 
 #include "poplarspool/base/http.h"
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -11,15 +10,6 @@
 
 namespace poplarspool::gateway {
 
-/// KV cache that an engine keeps for one request after it has read its prompt.
-struct kv_handle
-{
-    std::string id;
-    std::uint64_t tokens = 0;
-
-    bool operator==(const kv_handle &) const = default;
-};
-
 /// The names under which callers and runners exchange what the gateway needs to know. The gateway
 /// itself knows no such name: the platform's adapter fills them in.
 struct dialect
@@ -27,7 +17,6 @@
     // Headers of callers, passed on to runners.
     std::string requestId;
     std::string timeLimitMs; ///< Rewritten with what is left.
-    std::string model;
     std::string tokenCount; ///< "PROMPT,OUTPUT", the latter at most.
     std::string promptParts; ///< "ID:TOKENS,…", in the prompt's order.
     std::string lastEvent; ///< A stream goes on after this event.
@@ -46,13 +35,10 @@
     std::string seal; ///< On each reply that a runner made itself.
     std::string notRun; ///< The runner refused, and has not run the request.
 
-    /// @returns The handle in an engine's reply to a prefill.
-    std::function<std::optional<kv_handle>(std::string_view body)> readHandle;
+    /// @returns The handle, in an engine's reply to a prefill, to the KV cache that it keeps.
+    std::function<std::optional<std::string>(std::string_view body)> readHandle;
     /// @returns The request that frees a handle that nobody will take.
     std::function<http_request(const std::string &handle)> freeHandle;
 };
 
-/// @returns Whether a status promises that the request has not run and never will.
-bool promisesNotRun(int status);
-
 } // namespace poplarspool::gateway
--- a/include/poplarspool/gateway/placing.h
+++ b/include/poplarspool/gateway/placing.h
@@ -56,6 +56,8 @@
     Later, ///< It can't: it is served when nothing urgent waits.
 };
 
+std::string_view nameOf(send_class urgency);
+
 struct placement
 {
     std::shared_ptr<const runner> serving;
--- a/src/base/http_text.cpp
+++ b/src/base/http_text.cpp
@@ -22,11 +22,6 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return std::ranges::equal(left, right, [](char a, char b) { return lowerOf(a) == lowerOf(b); });
-}
-
 bool isTokenLetter(char letter)
 {
     const bool isLetter = lowerOf(letter) >= 'a' && lowerOf(letter) <= 'z';
@@ -52,14 +47,6 @@
     return value > ' ' && value != 0x7f;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Takes the next line off the text; none where it has no proper end.
 std::optional<std::string_view> takeLine(std::string_view &text)
 {
@@ -214,13 +201,26 @@
     return found == namedStatuses.end() ? std::string_view() : found->reason;
 }
 
+} // namespace
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, [](char a, char b) { return lowerOf(a) == lowerOf(b); });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append(lineEnd);
 }
 
-} // namespace
-
 std::string_view headerOf(const http_headers &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
--- a/src/base/http_text.h
+++ b/src/base/http_text.h
@@ -67,6 +67,14 @@
 ///          because each side frames its own messages.
 bool isHopHeader(std::string_view name);
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+/// @returns The text without blanks and tabs at its ends.
+std::string_view trimmed(std::string_view text);
+
+/// Adds a header's line.
+void appendHeader(std::string &text, std::string_view name, std::string_view value);
+
 /// How a reply goes on the wire.
 struct reply_framing
 {
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/gateway/catalogue.h"
 
+#include "base/http_text.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -7,16 +9,6 @@
 
 namespace {
 
-char lowerOf(char letter)
-{
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
-bool isSameHost(std::string_view left, std::string_view right)
-{
-    return std::ranges::equal(left, right, [](char a, char b) { return lowerOf(a) == lowerOf(b); });
-}
-
 /// A Host header may name the port as well.
 std::string_view withoutPort(std::string_view host)
 {
@@ -44,7 +36,7 @@
     const std::string_view plainPath = path.substr(0, path.find('?'));
     const route *best = nullptr;
     for (const route &one : table.routes) {
-        if (!plainPath.starts_with(one.pathPrefix) || !isSameHost(one.host, name))
+        if (!plainPath.starts_with(one.pathPrefix) || !equalsIgnoringCase(one.host, name))
             continue;
         if (best == nullptr || one.pathPrefix.size() > best->pathPrefix.size())
             best = &one;
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::string_view lineEnd = "\r\n";
-
 /// Parts of one prompt that are looked at; placing needs the first few only.
 constexpr std::size_t maxPromptParts = 64;
 
@@ -26,14 +24,6 @@
     return number;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Calls `onItem` for each item of a comma-separated list.
 template <class OnItem>
 void forEachItem(std::string_view list, const OnItem &onItem)
@@ -60,20 +50,12 @@
     return parts;
 }
 
-bool isSameName(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size()
-            && std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
-                   return std::tolower(a) == std::tolower(b);
-               });
-}
-
 /// @returns The names that a message's Connection headers declare as its connection's own.
 std::vector<std::string> connectionNames(const http_headers &headers)
 {
     std::vector<std::string> names;
     for (const auto &[name, value] : headers) {
-        if (isSameName(name, "connection"))
+        if (equalsIgnoringCase(name, "connection"))
             forEachItem(value, [&names](std::string_view item) { names.emplace_back(item); });
     }
     return names;
@@ -81,20 +63,15 @@
 
 bool holds(const std::vector<std::string> &names, std::string_view name)
 {
-    return std::ranges::any_of(names,
-                               [name](const std::string &one) { return isSameName(one, name); });
-}
-
-void appendHeader(std::string &text, std::string_view name, std::string_view value)
-{
-    text.append(name).append(": ").append(value).append(lineEnd);
+    return std::ranges::any_of(
+            names, [name](const std::string &one) { return equalsIgnoringCase(one, name); });
 }
 
 /// Headers that each send sets anew.
 bool isReplaced(std::string_view name, const dialect &names, const send_extras &extras)
 {
-    return isSameName(name, names.timeLimitMs)
-            || (!extras.lastEvent.empty() && isSameName(name, names.lastEvent))
+    return equalsIgnoringCase(name, names.timeLimitMs)
+            || (!extras.lastEvent.empty() && equalsIgnoringCase(name, names.lastEvent))
             || holds(names.reserved, name);
 }
 
@@ -116,11 +93,6 @@
 
 } // namespace
 
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 envelope readEnvelope(const http_request &request, const dialect &names)
 {
     envelope read;
@@ -145,7 +117,7 @@
     const std::vector<std::string> ownNames = connectionNames(request.headers);
     bool hasHost = false;
     for (const auto &[name, value] : request.headers) {
-        hasHost = hasHost || isSameName(name, "host");
+        hasHost = hasHost || equalsIgnoringCase(name, "host");
         if (!isHopHeader(name) && !holds(ownNames, name) && !isReplaced(name, names, extras))
             appendHeader(text, name, value);
     }
@@ -155,8 +127,9 @@
     const bool isBodyUsual = request.method != "GET" && request.method != "HEAD";
     if (!request.body.empty() || isBodyUsual)
         appendHeader(text, "Content-Length", std::to_string(request.body.size()));
-    text.reserve(text.size() + lineEnd.size() + request.body.size());
-    return text.append(lineEnd).append(request.body);
+    constexpr std::string_view headEnd = "\r\n";
+    text.reserve(text.size() + headEnd.size() + request.body.size());
+    return text.append(headEnd).append(request.body);
 }
 
 http_headers passedReplyHeaders(const http_headers &headers)
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -21,16 +21,17 @@
     parts.ledger.noteCached(reader.id, read.prompt);
     parts.metrics.handOvers.add();
     const auto reply = askPrefill(place, record);
-    const auto handle = reply ? parts.names.readHandle(reply->body) : std::nullopt;
+    auto handle = reply ? parts.names.readHandle(reply->body) : std::nullopt;
     if (handle) {
         record.noteEnd(send_end::Served);
         log("prefill_end",
             {{"runner", reader.id.text},
+             {"urgency", std::string(nameOf(place.urgency))},
              {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
              {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
              {"reading_ms", std::to_string(std::lround(place.readingMs))},
              {"left_ms", std::to_string(timeLeft().count())}});
-        return handle->id;
+        return handle;
     }
     const bool isUnreachable = !reply && lastFault == unreachableFault;
     // Such a call is free of the retry budget only where it was accepted. While engines refuse or
@@ -68,7 +69,7 @@
     extras.priority = priorityOf(place.urgency);
     extras.isPrefillOnly = true;
     if (place.cacheHolder) {
-        extras.kvFetch = poplarspool::textOf(place.cacheHolder->address);
+        extras.kvFetch = textOf(place.cacheHolder->address);
         parts.metrics.kvCopies.add();
     }
     runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
@@ -84,14 +85,10 @@
     http_reply reply;
     if (const auto *arrived = std::get_if<reply_head>(&head)) {
         reply.status = arrived->status;
-        body_piece piece;
-        while (!piece.isLast && piece.fault == call_fault::None
-               && reply.body.size() < config::maxHeldAnswerBytes) {
-            piece = call.readBody(deadline);
-            reply.body += piece.bytes;
-        }
-        fault = piece.fault;
-        if (piece.isLast) {
+        body_piece rest = call.readRest(deadline, config::maxHeldAnswerBytes);
+        reply.body = std::move(rest.bytes);
+        fault = rest.fault;
+        if (rest.isLast) {
             keepConnection(call, *arrived, reader.address);
             const bool isRefused = !headerOf(arrived->headers, parts.names.notRun).empty();
             record.noteEnd(isRefused ? send_end::Refused : send_end::Failed);
@@ -118,15 +115,13 @@
     runner_call call(std::move(valueOf(connection)), -1);
     http_request asked = parts.names.freeHandle(handle);
     const std::string text = asked.method + " " + asked.path
-            + " HTTP/1.1\r\nHost: " + poplarspool::textOf(reader.address) + "\r\n"
-            + parts.names.expectedRunner + ": " + reader.id.text + "\r\n\r\n";
+            + " HTTP/1.1\r\nHost: " + textOf(reader.address) + "\r\n" + parts.names.expectedRunner
+            + ": " + reader.id.text + "\r\n\r\n";
     if (call.send(text, deadline) != call_fault::None)
         return;
     const auto head = call.readHead(deadline);
     if (const auto *arrived = std::get_if<reply_head>(&head)) {
-        body_piece piece;
-        while (!piece.isLast && piece.fault == call_fault::None)
-            piece = call.readBody(deadline);
+        call.readRest(deadline, config::maxHeldAnswerBytes);
         keepConnection(call, *arrived, reader.address);
     }
 }
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -270,6 +270,11 @@
 
 } // namespace
 
+std::string_view nameOf(send_class urgency)
+{
+    return urgency == send_class::Urgent ? "urgent" : "later";
+}
+
 std::variant<placement, no_place> choosePlace(const place_wish &wish,
                                               std::span<const place_candidate> candidates)
 {
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -27,11 +27,6 @@
     return tokens;
 }
 
-std::string textOf(std::uint64_t number)
-{
-    return std::to_string(number);
-}
-
 } // namespace
 
 relay_metrics::relay_metrics(metrics_registry &registry)
@@ -100,7 +95,7 @@
                 continue;
             }
             place->prefill = reader;
-            kvSource = poplarspool::textOf(reader->address) + "/" + *handle;
+            kvSource = textOf(reader->address) + "/" + *handle;
         }
         // A runner that could not be reached has seen nothing of the request.
         const bool isExtra = arrivals > 0;
@@ -251,7 +246,7 @@
 {
     fields.insert(fields.begin(), {"request", read.id});
     const std::uint64_t version = known->table ? known->table->version : 0;
-    fields.push_back({"routes_version", textOf(version)});
+    fields.push_back({"routes_version", std::to_string(version)});
     parts.events.emit(kind, std::move(fields));
 }
 
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -176,6 +176,18 @@
     return piece;
 }
 
+body_piece runner_call::readRest(socket_deadline deadline, std::size_t most)
+{
+    body_piece rest;
+    while (!rest.isLast && rest.fault == call_fault::None && rest.bytes.size() < most) {
+        body_piece next = readBody(deadline);
+        rest.bytes += next.bytes;
+        rest.isLast = next.isLast;
+        rest.fault = next.fault;
+    }
+    return rest;
+}
+
 body_piece runner_call::readSized(socket_deadline deadline)
 {
     if (bodyLeft > 0 && buffer.empty()) {
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -46,6 +46,10 @@
     /// Reads on in the body that the last head has announced.
     body_piece readBody(socket_deadline deadline);
 
+    /// Reads all that is left of that body, or until it has grown beyond `most` bytes.
+    /// @returns All of it, with isLast where it is whole.
+    body_piece readRest(socket_deadline deadline, std::size_t most);
+
     /// @returns Whether a byte of the request has left, so that the runner may have run it.
     bool mayHaveArrived() const { return bytesSent > 0; }
 
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -30,25 +30,6 @@
 
 } // namespace
 
-std::string_view nameOf(send_end end)
-{
-    switch (end) {
-    case send_end::Served:
-        return "served";
-    case send_end::Refused:
-        return "refused";
-    case send_end::Misdirected:
-        return "misdirected";
-    case send_end::Unreachable:
-        return "unreachable";
-    case send_end::Failed:
-        return "failed";
-    case send_end::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 runner_ledger::runner_ledger(clock_source clock) : clock(std::move(clock)) { }
 
 runner_ledger::open_send::open_send(runner_ledger &ledger, const runner_id &target,
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -22,8 +22,6 @@
     Unknown, ///< The caller left, or its time was over.
 };
 
-std::string_view nameOf(send_end end);
-
 /// What this instance has going on at each runner, and what it has lately met there.
 class runner_ledger
 {
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -63,8 +63,9 @@
     }
     log("send_end",
         {{"runner", target.id.text},
-         {"address", poplarspool::textOf(target.address)},
+         {"address", textOf(target.address)},
          {"prefill", place.prefill ? place.prefill->id.text : ""},
+         {"urgency", std::string(nameOf(place.urgency))},
          {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
          {"reading_ms", std::to_string(std::lround(place.readingMs))},
          {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
@@ -101,7 +102,7 @@
         extras.lastEvent = std::to_string(*lastEvent);
     extras.kvSource = now.kvSource;
     if (now.place.cacheHolder)
-        extras.kvFetch = poplarspool::textOf(now.place.cacheHolder->address);
+        extras.kvFetch = textOf(now.place.cacheHolder->address);
     return extras;
 }
 
@@ -147,11 +148,11 @@
         if (id.empty() || id == read.id)
             return head;
         parts.metrics.foreignReplies.add();
-        body_piece piece;
-        while (!piece.isLast && piece.fault == call_fault::None)
-            piece = call.readBody(deadline);
-        if (piece.fault != call_fault::None)
-            return piece.fault;
+        const body_piece rest = call.readRest(deadline, config::maxReplyBytes);
+        if (rest.fault != call_fault::None)
+            return rest.fault;
+        if (!rest.isLast)
+            return call_fault::Malformed;
     }
     return call_fault::Malformed;
 }
@@ -191,15 +192,10 @@
 {
     lastFault = "refused_" + std::to_string(head.status);
     now.record.noteEnd(head.status == 421 ? send_end::Misdirected : send_end::Refused);
-    body_piece piece;
-    std::size_t bytes = 0;
-    while (!piece.isLast && piece.fault == call_fault::None && bytes < config::maxHeldAnswerBytes) {
-        piece = call.readBody(now.deadline);
-        bytes += piece.bytes.size();
-    }
-    if (piece.isLast)
+    const body_piece rest = call.readRest(now.deadline, config::maxHeldAnswerBytes);
+    if (rest.isLast)
         keepConnection(call, head, now.place.serving->address);
-    return piece.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
+    return rest.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
 }
 
 void request_relay::noteFirstByte(sending &now)
--- a/src/node/view_hub.cpp
+++ b/src/node/view_hub.cpp
@@ -1,14 +1,12 @@
 #include "poplarspool/node/view_hub.h"
 
-#include <atomic>
-#include <mutex>
+#include "poplarspool/base/published.h"
 
 namespace poplarspool::node {
 
 struct view_hub::state
 {
-    std::atomic<policy::view_ptr> published{std::make_shared<const policy::view>()};
-    std::mutex writers;
+    published<policy::view> views{policy::view{}};
 };
 
 view_hub::view_hub() : inner(std::make_unique<state>()) { }
@@ -17,20 +15,18 @@
 
 policy::view_ptr view_hub::current() const
 {
-    return inner->published.load(std::memory_order_acquire);
+    return inner->views.current();
 }
 
 policy::view_ptr view_hub::update(const std::function<bool(policy::view &)> &change)
 {
-    const std::lock_guard lock(inner->writers);
-    policy::view_ptr before = current();
-    auto next = std::make_shared<policy::view>(*before);
-    if (!change(*next))
-        return before;
-    next->version = before->version + 1;
-    policy::view_ptr after = std::move(next);
-    inner->published.store(after, std::memory_order_release);
-    return after;
+    return inner->views.update([&change](policy::view &next) {
+        const std::uint64_t before = next.version;
+        if (!change(next))
+            return false;
+        next.version = before + 1;
+        return true;
+    });
 }
 
 } // namespace poplarspool::node
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -12,7 +12,6 @@
     dialect names;
     names.requestId = "Id";
     names.timeLimitMs = "Limit";
-    names.model = "Model";
     names.tokenCount = "Tokens";
     names.promptParts = "Parts";
     names.lastEvent = "Last";
@@ -25,10 +24,10 @@
     names.reserved = {"Runner", "Priority", "Stage", "Source", "Fetch"};
     names.seal = "Seal";
     names.notRun = "Not-Run";
-    names.readHandle = [](std::string_view body) -> std::optional<kv_handle> {
+    names.readHandle = [](std::string_view body) -> std::optional<std::string> {
         if (body.empty())
             return std::nullopt;
-        return kv_handle{std::string(body), 0};
+        return std::string(body);
     };
     names.freeHandle = [](const std::string &handle) {
         http_request request;
