Look at the store at once after a failure, so that a suspension isn't taken for an outage

A machine woke from a suspension of 6 s; its watch failed for that, and the next one, of up to 3.5 s, was answered 2.6 s later, with the removal of a runner. Ruled out: a lost event; all others dropped it at 28.01 s. After a failure the watch now waits 50 ms only.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -117,6 +117,8 @@
 /// Time for which one watch waits: each answer confirms what is known (routesTrustTime), and each
 /// is priced.
 inline constexpr std::chrono::milliseconds gatewayWatchTime = 3500ms;
+/// The same right after a failure: what has changed meanwhile is there at once.
+inline constexpr std::chrono::milliseconds storeProbeWatchTime = 50ms;
 /// Time from one watch to the next at least. A runner that leaves must be left alone after 2 s.
 inline constexpr std::chrono::milliseconds gatewayWatchGap = 900ms;
 /// Pauses between tries to reach the store: first, and bound. A change must be in force 2 s after
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST_SUITE(kind_watch_test);
     CPPUNIT_TEST(listsGoOnWhereTheyWereCut);
     CPPUNIT_TEST(forgottenHistoryIsListedAnew);
+    CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +108,39 @@
         CPPUNIT_ASSERT(store.asked[1].find("watch=5") != std::string::npos);
     }
 
+    /// An instance was suspended, and its watch has failed for that. Told only at the end of a long
+    /// watch that the store is back, it would take the time between for an outage of the store.
+    void aFailureIsFollowedByAShortWatch()
+    {
+        scripted_store store({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
+                              jsonReply(R"({"events":[],"currentRev":5})")});
+        store_client client(store.address, store.metrics);
+        journal events{{"test"}, systemClock(), 16};
+        std::mutex guard;
+        std::condition_variable answered;
+        int answers = 0;
+        kind_handlers handlers;
+        handlers.onList = [](const std::vector<store_object> &) {};
+        handlers.onChange = [](const store_change &) {};
+        handlers.onAnswer = [&](mono_time) {
+            const std::lock_guard lock(guard);
+            ++answers;
+            answered.notify_all();
+        };
+        handlers.onFailure = [] {};
+        kind_watch watch("k", client, handlers, systemClock(), events);
+        watch.start();
+        {
+            std::unique_lock lock(guard);
+            CPPUNIT_ASSERT(answered.wait_for(lock, 20s, [&] { return answers == 2; }));
+        }
+        client.stop();
+        watch.stop();
+        const std::lock_guard lock(store.guard);
+        CPPUNIT_ASSERT(store.asked[1].ends_with("waitMs=3500"));
+        CPPUNIT_ASSERT(store.asked[2].ends_with("waitMs=50"));
+    }
+
     void objectsAreReplacedOrCreated()
     {
         scripted_store store({jsonReply("{}", 404), jsonReply("{}")});
