Tell all instances of cached parts, and copy them only from engines that have read them

Cause: what was told of caches was collected once for the own zone's pace, and reached the others only where the two paces met: in a fleet of 67 more than half of it never left the zone. Tokens that came into a cache were told only while a request was open there, a sender's first number was dropped, and a part that had been evicted and read again counted for nothing. And parts were copied from engines that had yet to read them.

Each audience now hears all news at its own pace; work is told twice more after its end; a part can be copied once its engine has answered for it.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -69,8 +69,8 @@
 inline constexpr double urgentShare = 0.9;
 /// Time for which another instance's news of its load counts.
 inline constexpr std::chrono::milliseconds loadNewsMemory = 2s;
-/// Times that each new part in a runner's cache is told, against lost datagrams.
-inline constexpr std::uint32_t cachedNewsRepeats = 2;
+/// Times that each piece of news is told, against lost datagrams.
+inline constexpr std::uint32_t newsRepeats = 2;
 /// Parts of prompts remembered per runner; beyond that, the older half is forgotten.
 inline constexpr std::size_t maxCachedParts = 20000;
 /// Share of an engine's memory that caches parts; the rest holds running requests.
--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -33,6 +33,7 @@
 {
     std::uint32_t runner = 0;
     std::uint32_t chain = 0; ///< Low half of the chain's hash.
+    bool isRead = false; ///< The runner has read it; until then, others can't copy it from there.
 
     bool operator==(const cached_chain &) const = default;
 };
@@ -52,6 +53,10 @@
 std::string encode(const load_news &news);
 result<load_news> decodeLoadNews(std::string_view payload);
 
+/// Whom news go to. Both hear all of it, at their own pace.
+enum class news_audience { Near, Far };
+inline constexpr std::size_t newsAudiences = 2;
+
 struct load_exchange_settings
 {
     instance_id self;
@@ -68,7 +73,7 @@
 public:
     /// @param collect Gives what to tell; called on the exchange's thread, as is onNews.
     /// @param onNews Gets a sender's number and its news, in the sender's order.
-    load_exchange(load_exchange_settings choices, std::function<load_news()> collect,
+    load_exchange(load_exchange_settings choices, std::function<load_news(news_audience)> collect,
                   std::function<void(std::uint64_t sender, const load_news &)> onNews,
                   clock_source clock, metrics_registry &metrics);
     ~load_exchange();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,7 +71,7 @@
           members(gossipSettingsOf(choices, clock), {}, clock, registry, log),
           loads(
                   {choices.instance, lifeOf(clock), choices.loadAddress, peerKeyOf(choices)},
-                  [this] { return ledger.collectNews(); },
+                  [this](peer::news_audience audience) { return ledger.collectNews(audience); },
                   [this](std::uint64_t sender, const peer::load_news &news) {
                       ledger.takeNews(sender, news);
                   },
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -25,6 +25,7 @@
     auto handle = reply ? parts.names.readHandle(reply->body) : std::nullopt;
     if (handle) {
         record.noteEnd(send_end::Served);
+        parts.ledger.noteRead(reader.id, read.prompt);
         log("prefill_end",
             {{"runner", reader.id.text},
              {"urgency", std::string(nameOf(place.urgency))},
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -99,14 +99,15 @@
     return engines;
 }
 
-/// Who has the most of this prompt's beginning in its cache; null where nobody has any.
+/// Who has read most of this prompt's beginning; null where nobody has any. One that is about to
+/// read it has nothing yet to copy: the copy would be read in full after all.
 const place_candidate *holderOf(const place_wish &wish, std::span<const place_candidate> candidates)
 {
     const place_candidate *holder = nullptr;
     for (const place_candidate &one : candidates) {
-        const bool isUsable = one.target->service == wish.service && one.cachedTokens > 0
+        const bool isUsable = one.target->service == wish.service && one.readTokens > 0
                 && !isSetAside(one, wish.now);
-        if (isUsable && (holder == nullptr || one.cachedTokens > holder->cachedTokens))
+        if (isUsable && (holder == nullptr || one.readTokens > holder->readTokens))
             holder = &one;
     }
     return holder;
@@ -141,8 +142,8 @@
     made.at = &at;
     double copyMs = 0;
     if (copyFrom != nullptr) {
-        copyMs = transferTimeMs(*wish.engine, copyFrom->cachedTokens - cached);
-        cached = copyFrom->cachedTokens;
+        copyMs = transferTimeMs(*wish.engine, copyFrom->readTokens - cached);
+        cached = copyFrom->readTokens;
         made.copyFrom = copyFrom;
         made.costMs = config::kvCopyCostMs;
     } else {
@@ -169,7 +170,7 @@
     };
     for (const place_candidate *one : engines) {
         keepBetter(readAt(choice, *one, nullptr));
-        if (choice.holder != nullptr && choice.holder->cachedTokens > one->cachedTokens)
+        if (choice.holder != nullptr && choice.holder->readTokens > one->cachedTokens)
             keepBetter(readAt(choice, *one, choice.holder));
     }
     return best;
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -21,6 +21,15 @@
                                               config::setAsideMost);
 }
 
+/// Tokens between two numbers of one sender. They wrap around; one that is far below the last is of
+/// a new life of the sender, which counts from 0.
+std::uint32_t tokensSince(std::uint32_t before, std::uint32_t now)
+{
+    constexpr std::uint32_t half = 1U << 31U;
+    const std::uint32_t passed = now - before;
+    return passed < half ? passed : now;
+}
+
 double medianOf(std::vector<double> &values)
 {
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
@@ -46,11 +55,12 @@
     ledger.ended(target, end);
 }
 
-void runner_ledger::open_send::noteStart()
+bool runner_ledger::open_send::noteStart()
 {
     if (std::exchange(hasStarted, true))
-        return;
+        return false;
     ledger.started(*this);
+    return true;
 }
 
 double &runner_ledger::readingOf(record &of, send_class urgency)
@@ -63,6 +73,7 @@
     const std::lock_guard lock(guard);
     record &entry = records[sent.target];
     ++entry.open;
+    entry.tellsLeft.fill(config::newsRepeats);
     readingOf(entry, sent.urgency) += sent.readingMs;
 }
 
@@ -127,17 +138,36 @@
 /// The least recently used parts yield: one is taken for gone once as many other tokens have come
 /// in as the cache holds beside running requests. Believed in for longer, it would be copied from a
 /// runner that has nothing, and read once more after all.
-std::uint32_t runner_ledger::cachedTokens(const record &of, const std::vector<prompt_part> &prompt,
-                                          std::uint64_t capacity)
+bool runner_ledger::record::holds(std::uint32_t chain) const
+{
+    const auto found = cached.find(chain);
+    return found != cached.end() && (capacity == 0 || tokensIn - found->second.usedAt <= capacity);
+}
+
+void runner_ledger::record::use(std::uint32_t chain, std::uint32_t tokens, bool isRead)
 {
-    std::uint32_t tokens = 0;
+    if (!holds(chain)) {
+        tokensIn += tokens;
+        ownTokensIn += tokens;
+        cached[chain].isRead = false;
+    }
+    cached_part &part = cached[chain];
+    part.usedAt = tokensIn;
+    part.isRead = part.isRead || isRead;
+}
+
+void runner_ledger::noteCachedTokens(const record &of, const std::vector<prompt_part> &prompt,
+                                     place_candidate &into)
+{
+    bool isRead = true;
     for (const prompt_part &part : prompt) {
-        const auto found = of.cached.find(static_cast<std::uint32_t>(part.chain));
-        if (found == of.cached.end() || of.tokensIn - found->second > capacity)
-            break;
-        tokens += part.tokens;
+        const auto chain = static_cast<std::uint32_t>(part.chain);
+        if (!of.holds(chain))
+            return;
+        isRead = isRead && of.cached.at(chain).isRead;
+        into.cachedTokens += part.tokens;
+        into.readTokens += isRead ? part.tokens : 0;
     }
-    return tokens;
 }
 
 std::vector<place_candidate> runner_ledger::candidatesOf(const catalogue &known,
@@ -163,11 +193,12 @@
         const std::uint32_t key = peer::runnerKey(id);
         const auto found = records.find(key);
         if (found != records.end()) {
+            found->second.capacity = capacity;
             one.load.open = found->second.open + found->second.openElsewhere;
             one.load.readingMs = found->second.readingMs + found->second.readingMsElsewhere;
             one.load.laterMs = found->second.laterMs + found->second.laterMsElsewhere;
             one.load.setAsideUntil = found->second.setAsideUntil;
-            one.cachedTokens = cachedTokens(found->second, prompt, capacity);
+            noteCachedTokens(found->second, prompt, one);
         }
         candidates.push_back(std::move(one));
     }
@@ -199,23 +230,28 @@
     }
 }
 
-peer::load_news runner_ledger::collectNews()
+peer::load_news runner_ledger::collectNews(peer::news_audience audience)
 {
+    const auto index = static_cast<std::size_t>(audience);
     peer::load_news told;
     const std::lock_guard lock(guard);
-    for (const auto &[key, entry] : records) {
-        if (entry.open > 0 && told.work.size() < config::maxLoadItems)
-            told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
-                                 static_cast<std::uint32_t>(entry.laterMs),
-                                 static_cast<std::uint32_t>(entry.ownTokensIn)});
+    for (auto &[key, entry] : records) {
+        std::uint32_t &tellsLeft = entry.tellsLeft[index];
+        if ((entry.open == 0 && tellsLeft == 0) || told.work.size() >= config::maxLoadItems)
+            continue;
+        tellsLeft -= std::min(tellsLeft, 1U);
+        told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
+                             static_cast<std::uint32_t>(entry.laterMs),
+                             static_cast<std::uint32_t>(entry.ownTokensIn)});
     }
-    const std::size_t count = std::min(news.size(), config::maxCachedNews);
+    std::deque<cached_news> &waiting = news[index];
+    const std::size_t count = std::min(waiting.size(), config::maxCachedNews);
     for (std::size_t i = 0; i < count; ++i) {
-        cached_news one = news.front();
-        news.pop_front();
+        cached_news one = waiting.front();
+        waiting.pop_front();
         told.cached.push_back(one.chain);
         if (--one.repeatsLeft > 0)
-            news.push_back(one);
+            waiting.push_back(one);
     }
     return told;
 }
@@ -237,15 +273,16 @@
         of.openElsewhere += one.open;
         of.readingMsElsewhere += one.readingMs;
         of.laterMsElsewhere += one.laterMs;
-        const auto [known, isNew] = entry.work.try_emplace(one.runner, one);
-        // The first number of a sender says nothing of what came in since when.
-        if (!isNew)
-            of.tokensIn += one.tokensIn - known->second.tokensIn;
-        known->second = one;
+        peer::runner_work &known = entry.work[one.runner];
+        of.tokensIn += tokensSince(known.tokensIn, one.tokensIn);
+        known = one;
     }
     for (const peer::cached_chain &one : told.cached) {
         record &of = records[one.runner];
-        of.cached[one.chain] = of.tokensIn;
+        const bool wasHeld = of.holds(one.chain);
+        cached_part &part = of.cached[one.chain];
+        part.usedAt = of.tokensIn;
+        part.isRead = one.isRead || (wasHeld && part.isRead);
     }
 }
 
@@ -280,23 +317,36 @@
     const std::lock_guard lock(guard);
     const std::uint32_t runner = peer::runnerKey(target);
     record &entry = records[runner];
-    for (const prompt_part &part : prompt) {
-        if (!entry.cached.contains(static_cast<std::uint32_t>(part.chain))) {
-            entry.tokensIn += part.tokens;
-            entry.ownTokensIn += part.tokens;
-        }
-    }
-    for (std::size_t i = 0; i < prompt.size(); ++i) {
-        const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
-        entry.cached[chain] = entry.tokensIn;
-        // The last part is the request's own: nobody else will ask for it.
-        if (i + 1 < prompt.size())
-            news.push_back({{runner, chain}, config::cachedNewsRepeats});
-    }
+    for (const prompt_part &part : prompt)
+        entry.use(static_cast<std::uint32_t>(part.chain), part.tokens, false);
+    entry.tellsLeft.fill(config::newsRepeats);
+    tellCached(runner, prompt, false);
     if (entry.cached.size() <= config::maxCachedParts)
         return;
     const std::uint64_t middle = entry.tokensIn / 2;
-    std::erase_if(entry.cached, [middle](const auto &part) { return part.second < middle; });
+    std::erase_if(entry.cached, [middle](const auto &part) { return part.second.usedAt < middle; });
+}
+
+void runner_ledger::noteRead(const runner_id &target, const std::vector<prompt_part> &prompt)
+{
+    const std::lock_guard lock(guard);
+    const std::uint32_t runner = peer::runnerKey(target);
+    record &entry = records[runner];
+    for (const prompt_part &part : prompt)
+        entry.use(static_cast<std::uint32_t>(part.chain), part.tokens, true);
+    tellCached(runner, prompt, true);
+}
+
+/// @attention With the guard held.
+void runner_ledger::tellCached(std::uint32_t runner, const std::vector<prompt_part> &prompt,
+                               bool isRead)
+{
+    // The last part is the request's own: nobody else will ask for it.
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
+        for (std::deque<cached_news> &waiting : news)
+            waiting.push_back({{runner, chain, isRead}, config::newsRepeats});
+    }
 }
 
 void runner_ledger::forgetAllBut(const runner_map &listed)
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -4,6 +4,7 @@
 #include "poplarspool/gateway/placing.h"
 #include "poplarspool/peer/load_exchange.h"
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -40,7 +41,8 @@
         ~open_send();
 
         /// The runner has begun to answer.
-        void noteStart();
+        /// @returns Whether that was not known yet.
+        bool noteStart();
         void noteEnd(send_end how) { end = how; }
 
     private:
@@ -64,9 +66,11 @@
 
     /// The runner is about to read this prompt, and keeps it in its cache.
     void noteCached(const runner_id &target, const std::vector<prompt_part> &prompt);
+    /// It has read it: from now on, others can copy it from there.
+    void noteRead(const runner_id &target, const std::vector<prompt_part> &prompt);
 
     /// @returns What the other instances are told.
-    peer::load_news collectNews();
+    peer::load_news collectNews(peer::news_audience audience);
     /// Takes what another instance has told.
     void takeNews(std::uint64_t sender, const peer::load_news &news);
 
@@ -74,6 +78,12 @@
     void forgetAllBut(const runner_map &listed);
 
 private:
+    struct cached_part
+    {
+        std::uint64_t usedAt = 0; ///< tokensIn at its last use.
+        bool isRead = false;
+    };
+
     struct record
     {
         std::uint32_t open = 0;
@@ -91,8 +101,14 @@
         /// Tokens that have been put into its cache so far, by all instances as far as known.
         std::uint64_t tokensIn = 0;
         std::uint64_t ownTokensIn = 0; ///< Of these, by this instance.
-        /// tokensIn at the last use of each part, by the low half of its chain's hash.
-        std::unordered_map<std::uint32_t, std::uint64_t> cached;
+        /// Tokens that its cache holds beside running requests; 0: not known yet.
+        std::uint64_t capacity = 0;
+        std::unordered_map<std::uint32_t, cached_part> cached; ///< By the chain's hash, low half.
+        /// How many times its work is still told though nothing is open: against lost datagrams.
+        std::array<std::uint32_t, peer::newsAudiences> tellsLeft{};
+
+        bool holds(std::uint32_t chain) const;
+        void use(std::uint32_t chain, std::uint32_t tokens, bool isRead);
     };
 
     struct peer_record
@@ -112,8 +128,9 @@
     void started(const open_send &sent);
     void ended(std::uint32_t target, send_end how);
     void noteOutcome(record &of, send_end how, mono_time now);
-    static std::uint32_t cachedTokens(const record &of, const std::vector<prompt_part> &prompt,
-                                      std::uint64_t capacity);
+    static void noteCachedTokens(const record &of, const std::vector<prompt_part> &prompt,
+                                 place_candidate &into);
+    void tellCached(std::uint32_t runner, const std::vector<prompt_part> &prompt, bool isRead);
     void takeOff(const peer_record &told);
     void dropSilentPeers(mono_time now);
     void judgeSlowness(std::vector<place_candidate> &candidates, mono_time now);
@@ -122,7 +139,7 @@
     std::mutex guard;
     std::unordered_map<std::uint32_t, record> records; ///< By runner.
     std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
-    std::deque<cached_news> news;
+    std::array<std::deque<cached_news>, peer::newsAudiences> news;
 };
 
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -184,7 +184,9 @@
 
 void request_relay::noteFirstByte(sending &now)
 {
-    now.record.noteStart();
+    if (!now.record.noteStart())
+        return;
+    parts.ledger.noteRead(now.place.serving->id, read.prompt);
     if (firstByteAt != mono_time{})
         return;
     firstByteAt = parts.clock.mono();
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -40,12 +40,13 @@
 {
     void run();
     void tellDue(mono_time now);
+    void tellAudience(news_audience audience, const std::vector<endpoint> &to);
     void tell(const std::vector<endpoint> &to, const load_news &news);
     void hearAll();
     void hear(std::string_view bytes);
 
     load_exchange_settings choices;
-    std::function<load_news()> collect;
+    std::function<load_news(news_audience)> collect;
     std::function<void(std::uint64_t, const load_news &)> onNews;
     clock_source clock;
     counter *sent = nullptr;
@@ -62,10 +63,11 @@
     std::map<std::uint64_t, sender_mark> marks;
     std::uint64_t counterSent = 0;
     mono_time farAt{}; ///< When the far ones are due.
-    bool wasQuiet = false;
+    std::array<bool, newsAudiences> wereQuiet{};
 };
 
-load_exchange::load_exchange(load_exchange_settings choices, std::function<load_news()> collect,
+load_exchange::load_exchange(load_exchange_settings choices,
+                             std::function<load_news(news_audience)> collect,
                              std::function<void(std::uint64_t, const load_news &)> onNews,
                              clock_source clock, metrics_registry &metrics)
     : inner(std::make_unique<state>())
@@ -132,18 +134,28 @@
 
 void load_exchange::state::tellDue(mono_time now)
 {
-    std::vector<endpoint> to;
+    std::vector<endpoint> nearPeers;
+    std::vector<endpoint> farPeers;
     {
         const std::lock_guard lock(guard);
-        to = near;
+        nearPeers = near;
         if (now >= farAt) {
-            to.insert(to.end(), far.begin(), far.end());
+            farPeers = far;
             farAt = now + intervalFor(far.size(), config::farLoadNewsPerSecond);
         }
     }
-    const load_news news = collect();
+    tellAudience(news_audience::Near, nearPeers);
+    tellAudience(news_audience::Far, farPeers);
+}
+
+void load_exchange::state::tellAudience(news_audience audience, const std::vector<endpoint> &to)
+{
+    if (to.empty())
+        return;
+    const load_news news = collect(audience);
     // The first empty news says that all is done; more of the same say nothing.
     const bool isQuiet = news.work.empty() && news.cached.empty();
+    bool &wasQuiet = wereQuiet[static_cast<std::size_t>(audience)];
     if (!std::exchange(wasQuiet, isQuiet) || !isQuiet)
         tell(to, news);
 }
--- a/src/peer/load_news.cpp
+++ b/src/peer/load_news.cpp
@@ -9,7 +9,7 @@
 
 /// Bytes of the smallest item of either list.
 constexpr std::size_t leastWorkBytes = 11;
-constexpr std::size_t leastChainBytes = 8;
+constexpr std::size_t leastChainBytes = 9;
 
 template <class Codec, class News>
 void describe(Codec &codec, News &news)
@@ -24,6 +24,7 @@
     codec.list(news.cached, config::maxCachedNews, leastChainBytes, [](Codec &each, auto &item) {
         each.fixed(item.runner);
         each.fixed(item.chain);
+        each.small(item.isRead);
     });
 }
 
--- a/tests/gateway/placing_test.cpp
+++ b/tests/gateway/placing_test.cpp
@@ -155,6 +155,8 @@
                                          candidateOf("free", engine_stage::Decode)};
         all[0].cachedTokens = 13300;
         all[0].load.readingMs = 400;
+        CPPUNIT_ASSERT(!std::get<placement>(choosePlace(engineWish(), all)).cacheHolder);
+        all[0].readTokens = 13300;
         const auto place = std::get<placement>(choosePlace(engineWish(), all));
         CPPUNIT_ASSERT_EQUAL(std::string("free"), place.serving->id.text);
         CPPUNIT_ASSERT_EQUAL(std::string("holder"), place.cacheHolder->id.text);
--- a/tests/gateway/runner_ledger_test.cpp
+++ b/tests/gateway/runner_ledger_test.cpp
@@ -55,6 +55,10 @@
     CPPUNIT_TEST(otherInstancesWorkIsAdded);
     CPPUNIT_TEST(silentInstancesWorkIsForgotten);
     CPPUNIT_TEST(oldPartsAreTakenForEvicted);
+    CPPUNIT_TEST(evictedPartsComeInAnew);
+    CPPUNIT_TEST(partsAreCopiedOnlyOnceTheyAreRead);
+    CPPUNIT_TEST(allInstancesHearOfPartsAndTokens);
+    CPPUNIT_TEST(aSendersNewLifeCountsFromZero);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,8 +100,8 @@
         const runner_ledger::open_send mine(test.ledger, {"a"}, 30, send_class::Urgent);
         const runner_ledger::open_send theirs(other.ledger, {"a"}, 50, send_class::Urgent);
         const runner_ledger::open_send late(other.ledger, {"a"}, 70, send_class::Later);
-        test.ledger.takeNews(1, other.ledger.collectNews());
-        test.ledger.takeNews(1, other.ledger.collectNews());
+        test.ledger.takeNews(1, other.ledger.collectNews(peer::news_audience::Near));
+        test.ledger.takeNews(1, other.ledger.collectNews(peer::news_audience::Near));
         CPPUNIT_ASSERT_EQUAL(3U, test.look("a").load.open);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(80.0, test.look("a").load.readingMs, 0.1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(70.0, test.look("a").load.laterMs, 0.1);
@@ -130,6 +134,80 @@
         test.ledger.noteCached({"a"}, {{22, 500}});
         CPPUNIT_ASSERT_EQUAL(0U, test.look("a", shared).cachedTokens);
     }
+
+    /// A part is dropped and read again. Not counted as coming in, it would not push out others,
+    /// and those would be believed in for too long.
+    void evictedPartsComeInAnew()
+    {
+        world test;
+        const std::vector<prompt_part> first{{11, 600}};
+        const std::vector<prompt_part> second{{12, 600}};
+        for (std::uint64_t round = 0; round < 3; ++round) {
+            test.ledger.noteCached({"a"}, first);
+            CPPUNIT_ASSERT_EQUAL(600U, test.look("a", first).cachedTokens);
+            CPPUNIT_ASSERT_EQUAL(0U, test.look("a", second).cachedTokens);
+            test.ledger.noteCached({"a"}, {{20 + round, 400}});
+            test.ledger.noteCached({"a"}, second);
+            CPPUNIT_ASSERT_EQUAL(0U, test.look("a", first).cachedTokens);
+            test.ledger.noteCached({"a"}, {{30 + round, 400}});
+        }
+    }
+
+    /// A prompt waits at an engine. Another request with the same beginning is placed elsewhere and
+    /// told to copy that beginning from there: there is nothing yet, so that it is read twice.
+    void partsAreCopiedOnlyOnceTheyAreRead()
+    {
+        world test;
+        world other;
+        const std::vector<prompt_part> prompt{{11, 100}, {12, 50}};
+        test.ledger.noteCached({"a"}, prompt);
+        CPPUNIT_ASSERT_EQUAL(150U, test.look("a", prompt).cachedTokens);
+        CPPUNIT_ASSERT_EQUAL(0U, test.look("a", prompt).readTokens);
+        other.ledger.takeNews(1, test.ledger.collectNews(peer::news_audience::Far));
+        CPPUNIT_ASSERT_EQUAL(100U, other.look("a", prompt).cachedTokens);
+        CPPUNIT_ASSERT_EQUAL(0U, other.look("a", prompt).readTokens);
+        test.ledger.noteRead({"a"}, prompt);
+        CPPUNIT_ASSERT_EQUAL(150U, test.look("a", prompt).readTokens);
+        other.ledger.takeNews(1, test.ledger.collectNews(peer::news_audience::Far));
+        CPPUNIT_ASSERT_EQUAL(100U, other.look("a", prompt).readTokens);
+    }
+
+    /// Instances of the own zone are told several times as often as the others. What was told to
+    /// the former must still reach the latter, though the request is over by then: otherwise they
+    /// read each shared part anew, or look for it where it has been dropped.
+    void allInstancesHearOfPartsAndTokens()
+    {
+        world test;
+        world far;
+        const std::vector<prompt_part> prompt{{11, 100}, {12, 50}};
+        {
+            const runner_ledger::open_send sent(test.ledger, {"a"}, 30, send_class::Urgent);
+            test.ledger.noteCached({"a"}, prompt);
+        }
+        for (int i = 0; i < 5; ++i)
+            test.ledger.collectNews(peer::news_audience::Near);
+        const peer::load_news told = test.ledger.collectNews(peer::news_audience::Far);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.cached.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.work.size());
+        CPPUNIT_ASSERT_EQUAL(150U, told.work[0].tokensIn);
+        far.ledger.takeNews(1, told);
+        CPPUNIT_ASSERT_EQUAL(100U, far.look("a", prompt).cachedTokens);
+        // 850 other tokens push it out of a cache of 900.
+        far.ledger.noteCached({"a"}, {{21, 850}});
+        CPPUNIT_ASSERT_EQUAL(100U, far.look("a", prompt).cachedTokens);
+        far.ledger.noteCached({"a"}, {{22, 51}});
+        CPPUNIT_ASSERT_EQUAL(0U, far.look("a", prompt).cachedTokens);
+    }
+
+    void aSendersNewLifeCountsFromZero()
+    {
+        world test;
+        const std::vector<prompt_part> prompt{{11, 100}, {12, 50}};
+        test.ledger.takeNews(1, {{{peer::runnerKey({"a"}), 1, 0, 0, 5000}}, {}});
+        test.ledger.noteCached({"a"}, prompt);
+        test.ledger.takeNews(1, {{{peer::runnerKey({"a"}), 1, 0, 0, 40}}, {}});
+        CPPUNIT_ASSERT_EQUAL(150U, test.look("a", prompt).cachedTokens);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(runner_ledger_test);
--- a/tests/peer/load_news_test.cpp
+++ b/tests/peer/load_news_test.cpp
@@ -12,7 +12,7 @@
 
 load_news sampleNews()
 {
-    return {{{1, 2, 300, 4000, 50000}}, {{1, 77}, {2, 88}}};
+    return {{{1, 2, 300, 4000, 50000}}, {{1, 77, true}, {2, 88, false}}};
 }
 
 /// An exchange that tells the sample, and keeps what it hears.
@@ -20,7 +20,7 @@
 {
     speaker(const std::string &name, std::uint16_t port, const std::string &key)
         : exchange(
-                {{name}, 1, {"127.0.0.1", port}, key}, [] { return sampleNews(); },
+                {{name}, 1, {"127.0.0.1", port}, key}, [](news_audience) { return sampleNews(); },
                 [this](std::uint64_t, const load_news &news) {
                     const std::lock_guard lock(guard);
                     heard = news;
