--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -7,8 +7,8 @@
 
 stage_keeper::stage_keeper(stage_tools tools, duty_store store, instance_id self,
                            milliseconds leaseBound)
-    : tools(std::move(tools)), self(self),
-      lease(std::move(store), self, leaseBound, this->tools.clock, this->tools.events)
+    : tools(std::move(tools)), self(std::move(self)),
+      lease(std::move(store), this->self, leaseBound, this->tools.clock, this->tools.events)
 { }
 
 stage_keeper::~stage_keeper()
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using test::script;
 using test::scripted_runner;
 
 std::string replyOf(const std::string &status, const std::string &body)
