--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -5,8 +5,8 @@
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
 #include "poplarspool/gateway/dialect.h"
-#include "poplarspool/gateway/duty_lease.h"
 #include "poplarspool/gateway/gateway_settings.h"
+#include "poplarspool/gateway/order_lease.h"
 
 #include <memory>
 #include <string>
@@ -31,8 +31,8 @@
 {
 public:
     /// @param names How callers and runners name things.
-    /// @param duties Where the lease of whoever orders engines is kept.
-    gateway(gateway_settings choices, dialect names, duty_store duties, clock_source clock,
+    /// @param leases Where the lease of whoever orders engines is kept.
+    gateway(gateway_settings choices, dialect names, lease_store leases, clock_source clock,
             metrics_registry &metrics, journal &events);
     ~gateway();
 
--- a/include/poplarspool/gateway/duty_lease.h
+++ b/include/poplarspool/gateway/order_lease.h
@@ -12,33 +12,33 @@
 namespace poplarspool::gateway {
 
 /// Who may give orders to engines, as the store has it.
-struct duty_record
+struct lease_record
 {
     instance_id holder;
     std::uint64_t fence = 0; ///< Rises with each term; stands on each order of that term.
     std::uint64_t revision = 0; ///< Of the object in the store; 0: there is none yet.
 
-    bool operator==(const duty_record &) const = default;
+    bool operator==(const lease_record &) const = default;
 };
 
 /// The store, as far as the lease needs it.
-struct duty_store
+struct lease_store
 {
     /// @returns The present record, never an older one; none where there is none yet.
-    std::function<result<std::optional<duty_record>>()> read;
+    std::function<result<std::optional<lease_record>>()> read;
     /// Replaces the record of that very revision, or creates it where the revision is 0.
     /// @returns Conflict where another one stands there. Any other failure may have taken effect,
     ///          also later.
-    std::function<result<unit>(const duty_record &next)> write;
+    std::function<result<unit>(const lease_record &next)> write;
 };
 
 /// A short time in which this instance alone may give orders.
-struct duty_term
+struct lease_term
 {
     std::uint64_t fence = 0;
     mono_time endsAt{};
 
-    bool operator==(const duty_term &) const = default;
+    bool operator==(const lease_term &) const = default;
 };
 
 /// Lets one instance at a time give orders. A term is taken only when there is something to order,
@@ -49,20 +49,20 @@
 /// successor writes only after it has seen the same record for twice the bound. Between the last
 /// order of one holder and the first of the next there is at least one and a half times the bound.
 /// @attention For one thread.
-class duty_lease
+class order_lease
 {
 public:
     /// @param bound Time for which orders of two holders must be apart.
-    duty_lease(duty_store store, instance_id self, milliseconds bound, clock_source clock,
-               journal &events);
+    order_lease(lease_store store, instance_id self, milliseconds bound, clock_source clock,
+                journal &events);
 
     /// @returns The term; none where another instance may have one, or the store can't tell.
-    std::optional<duty_term> tryTake();
+    std::optional<lease_term> tryTake();
 
 private:
-    bool isFreeFrom(const duty_record &found);
+    bool isFreeFrom(const lease_record &found);
 
-    const duty_store store;
+    const lease_store store;
     const instance_id self;
     const milliseconds bound;
     const clock_source clock;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,7 @@
 
 struct gateway::state
 {
-    state(gateway_settings given, dialect spoken, duty_store duties, clock_source time,
+    state(gateway_settings given, dialect spoken, lease_store leases, clock_source time,
           metrics_registry &registry, journal &log)
         : choices(std::move(given)), names(std::move(spoken)), clock(std::move(time)), events(log),
           keeper(hub, clock, log), ledger(clock), retries({choices.retryShare, choices.retryExtra}),
@@ -85,7 +85,7 @@
           stages({hub, ledger, connections, names, clock, log,
                   registry.counterOf("poplarspool_gateway_stage_orders_total"),
                   [this] { return ownsStages(); }},
-                 std::move(duties), choices.instance, choices.leaseBound)
+                 std::move(leases), choices.instance, choices.leaseBound)
     { }
 
     bool ownsStages() const;
@@ -137,9 +137,9 @@
     ledger.forgetAllBut(now->runners);
 }
 
-gateway::gateway(gateway_settings choices, dialect names, duty_store duties, clock_source clock,
+gateway::gateway(gateway_settings choices, dialect names, lease_store leases, clock_source clock,
                  metrics_registry &metrics, journal &events)
-    : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(duties),
+    : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(leases),
                                     std::move(clock), metrics, events))
 { }
 
--- a/src/gateway/duty_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -1,16 +1,16 @@
-#include "poplarspool/gateway/duty_lease.h"
+#include "poplarspool/gateway/order_lease.h"
 
 namespace poplarspool::gateway {
 
-duty_lease::duty_lease(duty_store store, instance_id self, milliseconds bound, clock_source clock,
-                       journal &events)
+order_lease::order_lease(lease_store store, instance_id self, milliseconds bound,
+                         clock_source clock, journal &events)
     : store(std::move(store)), self(std::move(self)), bound(bound), clock(std::move(clock)),
       events(events)
 { }
 
 /// The holder's clock is not ours. That its record stands unchanged for twice the bound shows that
 /// whatever term it had taken is over: it could only have gone on by another write.
-bool duty_lease::isFreeFrom(const duty_record &found)
+bool order_lease::isFreeFrom(const lease_record &found)
 {
     if (found.holder == self)
         return true;
@@ -22,17 +22,17 @@
     return now - seenAt >= 2 * bound;
 }
 
-std::optional<duty_term> duty_lease::tryTake()
+std::optional<lease_term> order_lease::tryTake()
 {
     const auto found = store.read();
     if (!succeeded(found)) {
-        events.emit("duty_unknown", {{"reason", errorOf(found).message}});
+        events.emit("lease_unknown", {{"reason", errorOf(found).message}});
         return std::nullopt;
     }
-    const std::optional<duty_record> &present = valueOf(found);
+    const std::optional<lease_record> &present = valueOf(found);
     if (present && !isFreeFrom(*present))
         return std::nullopt;
-    duty_record next{self, 1, 0};
+    lease_record next{self, 1, 0};
     if (present) {
         next.fence = present->fence + 1;
         next.revision = present->revision;
@@ -42,13 +42,13 @@
     if (!succeeded(written)) {
         // Where the write took effect after all, the record names this instance, and the next try
         // writes anew.
-        events.emit("duty_missed", {{"reason", errorOf(written).message}});
+        events.emit("lease_missed", {{"reason", errorOf(written).message}});
         return std::nullopt;
     }
-    events.emit("duty_taken",
+    events.emit("lease_taken",
                 {{"fence", std::to_string(next.fence)},
                  {"before", present ? present->holder.text : ""}});
-    return duty_term{next.fence, askedAt + bound / 2};
+    return lease_term{next.fence, askedAt + bound / 2};
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -5,7 +5,7 @@
 
 namespace poplarspool::gateway {
 
-stage_keeper::stage_keeper(stage_tools tools, duty_store store, instance_id self,
+stage_keeper::stage_keeper(stage_tools tools, lease_store store, instance_id self,
                            milliseconds leaseBound)
     : tools(std::move(tools)), self(std::move(self)),
       lease(std::move(store), this->self, leaseBound, this->tools.clock, this->tools.events)
@@ -121,7 +121,7 @@
 /// Orders can be carried out long after they were sent, also after newer ones. Each names the
 /// number of orders that the engine had taken when it was asked: one that comes late finds another
 /// number, and is dropped.
-void stage_keeper::order(const catalogue &known, const stage_change &change, const duty_term &term)
+void stage_keeper::order(const catalogue &known, const stage_change &change, const lease_term &term)
 {
     const auto found = known.runners.find(change.engine);
     if (found == known.runners.end())
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -4,7 +4,7 @@
 #include "gateway/runner_ledger.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/dialect.h"
-#include "poplarspool/gateway/duty_lease.h"
+#include "poplarspool/gateway/order_lease.h"
 #include "poplarspool/gateway/stage_plan.h"
 
 #include <condition_variable>
@@ -32,7 +32,7 @@
 class stage_keeper
 {
 public:
-    stage_keeper(stage_tools tools, duty_store store, instance_id self, milliseconds leaseBound);
+    stage_keeper(stage_tools tools, lease_store store, instance_id self, milliseconds leaseBound);
     ~stage_keeper();
 
     void start();
@@ -54,11 +54,11 @@
     void lookAt(const catalogue &known, const service &engines);
     std::vector<stage_engine> enginesOf(const catalogue &known, const service &engines);
     void forgetDone(const catalogue &known);
-    void order(const catalogue &known, const stage_change &change, const duty_term &term);
+    void order(const catalogue &known, const stage_change &change, const lease_term &term);
 
     const stage_tools tools;
     const instance_id self;
-    duty_lease lease;
+    order_lease lease;
     std::map<runner_id, open_order> given;
     std::map<service_id, stage_memory> memories;
     std::size_t enginesSeen = 0;
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -35,7 +35,7 @@
     CPPUNIT_TEST(brokenRoutesNameWhatIsWrong);
     CPPUNIT_TEST(runnersSayWhatTheyHold);
     CPPUNIT_TEST(instancesSurviveTheStore);
-    CPPUNIT_TEST(dutiesSurviveTheStore);
+    CPPUNIT_TEST(leasesSurviveTheStore);
     CPPUNIT_TEST(reportsAndOrdersSpeakAsEnginesDo);
     CPPUNIT_TEST_SUITE_END();
 
@@ -86,11 +86,11 @@
         CPPUNIT_ASSERT(!succeeded(decodeInstance("edge-1", json::object())));
     }
 
-    void dutiesSurviveTheStore()
+    void leasesSurviveTheStore()
     {
-        const gateway::duty_record duty{{"edge-1"}, 41, 9};
-        CPPUNIT_ASSERT(valueOf(decodeDuty(encodeDuty(duty), 9)) == duty);
-        CPPUNIT_ASSERT(!succeeded(decodeDuty(json::object(), 9)));
+        const gateway::lease_record lease{{"edge-1"}, 41, 9};
+        CPPUNIT_ASSERT(valueOf(decodeLease(encodeLease(lease), 9)) == lease);
+        CPPUNIT_ASSERT(!succeeded(decodeLease(json::object(), 9)));
     }
 
     void reportsAndOrdersSpeakAsEnginesDo()
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -154,7 +154,7 @@
         CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Stale)).code == error_code::Unavailable);
     }
 
-    /// Two instances want the same duty. Written without its revision, the second write would
+    /// Two instances want the same lease. Written without its revision, the second write would
     /// replace the first, and both would believe that they have it.
     void conditionalWritesNameTheirRevision()
     {
--- a/tests/gateway/duty_lease_test.cpp
+++ b/tests/gateway/order_lease_test.cpp
@@ -1,4 +1,4 @@
-#include "poplarspool/gateway/duty_lease.h"
+#include "poplarspool/gateway/order_lease.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -14,20 +14,20 @@
     mono_time now{std::chrono::hours(1)};
     clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
     journal events{{"test"}, systemClock(), 64};
-    std::optional<duty_record> record;
+    std::optional<lease_record> record;
     std::uint64_t revision = 10;
     bool isDown = false;
     bool losesAnswers = false;
 
-    duty_store store()
+    lease_store store()
     {
-        duty_store made;
-        made.read = [this]() -> result<std::optional<duty_record>> {
+        lease_store made;
+        made.read = [this]() -> result<std::optional<lease_record>> {
             if (isDown)
                 return notRun(error_code::Unavailable, "down");
             return record;
         };
-        made.write = [this](const duty_record &next) -> result<unit> {
+        made.write = [this](const lease_record &next) -> result<unit> {
             if (next.revision != (record ? record->revision : 0))
                 return notRun(error_code::Conflict, "another one stands there");
             record = next;
@@ -39,17 +39,17 @@
         return made;
     }
 
-    duty_lease leaseOf(const std::string &id)
+    order_lease leaseOf(const std::string &id)
     {
-        return duty_lease(store(), {id}, 3s, clock, events);
+        return order_lease(store(), {id}, 3s, clock, events);
     }
 };
 
 } // namespace
 
-class duty_lease_test : public CppUnit::TestFixture
+class order_lease_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(duty_lease_test);
+    CPPUNIT_TEST_SUITE(order_lease_test);
     CPPUNIT_TEST(theHolderTakesTermAfterTerm);
     CPPUNIT_TEST(aSuccessorWaitsUntilTheTermIsLongOver);
     CPPUNIT_TEST(eachSignOfTheHolderBeginsTheWaitAnew);
@@ -62,9 +62,9 @@
     void theHolderTakesTermAfterTerm()
     {
         world test;
-        duty_lease mine = test.leaseOf("a");
+        order_lease mine = test.leaseOf("a");
         const auto first = mine.tryTake();
-        CPPUNIT_ASSERT(first == (duty_term{1, test.now + 1500ms}));
+        CPPUNIT_ASSERT(first == (lease_term{1, test.now + 1500ms}));
         const auto second = mine.tryTake();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second->fence);
     }
@@ -76,8 +76,8 @@
     {
         world test;
         const auto lastOrder = test.leaseOf("a").tryTake()->endsAt;
-        duty_lease other = test.leaseOf("b");
-        std::optional<duty_term> taken;
+        order_lease other = test.leaseOf("b");
+        std::optional<lease_term> taken;
         while (!taken) {
             test.now += 100ms;
             taken = other.tryTake();
@@ -89,8 +89,8 @@
     void eachSignOfTheHolderBeginsTheWaitAnew()
     {
         world test;
-        duty_lease mine = test.leaseOf("a");
-        duty_lease other = test.leaseOf("b");
+        order_lease mine = test.leaseOf("a");
+        order_lease other = test.leaseOf("b");
         for (int i = 0; i < 4; ++i) {
             CPPUNIT_ASSERT(mine.tryTake());
             CPPUNIT_ASSERT(!other.tryTake());
@@ -105,7 +105,7 @@
     {
         world test;
         test.losesAnswers = true;
-        duty_lease mine = test.leaseOf("a");
+        order_lease mine = test.leaseOf("a");
         CPPUNIT_ASSERT(!mine.tryTake());
         test.losesAnswers = false;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, mine.tryTake()->fence);
@@ -114,10 +114,10 @@
     void ofTwoThatWriteOneHasTheTerm()
     {
         world test;
-        duty_store late = test.store();
-        late.read = [] { return std::optional<duty_record>(); };
-        duty_lease mine = test.leaseOf("a");
-        duty_lease other(late, {"b"}, 3s, test.clock, test.events);
+        lease_store late = test.store();
+        late.read = [] { return std::optional<lease_record>(); };
+        order_lease mine = test.leaseOf("a");
+        order_lease other(late, {"b"}, 3s, test.clock, test.events);
         CPPUNIT_ASSERT(mine.tryTake());
         CPPUNIT_ASSERT(!other.tryTake());
     }
@@ -130,6 +130,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(duty_lease_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(order_lease_test);
 
 } // namespace poplarspool::gateway
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -62,10 +62,10 @@
         };
     }
 
-    duty_store store()
+    lease_store store()
     {
-        return {[] { return std::optional<duty_record>(); },
-                [this](const duty_record &) -> result<unit> {
+        return {[] { return std::optional<lease_record>(); },
+                [this](const lease_record &) -> result<unit> {
                     now += writeTime;
                     return unit{};
                 }};
