--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -210,7 +210,8 @@
     const mono_time end = inner->leftAt + inner->leaveTime - config::leaveMargin;
     inner->leavesAt = end.time_since_epoch().count();
     inner->members.setLeaving();
-    inner->stages.stop();
+    // Waited for only at the end: with a slow store it would hold up what callers are told.
+    inner->stages.requestStop();
     inner->callers.announceEnd();
     inner->events.emit("leaving", {{"time_ms", std::to_string(inner->leaveTime.count())}});
 }
@@ -223,6 +224,7 @@
             + config::lastCallersTime;
     std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
     inner->callers.stop();
+    inner->stages.stop();
     inner->connections.stop();
     inner->loads.stop();
     inner->members.stop();
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -21,13 +21,16 @@
     thread = std::thread([this] { run(); });
 }
 
-void stage_keeper::stop()
+void stage_keeper::requestStop()
 {
-    {
-        const std::lock_guard lock(guard);
-        isStopping = true;
-    }
+    const std::lock_guard lock(guard);
+    isStopping = true;
     stopped.notify_all();
+}
+
+void stage_keeper::stop()
+{
+    requestStop();
     if (thread.joinable())
         thread.join();
 }
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -36,6 +36,9 @@
     ~stage_keeper();
 
     void start();
+    /// Begins no look any more. Doesn't wait: a look may be waiting for the store.
+    void requestStop();
+    /// @attention Waits for the present look.
     void stop();
 
     /// One look, and the orders that follow from it. Of the keeper's thread, and of tests.
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -5,6 +5,7 @@
 #include "scripted_runner.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
 
 namespace poplarspool::gateway {
 
@@ -102,6 +103,7 @@
     CPPUNIT_TEST(enginesThatAreChangingAreLeftAlone);
     CPPUNIT_TEST(nothingIsSentAfterTheTerm);
     CPPUNIT_TEST(onlyTheOwnerOrders);
+    CPPUNIT_TEST(aSlowStoreDoesNotHoldUpTheEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +149,31 @@
         test.lookTwice();
         CPPUNIT_ASSERT(engine.requests().empty());
     }
+
+    /// An instance gets SIGTERM while it waits for a slow store. Waiting for that first, it would
+    /// tell callers of its end seconds late, and be killed with their requests open.
+    void aSlowStoreDoesNotHoldUpTheEnd()
+    {
+        scripted_runner engine({{replyOf("200 OK", "free")}, {replyOf("202 Accepted", "")}});
+        world test(engine.address());
+        std::promise<void> reached;
+        std::promise<void> answered;
+        lease_store slow = test.store();
+        slow.read = [&]() -> result<std::optional<lease_record>> {
+            reached.set_value();
+            answered.get_future().wait();
+            return notRun(error_code::TimedOut, "no answer");
+        };
+        stage_keeper keeper({test.hub, test.ledger, test.connections, test.names, systemClock(),
+                             test.events, test.metrics.counterOf("orders"), [] { return true; }},
+                            slow, {"self"}, 3000ms);
+        keeper.start();
+        reached.get_future().wait();
+        keeper.requestStop(); // Returns though the store has not answered.
+        answered.set_value();
+        keeper.stop();
+        CPPUNIT_ASSERT(engine.requests().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stage_keeper_test);
