Drop news of caches that nobody takes

An instance that is alone in its zone tells that audience nothing, and gathered the news for it with each request, for ever.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -73,6 +73,8 @@
 inline constexpr std::chrono::milliseconds loadNewsMemory = 2s;
 /// Times that each piece of news is told, against lost datagrams.
 inline constexpr std::uint32_t newsRepeats = 2;
+/// News of cached parts that wait to be told: some seconds' worth at 100 requests a second.
+inline constexpr std::size_t maxWaitingNews = 1000;
 /// Parts of prompts remembered per runner; beyond that, the older half is forgotten.
 inline constexpr std::size_t maxCachedParts = 20000;
 /// Share of an engine's memory that caches parts; the rest holds running requests.
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -344,8 +344,13 @@
     // The last part is the request's own: nobody else will ask for it.
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
         const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
-        for (std::deque<cached_news> &waiting : news)
+        for (std::deque<cached_news> &waiting : news) {
             waiting.push_back({{runner, chain, isRead}, config::newsRepeats});
+            // An audience without members takes nothing: an instance alone in its zone would
+            // gather news until its memory is full. Old news are worth least.
+            if (waiting.size() > config::maxWaitingNews)
+                waiting.pop_front();
+        }
     }
 }
 
--- a/tests/gateway/runner_ledger_test.cpp
+++ b/tests/gateway/runner_ledger_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(partsAreCopiedOnlyOnceTheyAreRead);
     CPPUNIT_TEST(allInstancesHearOfPartsAndTokens);
     CPPUNIT_TEST(aSendersNewLifeCountsFromZero);
+    CPPUNIT_TEST(newsThatNobodyTakesAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +200,19 @@
         CPPUNIT_ASSERT_EQUAL(0U, far.look("a", prompt).cachedTokens);
     }
 
+    /// An instance is alone in its zone. News for that zone are never taken: kept for ever, they
+    /// fill its memory within days, and it is killed.
+    void newsThatNobodyTakesAreDropped()
+    {
+        world test;
+        for (std::uint64_t i = 0; i < 2 * config::maxWaitingNews; ++i)
+            test.ledger.noteCached({"a"}, {{1000 + i, 1}, {2, 1}});
+        std::size_t told = 0;
+        for (std::size_t last = 1; last > 0; told += last)
+            last = test.ledger.collectNews(peer::news_audience::Near).cached.size();
+        CPPUNIT_ASSERT_EQUAL(config::newsRepeats * config::maxWaitingNews, told);
+    }
+
     void aSendersNewLifeCountsFromZero()
     {
         world test;
