--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -50,8 +50,8 @@
 bool stage_keeper::hasSettled(const catalogue &known)
 {
     const mono_time now = tools.clock.mono();
-    if (known.runners.size() != enginesSeen || changedAt == mono_time{}) {
-        enginesSeen = known.runners.size();
+    if (known.runners.size() != runnersSeen || changedAt == mono_time{}) {
+        runnersSeen = known.runners.size();
         changedAt = now;
     }
     return now - changedAt >= config::stageSettleTime;
@@ -142,8 +142,15 @@
             askRunner(tools.connections, tools.names, target, tools.names.askReport(), timeLeft());
     const auto state = succeeded(report) ? tools.names.readReport(valueOf(report).body)
                                          : std::optional<engine_report>();
-    if (!state || state->isChanging || timeLeft() <= milliseconds::zero())
+    if (!state || state->isChanging || timeLeft() <= milliseconds::zero()) {
+        tools.events.emit("stage_order_skipped",
+                          {{"runner", target.id.text},
+                           {"reason",
+                            !state                      ? "no report"
+                                    : state->isChanging ? "it is changing"
+                                                        : "the term is over"}});
         return;
+    }
     const engine_order wanted{change.wanted, self, term.fence, state->ordersTaken};
     // Noted before it is sent: a call that fails may have given the order all the same.
     given[target.id] = {change.wanted, tools.clock.mono()};
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -64,7 +64,7 @@
     order_lease lease;
     std::map<runner_id, open_order> given;
     std::map<service_id, stage_memory> memories;
-    std::size_t enginesSeen = 0;
+    std::size_t runnersSeen = 0;
     mono_time changedAt{}; ///< When the number of runners last changed.
     std::mutex guard;
     std::condition_variable stopped;
