--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -24,9 +24,8 @@
     std::uint32_t laterMs = 0; ///< The same of those that all urgent ones overtake.
     /// Tokens of prompts that this instance has put into its cache; counts on, and wraps around.
     std::uint32_t tokensIn = 0;
-    std::uint32_t waiting = 0; ///< Of the open ones, urgent ones that have not begun.
-    std::uint32_t waitingLater =
-            0; ///< Of the open ones, such as all urgent ones overtake, not begun.
+    std::uint32_t waiting = 0; ///< Urgent ones that have not begun.
+    std::uint32_t waitingLater = 0; ///< Such as all urgent ones overtake, not begun.
 
     bool operator==(const runner_work &) const = default;
 };
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -94,7 +94,8 @@
     for (const place_candidate &one :
          tools.ledger.candidatesOf(known, engines.id, &*engines.engine, {}, {})) {
         const runner &target = *one.target;
-        if (target.isDraining || target.keptUntil <= now)
+        // One that names no stage does all the work, and refuses each order for one.
+        if (target.isDraining || target.keptUntil <= now || target.stage == engine_stage::None)
             continue;
         stage_engine seen{target.id, target.zone, target.stage, one.load.open, false};
         const auto order = given.find(target.id);
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(enginesThatAreChangingAreLeftAlone);
     CPPUNIT_TEST(nothingIsSentAfterTheTerm);
     CPPUNIT_TEST(onlyTheOwnerOrders);
+    CPPUNIT_TEST(enginesWithoutStagesGetNoOrders);
     CPPUNIT_TEST(aSlowStoreDoesNotHoldUpTheEnd);
     CPPUNIT_TEST_SUITE_END();
 
@@ -150,6 +151,24 @@
         CPPUNIT_ASSERT(engine.requests().empty());
     }
 
+    /// Engines that name no stage do all the work. Counted as such that could read prompts, they
+    /// were sent an order at each look, and refused it.
+    void enginesWithoutStagesGetNoOrders()
+    {
+        scripted_runner engine({{replyOf("200 OK", "free")}, {replyOf("202 Accepted", "")}});
+        world test(engine.address());
+        test.hub.update([](catalogue &next) {
+            for (auto &[id, known] : next.runners) {
+                runner plain = *known;
+                plain.stage = engine_stage::None;
+                known = std::make_shared<const runner>(plain);
+            }
+            return true;
+        });
+        test.lookTwice();
+        CPPUNIT_ASSERT(engine.requests().empty());
+    }
+
     /// An instance gets SIGTERM while it waits for a slow store. Waiting for that first, it would
     /// tell callers of its end seconds late, and be killed with their requests open.
     void aSlowStoreDoesNotHoldUpTheEnd()
