Never refuse the rest of an answer that has begun, nor a large prompt that nobody is ahead of

Both followed from the bound on what can't be on time. A resumable stream whose engine died in a burst found no room for the rest, and its caller saw it cut. A prompt that needs more than half of its time for reading was refused by idle engines, each time that it came back. Found by reading; each has a test that fails without the change.

--- a/include/poplarspool/gateway/placing.h
+++ b/include/poplarspool/gateway/placing.h
@@ -64,6 +64,7 @@
     std::uint32_t sharedTokens = 0; ///< Of the prompt's parts that other requests share.
     std::uint64_t affinityKey = 0; ///< Of the shared parts; 0: none.
     bool mayHandOver = true; ///< Another engine may read the prompt first.
+    bool hasBegun = false; ///< The caller has a part of the answer: it is too late to refuse.
     bool isRead = false; ///< Another engine has read it: its KV cache only has to be taken over.
     zone_id readerZone; ///< Where that engine stands.
     double objectiveLeftMs = 0; ///< In which it should start.
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -283,6 +283,15 @@
     return chosen;
 }
 
+/// Only what is before a request counts: a prompt that takes long by itself is not refused where
+/// nobody waits.
+bool hasRoom(const place_wish &wish, const placement &later)
+{
+    const double room = std::max(1.0, config::laterRoomShare * wish.engine->batch);
+    const double waitMs = later.aheadMs + later.slotWaitMs;
+    return later.waitingThere < room && waitMs < wish.timeLeftMs * config::laterTimeShare;
+}
+
 /// On the heaviest days more prompts come than the engines can read in time. Served in the order of
 /// arrival, all of them start late. So a request that can still start in time only waits for others
 /// that can; the rest is served in the gaps. Of that rest, no more is taken than begins soon: sent
@@ -308,9 +317,7 @@
     if (urgent.expectedStartMs <= wish.objectiveLeftMs * config::urgentShare)
         return urgent;
     placement later = chooseWay(wish, engines, send_class::Later);
-    const double room = std::max(1.0, config::laterRoomShare * wish.engine->batch);
-    if (later.waitingThere < room
-        && later.expectedStartMs < wish.timeLeftMs * config::laterTimeShare)
+    if (wish.hasBegun || hasRoom(wish, later))
         return later;
     return no_place{false, std::max(urgent.expectedStartMs - wish.objectiveLeftMs, 1.0)};
 }
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -176,6 +176,7 @@
     wish.sharedTokens = std::min(sharedTokensOf(read.prompt), read.promptTokens);
     wish.affinityKey = read.prompt.size() < 2 ? 0 : read.prompt[read.prompt.size() - 2].chain;
     wish.mayHandOver = !isHandOverLost && sends == 0 && parts.retries.hasRoom(service);
+    wish.hasBegun = hasBegun;
     wish.isRead = reader != nullptr;
     if (reader != nullptr)
         wish.readerZone = reader->zone;
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -129,6 +129,22 @@
     return onTime * 1000.0 / playedMs;
 }
 
+/// More waits there than it begins within the objective.
+place_candidate fullEngine()
+{
+    runner made;
+    made.id.text = "e";
+    made.service.text = "s";
+    made.stage = engine_stage::Decode;
+    place_candidate one;
+    one.target = std::make_shared<const runner>(made);
+    one.load.open = 60;
+    one.load.waiting = 44;
+    one.load.readingMs = 44 * readMs;
+    one.load.runMs = runMs;
+    return one;
+}
+
 } // namespace
 
 class overload_test : public CppUnit::TestFixture
@@ -136,6 +152,8 @@
     CPPUNIT_TEST_SUITE(overload_test);
     CPPUNIT_TEST(whatIsOnTimeDoesNotFallPastSaturation);
     CPPUNIT_TEST(whatIsRefusedIsToldWhenToComeBack);
+    CPPUNIT_TEST(begunAnswersGoOnHoweverMuchWaits);
+    CPPUNIT_TEST(largePromptsAreTakenWhereNobodyWaits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,21 +179,36 @@
     /// All engines have more waiting than begins in a request's time. Its caller hears so at once.
     void whatIsRefusedIsToldWhenToComeBack()
     {
-        std::vector<place_candidate> all(1);
-        runner made;
-        made.id.text = "e";
-        made.service.text = "s";
-        made.stage = engine_stage::Decode;
-        all[0].target = std::make_shared<const runner>(made);
-        all[0].load.open = 60;
-        all[0].load.waiting = 44;
-        all[0].load.readingMs = 44 * readMs;
-        all[0].load.runMs = runMs;
+        const std::vector<place_candidate> all{fullEngine()};
         const auto found = choosePlace(wishAt(1), all);
         CPPUNIT_ASSERT(std::holds_alternative<no_place>(found));
         CPPUNIT_ASSERT(std::get<no_place>(found).roomInMs > 500);
         CPPUNIT_ASSERT(!std::get<no_place>(found).areAllTried);
     }
+
+    /// The engine of a resumable stream dies in a burst. The caller has half of the answer; refused
+    /// a place for the rest, it would see the stream cut.
+    void begunAnswersGoOnHoweverMuchWaits()
+    {
+        place_wish wish = wishAt(1);
+        wish.hasBegun = true;
+        wish.objectiveLeftMs = -200;
+        const auto found = choosePlace(wish, std::vector{fullEngine()});
+        CPPUNIT_ASSERT(std::holds_alternative<placement>(found));
+    }
+
+    /// A prompt is so long that reading it takes most of its time. With nothing before it there is
+    /// nothing to come back for: refused, it would be refused each time.
+    void largePromptsAreTakenWhereNobodyWaits()
+    {
+        place_candidate idle = fullEngine();
+        idle.load = {};
+        place_wish wish = wishAt(1);
+        wish.promptTokens = 100000;
+        CPPUNIT_ASSERT(readingTimeMs(engine_stage::Decode, 100000, 0) > limitMs / 2);
+        const auto found = choosePlace(wish, std::vector{idle});
+        CPPUNIT_ASSERT(std::get<placement>(found).urgency == send_class::Later);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(overload_test);
