Say what the bound on late requests gains and what not, and write down the ablation

The bound was given the gain of telling what waits from what runs. It stays because callers are refused at once and told when to come back. Comments and the test's account say so now; no code changes.

--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -294,10 +294,13 @@
 
 /// On the heaviest days more prompts come than the engines can read in time. Served in the order of
 /// arrival, all of them start late. So a request that can still start in time only waits for others
-/// that can; the rest is served in the gaps. Of that rest, no more is taken than begins soon: sent
-/// on without a bound, it filled the engines' queues and running places, and of four times the load
-/// that engines can begin 6 requests a second were on time in place of 286 (8 engines, played in
-/// virtual time); on a day with bursts of 775 short prompts a second, 7 in 100.
+/// that can; the rest is served in the gaps. Judged by what is open alone, without places and what
+/// waits, requests seemed to be on time that were not: at four times the load that engines can
+/// begin, 6 requests a second were on time in place of 286 (8 engines, played in virtual time).
+///
+/// Of the rest, no more is taken than begins soon. That gains no answers (mean worth 0.414 with it
+/// and 0.419 without, ten days of a deployment in overload: noise), but its callers hear at once
+/// when to come back, and not after some engines have refused them.
 std::variant<placement, no_place> chooseEngine(const place_wish &wish,
                                                std::span<const place_candidate> candidates)
 {
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -157,12 +157,13 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// More requests come than the engines can begin. Sent on all the same, they queue until all of
-    /// them begin late, and callers leave engines that then work for nobody. What can't be on time
-    /// now waits only where there is room, and the rest is refused at once.
+    /// More requests come than the engines can begin. Sent on as if they could be on time, they
+    /// queue until all of them begin late, and engines work for callers that have left. Now places
+    /// and what waits are counted, and what can't be on time yields or is refused.
     ///
-    /// Requests a second on time, at 0.8, 1, 1.5, 2, 3 and 4 times what the engines begin. Without
-    /// that bound: 227, 134, 13, 8, 6, 6. With it: 229, 284, 286, 286, 286, 286.
+    /// Requests a second on time, at 0.8, 1, 1.5, 2, 3 and 4 times what the engines begin. Judged
+    /// by what is open and reading times alone: 227, 134, 13, 8, 6, 6. Now: 229, 284, 286, 286,
+    /// 286, 286.
     void whatIsOnTimeDoesNotFallPastSaturation()
     {
         double most = 0;
