Add up open work in one place, and use parts of prompts by one piece of code

Read again, the ledger kept each count twice, for this instance and for the others, with the same five lines to add, take off and clear them; noteCached and noteRead differed by a flag; whether a send has begun stood beside the time at which it did. A pace was looked up by a copy of the service's name for each runner and placement.

--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -47,8 +47,7 @@
 /// Evenly spread in [0, 1), and different for each pair of request and runner.
 double tieBreak(const place_wish &wish, const runner &target)
 {
-    const std::uint64_t bits = hashOf(target.id.text, wish.draw);
-    return static_cast<double>(bits >> 11U) / static_cast<double>(1ULL << 53U);
+    return unitOf(hashOf(target.id.text, wish.draw));
 }
 
 double serviceScore(const place_wish &wish, const place_candidate &one)
@@ -241,7 +240,7 @@
     placement chosen;
     chosen.urgency = urgency;
     reading best;
-    const place_candidate *waitsAt = nullptr;
+    const place_candidate *serving = engines.decoders.front();
     double bestCost = std::numeric_limits<double>::infinity();
     const engine_choice direct{wish, urgency, engines.holder,
                                homeOf(engines.decoders, wish.affinityKey)};
@@ -252,10 +251,8 @@
         const double cost = here.costMs + decodeLoadMs(wish, *one, urgency);
         if (cost < bestCost) {
             best = here;
-            best.startMs += slotWaitMs(wish, *one, urgency);
             bestCost = cost;
-            chosen.serving = one->target;
-            waitsAt = one;
+            serving = one;
         }
     }
     if (!engines.readers.empty()) {
@@ -267,19 +264,18 @@
         if (there.costMs + moveMs + decodeLoadMs(wish, *at, urgency) + config::handOverCostMs
             < bestCost) {
             best = there;
-            best.startMs += moveMs + slotWaitMs(wish, *at, urgency);
-            waitsAt = at;
-            chosen.serving = at->target;
+            best.startMs += moveMs;
+            serving = at;
             chosen.prefill = there.at->target;
         }
     }
     chosen.cacheHolder = best.copyFrom != nullptr ? best.copyFrom->target : nullptr;
-    chosen.slotWaitMs = waitsAt == nullptr ? 0 : slotWaitMs(wish, *waitsAt, urgency);
-    chosen.waitingThere =
-            waitsAt == nullptr ? 0 : waitsAt->load.waiting + waitsAt->load.waitingLater;
+    chosen.serving = serving->target;
+    chosen.slotWaitMs = slotWaitMs(wish, *serving, urgency);
+    chosen.waitingThere = serving->load.waiting + serving->load.waitingLater;
     chosen.readingMs = best.ownMs;
     chosen.aheadMs = best.aheadMs;
-    chosen.expectedStartMs = best.startMs;
+    chosen.expectedStartMs = best.startMs + chosen.slotWaitMs;
     return chosen;
 }
 
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -24,8 +24,7 @@
 /// @param draw Any number, evenly spread.
 milliseconds comeBackTime(double roomInMs, std::uint64_t draw)
 {
-    const double spread = 1 + static_cast<double>(draw >> 11U) / static_cast<double>(1ULL << 53U);
-    const milliseconds time(std::llround(roomInMs * spread));
+    const milliseconds time(std::llround(roomInMs * (1 + unitOf(draw))));
     return std::clamp(time, config::refusedRetryAfter, config::refusedRetryAfterMost);
 }
 
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -32,6 +32,11 @@
     return passed < half ? passed : now;
 }
 
+double millisecondsOf(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 double medianOf(std::vector<double> &values)
 {
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
@@ -58,7 +63,7 @@
 
 bool runner_ledger::open_send::noteStart()
 {
-    if (std::exchange(hasStarted, true))
+    if (startedAt != mono_time{})
         return false;
     startedAt = ledger.clock.mono();
     ledger.started(*this);
@@ -68,49 +73,60 @@
 void runner_ledger::open_send::noteExpected(const service_id &service, engine_stage stage,
                                             double workMs)
 {
-    paceKey = {service, stage};
+    this->service = service;
+    this->stage = stage;
     expectedMs = urgency == send_class::Urgent ? workMs : 0;
 }
 
-std::uint32_t &runner_ledger::waitingOf(record &of, send_class urgency)
+void runner_ledger::waiting_work::add(std::uint32_t more, double moreMs)
 {
-    return urgency == send_class::Urgent ? of.waiting : of.waitingLater;
+    count += more;
+    readingMs += moreMs;
 }
 
-double &runner_ledger::readingOf(record &of, send_class urgency)
+void runner_ledger::waiting_work::takeOff(std::uint32_t less, double lessMs)
 {
-    return urgency == send_class::Urgent ? of.readingMs : of.laterMs;
+    count -= std::min(count, less);
+    readingMs = std::max(readingMs - lessMs, 0.0);
 }
 
-void runner_ledger::opened(const open_send &sent)
+runner_ledger::waiting_work &runner_ledger::work_sum::of(send_class urgency)
 {
-    const std::lock_guard lock(guard);
-    record &entry = records[sent.target];
-    ++entry.open;
-    entry.tellsLeft.fill(config::newsRepeats);
-    readingOf(entry, sent.urgency) += sent.readingMs;
-    ++waitingOf(entry, sent.urgency);
+    return urgency == send_class::Urgent ? urgent : later;
 }
 
-/// @attention With the guard held.
-void runner_ledger::notWaiting(const open_send &sent)
+void runner_ledger::work_sum::add(const peer::runner_work &told)
+{
+    open += told.open;
+    urgent.add(told.waiting, told.readingMs);
+    later.add(told.waitingLater, told.laterMs);
+}
+
+void runner_ledger::work_sum::takeOff(const peer::runner_work &told)
+{
+    open -= std::min(open, told.open);
+    urgent.takeOff(told.waiting, told.readingMs);
+    later.takeOff(told.waitingLater, told.laterMs);
+}
+
+void runner_ledger::opened(const open_send &sent)
 {
+    const std::lock_guard lock(guard);
     record &entry = records[sent.target];
-    double &reading = readingOf(entry, sent.urgency);
-    reading = std::max(reading - sent.readingMs, 0.0);
-    std::uint32_t &waiting = waitingOf(entry, sent.urgency);
-    waiting -= std::min(waiting, 1U);
+    ++entry.own.open;
+    entry.own.of(sent.urgency).add(1, sent.readingMs);
+    entry.tellsLeft.fill(config::newsRepeats);
 }
 
 void runner_ledger::started(const open_send &sent)
 {
     const std::lock_guard lock(guard);
-    notWaiting(sent);
     record &entry = records[sent.target];
-    const mono_time now = clock.mono();
-    const double tookMs = std::chrono::duration<double, std::milli>(now - sent.sentAt).count();
+    entry.own.of(sent.urgency).takeOff(1, sent.readingMs);
+    const mono_time now = sent.startedAt;
+    const double tookMs = millisecondsOf(now - sent.sentAt);
     if (sent.expectedMs > 0) {
-        engine_pace &pace = paces[sent.paceKey];
+        engine_pace &pace = paces[sent.service][sent.stage];
         pace = learnPace(pace, sent.expectedMs, tookMs);
     }
     // How long an engine only reads says how long its prompts were. Compared by that, engines with
@@ -129,14 +145,14 @@
 void runner_ledger::ended(const open_send &sent)
 {
     const std::lock_guard lock(guard);
-    if (!sent.hasStarted)
-        notWaiting(sent);
+    const bool hasStarted = sent.startedAt != mono_time{};
     record &entry = records[sent.target];
-    entry.open -= std::min(entry.open, 1U);
+    if (!hasStarted)
+        entry.own.of(sent.urgency).takeOff(1, sent.readingMs);
+    entry.own.open -= std::min(entry.own.open, 1U);
     const mono_time now = clock.mono();
-    if (sent.isRun && sent.hasStarted && sent.end == send_end::Served) {
-        const double tookMs =
-                std::chrono::duration<double, std::milli>(now - sent.startedAt).count();
+    if (sent.isRun && hasStarted && sent.end == send_end::Served) {
+        const double tookMs = millisecondsOf(now - sent.startedAt);
         entry.runMs =
                 entry.runMs == 0 ? tookMs : entry.runMs + newestRunShare * (tookMs - entry.runMs);
     }
@@ -242,30 +258,32 @@
     const std::lock_guard lock(guard);
     const mono_time now = clock.mono();
     dropSilentPeers(now);
+    const std::map<engine_stage, engine_pace> &learnt = paces[service];
     for (const auto &[id, target] : known.runners) {
         if (target->service != service)
             continue;
         place_candidate one;
         one.target = target;
         one.isTried = std::ranges::find(tried, id) != tried.end();
-        if (const auto pace = paces.find({service, target->stage}); pace != paces.end())
+        if (const auto pace = learnt.find(target->stage); pace != learnt.end())
             one.load.pace = pace->second;
         const std::uint32_t key = peer::runnerKey(id);
         const auto found = records.find(key);
         if (found != records.end()) {
-            found->second.beginLife(target->bornMs);
-            found->second.capacity = capacity;
-            one.load.open = found->second.open + found->second.openElsewhere;
-            one.load.waiting = found->second.waiting + found->second.waitingElsewhere;
-            one.load.waitingLater =
-                    found->second.waitingLater + found->second.waitingLaterElsewhere;
-            one.load.runMs = found->second.runMs;
-            one.isMisdirected =
-                    found->second.misdirectedUntil > now && found->second.misdirected == *target;
-            one.load.readingMs = found->second.readingMs + found->second.readingMsElsewhere;
-            one.load.laterMs = found->second.laterMs + found->second.laterMsElsewhere;
-            one.load.setAsideUntil = found->second.setAsideUntil;
-            noteCachedTokens(found->second, prompt, one);
+            record &entry = found->second;
+            entry.beginLife(target->bornMs);
+            entry.capacity = capacity;
+            const work_sum &own = entry.own;
+            const work_sum &others = entry.elsewhere;
+            one.load.open = own.open + others.open;
+            one.load.waiting = own.urgent.count + others.urgent.count;
+            one.load.waitingLater = own.later.count + others.later.count;
+            one.load.readingMs = own.urgent.readingMs + others.urgent.readingMs;
+            one.load.laterMs = own.later.readingMs + others.later.readingMs;
+            one.load.runMs = entry.runMs;
+            one.load.setAsideUntil = entry.setAsideUntil;
+            one.isMisdirected = entry.misdirectedUntil > now && entry.misdirected == *target;
+            noteCachedTokens(entry, prompt, one);
         }
         candidates.push_back(std::move(one));
     }
@@ -277,12 +295,7 @@
 void runner_ledger::takeOff(const peer_record &told)
 {
     for (const auto &[runner, work] : told.work) {
-        record &of = records[runner];
-        of.openElsewhere -= std::min(of.openElsewhere, work.open);
-        of.waitingElsewhere -= std::min(of.waitingElsewhere, work.waiting);
-        of.waitingLaterElsewhere -= std::min(of.waitingLaterElsewhere, work.waitingLater);
-        of.readingMsElsewhere = std::max(of.readingMsElsewhere - work.readingMs, 0.0);
-        of.laterMsElsewhere = std::max(of.laterMsElsewhere - work.laterMs, 0.0);
+        records[runner].elsewhere.takeOff(work);
     }
 }
 
@@ -306,13 +319,14 @@
     const std::lock_guard lock(guard);
     for (auto &[key, entry] : records) {
         std::uint32_t &tellsLeft = entry.tellsLeft[index];
-        if ((entry.open == 0 && tellsLeft == 0) || told.work.size() >= config::maxLoadItems)
+        const work_sum &own = entry.own;
+        if ((own.open == 0 && tellsLeft == 0) || told.work.size() >= config::maxLoadItems)
             continue;
         tellsLeft -= std::min(tellsLeft, 1U);
-        told.work.push_back({key, entry.open, static_cast<std::uint32_t>(entry.readingMs),
-                             static_cast<std::uint32_t>(entry.laterMs),
-                             static_cast<std::uint32_t>(entry.ownTokensIn), entry.waiting,
-                             entry.waitingLater});
+        told.work.push_back({key, own.open, static_cast<std::uint32_t>(own.urgent.readingMs),
+                             static_cast<std::uint32_t>(own.later.readingMs),
+                             static_cast<std::uint32_t>(entry.ownTokensIn), own.urgent.count,
+                             own.later.count});
     }
     std::deque<cached_news> &waiting = news[index];
     const std::size_t count = std::min(waiting.size(), config::maxCachedNews);
@@ -333,20 +347,11 @@
     peer_record &entry = peers[sender];
     entry.heardAt = now;
     takeOff(entry);
-    for (auto &known : entry.work) {
-        known.second.open = 0;
-        known.second.waiting = 0;
-        known.second.waitingLater = 0;
-        known.second.readingMs = 0;
-        known.second.laterMs = 0;
-    }
+    for (auto &[runner, work] : entry.work)
+        work = {.runner = runner, .tokensIn = work.tokensIn};
     for (const peer::runner_work &one : told.work) {
         record &of = records[one.runner];
-        of.openElsewhere += one.open;
-        of.waitingElsewhere += one.waiting;
-        of.waitingLaterElsewhere += one.waitingLater;
-        of.readingMsElsewhere += one.readingMs;
-        of.laterMsElsewhere += one.laterMs;
+        of.elsewhere.add(one);
         peer::runner_work &known = entry.work[one.runner];
         of.tokensIn += tokensSince(known.tokensIn, one.tokensIn);
         known = one;
@@ -399,15 +404,23 @@
     entry.misdirectedUntil = clock.mono() + config::misdirectedTime;
 }
 
-void runner_ledger::noteCached(const runner_id &target, const std::vector<prompt_part> &prompt)
+/// @attention With the guard held.
+runner_ledger::record &runner_ledger::useParts(const runner_id &target,
+                                               const std::vector<prompt_part> &prompt, bool isRead)
 {
-    const std::lock_guard lock(guard);
     const std::uint32_t runner = peer::runnerKey(target);
     record &entry = records[runner];
     for (const prompt_part &part : prompt)
-        entry.use(static_cast<std::uint32_t>(part.chain), part.tokens, false);
+        entry.use(static_cast<std::uint32_t>(part.chain), part.tokens, isRead);
+    tellCached(runner, prompt, isRead);
+    return entry;
+}
+
+void runner_ledger::noteCached(const runner_id &target, const std::vector<prompt_part> &prompt)
+{
+    const std::lock_guard lock(guard);
+    record &entry = useParts(target, prompt, false);
     entry.tellsLeft.fill(config::newsRepeats);
-    tellCached(runner, prompt, false);
     if (entry.cached.size() <= config::maxCachedParts)
         return;
     const std::uint64_t middle = entry.tokensIn / 2;
@@ -417,11 +430,7 @@
 void runner_ledger::noteRead(const runner_id &target, const std::vector<prompt_part> &prompt)
 {
     const std::lock_guard lock(guard);
-    const std::uint32_t runner = peer::runnerKey(target);
-    record &entry = records[runner];
-    for (const prompt_part &part : prompt)
-        entry.use(static_cast<std::uint32_t>(part.chain), part.tokens, true);
-    tellCached(runner, prompt, true);
+    useParts(target, prompt, true);
 }
 
 /// @attention With the guard held.
@@ -448,7 +457,7 @@
     for (const auto &entry : listed)
         present.insert(peer::runnerKey(entry.first));
     std::erase_if(records, [&present](const auto &entry) {
-        return entry.second.open == 0 && !present.contains(entry.first);
+        return entry.second.own.open == 0 && !present.contains(entry.first);
     });
 }
 
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -60,9 +60,9 @@
         const double readingMs;
         const send_class urgency;
         const mono_time sentAt;
-        bool hasStarted = false;
         bool isRun = false;
-        std::pair<service_id, engine_stage> paceKey;
+        service_id service; ///< The pace of its engines of that stage is learnt.
+        engine_stage stage = engine_stage::None;
         double expectedMs = 0; ///< 0: nothing is learnt from it.
         mono_time startedAt{}; ///< Zero: it has not begun.
         send_end end = send_end::Unknown;
@@ -98,19 +98,33 @@
         bool isRead = false;
     };
 
+    /// Requests of one class that have not begun, and the time for reading their prompts.
+    struct waiting_work
+    {
+        std::uint32_t count = 0;
+        double readingMs = 0;
+
+        void add(std::uint32_t more, double moreMs);
+        void takeOff(std::uint32_t less, double lessMs);
+    };
+
+    /// What is open at one runner, of this instance or of all others.
+    struct work_sum
+    {
+        std::uint32_t open = 0;
+        waiting_work urgent;
+        waiting_work later;
+
+        waiting_work &of(send_class urgency);
+        void add(const peer::runner_work &told);
+        void takeOff(const peer::runner_work &told);
+    };
+
     struct record
     {
         std::uint64_t bornMs = 0; ///< Of the life that the rest is about.
-        std::uint32_t open = 0;
-        std::uint32_t waiting = 0;
-        std::uint32_t waitingLater = 0;
-        double readingMs = 0;
-        double laterMs = 0;
-        std::uint32_t openElsewhere = 0; ///< As last told by the other instances, summed up.
-        std::uint32_t waitingElsewhere = 0;
-        std::uint32_t waitingLaterElsewhere = 0;
-        double readingMsElsewhere = 0;
-        double laterMsElsewhere = 0;
+        work_sum own;
+        work_sum elsewhere; ///< As last told by the other instances.
         std::uint32_t failuresInRow = 0;
         runner misdirected; ///< The entry that it has denied last.
         mono_time misdirectedUntil{};
@@ -147,14 +161,12 @@
     };
 
     void opened(const open_send &sent);
-    static std::uint32_t &waitingOf(record &of, send_class urgency);
-    static double &readingOf(record &of, send_class urgency);
     void started(const open_send &sent);
-    void notWaiting(const open_send &sent);
     void ended(const open_send &sent);
     void noteOutcome(record &of, send_end how, mono_time now);
     static void noteCachedTokens(const record &of, const std::vector<prompt_part> &prompt,
                                  place_candidate &into);
+    record &useParts(const runner_id &target, const std::vector<prompt_part> &prompt, bool isRead);
     void tellCached(std::uint32_t runner, const std::vector<prompt_part> &prompt, bool isRead);
     void takeOff(const peer_record &told);
     void dropSilentPeers(mono_time now);
@@ -163,7 +175,7 @@
     const clock_source clock;
     std::mutex guard;
     std::unordered_map<std::uint32_t, record> records; ///< By runner.
-    std::map<std::pair<service_id, engine_stage>, engine_pace> paces;
+    std::map<service_id, std::map<engine_stage, engine_pace>> paces;
     std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
     std::array<std::deque<cached_news>, peer::newsAudiences> news;
 };
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -95,6 +95,18 @@
     return wish;
 }
 
+place_candidate engineOf(const std::string &id)
+{
+    runner made;
+    made.id.text = id;
+    made.service.text = "s";
+    made.zone.text = "z";
+    made.stage = engine_stage::Decode;
+    place_candidate one;
+    one.target = std::make_shared<const runner>(made);
+    return one;
+}
+
 /// Plays a load of so many times what the engines can begin.
 /// @returns Requests a second that begin on time.
 double onTimePerSecond(double load)
@@ -104,12 +116,7 @@
     std::vector<played_engine> fleet(engines);
     std::vector<place_candidate> candidates(engines);
     for (std::size_t i = 0; i < engines; ++i) {
-        runner made;
-        made.id.text = "e" + std::to_string(i);
-        made.service.text = "s";
-        made.zone.text = "z";
-        made.stage = engine_stage::Decode;
-        candidates[i].target = std::make_shared<const runner>(made);
+        candidates[i] = engineOf("e" + std::to_string(i));
     }
     std::uint32_t onTime = 0;
     for (double nowMs = gaps(random); nowMs < playedMs; nowMs += gaps(random)) {
@@ -132,12 +139,7 @@
 /// More waits there than it begins within the objective.
 place_candidate fullEngine()
 {
-    runner made;
-    made.id.text = "e";
-    made.service.text = "s";
-    made.stage = engine_stage::Decode;
-    place_candidate one;
-    one.target = std::make_shared<const runner>(made);
+    place_candidate one = engineOf("e");
     one.load.open = 60;
     one.load.waiting = 44;
     one.load.readingMs = 44 * readMs;
