Log by which list a runner was chosen, how old it was, and when the store is back

Requests reached runners that had said that they leave, and the lines could not tell an old list from an entry that came late or from a choice made long before the send. Sends say now by which revision of the store their runner was chosen, how long ago the store had confirmed it, and how long it took from the choice to the first byte; store_lost says for how long the call was open, store_regained when the store is back; entries say which of the runner's writes they are.

--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -106,6 +106,8 @@
     /// When it was started, in Unix milliseconds. A runner that starts again under its id holds and
     /// knows nothing of its life before. 0: it doesn't say.
     std::uint64_t bornMs = 0;
+    /// Which of the runner's writes the entry came from, counted from its start; 0: it doesn't say.
+    std::uint64_t writes = 0;
     service_id service;
     endpoint address;
     zone_id zone;
@@ -118,6 +120,9 @@
     bool operator==(const runner &) const = default;
 };
 
+/// @returns Whether two entries of a runner differ at most in which of its writes they are.
+bool saysTheSame(const runner &one, runner other);
+
 using runner_map = std::map<runner_id, std::shared_ptr<const runner>>;
 
 /// Everything that a request's path reads of the world.
@@ -127,6 +132,8 @@
     runner_map runners;
     bool areRunnersKnown = false; ///< The list was read at least once.
     mono_time tableConfirmedAt{}; ///< When the store last said that the table is the newest.
+    mono_time runnersConfirmedAt{}; ///< The same of the list of runners.
+    std::uint64_t runnersRevision = 0; ///< Of the store, at that time.
 
     bool operator==(const catalogue &) const = default;
 };
--- a/include/poplarspool/gateway/catalogue_keeper.h
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -29,6 +29,10 @@
     void setRunners(const std::vector<runner> &listed);
     void putRunner(runner entry);
     void removeRunner(const runner_id &id);
+    /// The store has just said what the list holds.
+    /// @param at When it was asked, or later.
+    /// @param revision Of the store: all changes up to it have been taken.
+    void confirmRunners(mono_time at, std::uint64_t revision);
     /// A call to the store failed.
     void noteStoreLost();
     /// The store answered.
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -30,6 +30,12 @@
     return "none";
 }
 
+bool saysTheSame(const runner &one, runner other)
+{
+    other.writes = one.writes;
+    return one == other;
+}
+
 const route *findRoute(const route_table &table, std::string_view host, std::string_view path)
 {
     const std::string_view name = withoutPort(host);
--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -37,6 +37,15 @@
     });
 }
 
+void catalogue_keeper::confirmRunners(mono_time at, std::uint64_t revision)
+{
+    hub.update([at, revision](catalogue &next) {
+        next.runnersConfirmedAt = at;
+        next.runnersRevision = revision;
+        return true;
+    });
+}
+
 /// While the store is away, runners can't renew their entries, and the store drops them although
 /// they live. An instance that believed this at once would have nobody left to send to, just when
 /// the store is back. They renew within about two seconds of its return. Only what is missing at
@@ -116,7 +125,9 @@
                 {{"runner", entry.id.text},
                  {"address", textOf(entry.address)},
                  {"stage", std::string(nameOf(entry.stage))},
-                 {"draining", entry.isDraining ? "yes" : "no"}});
+                 {"draining", entry.isDraining ? "yes" : "no"},
+                 {"born", std::to_string(entry.bornMs)},
+                 {"writes", std::to_string(entry.writes)}});
     const auto shared = std::make_shared<const runner>(std::move(entry));
     hub.update([&](catalogue &next) {
         next.runners[shared->id] = shared;
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -29,13 +29,13 @@
         record.noteStart();
         record.noteEnd(send_end::Served);
         parts.ledger.noteRead(reader.id, read.prompt);
-        log("prefill_end",
-            {{"runner", reader.id.text},
-             {"urgency", std::string(nameOf(place.urgency))},
-             {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
-             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
-             {"reading_ms", std::to_string(std::lround(place.readingMs))},
-             {"left_ms", std::to_string(timeLeft().count())}});
+        logSend("prefill_end",
+                {{"runner", reader.id.text},
+                 {"urgency", std::string(nameOf(place.urgency))},
+                 {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
+                 {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+                 {"reading_ms", std::to_string(std::lround(place.readingMs))},
+                 {"left_ms", std::to_string(timeLeft().count())}});
         return handle;
     }
     if (reply && reply->status == misdirectedStatus)
@@ -50,11 +50,11 @@
     // that could not be reached has cost little; another one may be.
     isHandOverLost = !isUnreachable;
     tried.push_back(reader.id);
-    log("prefill_lost",
-        {{"runner", reader.id.text},
-         {"status", reply ? std::to_string(reply->status) : "none"},
-         {"fault", lastFault},
-         {"left_ms", std::to_string(timeLeft().count())}});
+    logSend("prefill_lost",
+            {{"runner", reader.id.text},
+             {"status", reply ? std::to_string(reply->status) : "none"},
+             {"fault", lastFault},
+             {"left_ms", std::to_string(timeLeft().count())}});
     return std::nullopt;
 }
 
@@ -81,6 +81,7 @@
     }
     runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
     const std::string text = runnerRequestText(request, reader.address, parts.names, extras);
+    sentAt = parts.clock.mono();
     call_fault fault = call.send(text, deadline);
     if (fault != call_fault::None) {
         lastFault = "prefill_" + std::string(nameOf(fault));
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -180,6 +180,9 @@
     if (reader != nullptr)
         wish.readerZone = reader->zone;
     wish.now = parts.clock.mono();
+    chosenBy = latest;
+    chosenAt = wish.now;
+    sentAt = {};
     wish.objectiveLeftMs =
             std::chrono::duration<double, std::milli>(arrivedAt + chosen->objective - wish.now)
                     .count();
@@ -260,6 +263,17 @@
     return std::chrono::duration_cast<milliseconds>(endsAt - parts.clock.mono());
 }
 
+void request_relay::logSend(std::string_view kind, std::vector<event_field> fields) const
+{
+    const auto textOf = [](std::chrono::nanoseconds time) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+    };
+    fields.push_back({"runners_revision", std::to_string(chosenBy->runnersRevision)});
+    fields.push_back({"runners_age_ms", textOf(chosenAt - chosenBy->runnersConfirmedAt)});
+    fields.push_back({"sent_after_ms", sentAt == mono_time{} ? "" : textOf(sentAt - chosenAt)});
+    log(kind, std::move(fields));
+}
+
 void request_relay::log(std::string_view kind, std::vector<event_field> fields) const
 {
     fields.insert(fields.begin(), {"request", read.id});
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -94,6 +94,8 @@
                        milliseconds retryAfter);
     milliseconds timeLeft() const;
     void log(std::string_view kind, std::vector<event_field> fields) const;
+    /// As log(), for a send: with what its runner was chosen by, and how old that was.
+    void logSend(std::string_view kind, std::vector<event_field> fields) const;
 
     // hand_over.cpp: an engine that only reads the prompt.
     std::optional<std::string> readPrompt(const placement &place);
@@ -131,6 +133,9 @@
     const engine_traits *engine = nullptr;
     mono_time endsAt{};
 
+    std::shared_ptr<const catalogue> chosenBy; ///< What the last runner was chosen from.
+    mono_time chosenAt{};
+    mono_time sentAt{}; ///< When the first byte of the last send may have left; 0: it has not.
     std::uint32_t sends = 0; ///< Tries, also those that reached nobody.
     std::uint32_t arrivals = 0; ///< Sends of which a byte left: these count in the budget.
     std::uint32_t runs = 0; ///< Sends that may have run.
--- a/src/gateway/runner_ledger.cpp
+++ b/src/gateway/runner_ledger.cpp
@@ -282,7 +282,8 @@
             one.load.laterMs = own.later.readingMs + others.later.readingMs;
             one.load.runMs = entry.runMs;
             one.load.setAsideUntil = entry.setAsideUntil;
-            one.isMisdirected = entry.misdirectedUntil > now && entry.misdirected == *target;
+            one.isMisdirected =
+                    entry.misdirectedUntil > now && saysTheSame(entry.misdirected, *target);
             noteCachedTokens(entry, prompt, one);
         }
         candidates.push_back(std::move(one));
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -49,16 +49,16 @@
         sending now{place, kvSource, record, deadlineIn(timeLeft() + config::lastWordTime)};
         end = sendTo(now);
     }
-    log("send_end",
-        {{"runner", target.id.text},
-         {"address", textOf(target.address)},
-         {"prefill", place.prefill ? place.prefill->id.text : ""},
-         {"urgency", std::string(nameOf(place.urgency))},
-         {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
-         {"reading_ms", std::to_string(std::lround(place.readingMs))},
-         {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
-         {"fault", lastFault},
-         {"left_ms", std::to_string(timeLeft().count())}});
+    logSend("send_end",
+            {{"runner", target.id.text},
+             {"address", textOf(target.address)},
+             {"prefill", place.prefill ? place.prefill->id.text : ""},
+             {"urgency", std::string(nameOf(place.urgency))},
+             {"cache_from", place.cacheHolder ? place.cacheHolder->id.text : ""},
+             {"reading_ms", std::to_string(std::lround(place.readingMs))},
+             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+             {"fault", lastFault},
+             {"left_ms", std::to_string(timeLeft().count())}});
     const bool isTaken = end == try_end::Answered || end == try_end::Lost || hasBegun;
     if (place.prefill && !isTaken)
         freeHandle(*place.prefill, kvSource.substr(kvSource.find('/') + 1));
@@ -110,6 +110,7 @@
     runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
     const std::string text =
             runnerRequestText(request, target.address, parts.names, extrasFor(now));
+    sentAt = parts.clock.mono();
     const call_fault fault = call.send(text, now.deadline);
     if (call.mayHaveArrived())
         ++arrivals;
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -100,6 +100,10 @@
         const auto made = valueOf(decodeRunner("i-1", entry));
         CPPUNIT_ASSERT(made.isDraining && made.stage == gateway::engine_stage::Prefill);
         CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), textOf(made.address));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, made.writes);
+        json odd = entry;
+        odd["seq"] = "four";
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, valueOf(decodeRunner("i-1", odd)).writes);
         const auto plain = decodeRunner("i-2", {{"service", "x"}, {"address", "10.0.0.1:80"}});
         CPPUNIT_ASSERT(valueOf(plain).stage == gateway::engine_stage::None);
         CPPUNIT_ASSERT(!succeeded(decodeRunner("i-3", {{"service", "x"}, {"address", "nowhere"}})));
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -50,6 +50,14 @@
     return {status, {}, body, "application/json"};
 }
 
+std::vector<std::string> keysOf(const event &entry)
+{
+    std::vector<std::string> keys;
+    for (const event_field &one : entry.fields)
+        keys.push_back(one.key);
+    return keys;
+}
+
 } // namespace
 
 class kind_watch_test : public CppUnit::TestFixture
@@ -59,6 +67,7 @@
     CPPUNIT_TEST(unreadableObjectsHideNoOthers);
     CPPUNIT_TEST(forgottenHistoryIsListedAnew);
     CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
+    CPPUNIT_TEST(lossAndReturnOfTheStoreAreLogged);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST(conditionalWritesNameTheirRevision);
     CPPUNIT_TEST_SUITE_END();
@@ -118,7 +127,7 @@
             listed.notify_all();
         };
         handlers.onChange = [](const store_change &) {};
-        handlers.onAnswer = [](mono_time) {};
+        handlers.onAnswer = [](const store_answer &) {};
         handlers.onFailure = [] {};
         kind_watch watch("k", client, handlers, systemClock(), events);
         watch.start();
@@ -147,7 +156,7 @@
         kind_handlers handlers;
         handlers.onList = [](const std::vector<store_object> &) {};
         handlers.onChange = [](const store_change &) {};
-        handlers.onAnswer = [&](mono_time) {
+        handlers.onAnswer = [&](const store_answer &) {
             const std::lock_guard lock(guard);
             ++answers;
             answered.notify_all();
@@ -166,6 +175,48 @@
         CPPUNIT_ASSERT(store.asked[2].ends_with("waitMs=50"));
     }
 
+    /// A request went to a runner that had left the list long before, and nobody could tell whether
+    /// the list was old: the lines said when a call failed, and neither how long it had been open
+    /// nor when the store was back.
+    void lossAndReturnOfTheStoreAreLogged()
+    {
+        scripted_store store({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
+                              jsonReply(R"({"events":[],"currentRev":9})")});
+        store_client client(store.address, store.metrics);
+        journal events{{"test"}, systemClock(), 16};
+        std::mutex guard;
+        std::condition_variable answered;
+        std::vector<std::uint64_t> revisions;
+        kind_handlers handlers;
+        handlers.onList = [](const std::vector<store_object> &) {};
+        handlers.onChange = [](const store_change &) {};
+        handlers.onAnswer = [&](const store_answer &answer) {
+            const std::lock_guard lock(guard);
+            revisions.push_back(answer.revision);
+            answered.notify_all();
+        };
+        handlers.onFailure = [] {};
+        kind_watch watch("k", client, handlers, systemClock(), events);
+        watch.start();
+        {
+            std::unique_lock lock(guard);
+            CPPUNIT_ASSERT(answered.wait_for(lock, 20s, [&] { return revisions.size() == 2; }));
+        }
+        client.stop();
+        watch.stop();
+        CPPUNIT_ASSERT(revisions == (std::vector<std::uint64_t>{5, 9}));
+        const auto lost = events.events({"store_lost", {}, {}});
+        const auto regained = events.events({"store_regained", {}, {}});
+        CPPUNIT_ASSERT(!lost.empty() && regained.size() == 1);
+        const std::vector<std::string> lostKeys{"kind",     "code",         "reason",
+                                                "revision", "asked_ms_ago", "unanswered_ms"};
+        CPPUNIT_ASSERT(keysOf(lost.front()) == lostKeys);
+        const std::vector<std::string> regainedKeys{"kind", "revision", "failures",
+                                                    "unanswered_ms"};
+        CPPUNIT_ASSERT(keysOf(regained.front()) == regainedKeys);
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), regained.front().fields[1].value);
+    }
+
     void objectsAreReplacedOrCreated()
     {
         scripted_store store({jsonReply("{}", 404), jsonReply("{}")});
--- a/tests/gateway/runner_ledger_test.cpp
+++ b/tests/gateway/runner_ledger_test.cpp
@@ -220,6 +220,11 @@
         test.ledger.noteMisdirected(test.known.runners.at({"a"}));
         CPPUNIT_ASSERT(test.look("a").isMisdirected);
         CPPUNIT_ASSERT(!test.look("b").isMisdirected);
+        // The same said once more is no change.
+        runner again = *test.known.runners.at({"a"});
+        ++again.writes;
+        test.known.runners[again.id] = std::make_shared<const runner>(again);
+        CPPUNIT_ASSERT(test.look("a").isMisdirected);
         test.begin("a", 2000);
         CPPUNIT_ASSERT(!test.look("a").isMisdirected);
         test.ledger.noteMisdirected(test.known.runners.at({"a"}));
