--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -1,8 +1,8 @@
+#include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
 
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
-#include <deque>
 #include <mutex>
 
 namespace poplarspool::adapter {
@@ -11,44 +11,8 @@
 
 using namespace std::chrono_literals;
 
-/// A store that gives its answers by script, and writes down what it was asked.
-struct scripted_store
-{
-    explicit scripted_store(std::deque<http_reply> given)
-        : answers(std::move(given)),
-          server(
-                  "store", {"127.0.0.1", 0}, defaultHttpLimits(),
-                  [this](const http_request &request, http_sink &) { return answer(request); },
-                  metrics)
-    {
-        address = valueOf(server.start());
-    }
-
-    std::optional<http_reply> answer(const http_request &request)
-    {
-        const std::lock_guard lock(guard);
-        asked.push_back(request.method + " " + request.path);
-        bodies.push_back(request.body);
-        if (answers.empty())
-            return http_reply{503, {}, {}, {}};
-        http_reply next = answers.front();
-        answers.pop_front();
-        return next;
-    }
-
-    metrics_registry metrics;
-    std::mutex guard;
-    std::deque<http_reply> answers;
-    std::vector<std::string> asked;
-    std::vector<std::string> bodies;
-    http_server server;
-    endpoint address;
-};
-
-http_reply jsonReply(const std::string &body, int status = 200)
-{
-    return {status, {}, body, "application/json"};
-}
+using test::jsonReply;
+using test::scripted_store;
 
 std::vector<std::string> keysOf(const event &entry)
 {
