Give up a watch in time for its news, however it went unanswered

Cause: a store that is silent for a moment takes watches that it never answers. The call was waited for until its own time limit, 10 s of waiting and 1 s for the answer, chosen for its price alone; keep-alive probes can't tell, since the connection lives. Meanwhile the instance took silence for "no change", and sent to runners that had said that they leave, and by routes that were replaced. With the 3.5 s before, it held by a margin that nobody had written down.

A watch now waits for what the bounds of its news leave: 3.3 s where news may be late for 5 s, 5.3 s where it is 7. The bounds are settings, filled in from the platform's.

Weighed and not taken: cheap stale reads as a probe beside a long watch, which miss silences shorter than their pace; one fixed time, which costs fleets with wider bounds twice as many calls as needed.

--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -22,6 +22,13 @@
     endpoint loadAddress; ///< `peer.load_address`: news of load between instances.
     endpoint metricsAddress; ///< `metrics.address`
     endpoint storeAddress; ///< `store.address`
+    /// `store.settle_ms`: for which news may be late once the store or the way to it is sound
+    /// again.
+    milliseconds settleTime{3000};
+    /// `store.runners_ms`, `store.routes_ms`: else, by which a runner that leaves is left alone,
+    /// and new routes are in force.
+    milliseconds runnersBound{2000};
+    milliseconds routesBound{2000};
     double retryShare = 0.1; ///< `retries.share`: of the requests, for the whole fleet.
     double retryExtra = 10; ///< `retries.extra`: beside the share, for the whole fleet.
     /// `orders.lease_ms`: time by which orders of two instances to engines are apart at least.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -182,10 +182,13 @@
 inline constexpr std::chrono::milliseconds storeReadTime = 1000ms;
 inline constexpr std::chrono::milliseconds storeWriteTime = 1500ms;
 inline constexpr std::size_t maxIdleStoreConnections = 2;
-/// Time for which one watch waits; each call is priced. With 10 s in place of 3.5 s, 67 instances
-/// make 1,832 calls in place of 2,969 on the users' calm day. A connection that turned silent
-/// meanwhile is noticed by storeSilence.
-inline constexpr std::chrono::milliseconds gatewayWatchTime = 10s;
+/// Bounds of the time for which one watch waits (watchTimeFor()). Each call is priced, and the
+/// upper one keeps that small where news may be late.
+inline constexpr std::chrono::milliseconds gatewayWatchTimeLeast = 500ms;
+inline constexpr std::chrono::milliseconds gatewayWatchTimeMost = 10s;
+/// From a watch that is given up to the last request that arrives without its news: a pause of
+/// 100 ms, an answer of a slow store (360 ms), and 150 ms to connect to a runner.
+inline constexpr std::chrono::milliseconds storeNoticeTime = 700ms;
 /// Silence after which a connection to the store counts as lost: its host acknowledges probes also
 /// while a watch waits.
 inline constexpr std::chrono::seconds storeSilence = 1s;
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -11,6 +11,12 @@
 using gateway::gateway_settings;
 using std::chrono::seconds;
 
+/// Below it, no watch could wait; above it, nobody would call it in time.
+auto newsTimeRule()
+{
+    return timeRule<milliseconds>(milliseconds(500), milliseconds(60000));
+}
+
 table_keys<gateway_settings> addressKeys()
 {
     using s = gateway_settings;
@@ -36,6 +42,12 @@
                            "Where metrics are read, at /metrics."),
             requiredKey<s>("store.address", "", &s::storeAddress, endpointRule(),
                            "The platform's metadata store."),
+            optionalKey<s>("store.settle_ms", "ms", &s::settleTime, newsTimeRule(),
+                           "For which news may be late after the store was away or silent."),
+            optionalKey<s>("store.runners_ms", "ms", &s::runnersBound, newsTimeRule(),
+                           "After it has said so, a runner that leaves gets no new request."),
+            optionalKey<s>("store.routes_ms", "ms", &s::routesBound, newsTimeRule(),
+                           "After the store has taken them, new routes are in force."),
     };
 }
 
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -1,5 +1,6 @@
 #include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
+#include "poplarspool/gateway/limits.h"
 
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,6 +15,9 @@
 using test::jsonReply;
 using test::scripted_store;
 
+/// Longer than any of these tests.
+constexpr milliseconds longWatch = 10s;
+
 std::vector<std::string> keysOf(const event &entry)
 {
     std::vector<std::string> keys;
@@ -32,6 +36,7 @@
     CPPUNIT_TEST(forgottenHistoryIsListedAnew);
     CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
     CPPUNIT_TEST(lossAndReturnOfTheStoreAreLogged);
+    CPPUNIT_TEST(watchesWaitForAsLongAsNewsMayBeLate);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST(conditionalWritesNameTheirRevision);
     CPPUNIT_TEST_SUITE_END();
@@ -93,7 +98,7 @@
         handlers.onChange = [](const store_change &) {};
         handlers.onAnswer = [](const store_answer &) {};
         handlers.onFailure = [] {};
-        kind_watch watch("k", client, handlers, systemClock(), events);
+        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
             std::unique_lock lock(guard);
@@ -126,7 +131,7 @@
             answered.notify_all();
         };
         handlers.onFailure = [] {};
-        kind_watch watch("k", client, handlers, systemClock(), events);
+        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
             std::unique_lock lock(guard);
@@ -160,7 +165,7 @@
             answered.notify_all();
         };
         handlers.onFailure = [] {};
-        kind_watch watch("k", client, handlers, systemClock(), events);
+        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
             std::unique_lock lock(guard);
@@ -181,6 +186,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("9"), regained.front().fields[1].value);
     }
 
+    /// A watch that nobody answers is given up while there is time left to ask anew. A longer one
+    /// costs less, so that where news may be later, it is longer.
+    void watchesWaitForAsLongAsNewsMayBeLate()
+    {
+        const milliseconds usual = watchTimeFor({3s, 2s});
+        CPPUNIT_ASSERT(usual + config::storeReadTime + config::storeNoticeTime == 5s);
+        CPPUNIT_ASSERT(watchTimeFor({4s, 3s}) == usual + 2s);
+        CPPUNIT_ASSERT(watchTimeFor({500ms, 500ms}) == config::gatewayWatchTimeLeast);
+        CPPUNIT_ASSERT(watchTimeFor({1min, 1min}) == config::gatewayWatchTimeMost);
+    }
+
     void objectsAreReplacedOrCreated()
     {
         scripted_store store({jsonReply("{}", 404), jsonReply("{}")});
