--- a/tests/operators/config_files_test.cpp
+++ b/tests/operators/config_files_test.cpp
@@ -269,7 +269,7 @@
         text.replace(text.find("share = 0.2"), 11, "share = 2");
         CPPUNIT_ASSERT_EQUAL(
                 std::string("f:15:11: readiness.address: is the same address as caller.address\n"
-                            "f:36:9: retries.share: is 2, expected a number from 0 to 1\n"),
+                            "f:39:9: retries.share: is 2, expected a number from 0 to 1\n"),
                 linesOf(parseGatewaySettings("f", text)));
     }
 
