Count the time for which missing runners are forgiven from the last call that failed

Found while looking for the cause of requests at leaving runners elsewhere: a time counted from when the instance noticed, in place of when it may have happened. An instance that was itself cut off from a sound store takes that for an outage, and keeps runners that are missing for 2 s from its first answer. Up to 1.45 s pass before that answer, so that runners which had left during the cut got requests for 3.45 s after it, where news may be late for 3 s.

Without the change the new test fails: the runner is still used.

--- a/include/poplarspool/gateway/catalogue_keeper.h
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -13,7 +13,10 @@
 class catalogue_keeper
 {
 public:
-    catalogue_keeper(catalogue_hub &hub, clock_source clock, journal &events);
+    /// @param settleTime For which news may be late once the store, or the way to it, is sound
+    /// again.
+    catalogue_keeper(catalogue_hub &hub, milliseconds settleTime, clock_source clock,
+                     journal &events);
 
     // Of the thread that follows the routes.
 
@@ -34,7 +37,8 @@
     /// @param revision Of the store: all changes up to it have been taken.
     void confirmRunners(mono_time at, std::uint64_t revision);
     /// A call to the store failed.
-    void noteStoreLost();
+    /// @param askedAt When it was sent: the store may have been back from then on.
+    void noteStoreLost(mono_time askedAt);
     /// The store answered.
     void noteStoreAnswer();
     /// Drops the runners whose time to come back is over. To be called after each answer.
@@ -46,10 +50,13 @@
     void drop(catalogue &next, const runner_id &id);
 
     catalogue_hub &hub;
+    const milliseconds settleTime;
     const clock_source clock;
     journal &events;
     mono_time lostAt{}; ///< First failure since the last answer; 0: none.
+    mono_time failedAt{}; ///< When the last call that failed was sent.
     mono_time backAt{}; ///< When the store came back last.
+    mono_time forgivenUntil{}; ///< Until when what was missing then is kept.
     std::set<runner_id> missing; ///< Kept although listed no more.
 };
 
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -211,6 +211,9 @@
 /// the time in which those of living runners are back: the users' pages say about two seconds.
 inline constexpr std::chrono::milliseconds storeOutageTime = 500ms;
 inline constexpr std::chrono::milliseconds entryReturnTime = 2000ms;
+/// Time between the choice of a runner that is only forgiven, and the request's arrival there: 150
+/// ms to connect, and as much for a busy processor.
+inline constexpr std::chrono::milliseconds forgivenMargin = 300ms;
 /// Time after its return in which entries that lapsed while it was away are found missing.
 inline constexpr std::chrono::milliseconds entryLapseTime = 500ms;
 /// Between gateways: rounds and time to suspicion. Callers keep an address for 2 s, and lose 1 s on
--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -2,12 +2,14 @@
 
 #include "poplarspool/gateway/limits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarspool::gateway {
 
-catalogue_keeper::catalogue_keeper(catalogue_hub &hub, clock_source clock, journal &events)
-    : hub(hub), clock(std::move(clock)), events(events)
+catalogue_keeper::catalogue_keeper(catalogue_hub &hub, milliseconds settleTime, clock_source clock,
+                                   journal &events)
+    : hub(hub), settleTime(settleTime), clock(std::move(clock)), events(events)
 { }
 
 /// Versions only rise: a late answer must not bring back routes that were replaced since.
@@ -53,22 +55,31 @@
 /// leaving it alone runs.
 bool catalogue_keeper::isForgiving() const
 {
-    return backAt != mono_time{} && clock.mono() - backAt < config::entryLapseTime;
+    const mono_time now = clock.mono();
+    return backAt != mono_time{} && now - backAt < config::entryLapseTime && now < forgivenUntil;
 }
 
-void catalogue_keeper::noteStoreLost()
+void catalogue_keeper::noteStoreLost(mono_time askedAt)
 {
     if (lostAt == mono_time{})
         lostAt = clock.mono();
+    failedAt = askedAt;
 }
 
+/// An instance that was itself cut off can't tell that from an outage, and runners that left
+/// meanwhile are really gone. It notices late that the cut is over: counted from then alone, it
+/// sent to them for longer than news may be late. The end lies after the last call that failed was
+/// sent, so that a time counted from there is short enough in either case.
 void catalogue_keeper::noteStoreAnswer()
 {
     if (lostAt == mono_time{})
         return;
     const mono_time now = clock.mono();
-    if (now - lostAt >= config::storeOutageTime)
+    if (now - lostAt >= config::storeOutageTime) {
         backAt = now;
+        forgivenUntil = std::min(backAt + config::entryReturnTime,
+                                 failedAt + settleTime - config::forgivenMargin);
+    }
     lostAt = {};
 }
 
@@ -81,7 +92,7 @@
     if (!isForgiving() || found->second->isDraining)
         return drop(next, id);
     runner kept = *found->second;
-    kept.keptUntil = backAt + config::entryReturnTime;
+    kept.keptUntil = forgivenUntil;
     found->second = std::make_shared<const runner>(std::move(kept));
     missing.insert(id);
     events.emit("runner_missing", {{"runner", id.text}});
@@ -145,7 +156,7 @@
 
 void catalogue_keeper::settle()
 {
-    if (missing.empty() || clock.mono() < backAt + config::entryReturnTime)
+    if (missing.empty() || clock.mono() < forgivenUntil)
         return;
     const auto overdue = std::exchange(missing, {});
     hub.update([&](catalogue &next) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,7 +64,8 @@
     state(gateway_settings given, dialect spoken, lease_store leases, clock_source time,
           metrics_registry &registry, journal &log)
         : choices(std::move(given)), names(std::move(spoken)), clock(std::move(time)), events(log),
-          keeper(hub, clock, log), ledger(clock), retries({choices.retryShare, choices.retryExtra}),
+          keeper(hub, choices.settleTime, clock, log), ledger(clock),
+          retries({choices.retryShare, choices.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTime, registry),
           metrics(registry), parts{names,   hub,    ledger, retries,      connections,
                                    metrics, events, clock,  choices.zone, leavesAt},
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -97,7 +97,7 @@
         };
         handlers.onChange = [](const store_change &) {};
         handlers.onAnswer = [](const store_answer &) {};
-        handlers.onFailure = [] {};
+        handlers.onFailure = [](mono_time) {};
         kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
@@ -130,7 +130,7 @@
             ++answers;
             answered.notify_all();
         };
-        handlers.onFailure = [] {};
+        handlers.onFailure = [](mono_time) {};
         kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
@@ -164,7 +164,7 @@
             revisions.push_back(answer.revision);
             answered.notify_all();
         };
-        handlers.onFailure = [] {};
+        handlers.onFailure = [](mono_time) {};
         kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
         watch.start();
         {
--- a/tests/gateway/catalogue_keeper_test.cpp
+++ b/tests/gateway/catalogue_keeper_test.cpp
@@ -8,6 +8,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr milliseconds settleTime = 3s;
+
 runner runnerOf(const std::string &id, bool isDraining = false)
 {
     runner made;
@@ -24,13 +26,16 @@
     clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
     journal events{{"test"}, clock, 16};
     catalogue_hub hub{catalogue{}};
-    catalogue_keeper keeper{hub, clock, events};
+    catalogue_keeper keeper{hub, settleTime, clock, events};
 
     /// The store fails for a while and then answers again.
-    void loseStoreFor(milliseconds time)
+    /// @param noticedAfter From the last call that failed to the answer.
+    void loseStoreFor(milliseconds time, milliseconds noticedAfter = 100ms)
     {
-        keeper.noteStoreLost();
-        now += time;
+        keeper.noteStoreLost(now);
+        now += time - noticedAfter;
+        keeper.noteStoreLost(now);
+        now += noticedAfter;
         keeper.noteStoreAnswer();
     }
 
@@ -54,6 +59,7 @@
     CPPUNIT_TEST(lapsedRunnersThatReturnStay);
     CPPUNIT_TEST(runnersThatLeaveAfterTheStoresReturnAreDroppedAtOnce);
     CPPUNIT_TEST(drainingRunnersAreNotForgiven);
+    CPPUNIT_TEST(whatLeftDuringACutIsNotForgivenForLonger);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +128,23 @@
         CPPUNIT_ASSERT(!test.isUsed("a"));
     }
 
+    /// An instance is cut off from a store that is sound, and a runner leaves meanwhile without a
+    /// word. The cut ends right after a call was sent in vain; the instance notices 1.4 s later,
+    /// takes the cut for an outage and forgives. Counted from then, it sent there for 3.4 s after
+    /// the end of the cut, and callers were cut off when the runner ended.
+    void whatLeftDuringACutIsNotForgivenForLonger()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a")});
+        test.loseStoreFor(4s, 1400ms);
+        test.keeper.setRunners({});
+        CPPUNIT_ASSERT(test.isUsed("a"));
+        test.now += settleTime - 1400ms - 150ms;
+        CPPUNIT_ASSERT(!test.isUsed("a"));
+        test.keeper.settle();
+        CPPUNIT_ASSERT(test.hub.current()->runners.empty());
+    }
+
     void drainingRunnersAreNotForgiven()
     {
         world test;
