Write times of log lines in one place, and run the tests' watches by one piece of code

Read again, two places turned a time into text, and three tests set up a watch, ran it and stopped it by the same twenty lines. No behaviour changes; the tests assert what they did.

--- a/include/poplarspool/base/clock.h
+++ b/include/poplarspool/base/clock.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace poplarspool {
 
@@ -21,4 +22,7 @@
 /// @returns The machine's clocks.
 clock_source systemClock();
 
+/// @returns Whole milliseconds, as a field of a log line.
+std::string millisecondsText(std::chrono::nanoseconds time);
+
 } // namespace poplarspool
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -27,4 +27,9 @@
     return clock_source{monoNow, wallNow};
 }
 
+std::string millisecondsText(std::chrono::nanoseconds time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 } // namespace poplarspool
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -64,8 +64,6 @@
 {
     parts.metrics.requests.add();
     std::optional<http_reply> reply = serve();
-    const auto took = std::chrono::duration_cast<milliseconds>(parts.clock.mono() - arrivedAt);
-    const auto first = std::chrono::duration_cast<milliseconds>(firstByteAt - arrivedAt);
     log("request_end",
         {{"route", chosen == nullptr ? "" : chosen->name},
          {"status",
@@ -75,8 +73,8 @@
          {"runner", lastRunner},
          {"sends", std::to_string(sends)},
          {"fault", lastFault},
-         {"first_ms", firstByteAt == mono_time{} ? "" : std::to_string(first.count())},
-         {"took_ms", std::to_string(took.count())}});
+         {"first_ms", firstByteAt == mono_time{} ? "" : millisecondsText(firstByteAt - arrivedAt)},
+         {"took_ms", millisecondsText(parts.clock.mono() - arrivedAt)}});
     return reply;
 }
 
@@ -265,12 +263,10 @@
 
 void request_relay::logSend(std::string_view kind, std::vector<event_field> fields) const
 {
-    const auto textOf = [](std::chrono::nanoseconds time) {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-    };
     fields.push_back({"runners_revision", std::to_string(chosenBy->runnersRevision)});
-    fields.push_back({"runners_age_ms", textOf(chosenAt - chosenBy->runnersConfirmedAt)});
-    fields.push_back({"sent_after_ms", sentAt == mono_time{} ? "" : textOf(sentAt - chosenAt)});
+    fields.push_back({"runners_age_ms", millisecondsText(chosenAt - chosenBy->runnersConfirmedAt)});
+    fields.push_back(
+            {"sent_after_ms", sentAt == mono_time{} ? "" : millisecondsText(sentAt - chosenAt)});
     log(kind, std::move(fields));
 }
 
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -18,6 +18,47 @@
 /// Longer than any of these tests.
 constexpr milliseconds longWatch = 10s;
 
+/// A watch of one kind, and what it told.
+struct watch_run
+{
+    explicit watch_run(std::deque<http_reply> given)
+        : store(std::move(given)), client(store.address, store.metrics)
+    { }
+
+    /// Runs until the store has answered so often with success.
+    void runUntilAnswered(std::size_t times)
+    {
+        kind_handlers handlers;
+        handlers.onList = [this](const std::vector<store_object> &objects) {
+            const std::lock_guard lock(guard);
+            listSizes.push_back(objects.size());
+        };
+        handlers.onChange = [](const store_change &) {};
+        handlers.onAnswer = [this](const store_answer &answer) {
+            const std::lock_guard lock(guard);
+            revisions.push_back(answer.revision);
+            answered.notify_all();
+        };
+        handlers.onFailure = [](mono_time) {};
+        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
+        watch.start();
+        {
+            std::unique_lock lock(guard);
+            CPPUNIT_ASSERT(answered.wait_for(lock, 20s, [&] { return revisions.size() == times; }));
+        }
+        client.stop();
+        watch.stop();
+    }
+
+    scripted_store store;
+    store_client client;
+    journal events{{"test"}, systemClock(), 16};
+    std::mutex guard;
+    std::condition_variable answered;
+    std::vector<std::size_t> listSizes;
+    std::vector<std::uint64_t> revisions;
+};
+
 std::vector<std::string> keysOf(const event &entry)
 {
     std::vector<std::string> keys;
@@ -82,66 +123,24 @@
     /// that the runner is gone, and it comes at once.
     void forgottenHistoryIsListedAnew()
     {
-        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"currentRev":5})"),
-                              jsonReply("{}", 410), jsonReply(R"({"items":[],"currentRev":8})")});
-        store_client client(store.address, store.metrics);
-        journal events{{"test"}, systemClock(), 16};
-        std::mutex guard;
-        std::condition_variable listed;
-        std::vector<std::size_t> sizes;
-        kind_handlers handlers;
-        handlers.onList = [&](const std::vector<store_object> &objects) {
-            const std::lock_guard lock(guard);
-            sizes.push_back(objects.size());
-            listed.notify_all();
-        };
-        handlers.onChange = [](const store_change &) {};
-        handlers.onAnswer = [](const store_answer &) {};
-        handlers.onFailure = [](mono_time) {};
-        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
-        watch.start();
-        {
-            std::unique_lock lock(guard);
-            CPPUNIT_ASSERT(listed.wait_for(lock, 20s, [&] { return sizes.size() == 2; }));
-        }
-        client.stop();
-        watch.stop();
-        CPPUNIT_ASSERT(sizes == (std::vector<std::size_t>{1, 0}));
-        const std::lock_guard lock(store.guard);
-        CPPUNIT_ASSERT(store.asked[1].find("watch=5") != std::string::npos);
+        watch_run test({jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"currentRev":5})"),
+                        jsonReply("{}", 410), jsonReply(R"({"items":[],"currentRev":8})")});
+        test.runUntilAnswered(2);
+        CPPUNIT_ASSERT(test.listSizes == (std::vector<std::size_t>{1, 0}));
+        const std::lock_guard lock(test.store.guard);
+        CPPUNIT_ASSERT(test.store.asked[1].find("watch=5") != std::string::npos);
     }
 
     /// An instance was suspended, and its watch has failed for that. Told only at the end of a long
     /// watch that the store is back, it would take the time between for an outage of the store.
     void aFailureIsFollowedByAShortWatch()
     {
-        scripted_store store({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
-                              jsonReply(R"({"events":[],"currentRev":5})")});
-        store_client client(store.address, store.metrics);
-        journal events{{"test"}, systemClock(), 16};
-        std::mutex guard;
-        std::condition_variable answered;
-        int answers = 0;
-        kind_handlers handlers;
-        handlers.onList = [](const std::vector<store_object> &) {};
-        handlers.onChange = [](const store_change &) {};
-        handlers.onAnswer = [&](const store_answer &) {
-            const std::lock_guard lock(guard);
-            ++answers;
-            answered.notify_all();
-        };
-        handlers.onFailure = [](mono_time) {};
-        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
-        watch.start();
-        {
-            std::unique_lock lock(guard);
-            CPPUNIT_ASSERT(answered.wait_for(lock, 20s, [&] { return answers == 2; }));
-        }
-        client.stop();
-        watch.stop();
-        const std::lock_guard lock(store.guard);
-        CPPUNIT_ASSERT(store.asked[1].ends_with("waitMs=10000"));
-        CPPUNIT_ASSERT(store.asked[2].ends_with("waitMs=50"));
+        watch_run test({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
+                        jsonReply(R"({"events":[],"currentRev":5})")});
+        test.runUntilAnswered(2);
+        const std::lock_guard lock(test.store.guard);
+        CPPUNIT_ASSERT(test.store.asked[1].ends_with("waitMs=10000"));
+        CPPUNIT_ASSERT(test.store.asked[2].ends_with("waitMs=50"));
     }
 
     /// A request went to a runner that had left the list long before, and nobody could tell whether
@@ -149,33 +148,12 @@
     /// nor when the store was back.
     void lossAndReturnOfTheStoreAreLogged()
     {
-        scripted_store store({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
-                              jsonReply(R"({"events":[],"currentRev":9})")});
-        store_client client(store.address, store.metrics);
-        journal events{{"test"}, systemClock(), 16};
-        std::mutex guard;
-        std::condition_variable answered;
-        std::vector<std::uint64_t> revisions;
-        kind_handlers handlers;
-        handlers.onList = [](const std::vector<store_object> &) {};
-        handlers.onChange = [](const store_change &) {};
-        handlers.onAnswer = [&](const store_answer &answer) {
-            const std::lock_guard lock(guard);
-            revisions.push_back(answer.revision);
-            answered.notify_all();
-        };
-        handlers.onFailure = [](mono_time) {};
-        kind_watch watch("k", longWatch, client, handlers, systemClock(), events);
-        watch.start();
-        {
-            std::unique_lock lock(guard);
-            CPPUNIT_ASSERT(answered.wait_for(lock, 20s, [&] { return revisions.size() == 2; }));
-        }
-        client.stop();
-        watch.stop();
-        CPPUNIT_ASSERT(revisions == (std::vector<std::uint64_t>{5, 9}));
-        const auto lost = events.events({"store_lost", {}, {}});
-        const auto regained = events.events({"store_regained", {}, {}});
+        watch_run test({jsonReply(R"({"items":[],"currentRev":5})"), jsonReply("{}", 503),
+                        jsonReply(R"({"events":[],"currentRev":9})")});
+        test.runUntilAnswered(2);
+        CPPUNIT_ASSERT(test.revisions == (std::vector<std::uint64_t>{5, 9}));
+        const auto lost = test.events.events({"store_lost", {}, {}});
+        const auto regained = test.events.events({"store_regained", {}, {}});
         CPPUNIT_ASSERT(!lost.empty() && regained.size() == 1);
         const std::vector<std::string> lostKeys{"kind",     "code",         "reason",
                                                 "revision", "asked_ms_ago", "unanswered_ms"};
