Give the settings of all that tells in datagrams one type

Three structs of the same four fields stood in the news of load, the news of the store and the port under both. The port's comment said that one thread has it, while the news of the store send on one and receive on another, which is safe: it says so now.

--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -5,6 +5,7 @@
 #include "poplarspool/base/ids.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
+#include "poplarspool/peer/datagram_settings.h"
 
 #include <cstdint>
 #include <functional>
@@ -66,14 +67,6 @@
 milliseconds loadNewsInterval(std::size_t peers, std::size_t others,
                               std::size_t datagramsPerSecond);
 
-struct load_exchange_settings
-{
-    instance_id self;
-    incarnation life = 0;
-    endpoint address; ///< Bound for UDP.
-    std::string key; ///< Secret of the MAC.
-};
-
 /// Tells every other instance what this one has sent where, and hears the same from them; those of
 /// the own availability zone many times a second, in large fleets the others more rarely. Gossip
 /// would spread it too, but two or three rounds late, and half of a request's time is over by then.
@@ -82,7 +75,7 @@
 public:
     /// @param collect Gives what to tell; called on the exchange's thread, as is onNews.
     /// @param onNews Gets a sender's number and its news, in the sender's order.
-    load_exchange(load_exchange_settings choices, std::function<load_news(news_audience)> collect,
+    load_exchange(datagram_settings choices, std::function<load_news(news_audience)> collect,
                   std::function<void(std::uint64_t sender, const load_news &)> onNews,
                   clock_source clock, metrics_registry &metrics);
     ~load_exchange();
--- a/include/poplarspool/peer/store_relay.h
+++ b/include/poplarspool/peer/store_relay.h
@@ -5,6 +5,7 @@
 #include "poplarspool/base/ids.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
+#include "poplarspool/peer/datagram_settings.h"
 #include "poplarspool/peer/store_news.h"
 
 #include <functional>
@@ -15,14 +16,6 @@
 
 namespace poplarspool::peer {
 
-struct store_relay_settings
-{
-    instance_id self;
-    incarnation life = 0;
-    endpoint address; ///< Bound for UDP.
-    std::string key; ///< Secret of the MAC.
-};
-
 /// What to do now, and how long to wait before the next look.
 struct relay_turn
 {
@@ -37,7 +30,7 @@
 public:
     /// @param collect Gives what to tell, if anything; called on a thread of its own.
     /// @param onNews Gets a sender's number and its news, in the sender's order, on another thread.
-    store_relay(store_relay_settings choices, std::function<relay_turn()> collect,
+    store_relay(datagram_settings choices, std::function<relay_turn()> collect,
                 std::function<void(std::uint64_t sender, const store_news &)> onNews,
                 metrics_registry &metrics);
     ~store_relay();
--- a/src/peer/datagram_port.h
+++ b/src/peer/datagram_port.h
@@ -5,6 +5,7 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
+#include "poplarspool/peer/datagram_settings.h"
 
 #include <cstdint>
 #include <functional>
@@ -15,18 +16,10 @@
 
 namespace poplarspool::peer {
 
-struct datagram_settings
-{
-    instance_id self;
-    incarnation life = 0;
-    endpoint address; ///< Bound for UDP.
-    std::string key; ///< Secret of the MAC.
-};
-
 /// A UDP socket for one kind of frames. Frames are sealed; bad, foreign, late and repeated ones are
 /// counted and dropped.
 ///
-/// @attention All but the construction belongs to one thread.
+/// @attention Calls of send() must not overlap, nor calls of receive(); one of each may.
 class datagram_port
 {
 public:
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -20,13 +20,11 @@
 
 struct load_exchange::state
 {
-    state(load_exchange_settings choices, std::function<load_news(news_audience)> collect,
+    state(datagram_settings choices, std::function<load_news(news_audience)> collect,
           std::function<void(std::uint64_t, const load_news &)> onNews, clock_source clock,
           metrics_registry &metrics)
         : collect(std::move(collect)), onNews(std::move(onNews)), clock(std::move(clock)),
-          port({std::move(choices.self), choices.life, std::move(choices.address),
-                std::move(choices.key)},
-               frame_kind::Load, metrics, "poplarspool_load_news_total")
+          port(std::move(choices), frame_kind::Load, metrics, "poplarspool_load_news_total")
     { }
 
     void run();
@@ -49,7 +47,7 @@
     std::array<bool, newsAudiences> wereQuiet{};
 };
 
-load_exchange::load_exchange(load_exchange_settings choices,
+load_exchange::load_exchange(datagram_settings choices,
                              std::function<load_news(news_audience)> collect,
                              std::function<void(std::uint64_t, const load_news &)> onNews,
                              clock_source clock, metrics_registry &metrics)
--- a/src/peer/store_relay.cpp
+++ b/src/peer/store_relay.cpp
@@ -12,12 +12,10 @@
 
 struct store_relay::state
 {
-    state(store_relay_settings choices, std::function<relay_turn()> collect,
+    state(datagram_settings choices, std::function<relay_turn()> collect,
           std::function<void(std::uint64_t, const store_news &)> onNews, metrics_registry &metrics)
         : collect(std::move(collect)), onNews(std::move(onNews)),
-          port({std::move(choices.self), choices.life, std::move(choices.address),
-                std::move(choices.key)},
-               frame_kind::Store, metrics, "poplarspool_store_news_total")
+          port(std::move(choices), frame_kind::Store, metrics, "poplarspool_store_news_total")
     { }
 
     void tellOn();
@@ -36,7 +34,7 @@
     std::vector<endpoint> peers;
 };
 
-store_relay::store_relay(store_relay_settings choices, std::function<relay_turn()> collect,
+store_relay::store_relay(datagram_settings choices, std::function<relay_turn()> collect,
                          std::function<void(std::uint64_t, const store_news &)> onNews,
                          metrics_registry &metrics)
     : inner(std::make_unique<state>(std::move(choices), std::move(collect), std::move(onNews),
