--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -84,6 +84,10 @@
         backAt = now;
         forgivenUntil = std::min(backAt + config::entryReturnTime,
                                  failedAt + settleTime - config::forgivenMargin);
+        events.emit("lapses_forgiven",
+                    {{"lost_ms", millisecondsText(now - lostAt)},
+                     {"failed_ms_ago", millisecondsText(now - failedAt)},
+                     {"for_ms", millisecondsText(forgivenUntil - now)}});
     }
     lostAt = {};
 }
@@ -100,7 +104,8 @@
     kept.keptUntil = forgivenUntil;
     found->second = std::make_shared<const runner>(std::move(kept));
     missing.insert(id);
-    events.emit("runner_missing", {{"runner", id.text}});
+    events.emit("runner_missing",
+                {{"runner", id.text}, {"kept_ms", millisecondsText(forgivenUntil - clock.mono())}});
 }
 
 void catalogue_keeper::drop(catalogue &next, const runner_id &id)
