--- a/tests/adapter/store_follower_test.cpp
+++ b/tests/adapter/store_follower_test.cpp
@@ -1,20 +1,21 @@
+#include "adapter/following_instance.h"
 #include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
 #include "platform/names.h"
-#include "platform/store_follower.h"
 #include "poplarspool/config.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
-#include <thread>
 
 namespace poplarspool::adapter {
 
 namespace {
 
 using namespace std::chrono_literals;
+using test::following_instance;
 using test::jsonReply;
+using test::waitUntil;
 
 /// A store with one configuration and one runner, that both may be changed. Watches are answered
 /// with what came after their revision, at the latest after a tenth of the time that they ask for.
@@ -107,68 +108,23 @@
     return R"({"service":"s","address":"10.0.0.1:8080","state":")" + state + R"("})";
 }
 
-/// What one instance has of the store.
-struct instance
+gateway::gateway_settings settingsFor(const small_store &store, const std::string &name,
+                                      std::uint16_t port)
 {
-    instance(const small_store &store, const std::string &name, std::uint16_t port)
-        : choices(settingsFor(store, name, port)), client(store.at(), metrics),
-          keeper(hub, choices.settleTime, systemClock(), events),
-          follower(choices, client, keeper, systemClock(), metrics, events)
-    { }
-
-    ~instance()
-    {
-        client.stop();
-        follower.stop();
-    }
-
-    static gateway::gateway_settings settingsFor(const small_store &store, const std::string &name,
-                                                 std::uint16_t port)
-    {
-        gateway::gateway_settings made;
-        made.instance.text = name;
-        made.zone.text = "a";
-        made.peerAddress = {"127.0.0.1", port};
-        made.sharesStoreNews = true;
-        made.storeAddress = store.at();
-        return made;
-    }
-
-    gateway::listed_gateway entry() const
-    {
-        return {choices.instance,
-                choices.peerAddress,
-                {},
-                choices.zone,
-                gateway::newsAddressOf(choices)};
-    }
-
-    bool knows(std::uint64_t version, bool isDraining) const
-    {
-        const auto now = hub.current();
-        const auto found = now->runners.find({"i-1"});
-        return now->table && now->table->version == version && found != now->runners.end()
-                && found->second->isDraining == isDraining;
-    }
-
-    const gateway::gateway_settings choices;
-    metrics_registry metrics;
-    journal events{{"test"}, systemClock(), 64};
-    gateway::catalogue_hub hub{gateway::catalogue{}};
-    store_client client;
-    gateway::catalogue_keeper keeper;
-    store_follower follower;
-};
+    gateway::gateway_settings made;
+    made.instance.text = name;
+    made.zone.text = "a";
+    made.peerAddress = {"127.0.0.1", port};
+    made.sharesStoreNews = true;
+    made.storeAddress = store.at();
+    return made;
+}
 
-bool waitUntil(const std::function<bool()> &holds)
+bool knows(const following_instance &one, std::uint64_t version, bool isDraining)
 {
-    for (const auto end = std::chrono::steady_clock::now() + 20s;
-         std::chrono::steady_clock::now() < end;) {
-        if (holds())
-            return true;
-        std::this_thread::sleep_for(5ms);
-    }
-    return false;
+    const auto table = one.hub.current()->table;
+    const auto runner = one.find("i-1");
+    return table && table->version == version && runner && runner->isDraining == isDraining;
 }
 
 /// Two instances that tell each other. Ports are free on loopback in turns, so that a busy one is
@@ -178,8 +134,8 @@
     explicit pair_of_instances(const small_store &store)
     {
         for (std::uint16_t port = 21400; port < 23000 && !isStarted; port += 4) {
-            one = std::make_unique<instance>(store, "edge-1", port);
-            two = std::make_unique<instance>(store, "edge-2", port + 2);
+            one = std::make_unique<following_instance>(settingsFor(store, "edge-1", port));
+            two = std::make_unique<following_instance>(settingsFor(store, "edge-2", port + 2));
             isStarted = succeeded(one->follower.start()) && succeeded(two->follower.start());
         }
         CPPUNIT_ASSERT(isStarted);
@@ -195,11 +151,11 @@
 
     bool bothKnow(std::uint64_t version, bool isDraining) const
     {
-        return one->knows(version, isDraining) && two->knows(version, isDraining);
+        return knows(*one, version, isDraining) && knows(*two, version, isDraining);
     }
 
-    std::unique_ptr<instance> one;
-    std::unique_ptr<instance> two;
+    std::unique_ptr<following_instance> one;
+    std::unique_ptr<following_instance> two;
     bool isStarted = false;
 };
 
@@ -245,9 +201,9 @@
         const bool isFirstTold =
                 !both.one->events.events({"store_followed_by_others", {}, {}}).empty();
         (isFirstTold ? both.two : both.one).reset();
-        const instance &left = isFirstTold ? *both.one : *both.two;
+        const following_instance &left = isFirstTold ? *both.one : *both.two;
         store.put(wire::runnerKind, "i-1", runnerSpec("draining"));
-        CPPUNIT_ASSERT(waitUntil([&] { return left.knows(4, true); }));
+        CPPUNIT_ASSERT(waitUntil([&] { return knows(left, 4, true); }));
     }
 
     /// By each user's bounds: who relies on another instance hears its next confirmation before the
