--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -186,8 +186,7 @@
 inline constexpr std::chrono::milliseconds storeReadTime = 1000ms;
 inline constexpr std::chrono::milliseconds storeWriteTime = 1500ms;
 inline constexpr std::size_t maxIdleStoreConnections = 2;
-/// Bounds of the time for which one watch waits (watchTimeFor()). Each call is priced: at 3.3 s in
-/// place of 10 s, nine instances make 389 calls in place of 231 on a user's calm day.
+/// Bounds of the time for which one watch waits (watchTimeFor()): each call is priced.
 inline constexpr std::chrono::milliseconds gatewayWatchTimeLeast = 500ms;
 inline constexpr std::chrono::milliseconds gatewayWatchTimeMost = 10s;
 /// From a watch that is given up to the last request that arrives without its news: a pause of
