Add the failing test of another instance's loss that prolongs the own trouble

The word of an instance that has lost the store counts as a failure of the own way to it at that moment. An instance that comes back from a trouble of its own then keeps runners that left meanwhile for longer than 3 s. On the code as it is the test fails.

--- a/tests/adapter/turned_away_test.cpp
+++ b/tests/adapter/turned_away_test.cpp
@@ -1,5 +1,6 @@
 #include "adapter/following_instance.h"
 #include "adapter/scripted_store.h"
+#include "platform/kind_watch.h"
 #include "platform/names.h"
 #include "poplarspool/gateway/limits.h"
 
@@ -91,12 +92,58 @@
     return made;
 }
 
+/// A watch of an instance that relies on others. It lists the runners once, and then makes no call.
+struct relying_watch
+{
+    relying_watch(const forgetful_store &store, const jumping_clock &clock)
+        : client(store.at(), metrics), events({"test"}, clock.source(), 16),
+          watch(wire::runnerKind, {3s, 2s}, client, handlers(), sources(clock), clock.source(),
+                events)
+    { }
+
+    ~relying_watch()
+    {
+        client.stop();
+        watch.stop();
+    }
+
+    kind_handlers handlers()
+    {
+        kind_handlers made;
+        made.onList = [](const std::vector<store_object> &, std::uint64_t) {};
+        made.onChanges = [](const std::vector<store_change> &, store_span) {};
+        made.onAnswer = [](const store_answer &) {};
+        made.onFailure = [this](mono_time askedAt) { failures.push_back(askedAt); };
+        return made;
+    }
+
+    news_sources sources(const jumping_clock &clock) const
+    {
+        news_sources made;
+        made.coveredUntil = [this, &clock](const kind_state &) {
+            return isCovered ? std::optional(clock.now() + 1h) : std::nullopt;
+        };
+        made.isTelling = [] { return false; };
+        return made;
+    }
+
+    bool isIdle() const { return !events.events({"store_followed_by_others", {}, {}}).empty(); }
+
+    std::atomic<bool> isCovered{true};
+    std::vector<mono_time> failures; ///< As they were told: when the call was sent.
+    metrics_registry metrics;
+    store_client client;
+    journal events;
+    kind_watch watch;
+};
+
 } // namespace
 
 class turned_away_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(turned_away_test);
     CPPUNIT_TEST(whatLeftMeanwhileIsLeftAloneInTime);
+    CPPUNIT_TEST(theWordOfOthersDoesNotProlongATrouble);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +179,26 @@
         CPPUNIT_ASSERT_MESSAGE("used for " + std::to_string(after.count()) + " ms after the return",
                                lastArrival <= backAt + one.choices.settleTime);
     }
+
+    /// An instance that relied on the others is cut off for seconds, and a runner leaves. Just as
+    /// it is back, another one says that it has lost the store itself. That is another trouble:
+    /// counted as a failure of the own way to the store, it would keep the runner in use for
+    /// longer, and callers would be cut off at its end.
+    void theWordOfOthersDoesNotProlongATrouble()
+    {
+        forgetful_store store;
+        jumping_clock clock;
+        relying_watch one(store, clock);
+        one.watch.start();
+        CPPUNIT_ASSERT(waitUntil([&] { return one.isIdle(); }));
+        one.watch.takeRelayed({5, 6}, clock.now(), [] { return true; });
+        const mono_time lastHeard = clock.now();
+        clock.jump(9s);
+        one.isCovered = false;
+        one.watch.noteLossElsewhere();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.failures.size());
+        CPPUNIT_ASSERT(one.failures.front() <= lastHeard);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(turned_away_test);
