Let the word of others say nothing of an instance's own trouble

An instance that came back from a trouble of its own, while another one said that it had lost the store, kept runners that had left meanwhile for longer than 3 s after its return. Cause: that word counted as a failure of the own way to the store at that moment. Now what counts is the own call that is open, or else the last confirmation; a later failure is never replaced by an earlier one.

--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -68,7 +68,7 @@
 {
     if (lostAt == mono_time{})
         lostAt = clock.mono();
-    failedAt = askedAt;
+    failedAt = std::max(failedAt, askedAt);
 }
 
 /// An instance that was itself cut off can't tell that from an outage, and runners that left
