--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -53,6 +53,10 @@
 news - IN_TIME AGE
 news - IN_TIME HOLE_CHECK
 news - IN_TIME CLOCK_THAT_COUNTS_ON
+copies - CURRENT -
+copies - NEVER_BACK -
+copies - CURRENT EPOCH
+copies - NEVER_BACK MEMORY
 LIST
 }
 
