Bring back no life that is over, nor a runner that is missing, from an older copy

A runner that had started again under its id, and left then, came back by a copy that showed the life before (taken for a new one). And one that was removed right after a first copy was kept as if it had lapsed; a second copy showed it in service, and it was used again. Now the later life counts, and a missing runner is no proof that the copy's entry is right.

--- a/include/poplarspool/gateway/copied_entries.h
+++ b/include/poplarspool/gateway/copied_entries.h
@@ -38,7 +38,7 @@
     };
 
     void forgetOld(mono_time now);
-    bool hasLeft(const runner_map &known, const runner &entry) const;
+    bool isLessThanKnown(const runner_map &known, const runner &entry) const;
 
     std::map<runner_id, gone_runner> gone;
     std::map<runner_id, runner> outdated; ///< As they stand in the copy.
--- a/src/gateway/copied_entries.cpp
+++ b/src/gateway/copied_entries.cpp
@@ -2,6 +2,8 @@
 
 #include "poplarspool/gateway/limits.h"
 
+#include <tuple>
+
 namespace poplarspool::gateway {
 
 void copied_entries::noteGone(const runner &entry, mono_time now)
@@ -16,16 +18,20 @@
                   [now](const auto &one) { return now - one.second.at > config::lostWritesTime; });
 }
 
-/// A runner that has started again under its id has not left.
-bool copied_entries::hasLeft(const runner_map &known, const runner &entry) const
+/// A runner that has started again under its id is in a new life, whatever was known of the one
+/// before; and a copy may show a life that is long over.
+bool copied_entries::isLessThanKnown(const runner_map &known, const runner &entry) const
 {
     const auto present = known.find(entry.id);
     if (present != known.end()) {
         const runner &newer = *present->second;
-        return newer.bornMs == entry.bornMs && (newer.isDraining || newer.writes > entry.writes);
+        if (newer.bornMs != entry.bornMs)
+            return newer.bornMs > entry.bornMs;
+        const bool isMissing = newer.keptUntil != mono_time::max();
+        return !entry.isDraining && (newer.isDraining || isMissing || newer.writes > entry.writes);
     }
     const auto before = gone.find(entry.id);
-    return before != gone.end() && before->second.bornMs == entry.bornMs;
+    return before != gone.end() && before->second.bornMs >= entry.bornMs;
 }
 
 void copied_entries::setCopy(const runner_map &known, const std::vector<runner> &copy,
@@ -35,7 +41,7 @@
     outdated.clear();
     copiedAt = now;
     for (const runner &entry : copy) {
-        if (!entry.isDraining && hasLeft(known, entry))
+        if (isLessThanKnown(known, entry))
             outdated[entry.id] = entry;
     }
 }
@@ -46,7 +52,10 @@
     if (found == outdated.end())
         return false;
     const runner &copied = found->second;
-    if (!entry.isDraining && entry.bornMs == copied.bornMs && entry.writes <= copied.writes)
+    const bool isNewer =
+            std::tie(entry.bornMs, entry.writes) > std::tie(copied.bornMs, copied.writes);
+    const bool saysThatItLeaves = entry.isDraining && !copied.isDraining;
+    if (!isNewer && !saysThatItLeaves)
         return true;
     outdated.erase(found);
     return false;
--- a/tests/gateway/catalogue_keeper_test.cpp
+++ b/tests/gateway/catalogue_keeper_test.cpp
@@ -64,6 +64,8 @@
     CPPUNIT_TEST(anEntryOfACopyThatStaysIsBelieved);
     CPPUNIT_TEST(aNewLifeInACopyIsBelieved);
     CPPUNIT_TEST(whatACopyLacksIsNotKeptForLonger);
+    CPPUNIT_TEST(aLifeThatIsOverIsNotBroughtBack);
+    CPPUNIT_TEST(whatIsMissingIsNotBroughtBackByASecondCopy);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +205,54 @@
         test.now = lastSeenAt + settleTime - config::forgivenMargin;
         CPPUNIT_ASSERT(!test.isUsed("a"));
     }
+
+    /// A runner started again under its id and said then that it leaves. The store's copy is from
+    /// before: it shows the life that is over, in service. Taken for a new life, it would get
+    /// requests until it ends.
+    void aLifeThatIsOverIsNotBroughtBack()
+    {
+        world test;
+        runner first = runnerOf("a");
+        first.bornMs = 5;
+        runner second = runnerOf("a", true);
+        second.bornMs = 9;
+        for (const bool isGone : {false, true}) {
+            test.keeper.setRunners({second});
+            if (isGone)
+                test.keeper.takeChanges({{{"a"}, std::nullopt}});
+            test.keeper.noteOlderCopy(test.now);
+            test.keeper.setRunners({first});
+            const auto known = test.hub.current()->runners;
+            CPPUNIT_ASSERT(!known.contains({"a"}) || known.at({"a"})->isDraining);
+        }
+        // Nor does the end of that life take away the new one.
+        second.isDraining = false;
+        first.isDraining = true;
+        test.keeper.takeChanges({{{"a"}, second}});
+        CPPUNIT_ASSERT(test.isUsed("a"));
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners({first});
+        CPPUNIT_ASSERT(test.hub.current()->runners.at({"a"})->bornMs == 9);
+    }
+
+    /// The store has come back from an older copy, and right after it a runner is removed: it may
+    /// have lapsed, and is kept for a while. Then the store goes back again, and shows it in
+    /// service. That says nothing of the removal, which was lost: believed, the runner would be
+    /// used until it ends.
+    void whatIsMissingIsNotBroughtBackByASecondCopy()
+    {
+        world test;
+        test.keeper.setRunners({runnerOf("a")});
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners({runnerOf("a")});
+        test.keeper.takeChanges({{{"a"}, std::nullopt}});
+        test.now += 300ms;
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners({runnerOf("a")});
+        test.now += 3s;
+        test.keeper.settle();
+        CPPUNIT_ASSERT(!test.isUsed("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_keeper_test);
