Say on which thread and why an uncaught exception ends the process

Instances ended with code 134 on a change of routes, and the lines could not tell two hypotheses apart: the change's text and the whole datagram are encoded on two threads, with the same exception and words. Threads have names now; an exception that nobody catches is logged with its thread, type and reason before the process ends; a bound that is broken says which and by how much. No logic is changed.

--- a/src/base/http_listener.cpp
+++ b/src/base/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "base/http_listener.h"
 
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/config.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
     // The library's backlog is 5: in a burst, most connections would wait for seconds.
     if (bound.port == 0 || ::listen(svr_sock_, config::listenBacklog) != 0)
         return notRun(error_code::Unavailable, "can't listen on " + textOf(bind));
-    acceptor = std::thread([this, bound] { acceptUntilStopped(bound); });
+    acceptor = startNamed("http_accept", [this, bound] { acceptUntilStopped(bound); });
     return bound;
 }
 
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -1,6 +1,7 @@
 #include "gateway/stage_keeper.h"
 
 #include "gateway/runner_control.h"
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/gateway/limits.h"
 
 namespace poplarspool::gateway {
@@ -18,7 +19,7 @@
 
 void stage_keeper::start()
 {
-    thread = std::thread([this] { run(); });
+    thread = startNamed("stages", [this] { run(); });
 }
 
 void stage_keeper::requestStop()
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -47,15 +47,16 @@
 
 void encoder::text(std::string_view value, std::size_t maxBytes)
 {
-    checkCount(value.size(), maxBytes, 1);
+    checkCount(value.size(), maxBytes);
     varint(value.size());
     archive(cereal::binary_data(value.data(), value.size()));
 }
 
-void encoder::checkCount(std::size_t count, std::size_t maxCount, std::size_t)
+void encoder::checkCount(std::size_t count, std::size_t maxCount)
 {
     if (count > maxCount)
-        throw bad_payload("too long to send");
+        throw bad_payload("too long to send: " + std::to_string(count) + " where "
+                          + std::to_string(maxCount) + " are allowed");
 }
 
 decoder::decoder(std::string_view bytes)
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -69,9 +69,9 @@
 
     /// Calls `each(encoder, item)` for every item.
     template <class Items, class Each>
-    void list(const Items &items, std::size_t maxCount, std::size_t minBytesEach, Each each)
+    void list(const Items &items, std::size_t maxCount, std::size_t /*minBytesEach*/, Each each)
     {
-        checkCount(items.size(), maxCount, minBytesEach);
+        checkCount(items.size(), maxCount);
         varint(items.size());
         for (const auto &item : items)
             each(*this, item);
@@ -81,7 +81,7 @@
     std::string take() { return std::move(sink.bytes); }
 
 private:
-    static void checkCount(std::size_t count, std::size_t maxCount, std::size_t minBytesEach);
+    static void checkCount(std::size_t count, std::size_t maxCount);
 
     string_sink sink;
     std::ostream stream;
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -7,6 +7,7 @@
 #include "peer/gossip_protocol.h"
 #include "peer/numeric_address.h"
 #include "peer/replay_window.h"
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/config.h"
 
 #include <algorithm>
@@ -117,7 +118,7 @@
     endpoint address = inner->choices.self.peerAddress;
     address.port = boundAddress(inner->socket.get()).port;
     inner->protocol.setPeerAddress(address);
-    inner->thread = std::thread([this] { inner->run(); });
+    inner->thread = startNamed("gossip", [this] { inner->run(); });
     return unit{};
 }
 
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/peer/load_exchange.h"
 
 #include "peer/datagram_port.h"
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/config.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
     const auto opened = inner->port.open();
     if (!succeeded(opened))
         return errorOf(opened);
-    inner->thread = std::thread([this] { inner->run(); });
+    inner->thread = startNamed("load_news", [this] { inner->run(); });
     return unit{};
 }
 
--- a/src/peer/store_relay.cpp
+++ b/src/peer/store_relay.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/peer/store_relay.h"
 
 #include "peer/datagram_port.h"
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/config.h"
 
 #include <condition_variable>
@@ -51,8 +52,8 @@
     const auto opened = inner->port.open();
     if (!succeeded(opened))
         return errorOf(opened);
-    inner->hearing = std::thread([this] { inner->hearOn(); });
-    inner->telling = std::thread([this] { inner->tellOn(); });
+    inner->hearing = startNamed("store_news_hearing", [this] { inner->hearOn(); });
+    inner->telling = startNamed("store_news_telling", [this] { inner->tellOn(); });
     return unit{};
 }
 
