--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -177,10 +177,18 @@
     const endpoint address;
 };
 
-inline std::string configSpec(int version)
+/// @param routes How many, with long names.
+inline std::string configSpec(int version, int routes = 0)
 {
-    return R"({"version":)" + std::to_string(version)
-            + R"(,"routes":[],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1}})";
+    std::string entries;
+    for (int i = 0; i < routes; ++i) {
+        const std::string name = "route-of-some-length-" + std::to_string(i);
+        entries += std::string(i == 0 ? "" : ",") + R"({"name":")" + name
+                + R"(","host":"h.example","pathPrefix":"/)" + name
+                + R"(/","kind":"idempotent","service":"s"})";
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + entries
+            + R"(],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1}})";
 }
 
 inline std::string runnerSpec(const std::string &state, int writes = 0)
