--- a/include/poplarspool/gateway/catalogue_keeper.h
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -22,12 +22,13 @@
     bool operator==(const runner_change &) const = default;
 };
 
-/// For other instances. Decoding fails with Broken where the text is none.
-std::string encode(const runner_change &change);
+/// For other instances. Encoding fails with TooLarge where the change breaks a bound of what is
+/// told; decoding with Broken where the text is none.
+result<std::string> encode(const runner_change &change);
 result<runner_change> decodeRunnerChange(std::string_view text);
 /// Routes are told by what differs from the table before: whole, those of one user took 2 KB, and
 /// no datagram holds them.
-std::string encode(const route_table &table, const route_table &before);
+result<std::string> encode(const route_table &table, const route_table &before);
 /// @returns The newer of both tables; Stale where the text follows another one than `before`.
 result<route_table> decodeRouteTable(std::string_view text, const route_table &before);
 
--- a/src/gateway/told_changes.cpp
+++ b/src/gateway/told_changes.cpp
@@ -133,14 +133,14 @@
 
 } // namespace
 
-std::string encode(const runner_change &change)
+result<std::string> encode(const runner_change &change)
 {
-    peer::encoder out;
-    out.text(change.id.text, config::maxNameBytes);
-    out.small(change.entry.has_value());
-    if (change.entry)
-        describeRunner(out, *change.entry, textOf(change.entry->address));
-    return out.take();
+    return peer::encoded([&](peer::encoder &out) {
+        out.text(change.id.text, config::maxNameBytes);
+        out.small(change.entry.has_value());
+        if (change.entry)
+            describeRunner(out, *change.entry, textOf(change.entry->address));
+    });
 }
 
 result<runner_change> decodeRunnerChange(std::string_view text)
@@ -169,14 +169,14 @@
     }
 }
 
-std::string encode(const route_table &table, const route_table &before)
+result<std::string> encode(const route_table &table, const route_table &before)
 {
-    peer::encoder out;
-    out.small(before.version);
-    describeRest(out, table);
-    std::vector<told_route> routes = toldRoutes(table.routes, before);
-    describeRoutes(out, routes);
-    return out.take();
+    return peer::encoded([&](peer::encoder &out) {
+        out.small(before.version);
+        describeRest(out, table);
+        std::vector<told_route> routes = toldRoutes(table.routes, before);
+        describeRoutes(out, routes);
+    });
 }
 
 result<route_table> decodeRouteTable(std::string_view text, const route_table &before)
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "poplarspool/base/result.h"
+
 #include <cereal/archives/portable_binary.hpp>
 
 #include <cstdint>
@@ -13,8 +15,8 @@
 
 namespace poplarspool::peer {
 
-/// A payload that breaks the format or a bound. Never leaves the library: decoders turn it into a
-/// result.
+/// A payload that breaks the format or a bound. Never leaves the library that encodes or decodes:
+/// both turn it into a result.
 struct bad_payload : std::runtime_error
 {
     using std::runtime_error::runtime_error;
@@ -88,6 +90,21 @@
     cereal::PortableBinaryOutputArchive archive;
 };
 
+/// What operators and other writers choose may be longer than what is told of it.
+/// @param write Gets an encoder.
+/// @returns What was written; TooLarge where a bound is broken.
+template <class Write>
+result<std::string> encoded(const Write &write)
+{
+    try {
+        encoder out;
+        write(out);
+        return out.take();
+    } catch (const bad_payload &fault) {
+        return notRun(error_code::TooLarge, fault.what());
+    }
+}
+
 /// Reads what an encoder wrote. Every count is checked against its named bound and against the
 /// bytes that are left before anything is allocated: cereal itself trusts lengths, and a message
 /// of a few bytes that claims 2^30 elements would allocate gigabytes before it fails.
--- a/tests/gateway/told_changes_test.cpp
+++ b/tests/gateway/told_changes_test.cpp
@@ -1,3 +1,4 @@
+#include "poplarspool/config.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -57,15 +58,16 @@
     CPPUNIT_TEST(routesAreToldByWhatDiffers);
     CPPUNIT_TEST(routesThatFollowAnotherTableAreRefused);
     CPPUNIT_TEST(brokenTextIsRefused);
+    CPPUNIT_TEST(whatIsTooLongToTellIsAnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void runnersSurviveTheWire()
     {
         const runner_change entered{{"i-1"}, anEngine()};
-        CPPUNIT_ASSERT(valueOf(decodeRunnerChange(encode(entered))) == entered);
+        CPPUNIT_ASSERT(valueOf(decodeRunnerChange(valueOf(encode(entered)))) == entered);
         const runner_change gone{{"i-1"}, std::nullopt};
-        CPPUNIT_ASSERT(valueOf(decodeRunnerChange(encode(gone))) == gone);
+        CPPUNIT_ASSERT(valueOf(decodeRunnerChange(valueOf(encode(gone)))) == gone);
     }
 
     void routesAreToldByWhatDiffers()
@@ -73,10 +75,10 @@
         const route_table before = tableOf(4, {"a", "b", "c"});
         route_table after = tableOf(9, {"c", "d", "a"});
         after.routes[2].timeLimit = milliseconds(7000);
-        const std::string told = encode(after, before);
+        const std::string told = valueOf(encode(after, before));
         CPPUNIT_ASSERT(valueOf(decodeRouteTable(told, before)) == after);
-        CPPUNIT_ASSERT(told.size() < encode(after, {}).size());
-        CPPUNIT_ASSERT(valueOf(decodeRouteTable(encode(before, {}), {})) == before);
+        CPPUNIT_ASSERT(told.size() < valueOf(encode(after, {})).size());
+        CPPUNIT_ASSERT(valueOf(decodeRouteTable(valueOf(encode(before, {})), {})) == before);
     }
 
     /// Versions only rise: a table that is known already is not gone back to, and one that builds
@@ -86,20 +88,41 @@
         const route_table first = tableOf(4, {"a"});
         const route_table second = tableOf(9, {"a", "b"});
         const route_table third = tableOf(12, {"b"});
-        CPPUNIT_ASSERT(valueOf(decodeRouteTable(encode(second, first), third)) == third);
-        CPPUNIT_ASSERT(errorOf(decodeRouteTable(encode(third, second), first)).code
+        CPPUNIT_ASSERT(valueOf(decodeRouteTable(valueOf(encode(second, first)), third)) == third);
+        CPPUNIT_ASSERT(errorOf(decodeRouteTable(valueOf(encode(third, second)), first)).code
                        == error_code::Stale);
     }
 
     void brokenTextIsRefused()
     {
-        const std::string entry = encode(runner_change{{"i-1"}, anEngine()});
+        const std::string entry = valueOf(encode(runner_change{{"i-1"}, anEngine()}));
         for (std::size_t size = 0; size < entry.size(); ++size)
             CPPUNIT_ASSERT(!succeeded(decodeRunnerChange(entry.substr(0, size))));
-        const std::string routes = encode(tableOf(9, {"a", "b"}), {});
+        const std::string routes = valueOf(encode(tableOf(9, {"a", "b"}), {}));
         for (std::size_t size = 0; size < routes.size(); ++size)
             CPPUNIT_ASSERT(!succeeded(decodeRouteTable(routes.substr(0, size), {})));
     }
+
+    /// What operators and runners choose may be longer than what is told; it ends no process.
+    void whatIsTooLongToTellIsAnAnswer()
+    {
+        const std::string longName(config::maxNameBytes + 1, 'n');
+        runner longZone = anEngine();
+        longZone.zone.text = longName;
+        runner longService = anEngine();
+        longService.service.text = longName;
+        for (const runner_change &change :
+             {runner_change{{longName}, std::nullopt}, runner_change{{"i-1"}, longZone},
+              runner_change{{"i-1"}, longService}})
+            CPPUNIT_ASSERT(errorOf(encode(change)).code == error_code::TooLarge);
+        for (const std::size_t count : {256U, 257U, 2000U}) {
+            const route_table many = tableOf(9, std::vector<std::string>(count, "a"));
+            CPPUNIT_ASSERT_EQUAL(count <= 256U, succeeded(encode(many, {})));
+        }
+        route_table longHost = tableOf(9, {"a"});
+        longHost.routes.front().host = longName;
+        CPPUNIT_ASSERT(errorOf(encode(longHost, {})).code == error_code::TooLarge);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(told_changes_test);
