Say in each line of a request what its attempts have in common

Engines ended one after the other under a request that came again and again, and no line told which attempts, each with an id of its own, were of the same request. Lines of a request name its digest now: method, host, path and body, the same at all instances. Ids, time limits and other headers don't count. No decision depends on it.

--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -4,7 +4,10 @@
 #include "poplarspool/base/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cinttypes>
+#include <cstdio>
 
 namespace poplarspool::gateway {
 
@@ -110,6 +113,23 @@
     return read;
 }
 
+std::uint64_t digestOf(const http_request &request, std::uint64_t seed)
+{
+    std::uint64_t digest = hashOf(request.method, seed);
+    for (const std::string_view part :
+         {headerOf(request.headers, "host"), std::string_view(request.path),
+          std::string_view(request.body)})
+        digest = hashOf(part, digest);
+    return digest;
+}
+
+std::string digestText(std::uint64_t digest)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
+    return text.data();
+}
+
 std::string runnerRequestText(const http_request &request, const endpoint &to, const dialect &names,
                               const send_extras &extras)
 {
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -35,6 +35,16 @@
 /// Values that can't be read count as absent: the runner, which knows them better, decides.
 envelope readEnvelope(const http_request &request, const dialect &names);
 
+/// @param seed The same on all instances; unknown to callers, who could else make requests that
+/// look
+///             like another's.
+/// @returns What all attempts of the same request have in common: its method, host, path and body.
+///          Ids, time limits and what else a caller sets anew for each attempt don't count.
+std::uint64_t digestOf(const http_request &request, std::uint64_t seed);
+
+/// @returns The digest as 16 hex digits.
+std::string digestText(std::uint64_t digest);
+
 /// What one send adds to a request.
 struct send_extras
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/connection_pool.h"
 #include "gateway/request_relay.h"
 #include "gateway/stage_keeper.h"
+#include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/peer/gossip.h"
 #include "poplarspool/peer/load_exchange.h"
@@ -54,8 +55,17 @@
           keeper(hub, choices.settleTime, clock, log), ledger(clock),
           retries({choices.retryShare, choices.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTime, registry),
-          metrics(registry), parts{names,   hub,    ledger, retries,      connections,
-                                   metrics, events, clock,  choices.zone, leavesAt},
+          metrics(registry), parts{names,
+                                   hub,
+                                   ledger,
+                                   retries,
+                                   connections,
+                                   metrics,
+                                   events,
+                                   clock,
+                                   choices.zone,
+                                   leavesAt,
+                                   hashOf(peerKeyOf(choices))},
           members(gossipSettingsOf(choices, clock), {}, clock, registry, log),
           loads(
                   {choices.instance, lifeOf(clock), choices.loadAddress, peerKeyOf(choices)},
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -56,8 +56,8 @@
 request_relay::request_relay(const relay_parts &parts, const http_request &request,
                              http_sink &caller)
     : parts(parts), request(request), caller(caller), read(readEnvelope(request, parts.names)),
-      arrivedAt(parts.clock.mono()), known(parts.hub.current()),
-      comeBackIn(config::refusedRetryAfter)
+      digest(digestOf(request, parts.digestSeed)), arrivedAt(parts.clock.mono()),
+      known(parts.hub.current()), comeBackIn(config::refusedRetryAfter)
 { }
 
 std::optional<http_reply> request_relay::run()
@@ -273,7 +273,7 @@
 
 void request_relay::log(std::string_view kind, std::vector<event_field> fields) const
 {
-    fields.insert(fields.begin(), {"request", read.id});
+    fields.insert(fields.begin(), {{"request", read.id}, {"digest", digestText(digest)}});
     const std::uint64_t version = known->table ? known->table->version : 0;
     fields.push_back({"routes_version", std::to_string(version)});
     parts.events.emit(kind, std::move(fields));
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -49,6 +49,8 @@
     const zone_id zone;
     /// When this instance will be gone; requests are cut down to it. Nanoseconds of clock.mono.
     const std::atomic<std::int64_t> &leavesAt;
+    /// Of requests' digests; the same on all instances of the fleet.
+    const std::uint64_t digestSeed = 0;
 };
 
 /// Passes one request on to a runner, and the answer back, by the rules of its route: where it may
@@ -125,6 +127,7 @@
     const http_request &request;
     http_sink &caller;
     const envelope read;
+    const std::uint64_t digest; ///< What all attempts of the same request have in common.
     const mono_time arrivedAt;
 
     std::shared_ptr<const catalogue> known;
--- a/tests/gateway/envelope_test.cpp
+++ b/tests/gateway/envelope_test.cpp
@@ -18,9 +18,28 @@
     CPPUNIT_TEST(callersCantSpeakInOurName);
     CPPUNIT_TEST(methodPathAndBodyStayAsTheyAre);
     CPPUNIT_TEST(eventsAreHandedOnWhole);
+    CPPUNIT_TEST(attemptsOfOneRequestShareADigest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void attemptsOfOneRequestShareADigest()
+    {
+        const auto digestWith = [](const std::string &path, const std::string &body,
+                                   const std::string &id) {
+            return digestOf(
+                    requestOf("POST", path, {{"Host", "h"}, {"Id", id}, {"Limit", id}}, body), 7);
+        };
+        const std::uint64_t one = digestWith("/p/1", "body", "1");
+        CPPUNIT_ASSERT_EQUAL(one, digestWith("/p/1", "body", "2"));
+        CPPUNIT_ASSERT(one != digestWith("/p/2", "body", "1"));
+        CPPUNIT_ASSERT(one != digestWith("/p/1", "other", "1"));
+        CPPUNIT_ASSERT(one != digestWith("/p/1b", "ody", "1"));
+        CPPUNIT_ASSERT(one != digestOf(requestOf("POST", "/p/1", {{"Host", "i"}}, "body"), 7));
+        CPPUNIT_ASSERT(one != digestOf(requestOf("PUT", "/p/1", {{"Host", "h"}}, "body"), 7));
+        CPPUNIT_ASSERT(one != digestOf(requestOf("POST", "/p/1", {{"Host", "h"}}, "body"), 8));
+        CPPUNIT_ASSERT_EQUAL(std::string("00000000000000ff"), digestText(255));
+    }
+
     void promptPartsAreKnownByAllBeforeThem()
     {
         const dialect names = testDialect();
