Send a request under which three runners have ended to no further runner

A request that ends each engine that begins it came again and again, with another id each time, at any instance: both engines that run requests were away for most of the time, and callers of the whole service got 503 and 502. Under one such request 12 and 13 lives ended.

Cause: what an instance learned at a runner's end it kept for the runner (its address, its outcomes) and not for the request; and nothing tied attempts together. Within an attempt the request went on at once at the next runner, and ended it, too.

Now the lives of runners that ended under a request count against it: a broken answer counts where the runner's host says that nobody listens there any more and its entry stood in service. Attempts are tied by their digest. Evidence is a set of lives, joined and never added up; a whole answer clears it; a life that ended under a request in quarantine speaks against no other, since innocent ones run beside the guilty one and are cut off with it. From two lives on an attempt goes on nowhere else; from three on the request is refused at once, 503, not run, with what is left of its quarantine as Retry-After (2 h, doubled with each life). Told by rumors, one for each end and instance; from two lives on the store keeps them, one object, for instances that start later, were cut off, or were all killed: they see by the others' heartbeats that they lack something, and read it. A calm instance reads once at its start, and writes nothing.

Ruled out: counting ends as a number (seen twice they count twice), telling all only through the store (a call for each request that is cut off beside a guilty one), refusing from two lives on (an innocent request that goes on elsewhere is at two ends itself).

--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/gateway_settings.h"
 #include "poplarspool/gateway/order_lease.h"
+#include "poplarspool/gateway/suspects.h"
 
 #include <memory>
 #include <string>
@@ -33,8 +34,9 @@
 public:
     /// @param names How callers and runners name things.
     /// @param leases Where the lease of whoever orders engines is kept.
-    gateway(gateway_settings choices, dialect names, lease_store leases, clock_source clock,
-            metrics_registry &metrics, journal &events);
+    /// @param suspects Where requests under which runners ended are kept.
+    gateway(gateway_settings choices, dialect names, lease_store leases, suspect_store suspects,
+            clock_source clock, metrics_registry &metrics, journal &events);
     ~gateway();
 
     /// Binds the callers' address and begins to talk to other instances.
@@ -44,6 +46,9 @@
     /// Instances that the store lists; asked until they answer.
     void setListed(const std::vector<listed_gateway> &listed);
 
+    /// The store has come back from an older copy.
+    void noteOlderCopy();
+
     /// @returns Whether callers may be sent here: routes and runners are known, and it stays.
     bool isReady() const;
     /// @returns Instances to give to a caller, this one among them unless it is leaving.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -188,6 +188,31 @@
 inline constexpr std::chrono::milliseconds storeReadTime = 1000ms;
 inline constexpr std::chrono::milliseconds storeWriteTime = 1500ms;
 inline constexpr std::size_t maxIdleStoreConnections = 2;
+/// Lives of runners that end under a request until it is sent no more, and for how long it isn't:
+/// each life beyond them doubles the time, so that it is tried three times in the first day.
+inline constexpr std::size_t quarantineLives = 3;
+inline constexpr std::chrono::milliseconds quarantineTimeFirst = 2h;
+/// Lives from which on a request under which runners ended goes on at no other runner.
+inline constexpr std::size_t retryLives = 2;
+/// Requests that are remembered because a runner ended under them, and lives of each.
+inline constexpr std::size_t maxSuspects = 1024;
+inline constexpr std::size_t maxSuspectLives = 8;
+/// Lives from which on the store keeps them, and how many requests it keeps.
+inline constexpr std::size_t storedLives = 2;
+inline constexpr std::size_t maxStoredSuspects = 256;
+/// Time in which a host says that nobody listens: some ten round trips.
+inline constexpr std::chrono::milliseconds endedCheckTime = 60ms;
+/// Between two looks at what others have in quarantine; for what is told together; and for which
+/// more of the same end joins its rumor.
+inline constexpr std::chrono::milliseconds suspectLookTime = 500ms;
+inline constexpr std::chrono::milliseconds suspectGatherTime = 50ms;
+inline constexpr std::chrono::milliseconds suspectReportTime = 2s;
+/// By how much a look that is late says that the process stood still.
+inline constexpr std::chrono::milliseconds suspectSuspended = 1s;
+/// Between two reads of the store for what others have and this instance hasn't.
+inline constexpr std::chrono::milliseconds suspectReadPauseFirst = 1s;
+inline constexpr std::chrono::milliseconds suspectReadPauseMost = 16s;
+
 /// Bounds of the time for which one watch waits (watchTimeFor()): each call is priced.
 inline constexpr std::chrono::milliseconds gatewayWatchTimeLeast = 500ms;
 inline constexpr std::chrono::milliseconds gatewayWatchTimeMost = 10s;
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -152,8 +152,13 @@
     return {done};
 }
 
-result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd)
+namespace {
+
+/// @param failure Becomes the system's word where the connection failed; else 0.
+result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd,
+                             int &failure)
 {
+    failure = 0;
     const socket_address address = addressOf(to);
     if (address.size == 0 || to.port == 0)
         return notRun(error_code::BadRequest, "not an IP number and port: " + textOf(to));
@@ -165,14 +170,14 @@
     const auto *raw = reinterpret_cast<const sockaddr *>(&address.bytes);
     if (connect(connection.get(), raw, address.size) == 0)
         return connection;
-    if (errno != EINPROGRESS)
+    failure = errno;
+    if (failure != EINPROGRESS)
         return connectFailure(to, "refused");
     const socket_fault fault = waitForSocket(connection.get(), POLLOUT, deadline, interruptFd);
     if (fault == socket_fault::Interrupted)
         return connectFailure(to, "stopped");
     if (fault != socket_fault::None)
         return connectFailure(to, "timed out");
-    int failure = 0;
     socklen_t size = sizeof failure;
     getsockopt(connection.get(), SOL_SOCKET, SO_ERROR, &failure, &size);
     if (failure != 0)
@@ -180,6 +185,21 @@
     return connection;
 }
 
+} // namespace
+
+result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd)
+{
+    int failure = 0;
+    return connectTo(to, deadline, interruptFd, failure);
+}
+
+bool isRefused(const endpoint &to, socket_deadline deadline)
+{
+    int failure = 0;
+    const auto connection = connectTo(to, deadline, -1, failure);
+    return !succeeded(connection) && failure == ECONNREFUSED;
+}
+
 bool isIdleAndOpen(int fd)
 {
     pollfd look{fd, POLLIN | POLLRDHUP, 0};
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -80,6 +80,8 @@
 
 /// Connects without delay of small segments.
 result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd);
+/// @returns Whether the host says that nobody listens there; false where it says nothing in time.
+bool isRefused(const endpoint &to, socket_deadline deadline);
 
 /// @returns Whether an idle connection can still be used: open and with nothing to read.
 bool isIdleAndOpen(int fd);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/gateway/gateway.h"
 
 #include "base/connection_pool.h"
+#include "base/socket.h"
 #include "gateway/request_relay.h"
 #include "gateway/stage_keeper.h"
 #include "poplarspool/base/hash.h"
@@ -49,24 +50,19 @@
 
 struct gateway::state
 {
-    state(gateway_settings given, dialect spoken, lease_store leases, clock_source time,
-          metrics_registry &registry, journal &log)
+    state(gateway_settings given, dialect spoken, lease_store leases, suspect_store kept,
+          clock_source time, metrics_registry &registry, journal &log)
         : choices(std::move(given)), names(std::move(spoken)), clock(std::move(time)), events(log),
           keeper(hub, choices.settleTime, clock, log), ledger(clock),
           retries({choices.retryShare, choices.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTime, registry),
-          metrics(registry), parts{names,
-                                   hub,
-                                   ledger,
-                                   retries,
-                                   connections,
-                                   metrics,
-                                   events,
-                                   clock,
-                                   choices.zone,
-                                   leavesAt,
-                                   hashOf(peerKeyOf(choices))},
-          members(gossipSettingsOf(choices, clock), {}, clock, registry, log),
+          metrics(registry),
+          suspects(suspectTools(), std::move(kept), choices.instance, clock, registry, log),
+          parts{names,  hub,   ledger,       retries,  connections, metrics,
+                events, clock, choices.zone, leavesAt, suspects,    hashOf(peerKeyOf(choices))},
+          members(gossipSettingsOf(choices, clock),
+                  {{}, [this](const peer::rumor &news) { suspects.take(news); }}, clock, registry,
+                  log),
           loads(
                   {choices.instance, lifeOf(clock), choices.loadAddress, peerKeyOf(choices)},
                   [this](peer::news_audience audience) { return ledger.collectNews(audience); },
@@ -87,6 +83,7 @@
     { }
 
     bool ownsStages() const;
+    suspect_tools suspectTools();
     std::optional<http_reply> relay(const http_request &request, http_sink &caller);
     void followTable();
 
@@ -101,6 +98,7 @@
     retry_budgets retries;
     connection_pool connections;
     relay_metrics metrics;
+    suspect_keeper suspects;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
@@ -119,6 +117,25 @@
     return owner != nullptr && owner->id == choices.instance && !isLeaving.load();
 }
 
+suspect_tools gateway::state::suspectTools()
+{
+    suspect_tools made;
+    made.isRefused = [](const endpoint &to) {
+        return isRefused(to, socket_clock::now() + config::endedCheckTime);
+    };
+    made.spread = [this](peer::rumor news) { members.spread(std::move(news)); };
+    made.setMark = [this](std::uint64_t mark) { members.setApplied(mark, clock.mono()); };
+    made.marks = [this] {
+        std::vector<std::uint64_t> marks;
+        for (const policy::member &one : members.members()) {
+            if (one.id != choices.instance)
+                marks.push_back(one.appliedVersion);
+        }
+        return marks;
+    };
+    return made;
+}
+
 std::optional<http_reply> gateway::state::relay(const http_request &request, http_sink &caller)
 {
     followTable();
@@ -135,10 +152,11 @@
     ledger.forgetAllBut(now->runners);
 }
 
-gateway::gateway(gateway_settings choices, dialect names, lease_store leases, clock_source clock,
-                 metrics_registry &metrics, journal &events)
+gateway::gateway(gateway_settings choices, dialect names, lease_store leases,
+                 suspect_store suspects, clock_source clock, metrics_registry &metrics,
+                 journal &events)
     : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(leases),
-                                    std::move(clock), metrics, events))
+                                    std::move(suspects), std::move(clock), metrics, events))
 { }
 
 gateway::~gateway() = default;
@@ -155,6 +173,7 @@
     if (!succeeded(listening))
         return errorOf(listening);
     inner->stages.start();
+    inner->suspects.start();
     return unit{};
 }
 
@@ -179,6 +198,11 @@
     inner->retries.setInstances(std::max(listed.size(), inner->members.members().size()));
 }
 
+void gateway::noteOlderCopy()
+{
+    inner->suspects.restore();
+}
+
 bool gateway::isReady() const
 {
     const auto now = inner->hub.current();
@@ -210,6 +234,7 @@
     inner->members.setLeaving();
     // Waited for only at the end: with a slow store it would hold up what callers are told.
     inner->stages.requestStop();
+    inner->suspects.requestStop();
     inner->callers.announceEnd();
     inner->events.emit("leaving", {{"time_ms", std::to_string(inner->leaveTime.count())}});
 }
@@ -223,6 +248,7 @@
     std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
     inner->callers.stop();
     inner->stages.stop();
+    inner->suspects.stop();
     inner->connections.stop();
     inner->loads.stop();
     inner->members.stop();
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -45,6 +45,7 @@
       failed(registry.counterOf("poplarspool_gateway_answers_total{end=\"failed\"}")),
       cut(registry.counterOf("poplarspool_gateway_answers_total{end=\"cut\"}")),
       callersGone(registry.counterOf("poplarspool_gateway_answers_total{end=\"caller_gone\"}")),
+      quarantined(registry.counterOf("poplarspool_gateway_quarantined_total")),
       retries(registry.counterOf("poplarspool_gateway_retries_total")),
       resumes(registry.counterOf("poplarspool_gateway_resumes_total")),
       foreignReplies(registry.counterOf("poplarspool_gateway_foreign_replies_total")),
@@ -83,7 +84,7 @@
     if (auto refused = pickRoute())
         return refused;
     parts.retries.onRequest(service);
-    while (timeLeft() >= config::leastSendTime) {
+    while (timeLeft() >= config::leastSendTime && !isQuarantined()) {
         if (isCallerGone())
             return leaveOff();
         auto place = findPlace(nullptr);
@@ -98,7 +99,7 @@
             // Reading took a while: the engine that was to serve may be leaving by now, and another
             // may have less to do.
             place = findPlace(reader.get());
-            if (isCallerGone() || !place) {
+            if (isCallerGone() || !place || isQuarantined()) {
                 freeHandle(*reader, *handle);
                 continue;
             }
@@ -202,10 +203,21 @@
     return std::nullopt;
 }
 
+/// Asked before each send: meanwhile, runners may have ended under other attempts.
+bool request_relay::isQuarantined()
+{
+    if (!kept)
+        kept = parts.suspects.quarantineOf(digest);
+    return kept.has_value();
+}
+
 bool request_relay::mayTryAgain(try_end end) const
 {
     if (arrivals >= config::maxArrivals || sends >= config::maxSends || runs >= chosen->maxRunners)
         return false;
+    // Its next attempt will tell; going on here at once, it took runner after runner with it.
+    if (end == try_end::Lost && parts.suspects.countLives(digest) >= config::retryLives)
+        return false;
     if (hasBegun)
         return chosen->isResumable;
     return end == try_end::NotRun || chosen->repeats == repeat_rule::Idempotent;
@@ -238,6 +250,12 @@
         parts.metrics.failed.add();
         return std::move(held);
     }
+    if (runs == 0 && kept) {
+        parts.metrics.quarantined.add();
+        lastFault = "quarantined";
+        return refusal(503, error_code::Unavailable, "runners have ended under this request",
+                       kept->left);
+    }
     if (runs == 0)
         return refusal(503, error_code::Overloaded, "no runner could take it", comeBackIn);
     parts.metrics.failed.add();
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -6,6 +6,7 @@
 #include "gateway/retry_budgets.h"
 #include "gateway/runner_call.h"
 #include "gateway/runner_ledger.h"
+#include "gateway/suspect_keeper.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 
@@ -24,6 +25,7 @@
     counter &failed; ///< Ended by a failure of ours that promises nothing.
     counter &cut; ///< The answer had begun and was broken off.
     counter &callersGone;
+    counter &quarantined; ///< Of the refused: runners have ended under the request.
     counter &retries;
     counter &resumes;
     counter &foreignReplies;
@@ -49,6 +51,7 @@
     const zone_id zone;
     /// When this instance will be gone; requests are cut down to it. Nanoseconds of clock.mono.
     const std::atomic<std::int64_t> &leavesAt;
+    suspect_keeper &suspects;
     /// Of requests' digests; the same on all instances of the fleet.
     const std::uint64_t digestSeed = 0;
 };
@@ -86,6 +89,7 @@
     // request_relay.cpp: what to do.
     std::optional<http_reply> serve();
     std::optional<http_reply> pickRoute();
+    bool isQuarantined();
     /// @param reader Who has read the prompt; null: nobody yet.
     std::optional<placement> findPlace(const runner *reader);
     bool mayTryAgain(try_end end) const;
@@ -117,6 +121,8 @@
     try_end passLarge(runner_call &call, const reply_head &head, std::string held, sending &now);
     bool beginReply(const reply_head &head);
     try_end endOfFault(runner_call &call, call_fault fault, sending &now);
+    void noteBroken(const runner &target);
+    try_end noteServed(sending &now, try_end end);
     void keepConnection(runner_call &call, const reply_head &head, const endpoint &to);
     send_extras extrasFor(const sending &now) const;
     socket_deadline deadlineIn(milliseconds time) const;
@@ -147,6 +153,7 @@
     std::optional<http_reply> held; ///< A runner's whole answer.
     bool hasBegun = false; ///< Bytes of an answer went to the caller.
     std::optional<std::uint64_t> lastEvent; ///< Passed on.
+    std::optional<quarantine> kept; ///< Set once it is sent no more.
     milliseconds comeBackIn; ///< Told with a refusal.
     std::string lastRunner;
     std::string lastFault;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -158,9 +158,29 @@
         return try_end::CallerGone;
     if (fault != call_fault::TimedOut)
         now.record.noteEnd(mayHaveRun ? send_end::Failed : send_end::Unreachable);
+    if (mayHaveRun && fault != call_fault::TimedOut)
+        noteBroken(*now.place.serving);
     return mayHaveRun ? try_end::Lost : try_end::NotRun;
 }
 
+/// A runner that was on its way out ends whatever it runs.
+void request_relay::noteBroken(const runner &target)
+{
+    const auto listed = parts.hub.current();
+    const auto found = listed->runners.find(target.id);
+    const bool isStaying = found != listed->runners.end() && !found->second->isDraining
+            && found->second->keptUntil == mono_time::max();
+    if (isStaying)
+        parts.suspects.noteBroken(digest, target);
+}
+
+request_relay::try_end request_relay::noteServed(sending &now, try_end end)
+{
+    now.record.noteEnd(send_end::Served);
+    parts.suspects.noteServed(digest);
+    return end;
+}
+
 request_relay::try_end request_relay::takeReply(runner_call &call, const reply_head &head,
                                                 sending &now)
 {
@@ -250,12 +270,11 @@
     if (!events.isAtBoundary())
         return endOfFault(call, call_fault::Malformed, now);
     ++runs;
-    now.record.noteEnd(send_end::Served);
     keepConnection(call, head, now.place.serving->address);
     if (!beginReply(head))
-        return try_end::CallerGone;
+        return noteServed(now, try_end::CallerGone);
     caller.end();
-    return try_end::Answered;
+    return noteServed(now, try_end::Answered);
 }
 
 /// Holds the answer until it is whole, so that a runner that breaks off can be replaced.
@@ -280,10 +299,11 @@
     reply.headers = passedReplyHeaders(head.headers);
     reply.body = std::move(body);
     held = std::move(reply);
-    const bool isFault = head.status >= 500;
-    now.record.noteEnd(isFault ? send_end::Failed : send_end::Served);
-    lastFault = isFault ? "runner_" + std::to_string(head.status) : "";
-    return isFault ? try_end::Failed : try_end::Held;
+    if (head.status < 500)
+        return noteServed(now, try_end::Held);
+    now.record.noteEnd(send_end::Failed);
+    lastFault = "runner_" + std::to_string(head.status);
+    return try_end::Failed;
 }
 
 request_relay::try_end request_relay::passLarge(runner_call &call, const reply_head &head,
@@ -305,10 +325,9 @@
             return endOfFault(call, piece.fault, now);
     }
     ++runs;
-    now.record.noteEnd(send_end::Served);
     keepConnection(call, head, now.place.serving->address);
     caller.end();
-    return try_end::Answered;
+    return noteServed(now, try_end::Answered);
 }
 
 void request_relay::keepConnection(runner_call &call, const reply_head &head, const endpoint &to)
--- /dev/null
+++ b/src/gateway/suspect_book.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "poplarspool/base/published.h"
+#include "poplarspool/gateway/suspects.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace poplarspool::gateway {
+
+/// A request that is sent to no runner.
+struct quarantine
+{
+    std::size_t lives = 0; ///< That ended under it.
+    milliseconds left{0}; ///< Until it may be tried again.
+
+    bool operator==(const quarantine &) const = default;
+};
+
+/// What an instance knows of requests under which runners end, and what follows from it.
+///
+/// Those that run beside the guilty one at a runner are cut off with it, and are seen at its end as
+/// well. A life that ended under a request in quarantine speaks against no other: of two that were
+/// at the same ends, the one that has more of them is taken first.
+class suspect_book
+{
+public:
+    /// @returns Whether it is news.
+    bool noteEnded(std::uint64_t digest, const ended_life &life);
+    /// @returns Whether ends that had counted count no more.
+    bool noteServed(std::uint64_t digest, std::int64_t nowMs);
+    /// @returns Whether anything in it is news.
+    bool join(const std::vector<suspect> &told);
+
+    // Of a request's path: without a lock.
+
+    /// @returns Nothing where it may be sent.
+    std::optional<quarantine> quarantineOf(std::uint64_t digest, std::int64_t nowMs) const;
+    /// @returns How many lives count against it.
+    std::size_t countLives(std::uint64_t digest) const;
+
+    bool hasEnded(std::uint64_t life) const;
+    /// @returns What the store has to keep: with it, a few ends more are enough after all instances
+    ///          were killed.
+    std::vector<suspect> lasting() const;
+    std::optional<suspect> find(std::uint64_t digest) const;
+    /// @returns A number that two instances share where they have the same requests in quarantine;
+    ///          0: none.
+    std::uint64_t markAt(std::int64_t nowMs) const;
+
+private:
+    struct judgement
+    {
+        std::size_t lives = 0;
+        std::int64_t untilMs = 0; ///< In quarantine until then; 0: it isn't.
+    };
+    using judgements = std::unordered_map<std::uint64_t, judgement>;
+
+    suspect &entryOf(std::uint64_t digest);
+    void makeRoom();
+    void judge();
+
+    mutable std::mutex guard;
+    std::map<std::uint64_t, suspect> known; ///< By digest.
+    published<judgements> judged{judgements{}};
+};
+
+} // namespace poplarspool::gateway
--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -96,8 +96,8 @@
         const std::string kind = path.substr(0, path.find_first_of("?/"));
         if (request.method != "GET")
             return take(kind, request);
-        if (path.find('/') != std::string::npos)
-            return jsonReply("{}", 404);
+        if (const std::size_t slash = path.find('/'); slash != std::string::npos)
+            return find(kind, path.substr(slash + 1));
         while (mustWait())
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         const std::size_t from = path.find("watch=");
@@ -112,10 +112,37 @@
         return reply(kind, since, true);
     }
 
+    http_reply find(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard lock(guard);
+        const auto found = content.kinds[kind].find(name);
+        if (found == content.kinds[kind].end() || found->second.isRemoved)
+            return marked(jsonReply("{}", 404));
+        return marked(jsonReply(textOf(name, found->second)));
+    }
+
+    static std::string textOf(const std::string &name, const copy::object &one)
+    {
+        return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(one.revision)
+                + R"(},"spec":)" + one.spec + "}";
+    }
+
+    /// A write that names a revision holds only for that one.
+    bool isConflict(const std::string &kind, const nlohmann::json &metadata)
+    {
+        const std::lock_guard lock(guard);
+        const auto &objects = content.kinds[kind];
+        const auto found = objects.find(metadata.at("name").get<std::string>());
+        return metadata.contains("revision")
+                && (found == objects.end() || found->second.revision != metadata.at("revision"));
+    }
+
     http_reply take(const std::string &kind, const http_request &request)
     {
         const auto body = nlohmann::json::parse(request.body);
         ++writes;
+        if (isConflict(kind, body.at("metadata")))
+            return marked(jsonReply("{}", 409));
         put(kind, body.at("metadata").at("name").get<std::string>(), body.at("spec").dump());
         const std::lock_guard lock(guard);
         http_reply written = marked(jsonReply("{}"));
@@ -150,8 +177,7 @@
         for (const auto &[name, one] : content.kinds[kind]) {
             if (one.revision <= since || (one.isRemoved && !isWatch))
                 continue;
-            const std::string text = R"({"metadata":{"name":")" + name + R"(","revision":)"
-                    + std::to_string(one.revision) + R"(},"spec":)" + one.spec + "}";
+            const std::string text = textOf(name, one);
             items += items.empty() ? "" : ",";
             items += isWatch ? std::string(R"({"removed":)") + (one.isRemoved ? "true" : "false")
                             + R"(,"object":)" + text + "}"
--- a/tests/gateway/request_relay_test.cpp
+++ b/tests/gateway/request_relay_test.cpp
@@ -1,10 +1,13 @@
 #include "gateway/request_relay.h"
 
+#include "gateway/envelope.h"
+
 #include "fixture.h"
 #include "poplarspool/gateway/limits.h"
 #include "scripted_runner.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 #include <sys/socket.h>
 
 namespace poplarspool::gateway {
@@ -62,8 +65,15 @@
     connection_pool connections{4, 500ms, registry};
     relay_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
-    const relay_parts parts{names,   hub,    ledger, retries, connections,
-                            metrics, events, clock,  {"z"},   leavesAt};
+    std::set<endpoint> ended; ///< Where nobody listens any more.
+    suspect_keeper suspects{{[this](const endpoint &at) { return ended.contains(at); }, {}, {}, {}},
+                            {},
+                            {"test"},
+                            clock,
+                            registry,
+                            events};
+    const relay_parts parts{names,  hub,   ledger, retries,  connections, metrics,
+                            events, clock, {"z"},  leavesAt, suspects,    7};
     caller_end caller;
 
     /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
@@ -102,6 +112,20 @@
         });
     }
 
+    /// Runners have ended under attempts of the same request.
+    void noteEnds(const std::string &path, int count)
+    {
+        const endpoint gone{"127.0.0.1", 9};
+        ended.insert(gone);
+        const http_request request = requestOf("GET", path, {{"Host", "h"}});
+        for (int i = 0; i < count; ++i) {
+            runner life;
+            life.id.text = "gone-" + std::to_string(i);
+            life.address = gone;
+            suspects.noteBroken(digestOf(request, parts.digestSeed), life);
+        }
+    }
+
     std::optional<http_reply> ask(const std::string &path, const std::string &limit = "5000")
     {
         const http_request request =
@@ -146,6 +170,9 @@
     CPPUNIT_TEST(nothingIsSentForACallerThatLeft);
     CPPUNIT_TEST(unknownRoutesAreDeniedOnlyWhenRoutesAreFresh);
     CPPUNIT_TEST(withoutConfigurationNothingIsDenied);
+    CPPUNIT_TEST(aRequestThatEndsRunnersIsRefusedAtOnce);
+    CPPUNIT_TEST(afterTwoEndsAnAttemptGoesNowhereElse);
+    CPPUNIT_TEST(endsOfLeavingRunnersCountNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -340,6 +367,56 @@
         CPPUNIT_ASSERT_EQUAL(503, reply->status);
         CPPUNIT_ASSERT(!headerOf(reply->headers, "Retry-After").empty());
     }
+
+    /// Its caller is told at once, truly, and when to come back; others are served.
+    void aRequestThatEndsRunnersIsRefusedAtOnce()
+    {
+        scripted_runner runner({{sealed("200 OK", "a")}});
+        world test({&runner});
+        test.noteEnds("/again/1", 3);
+        const auto reply = test.ask("/again/1");
+        CPPUNIT_ASSERT_EQUAL(503, reply->status);
+        CPPUNIT_ASSERT(reply->body.find("not_run") != std::string::npos);
+        CPPUNIT_ASSERT(std::stod(std::string(headerOf(reply->headers, "Retry-After"))) > 60);
+        CPPUNIT_ASSERT(runner.requests().empty());
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/2")->status);
+    }
+
+    /// A request went on at once from one runner that it had ended to the next.
+    void afterTwoEndsAnAttemptGoesNowhereElse()
+    {
+        const std::vector<script> resets(2, {"", script_end::Reset});
+        scripted_runner first(resets);
+        scripted_runner second(resets);
+        world test({&first, &second});
+        test.ended = {first.address(), second.address()};
+        const auto reached = [&] { return first.requests().size() + second.requests().size(); };
+        CPPUNIT_ASSERT_EQUAL(502, test.ask("/again/2")->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reached());
+        test.noteEnds("/again/1", 1);
+        CPPUNIT_ASSERT_EQUAL(502, test.ask("/again/1")->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, reached());
+    }
+
+    void endsOfLeavingRunnersCountNothing()
+    {
+        std::function<void()> beginsToLeave;
+        scripted_runner leaving({{"", script_end::Reset}}, [&] { beginsToLeave(); });
+        world test({&leaving});
+        test.ended = {leaving.address()};
+        beginsToLeave = [&test] {
+            test.hub.update([](catalogue &next) {
+                runner changed = *next.runners.begin()->second;
+                changed.isDraining = true;
+                next.runners.begin()->second = std::make_shared<const runner>(changed);
+                return true;
+            });
+        };
+        CPPUNIT_ASSERT_EQUAL(502, test.ask("/again/1")->status);
+        const http_request request = requestOf("GET", "/again/1", {{"Host", "h"}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             test.suspects.countLives(digestOf(request, test.parts.digestSeed)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_relay_test);
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -3,6 +3,7 @@
 #include "base/http_fixture.h"
 
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -26,8 +27,10 @@
 class scripted_runner
 {
 public:
-    explicit scripted_runner(std::vector<script> scripts)
-        : scripts(std::move(scripts)), listener(::socket(AF_INET, SOCK_STREAM, 0))
+    /// @param onRequest Called when a request has arrived, before it is answered.
+    explicit scripted_runner(std::vector<script> scripts, std::function<void()> onRequest = {})
+        : scripts(std::move(scripts)), onRequest(std::move(onRequest)),
+          listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -68,6 +71,8 @@
                 const std::lock_guard lock(guard);
                 asked.push_back(std::move(request));
             }
+            if (onRequest)
+                onRequest();
             sendAll(connection.get(), each.bytes, poplarspool::test::safetyEnd(), -1);
             if (each.end == script_end::Reset)
                 abortOnClose(connection.get());
@@ -79,6 +84,7 @@
     }
 
     const std::vector<script> scripts;
+    const std::function<void()> onRequest;
     descriptor listener;
     endpoint at;
     mutable std::mutex guard;
--- /dev/null
+++ b/tests/gateway/suspect_book_test.cpp
@@ -0,0 +1,183 @@
+#include "gateway/suspect_book.h"
+
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+constexpr std::int64_t start = 1'000'000;
+
+ended_life lifeOf(std::uint64_t life, std::int64_t at = start)
+{
+    return {life, at};
+}
+
+suspect suspectOf(std::uint64_t digest, const std::vector<std::uint64_t> &lives)
+{
+    suspect made{digest, {}, 0};
+    for (const std::uint64_t life : lives)
+        made = joined(made, {digest, {lifeOf(life)}, 0});
+    return made;
+}
+
+bool isKept(const suspect_book &book, std::uint64_t digest, std::int64_t now = start)
+{
+    return book.quarantineOf(digest, now).has_value();
+}
+
+} // namespace
+
+class suspect_book_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(suspect_book_test);
+    CPPUNIT_TEST(endsAreCountedAsASet);
+    CPPUNIT_TEST(newsMayComeInAnyOrder);
+    CPPUNIT_TEST(threeLivesKeepARequestFromRunners);
+    CPPUNIT_TEST(aWholeAnswerSpeaksForARequest);
+    CPPUNIT_TEST(anEndUnderTheGuiltyOneSpeaksAgainstNoOther);
+    CPPUNIT_TEST(ofTwoAtTheSameEndsTheNextEndTells);
+    CPPUNIT_TEST(quarantineEndsAndGrows);
+    CPPUNIT_TEST(aRestartUnderTheSameIdIsAnotherLife);
+    CPPUNIT_TEST(memoryIsBounded);
+    CPPUNIT_TEST(onlyQuarantineIsMarked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void endsAreCountedAsASet()
+    {
+        suspect_book book;
+        CPPUNIT_ASSERT(book.noteEnded(7, lifeOf(1)));
+        CPPUNIT_ASSERT(!book.noteEnded(7, lifeOf(1)));
+        CPPUNIT_ASSERT(!book.join({suspectOf(7, {1})}));
+        book.join({suspectOf(7, {1, 2})});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, book.countLives(7));
+        CPPUNIT_ASSERT(!isKept(book, 7));
+    }
+
+    void newsMayComeInAnyOrder()
+    {
+        std::mt19937_64 random(11);
+        for (int round = 0; round < 200; ++round) {
+            std::vector<suspect> news;
+            news.reserve(12);
+            for (int i = 0; i < 12; ++i)
+                news.push_back({random() % 3,
+                                {lifeOf(random() % 6, start + static_cast<int>(random() % 9))},
+                                random() % 4 == 0 ? start + 2 : 0});
+            suspect_book one;
+            for (const suspect &each : news)
+                one.join({each});
+            suspect_book other;
+            std::shuffle(news.begin(), news.end(), random);
+            other.join(news);
+            other.join({news.front()});
+            for (std::uint64_t digest = 0; digest < 3; ++digest) {
+                CPPUNIT_ASSERT(one.find(digest) == other.find(digest));
+                CPPUNIT_ASSERT(one.quarantineOf(digest, start)
+                               == other.quarantineOf(digest, start));
+            }
+        }
+    }
+
+    void threeLivesKeepARequestFromRunners()
+    {
+        suspect_book book;
+        book.join({suspectOf(7, {1, 2})});
+        CPPUNIT_ASSERT(!isKept(book, 7));
+        book.noteEnded(7, lifeOf(3));
+        CPPUNIT_ASSERT(isKept(book, 7));
+        CPPUNIT_ASSERT(!isKept(book, 8));
+        CPPUNIT_ASSERT(book.hasEnded(3) && !book.hasEnded(4));
+    }
+
+    void aWholeAnswerSpeaksForARequest()
+    {
+        suspect_book book;
+        CPPUNIT_ASSERT(!book.noteServed(7, start));
+        book.join({suspectOf(7, {1, 2, 3})});
+        CPPUNIT_ASSERT(book.noteServed(7, start + 1));
+        CPPUNIT_ASSERT(!isKept(book, 7));
+        book.join({suspectOf(7, {1, 2, 3})});
+        CPPUNIT_ASSERT(!isKept(book, 7));
+        book.noteEnded(7, lifeOf(4, start + 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.countLives(7));
+    }
+
+    /// Requests beside the guilty one were at each of its ends, and would have been refused with
+    /// it.
+    void anEndUnderTheGuiltyOneSpeaksAgainstNoOther()
+    {
+        suspect_book book;
+        book.join({suspectOf(7, {1, 2, 3, 4}), suspectOf(8, {2, 3, 4}), suspectOf(9, {3, 5})});
+        CPPUNIT_ASSERT(isKept(book, 7));
+        CPPUNIT_ASSERT(!isKept(book, 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, book.countLives(8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.countLives(9));
+    }
+
+    void ofTwoAtTheSameEndsTheNextEndTells()
+    {
+        suspect_book book;
+        book.join({suspectOf(7, {1, 2, 3}), suspectOf(8, {1, 2, 3})});
+        CPPUNIT_ASSERT(isKept(book, 7) != isKept(book, 8));
+        book.noteEnded(8, lifeOf(4));
+        CPPUNIT_ASSERT(!isKept(book, 7));
+        CPPUNIT_ASSERT(isKept(book, 8));
+    }
+
+    void quarantineEndsAndGrows()
+    {
+        suspect_book book;
+        book.join({suspectOf(7, {1, 2, 3})});
+        const std::int64_t end = start + config::quarantineTimeFirst.count();
+        CPPUNIT_ASSERT(isKept(book, 7, end - 1));
+        CPPUNIT_ASSERT(!isKept(book, 7, end));
+        book.noteEnded(7, lifeOf(4, end));
+        CPPUNIT_ASSERT(isKept(book, 7, end + 2 * config::quarantineTimeFirst.count() - 1));
+        for (std::uint64_t life = 5; life < 40; ++life)
+            book.noteEnded(7, lifeOf(life, end));
+        CPPUNIT_ASSERT(book.quarantineOf(7, end)->left <= 64 * config::quarantineTimeFirst);
+    }
+
+    void aRestartUnderTheSameIdIsAnotherLife()
+    {
+        runner first;
+        first.id.text = "i-1";
+        first.bornMs = 5;
+        runner second = first;
+        second.bornMs = 6;
+        CPPUNIT_ASSERT(lifeKeyOf(first) != lifeKeyOf(second));
+    }
+
+    void memoryIsBounded()
+    {
+        suspect_book book;
+        book.join({suspectOf(1, {1, 2, 3})});
+        for (std::uint64_t digest = 2; digest < 2 * config::maxSuspects; ++digest)
+            book.noteEnded(digest, lifeOf(9, start + static_cast<std::int64_t>(digest)));
+        CPPUNIT_ASSERT(isKept(book, 1));
+        CPPUNIT_ASSERT(!book.find(2));
+        CPPUNIT_ASSERT(book.find(2 * config::maxSuspects - 1).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.lasting().size());
+    }
+
+    void onlyQuarantineIsMarked()
+    {
+        suspect_book book;
+        book.join({suspectOf(7, {1, 2})});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, book.markAt(start));
+        book.noteEnded(7, lifeOf(3));
+        CPPUNIT_ASSERT(book.markAt(start) != 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             book.markAt(start + config::quarantineTimeFirst.count()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(suspect_book_test);
+
+} // namespace poplarspool::gateway
