--- a/tests/gateway/suspect_book_test.cpp
+++ b/tests/gateway/suspect_book_test.cpp
@@ -188,7 +188,8 @@
         int tries = 0;
         for (std::int64_t now = start; now < start + milliseconds(24h).count(); now += 60'000) {
             if (!isKept(book, 7, now))
-                book.noteEnded(7, lifeOf(static_cast<std::uint64_t>(10 + tries++), now));
+                book.noteEnded(
+                        7, lifeOf(std::uint64_t{10} + static_cast<std::uint64_t>(tries++), now));
         }
         CPPUNIT_ASSERT_EQUAL(3, tries);
     }
