Follow a kind of short bound by each instance itself

Callers of all instances that heard another one lose the store would have been cut off: with store.routes_ms or store.runners_ms below 1,900 ms these ended by an uncaught exception, in the second in which the store was lost.

Cause: with such a bound there is no time for news to come by way of another instance, so that the watch was given no sources, as three empty functions. The relay told and took news of the kind all the same, and the word of a loss elsewhere asked the empty function how long others cover this instance.

The watch of turned_away_test says that it is shared, as it was taken to be by its function being set.

--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -1,8 +1,10 @@
+#include "adapter/following_instance.h"
 #include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
 #include <mutex>
@@ -61,6 +63,17 @@
     std::vector<std::uint64_t> revisions;
 };
 
+kind_handlers quietHandlers(std::atomic<int> &failures)
+{
+    kind_handlers made;
+    made.onList = [](const std::vector<store_object> &, store_version) {};
+    made.onChanges = [](const std::vector<store_change> &, store_span) {};
+    made.onAnswer = [](const store_answer &) {};
+    made.onFailure = [&failures](mono_time) { ++failures; };
+    made.onOlderCopy = [](mono_time) {};
+    return made;
+}
+
 std::vector<std::string> keysOf(const event &entry)
 {
     std::vector<std::string> keys;
@@ -80,6 +93,7 @@
     CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
     CPPUNIT_TEST(lossAndReturnOfTheStoreAreLogged);
     CPPUNIT_TEST(watchesWaitForAsLongAsNewsMayBeLate);
+    CPPUNIT_TEST(aLossElsewhereIsNotedWithoutSources);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST(anObjectThatStandsAlreadyIsNotWritten);
     CPPUNIT_TEST(conditionalWritesNameTheirRevision);
@@ -186,6 +200,23 @@
         CPPUNIT_ASSERT(watchTimeFor({1min, 1min}) == config::gatewayWatchTimeMost);
     }
 
+    /// An instance that follows a kind by itself hears of another one that lost the store.
+    void aLossElsewhereIsNotedWithoutSources()
+    {
+        watch_run test({jsonReply(R"({"items":[],"currentRev":5})")});
+        std::atomic<int> failures{0};
+        kind_watch watch("k", longBounds, test.client, quietHandlers(failures), {}, systemClock(),
+                         test.events);
+        watch.start();
+        CPPUNIT_ASSERT(test::waitUntil([&] { return watch.state().isListed; }));
+        watch.takeRelayed({5, {0, 6}}, systemClock().mono(), [] { return true; });
+        const int before = failures;
+        watch.noteLossElsewhere();
+        CPPUNIT_ASSERT(failures > before);
+        test.client.stop();
+        watch.stop();
+    }
+
     void objectsAreReplacedOrCreated()
     {
         scripted_store store({jsonReply("{}", 409), jsonReply("{}")});
--- a/tests/adapter/pair_of_instances.h
+++ b/tests/adapter/pair_of_instances.h
@@ -31,11 +31,17 @@
 /// passed over.
 struct pair_of_instances
 {
-    explicit pair_of_instances(const small_store &store)
+    using choice = std::function<void(gateway::gateway_settings &)>;
+
+    /// @param choose Changes the settings of both.
+    explicit pair_of_instances(
+            const small_store &store, const choice &choose = [](gateway::gateway_settings &) {})
     {
         for (std::uint16_t port = 21400; port < 23000 && !isStarted; port += 4) {
-            one = std::make_unique<following_instance>(settingsFor(store, "edge-1", port));
-            two = std::make_unique<following_instance>(settingsFor(store, "edge-2", port + 2));
+            one = std::make_unique<following_instance>(
+                    chosen(settingsFor(store, "edge-1", port), choose));
+            two = std::make_unique<following_instance>(
+                    chosen(settingsFor(store, "edge-2", port + 2), choose));
             isStarted = succeeded(one->follower.start()) && succeeded(two->follower.start());
         }
         CPPUNIT_ASSERT(isStarted);
@@ -43,6 +49,12 @@
         two->follower.setListed({one->entry(), two->entry()});
     }
 
+    static gateway::gateway_settings chosen(gateway::gateway_settings made, const choice &choose)
+    {
+        choose(made);
+        return made;
+    }
+
     std::size_t followedByOthers() const
     {
         return one->events.events({"store_followed_by_others", {}, {}}).size()
--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -46,6 +46,9 @@
 
     endpoint at() const { return address; }
 
+    /// Refuses all calls from now on.
+    void end() { server.stop(); }
+
     void put(const std::string &kind, const std::string &name, const std::string &spec)
     {
         const std::lock_guard lock(guard);
--- a/tests/adapter/turned_away_test.cpp
+++ b/tests/adapter/turned_away_test.cpp
@@ -121,6 +121,7 @@
     news_sources sources(const jumping_clock &clock) const
     {
         news_sources made;
+        made.isShared = true;
         made.coveredUntil = [this, &clock](const kind_state &) {
             return isCovered ? std::optional(clock.now() + 1h) : std::nullopt;
         };
