Bound how deep JSON of the store and of runners may be nested

All instances ended by SIGSEGV as soon as anybody left one object with some 100,000 arrays in each other in a kind that they list, again after each start: 200 KB, where a value may have 1 MiB. The same for a change that is watched, and for the answer to a write that finds such an object.

Cause: the parser needs no stack for nested values, but what copied the content and the metadata of an entry out of a page copies by recursion.

--- /dev/null
+++ b/tests/base/bounded_json_test.cpp
@@ -0,0 +1,74 @@
+#include "poplarspool/base/bounded_json.h"
+
+#include "poplarspool/config.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+
+namespace poplarspool {
+
+namespace {
+
+using nlohmann::json;
+
+std::string nested(std::size_t levels, const std::string &inner = "")
+{
+    return std::string(levels, '[') + inner + std::string(levels, ']');
+}
+
+} // namespace
+
+class bounded_json_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(bounded_json_test);
+    CPPUNIT_TEST(readsUpToTheDepth);
+    CPPUNIT_TEST(readsBracketsInStrings);
+    CPPUNIT_TEST(keepsAllElse);
+    CPPUNIT_TEST(refusesWhatIsNoJson);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsUpToTheDepth()
+    {
+        const std::string most = nested(config::maxJsonDepth);
+        CPPUNIT_ASSERT_EQUAL(most, parseJson(most).dump());
+        CPPUNIT_ASSERT_EQUAL(most, parseJsonOrThrow(most).dump());
+        CPPUNIT_ASSERT_EQUAL(most, parseJsonCut(most).dump());
+        const std::string more = nested(config::maxJsonDepth + 1);
+        CPPUNIT_ASSERT(parseJson(more).is_discarded());
+        CPPUNIT_ASSERT_THROW(parseJsonOrThrow(more), json::exception);
+        CPPUNIT_ASSERT_EQUAL(nested(config::maxJsonDepth, "null"), parseJsonCut(more).dump());
+    }
+
+    void readsBracketsInStrings()
+    {
+        const std::string text = json(R"(\"[{)" + std::string(1000, '[') + '\\').dump();
+        CPPUNIT_ASSERT_EQUAL(text, parseJson(text).dump());
+        const std::string behind = "[" + text + "," + nested(config::maxJsonDepth) + "]";
+        CPPUNIT_ASSERT(parseJson(behind).is_discarded());
+    }
+
+    void keepsAllElse()
+    {
+        const std::string deep = nested(config::maxJsonDepth - 1, R"({"]":"}"},7,{"a":[[1],2]})");
+        const std::string text = R"([{"b":1},)" + deep + R"(,{"c":"]"}])";
+        const json kept = parseJsonCut(text);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, kept.size());
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"b":1})"), kept[0].dump());
+        CPPUNIT_ASSERT_EQUAL(nested(config::maxJsonDepth - 1, "null,7,null"), kept[1].dump());
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"c":"]"})"), kept[2].dump());
+    }
+
+    void refusesWhatIsNoJson()
+    {
+        for (const char *text : {"", "]", "[", "{]", "[1", "\"", "[}]"}) {
+            CPPUNIT_ASSERT(parseJson(text).is_discarded());
+            CPPUNIT_ASSERT(parseJsonCut(text).is_discarded());
+            CPPUNIT_ASSERT_THROW(parseJsonOrThrow(text), json::exception);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(bounded_json_test);
+
+} // namespace poplarspool
