Bound how deep JSON of callers, engines and operators may be nested

An instance ended by SIGSEGV, with all that it served, when a caller sent a completion whose max_tokens or stream held some 100,000 arrays in each other, well within the bytes that a body may have.

Cause: these two members are copied out of the parsed body, by recursion, on a connection's stack of 512 KiB.

Now a body beyond config::maxJsonDepth gets 400, verdict not_run. All other places that parse text of others (engines' lines, the platform's answers, claims, orders, rumors of load and demand, the operators' calls and heads) use the same bounded parser, and take what is too deep for unreadable, as they take other faults. Some of them read in place only and were not shown to fail.

Evidence, on the code before: refusesNestedMembers "ended by signal 11"; it passes after, as do the tests of caller, runner, platform, operators and node.

--- a/src/caller/completion_json.cpp
+++ b/src/caller/completion_json.cpp
@@ -1,4 +1,5 @@
 #include "caller/completion_json.h"
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/base/error_reply.h"
 
 #include "caller/json_text.h"
@@ -139,6 +140,8 @@
 /// engine.
 result<json> parseObject(std::string_view text)
 {
+    if (isNestedTooDeep(text))
+        return notRun(error_code::BadRequest, "the body is nested too deep");
     std::set<std::string> names;
     std::optional<std::string> twice;
     const auto look = [&](int depth, json::parse_event_t event, json &parsed) {
--- a/src/node/claim_segment.cpp
+++ b/src/node/claim_segment.cpp
@@ -1,5 +1,7 @@
 #include "node/claim_segment.h"
 
+#include "poplarspool/base/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -89,7 +91,7 @@
 
 result<claim_segment> parseClaimSegment(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parseJson(text);
     if (!body.is_object() || body.value("format", json()) != formatVersion)
         return unreadable("not an object of format " + std::to_string(formatVersion));
     const auto owners = parseOwners(body.value("owners", json()));
--- a/src/node/demand.cpp
+++ b/src/node/demand.cpp
@@ -1,5 +1,6 @@
 #include "node/demand.h"
 
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/config.h"
 
 #include <nlohmann/json.hpp>
@@ -25,7 +26,7 @@
 {
     const std::string rest = news.key.substr(demandRumorPrefix.size());
     const std::size_t slash = rest.find('/');
-    const json parsed = json::parse(news.payload, nullptr, false);
+    const json parsed = parseJson(news.payload);
     if (slash == std::string::npos || !parsed.is_array() || parsed.size() != 2
         || !parsed[0].is_number() || !parsed[1].is_number())
         return;
--- a/src/node/load_watch.cpp
+++ b/src/node/load_watch.cpp
@@ -1,5 +1,6 @@
 #include "node/load_watch.h"
 
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/config.h"
 #include "poplarspool/policy/role_owner.h"
 
@@ -44,7 +45,7 @@
 
 result<heard_load> parseHeardLoad(std::string_view text)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = parseJson(text);
     try {
         heard_load load;
         load.isUp = parsed.at(0).get<bool>();
--- a/src/node/order_record.cpp
+++ b/src/node/order_record.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/node/orders.h"
 
+#include "poplarspool/base/bounded_json.h"
+
 #include <optional>
 
 #include <nlohmann/json.hpp>
@@ -84,7 +86,7 @@
 result<order_record> parseOrderRecord(std::string_view text)
 {
     try {
-        auto record = recordOf(json::parse(text));
+        auto record = recordOf(parseJsonOrThrow(text));
         if (record)
             return std::move(*record);
     } catch (const json::exception &fault) {
--- a/src/node/request_once.cpp
+++ b/src/node/request_once.cpp
@@ -2,6 +2,8 @@
 // for duplicates.
 
 #include "node/request_path.h"
+
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/caller/caller_server.h"
 
@@ -41,7 +43,7 @@
 
 void replay(const http_reply &kept, caller::completion_sink &sink)
 {
-    const json body = json::parse(kept.body, nullptr, false);
+    const json body = parseJson(kept.body);
     if (body.is_discarded())
         return sink.fail(mayHaveRun(error_code::Duplicate, "the kept answer can't be read"));
     if (!sink.token(body.at("text").get<std::string>()))
--- a/src/operators/config_head.cpp
+++ b/src/operators/config_head.cpp
@@ -1,4 +1,6 @@
 #include "poplarspool/config.h"
+
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/operators/config_store.h"
 
 #include <nlohmann/json.hpp>
@@ -42,7 +44,7 @@
 result<config_head> parseConfigHead(std::string_view text)
 {
     try {
-        const json value = json::parse(text);
+        const json value = parseJsonOrThrow(text);
         config_head head{value.at("inventory_sha").get<std::string>(),
                          value.at("rules_sha").get<std::string>(),
                          value.at("nonce").get<std::string>(),
--- a/src/operators/fleet_status.cpp
+++ b/src/operators/fleet_status.cpp
@@ -1,4 +1,6 @@
 #include "operators/wire_json.h"
+
+#include "poplarspool/base/bounded_json.h"
 #include "poplarspool/operators/operator_server.h"
 
 #include <algorithm>
@@ -198,7 +200,7 @@
 result<fleet_status> parseFleetStatus(std::string_view text)
 {
     try {
-        const json value = json::parse(text);
+        const json value = parseJsonOrThrow(text);
         fleet_status status;
         status.answeredBy.text = value.at("answered_by").get<std::string>();
         status.acceptedVersion = value.at("accepted_version").get<std::uint64_t>();
--- a/src/operators/wire_json.cpp
+++ b/src/operators/wire_json.cpp
@@ -1,5 +1,7 @@
 #include "operators/wire_json.h"
 
+#include "poplarspool/base/bounded_json.h"
+
 namespace poplarspool::operators {
 
 using nlohmann::json;
@@ -12,7 +14,7 @@
 result<T> parseWith(std::string_view text, error_code code, Read read)
 {
     try {
-        return read(json::parse(text));
+        return read(parseJsonOrThrow(text));
     } catch (const json::exception &failure) {
         return notRun(code, failure.what());
     }
@@ -129,7 +131,7 @@
                      isNotRun ? verdict::NotRun : verdict::MayHaveRun};
     };
     try {
-        return read(json::parse(reply.body));
+        return read(parseJsonOrThrow(reply.body));
     } catch (const json::exception &) {
         return mayHaveRun(error_code::Broken,
                           "answered " + std::to_string(reply.status) + " without a reason");
--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -1,5 +1,7 @@
 #include "platform/json_call.h"
 
+#include "poplarspool/base/bounded_json.h"
+
 #include <charconv>
 #include <optional>
 
@@ -92,7 +94,7 @@
     }
     if (valueOf(reply).status != 200)
         return errorOfStatus(request, valueOf(reply), effect);
-    auto parsed = nlohmann::json::parse(valueOf(reply).body, nullptr, false);
+    auto parsed = parseJson(valueOf(reply).body);
     if (!parsed.is_object())
         return brokenReply(request, effect);
     return parsed;
--- a/src/runner/engine_json.cpp
+++ b/src/runner/engine_json.cpp
@@ -1,5 +1,7 @@
 #include "runner/engine_json.h"
 
+#include "poplarspool/base/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -16,7 +18,7 @@
 /// @returns An object, or nothing where the text is not one.
 std::optional<json> parseObject(std::string_view text)
 {
-    json value = json::parse(text, nullptr, false);
+    json value = parseJson(text);
     if (!value.is_object())
         return std::nullopt;
     return value;
--- a/tests/caller/completion_json_test.cpp
+++ b/tests/caller/completion_json_test.cpp
@@ -1,6 +1,7 @@
 #include "caller/completion_json.h"
 
 #include "caller/json_text.h"
+#include "own_process.h"
 #include "poplarspool/config.h"
 #include "recorded_sink.h"
 
@@ -16,6 +17,7 @@
     CPPUNIT_TEST(readsOwnMembersAndDefaults);
     CPPUNIT_TEST(takesUsualMembersThatChangeNothing);
     CPPUNIT_TEST(namesTheFaultyMember);
+    CPPUNIT_TEST(refusesNestedMembers);
     CPPUNIT_TEST(givesTheWholeAnswer);
     CPPUNIT_TEST(endsAnAnswerThatIsTooLong);
     CPPUNIT_TEST(escapesAsTheLibraryDoes);
@@ -42,6 +44,18 @@
         CPPUNIT_ASSERT(succeeded(body));
     }
 
+    /// A caller's body ended the process.
+    void refusesNestedMembers()
+    {
+        test::expectEndsWell([] {
+            constexpr std::size_t levels = 400'000;
+            const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+            const auto body =
+                    parseCompletion(R"({"model":"m","prompt":"p","max_tokens":)" + nested + "}");
+            return !succeeded(body) && errorOf(body).code == error_code::BadRequest;
+        });
+    }
+
     void namesTheFaultyMember()
     {
         const std::vector<std::pair<std::string, std::string>> cases{
