Let what reads a request end its connection only

Cause: the size of the chunk and its line end were added, which wraps to 1, so that a comparison began beyond the buffer's end. What is thrown there, or while a bad request is refused, met no handler on the connection's thread.

Evidence, on the code before: theLargestChunkIsWaitedFor "ended by signal 6" (std::out_of_range), whatThrowsEndsItsConnectionOnly "ended by signal 6" (std::bad_alloc, by an allocator that gives no large piece).

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -60,6 +60,7 @@
     void accept(int fd);
     void refuse(const std::shared_ptr<descriptor> &connection);
     void serve(descriptor &connection);
+    void serveRequests(descriptor &connection);
     bool answer(int fd, const arrived_request &arrived, milliseconds writeTime, bool closes);
     void rejectBad(descriptor &connection, milliseconds writeTime, const bad_request &bad);
 
@@ -70,7 +71,7 @@
     counter &refused;
     counter &timeouts;
     counter &badRequests;
-    counter &faults; ///< Exceptions out of the handler.
+    counter &faults; ///< Exceptions out of the handler, or out of what reads and refuses.
     std::atomic<std::uint32_t> open{0};
     std::atomic<bool> isEnding{false};
     raised_flag stopping;
@@ -110,7 +111,17 @@
     });
 }
 
+/// Whatever a caller brings about ends its own connection only.
 void http_server::state::serve(descriptor &connection)
+{
+    try {
+        serveRequests(connection);
+    } catch (...) {
+        faults.add();
+    }
+}
+
+void http_server::state::serveRequests(descriptor &connection)
 {
     const auto bounds = limits.load();
     request_reader reader(connection.get(), *bounds, stopping.descriptorNumber());
--- /dev/null
+++ b/tests/base/request_reader_test.cpp
@@ -0,0 +1,94 @@
+#include "base/http_fixture.h"
+#include "base/scarce_memory.h"
+#include "own_process.h"
+
+#include <limits>
+
+namespace poplarspool {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+using test::expectEndsWell;
+using test::raw_caller;
+using test::scarce_memory;
+
+/// A server that answers each request with "served".
+struct serving_run
+{
+    explicit serving_run(std::size_t bodyBytes)
+        : server("test", {"127.0.0.1", 0}, limitsOf(bodyBytes), serve, metrics),
+          at(valueOf(server.start()))
+    { }
+
+    static http_limits limitsOf(std::size_t bodyBytes)
+    {
+        http_limits limits = defaultHttpLimits();
+        limits.bodyBytes = bodyBytes;
+        return limits;
+    }
+
+    static std::optional<http_reply> serve(const http_request & /*request*/, http_sink & /*sink*/)
+    {
+        return http_reply{200, {}, "served", "text/plain"};
+    }
+
+    /// @returns The whole answer to a caller that sends no more.
+    std::string answerTo(const std::string &bytes) const
+    {
+        raw_caller caller(at);
+        caller.send(bytes);
+        caller.endSending();
+        return caller.readToEnd();
+    }
+
+    bool serves() const { return answerTo("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"); }
+
+    metrics_registry metrics;
+    http_server server;
+    const endpoint at;
+};
+
+} // namespace
+
+class request_reader_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_reader_test);
+    CPPUNIT_TEST(theLargestChunkIsWaitedFor);
+    CPPUNIT_TEST(whatThrowsEndsItsConnectionOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Where bodies have no bound, a caller's line before a chunk ended the process.
+    void theLargestChunkIsWaitedFor()
+    {
+        expectEndsWell([] {
+            const serving_run run(std::numeric_limits<std::size_t>::max());
+            const std::string reply = run.answerTo("POST / HTTP/1.1\r\n"
+                                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                                   "ffffffffffffffff\r\nabc");
+            return reply.starts_with("HTTP/1.1 400") && run.serves();
+        });
+    }
+
+    /// A body within its bound doesn't fit into what memory is left.
+    void whatThrowsEndsItsConnectionOnly()
+    {
+        expectEndsWell([] {
+            constexpr std::size_t bodyBytes = 4'000'000;
+            serving_run run(bodyBytes);
+            const std::string request = "POST / HTTP/1.1\r\nContent-Length: "
+                    + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+            const scarce_memory scarce(bodyBytes / 4);
+            const bool isEnded = run.answerTo(request).empty();
+            const auto faults =
+                    run.metrics.counterOf("poplarspool_http_faults_total{server=\"test\"}").get();
+            return isEnded && run.serves() && faults == 1;
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_reader_test);
+
+} // namespace poplarspool
--- /dev/null
+++ b/tests/base/scarce_memory.cpp
@@ -0,0 +1,56 @@
+#include "base/scarce_memory.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <limits>
+#include <new>
+
+namespace {
+
+std::atomic<std::size_t> mostAtOnce{std::numeric_limits<std::size_t>::max()};
+
+} // namespace
+
+// The ordinary forms are replaced together: the library's sorting takes its buffer with one of them
+// and returns it with another.
+
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    return size > mostAtOnce ? nullptr : std::malloc(size);
+}
+
+void *operator new(std::size_t size)
+{
+    if (void *memory = operator new(size, std::nothrow))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, const std::nothrow_t &) noexcept
+{
+    std::free(memory);
+}
+
+namespace poplarspool::test {
+
+scarce_memory::scarce_memory(std::size_t mostBytes)
+{
+    mostAtOnce = mostBytes;
+}
+
+scarce_memory::~scarce_memory()
+{
+    mostAtOnce = std::numeric_limits<std::size_t>::max();
+}
+
+} // namespace poplarspool::test
