End lists of the store that would go on for ever

Callers were refused for good, and memory grew until the process was killed, by one object whose name holds &, #, %, + or a space and is the last of a page, or by a page that says that there is more and has no name that can be read: the instance asked for the same page again and again, without a pause.

Cause: the name from which to go on was put into the question as it is, and nothing looked whether a page led further.

Now parameters are percent-encoded, by the function that the calls to the object API use already (moved to base); a page that is cut and brings no other last name is malformed, and so is a list of more than config::storeListPagesMost pages (256).

Evidence, on the code before: namesAreEncodedInQuestions fails (the name cut the question), listsWithoutEndAreBroken fails (the store is asked until it answers 503). Both pass after.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -228,6 +228,8 @@
 /// The same where it was never read since the start or since a write that failed.
 inline constexpr std::chrono::milliseconds suspectFirstReadPauseMost = 2s;
 
+/// Pages of one list: with 500 objects or 1 MB each, more than a process's memory holds.
+inline constexpr std::size_t storeListPagesMost = 256;
 /// Bounds of the time for which one watch waits (watchTimeFor()): each call is priced.
 inline constexpr std::chrono::milliseconds gatewayWatchTimeLeast = 500ms;
 inline constexpr std::chrono::milliseconds gatewayWatchTimeMost = 10s;
--- a/src/platform/http_object_api.cpp
+++ b/src/platform/http_object_api.cpp
@@ -1,4 +1,5 @@
 #include "platform/json_call.h"
+#include "poplarspool/base/percent_text.h"
 
 #include "poplarspool/platform/object_store.h"
 
--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-bool isUnreserved(char byte)
-{
-    return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z')
-            || (byte >= '0' && byte <= '9') || byte == '-' || byte == '.' || byte == '_'
-            || byte == '~' || byte == '/';
-}
-
 std::optional<milliseconds> retryAfterOf(const http_headers &headers)
 {
     const std::string_view text = headerOf(headers, "Retry-After");
@@ -57,24 +50,6 @@
 
 } // namespace
 
-std::string percentEncoded(std::string_view text)
-{
-    static constexpr char digits[] = "0123456789ABCDEF";
-    std::string out;
-    out.reserve(text.size());
-    for (const char byte : text) {
-        if (isUnreserved(byte)) {
-            out += byte;
-            continue;
-        }
-        const auto value = static_cast<unsigned char>(byte);
-        out += '%';
-        out += digits[value >> 4U];
-        out += digits[value & 0xFU];
-    }
-    return out;
-}
-
 error brokenReply(const http_request &request, call_effect effect)
 {
     return error{error_code::Broken,
--- a/src/platform/json_call.h
+++ b/src/platform/json_call.h
@@ -5,9 +5,6 @@
 #include "poplarspool/base/result.h"
 
 #include <memory>
-#include <string>
-#include <string_view>
-
 #include <nlohmann/json.hpp>
 
 /// What the three parts of the platform have in common on the wire: JSON over HTTP, statuses as
@@ -28,9 +25,6 @@
     Write, ///< May have taken effect unless the platform said that it had not.
 };
 
-/// @returns The text with every byte but unreserved ones and '/' percent-encoded.
-std::string percentEncoded(std::string_view text);
-
 /// @returns The JSON of a reply with status 200. Other statuses become errors: 404 NotFound,
 ///          409 Conflict, 413 TooLarge, 429 Throttled, all NotRun; anything else Unavailable or
 ///          Broken.
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -1,6 +1,7 @@
 #include "adapter/following_instance.h"
 #include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
+#include "platform/names.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
@@ -74,6 +75,15 @@
     return made;
 }
 
+/// @returns How many pages are asked for until the list is given up as malformed.
+std::size_t pagesOfBrokenList(const std::deque<http_reply> &pages)
+{
+    scripted_store store(pages);
+    store_client client(store.address, store.metrics);
+    CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Current)).code == error_code::Broken);
+    return store.asked.size();
+}
+
 std::vector<std::string> keysOf(const event &entry)
 {
     std::vector<std::string> keys;
@@ -88,6 +98,8 @@
 {
     CPPUNIT_TEST_SUITE(kind_watch_test);
     CPPUNIT_TEST(listsGoOnWhereTheyWereCut);
+    CPPUNIT_TEST(namesAreEncodedInQuestions);
+    CPPUNIT_TEST(listsWithoutEndAreBroken);
     CPPUNIT_TEST(unreadableObjectsHideNoOthers);
     CPPUNIT_TEST(forgottenHistoryIsListedAnew);
     CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
@@ -115,6 +127,35 @@
         CPPUNIT_ASSERT(store.asked[1].ends_with("k?after=a"));
     }
 
+    /// A name with bytes that mean something in a question made the store give the same page again.
+    void namesAreEncodedInQuestions()
+    {
+        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a&b#c%d+e f"}}],
+                                            "truncated":true,"currentRev":5})"),
+                              jsonReply(R"({"items":[],"currentRev":5})")});
+        store_client client(store.address, store.metrics);
+        CPPUNIT_ASSERT(succeeded(client.list("k", read_mode::Stale)));
+        CPPUNIT_ASSERT_EQUAL(std::string("GET ") + wire::objectsPath
+                                     + "k?allowStale=1&after=a%26b%23c%25d%2Be%20f",
+                             store.asked[1]);
+    }
+
+    /// The store says that there is more, and gives nothing to go on from, or always more.
+    void listsWithoutEndAreBroken()
+    {
+        const auto nameless = jsonReply(R"({"items":[{}],"truncated":true,"currentRev":5})");
+        const auto same = jsonReply(R"({"items":[{"metadata":{"name":"a"}}],
+                                        "truncated":true,"currentRev":5})");
+        const auto other = jsonReply(R"({"items":[{"metadata":{"name":"b"}}],
+                                         "truncated":true,"currentRev":5})");
+        std::deque<http_reply> turns;
+        for (std::size_t i = 0; i <= config::storeListPagesMost; ++i)
+            turns.push_back(i % 2 == 0 ? same : other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pagesOfBrokenList({nameless, nameless}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pagesOfBrokenList({same, same, same}));
+        CPPUNIT_ASSERT_EQUAL(config::storeListPagesMost, pagesOfBrokenList(turns));
+    }
+
     /// Another writer leaves objects in the list that hold bytes which are no text, or lack what
     /// every object has. Refused as a whole, the list would leave callers without any runner.
     void unreadableObjectsHideNoOthers()
