Write the last line of a process without a lock, and only once

The line was missing when a second thread met its own end while the first still made its line. With two logs of this kind in one process (two instances of a test), the handler called itself until the stack was used up, and the process ended by SIGSEGV in place of SIGABRT.

Now the line goes straight to the log's descriptor, past the ring, the limit of lines a second and the logger, none of whose locks it takes; what throws there is left aside. Another thread that ends meanwhile waits for the line, for config::lastLineTime (1 s) at most. The handler never takes itself for the one before it. The line comes at every level but off; up to now it was left out at warn and error.

Evidence, on the code before: anEndWhileTheJournalIsHeldIsLogged ended by SIGALRM after 10 s, aSecondExceptionCutsTheLineOfTheFirstNotOff found no line, twoLogsEndTheProcessOnce ended by signal 11. They pass after.

--- a/include/poplarspool/base/journal.h
+++ b/include/poplarspool/base/journal.h
@@ -70,6 +70,10 @@
     /// peer, workspace, verdict, code, version.
     hybrid_time emit(std::string_view kind, std::vector<event_field> fields = {});
 
+    /// Writes one event as the process ends: past the ring, and without a lock, which the calling
+    /// thread may hold already.
+    void emitLast(std::string_view kind, std::vector<event_field> fields) const;
+
     /// Takes note of a time that came with a message, so that what follows it sorts after it.
     void observe(hybrid_time remote);
 
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -333,6 +333,8 @@
 inline constexpr std::size_t eventRingSize = 4096;
 /// Log lines that one process writes in a second; those beyond are counted and left out.
 inline constexpr std::uint64_t maxLogLinesPerSecond = 500;
+/// Time that the last line of a process, of the exception that ends it, may take to be written.
+inline constexpr std::chrono::milliseconds lastLineTime = 1s;
 /// How far ahead of ours a peer's wall clock may be for its times to move our hybrid clock.
 inline constexpr std::chrono::milliseconds maxClockLead = 10min;
 
--- a/src/base/journal.cpp
+++ b/src/base/journal.cpp
@@ -16,6 +16,7 @@
 #include <deque>
 #include <fcntl.h>
 #include <mutex>
+#include <poll.h>
 #include <unistd.h>
 
 namespace poplarspool {
@@ -32,6 +33,23 @@
     return logger;
 }
 
+std::atomic<int> logDescriptor{-1};
+
+/// Past log4cxx, which has locks. What the log doesn't take in time is lost.
+void writeAtOnce(std::string_view line)
+{
+    const int fd = logDescriptor;
+    if (fd < 0 || logThreshold.load(std::memory_order_relaxed) == log4cxx::Level::OFF_INT)
+        return;
+    pollfd room{fd, POLLOUT, 0};
+    while (!line.empty() && poll(&room, 1, static_cast<int>(config::lastLineTime.count())) == 1) {
+        const ssize_t written = write(fd, line.data(), line.size());
+        if (written <= 0)
+            return;
+        line.remove_prefix(static_cast<std::size_t>(written));
+    }
+}
+
 bool hasField(const event &entry, std::string_view key)
 {
     return std::ranges::any_of(entry.fields, [key](const auto &field) { return field.key == key; });
@@ -228,6 +246,12 @@
     return entry.at;
 }
 
+void journal::emitLast(std::string_view kind, std::vector<event_field> fields) const
+{
+    const hybrid_time at{systemClock().wall().time_since_epoch().count(), 0};
+    writeAtOnce(lineOf({at, inner->self, std::string(kind), std::move(fields)}) + '\n');
+}
+
 void journal::observe(hybrid_time remote)
 {
     const std::lock_guard lock(inner->mutex);
@@ -259,7 +283,9 @@
 void setUpLog(std::string_view level, log_stream stream)
 {
     const int threshold = thresholdOf(level);
-    neverBlock(stream == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO);
+    const int fd = stream == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO;
+    neverBlock(fd);
+    logDescriptor = fd;
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
             layout,
--- a/src/base/named_thread.cpp
+++ b/src/base/named_thread.cpp
@@ -1,6 +1,9 @@
 #include "poplarspool/base/named_thread.h"
 
+#include "poplarspool/config.h"
+
 #include <atomic>
+#include <chrono>
 #include <cstdlib>
 #include <cxxabi.h>
 #include <exception>
@@ -13,11 +16,14 @@
 namespace {
 
 constexpr std::string_view unnamed = "unnamed";
+constexpr std::chrono::milliseconds lineLookTime{5};
 
 thread_local std::string ownName;
 
-std::atomic<journal *> uncaughtTo{nullptr};
-std::terminate_handler handlerBefore = nullptr;
+std::atomic<const journal *> uncaughtTo{nullptr};
+std::atomic<bool> isLineWritten{false};
+thread_local bool isWritingLine = false; ///< Also where that ends by an exception itself.
+std::atomic<std::terminate_handler> handlerBefore{std::abort};
 
 std::string readable(const char *mangled)
 {
@@ -38,18 +44,41 @@
     }
 }
 
-void logAndEnd()
+void logUncaught(const journal &events)
 {
-    journal *events = uncaughtTo.exchange(nullptr);
     const std::exception_ptr thrown = std::current_exception();
-    if (events != nullptr && thrown) {
-        const std::type_info *type = abi::__cxa_current_exception_type();
-        events->emit("uncaught_exception",
-                     {{"thread", std::string(threadName())},
-                      {"type", type == nullptr ? "" : readable(type->name())},
-                      {"reason", reasonOf(thrown)}});
+    if (!thrown)
+        return;
+    const std::type_info *type = abi::__cxa_current_exception_type();
+    events.emitLast("uncaught_exception",
+                    {{"thread", std::string(threadName())},
+                     {"type", type == nullptr ? "" : readable(type->name())},
+                     {"reason", reasonOf(thrown)}});
+}
+
+/// Another thread is about to end the process: ended by this one, its line would be lost.
+void awaitLine()
+{
+    const auto end = std::chrono::steady_clock::now() + config::lastLineTime;
+    while (!isLineWritten && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(lineLookTime);
+}
+
+void logAndEnd()
+{
+    const journal *events = uncaughtTo.exchange(nullptr);
+    if (events != nullptr) {
+        isWritingLine = true;
+        try {
+            logUncaught(*events);
+        } catch (...) {
+            // The process ends all the same.
+        }
+        isLineWritten = true;
+    } else if (!isWritingLine) {
+        awaitLine();
     }
-    handlerBefore();
+    handlerBefore.load()();
 }
 
 } // namespace
@@ -70,7 +99,10 @@
 uncaught_log::uncaught_log(journal &events)
 {
     uncaughtTo = &events;
-    handlerBefore = std::set_terminate(logAndEnd);
+    // With two of these, the handler would else call itself for ever.
+    const std::terminate_handler before = std::set_terminate(logAndEnd);
+    if (before != logAndEnd)
+        handlerBefore = before;
 }
 
 uncaught_log::~uncaught_log()
--- a/tests/base/named_thread_test.cpp
+++ b/tests/base/named_thread_test.cpp
@@ -1,6 +1,8 @@
 #include "poplarspool/base/named_thread.h"
 
 #include <array>
+#include <atomic>
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <stdexcept>
@@ -11,19 +13,80 @@
 
 namespace {
 
+/// Gives no time while it is set, and never waits.
+struct failing_clock
+{
+    clock_source source()
+    {
+        clock_source made = systemClock();
+        made.wall = [this, wall = made.wall] {
+            if (isFailing.exchange(false))
+                throw std::runtime_error("no time");
+            return wall();
+        };
+        return made;
+    }
+
+    std::atomic<bool> isFailing{false};
+};
+
+/// Takes a while to say what it is.
+struct slow_exception : std::exception
+{
+    const char *what() const noexcept override
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        return "slow";
+    }
+};
+
+void throwWhileTheJournalIsHeld()
+{
+    failing_clock clock;
+    journal events({"edge-1"}, clock.source(), 8);
+    const uncaught_log uncaught(events);
+    clock.isFailing = true;
+    startNamed("watch", [&] { events.emit("any"); }).join();
+}
+
+void throwOnTwoThreads()
+{
+    journal events({"edge-1"}, systemClock(), 8);
+    const uncaught_log uncaught(events);
+    std::thread first = startNamed("first", [] { throw slow_exception(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    startNamed("second", [] { throw std::runtime_error("too"); }).join();
+    first.join();
+}
+
+void throwWithTwoLogs()
+{
+    journal events({"edge-1"}, systemClock(), 8);
+    const uncaught_log uncaught(events);
+    const uncaught_log again(events);
+    startNamed("watch", [] { throw std::length_error("too many"); }).join();
+}
+
+void throwOnOneThread()
+{
+    journal events({"edge-1"}, systemClock(), 8);
+    const uncaught_log uncaught(events);
+    startNamed("watch", [] { throw std::length_error("too many"); }).join();
+}
+
 /// Ends by an exception on a named thread.
 /// @returns What it wrote of it to its standard error.
-std::string linesOfAThrowingProcess()
+std::string linesOfAThrowingProcess(void (*run)())
 {
+    constexpr unsigned secondsMost = 10;
     std::array<int, 2> ends{};
     CPPUNIT_ASSERT(pipe(ends.data()) == 0);
     const pid_t child = fork();
     if (child == 0) {
         dup2(ends[1], STDERR_FILENO);
         setUpLog("info", log_stream::Error);
-        journal events({"edge-1"}, systemClock(), 8);
-        const uncaught_log uncaught(events);
-        startNamed("watch", [] { throw std::length_error("too many"); }).join();
+        alarm(secondsMost);
+        run();
         _exit(0);
     }
     close(ends[1]);
@@ -46,6 +109,9 @@
     CPPUNIT_TEST_SUITE(named_thread_test);
     CPPUNIT_TEST(threadsKnowTheirNames);
     CPPUNIT_TEST(anEndByAnExceptionNamesThreadAndReason);
+    CPPUNIT_TEST(anEndWhileTheJournalIsHeldIsLogged);
+    CPPUNIT_TEST(twoLogsEndTheProcessOnce);
+    CPPUNIT_TEST(aSecondExceptionCutsTheLineOfTheFirstNotOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,11 +125,37 @@
 
     void anEndByAnExceptionNamesThreadAndReason()
     {
-        const std::string text = linesOfAThrowingProcess();
+        const std::string text = linesOfAThrowingProcess(throwOnOneThread);
         CPPUNIT_ASSERT(text.find("event=uncaught_exception thread=watch type=std::length_error "
                                  "reason=\"too many\"")
                        != std::string::npos);
     }
+
+    /// Such a process hung in place of ending, and was never started again.
+    void anEndWhileTheJournalIsHeldIsLogged()
+    {
+        const std::string text = linesOfAThrowingProcess(throwWhileTheJournalIsHeld);
+        CPPUNIT_ASSERT_MESSAGE(text,
+                               text.find("instance=edge-1 event=uncaught_exception thread=watch "
+                                         "type=std::runtime_error reason=\"no time\"")
+                                       != std::string::npos);
+    }
+
+    /// With two instances in a process, the end of one ran out of its stack.
+    void twoLogsEndTheProcessOnce()
+    {
+        const std::string text = linesOfAThrowingProcess(throwWithTwoLogs);
+        CPPUNIT_ASSERT(text.find("event=uncaught_exception thread=watch") != std::string::npos);
+    }
+
+    void aSecondExceptionCutsTheLineOfTheFirstNotOff()
+    {
+        const std::string text = linesOfAThrowingProcess(throwOnTwoThreads);
+        CPPUNIT_ASSERT_MESSAGE(text,
+                               text.find("event=uncaught_exception thread=first type=")
+                                       != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(text, text.find("reason=slow") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(named_thread_test);
