Measure lookups and changes at 16 to 5,000 routes

Tests and sites never held more than a few dozen routes, and nothing showed what a lookup or a change costs beyond. poplarspool-bench routes times both, in processor time of its thread, so that other work on the machine counts little.

--- /dev/null
+++ b/src/bench/routes.cpp
@@ -0,0 +1,213 @@
+#include "bench/routes.h"
+
+#include "bench/command.h"
+#include "bench/sample_stats.h"
+#include "platform/decode.h"
+#include "platform/names.h"
+#include "poplarspool/gateway/catalogue_keeper.h"
+
+#include <array>
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace poplarspool::bench {
+
+namespace {
+
+namespace wire = adapter::wire;
+
+constexpr std::array<std::uint32_t, 4> sizes{16, 400, 2'000, 5'000};
+constexpr std::uint32_t hostCount = 4;
+constexpr std::uint32_t serviceCount = 20;
+constexpr std::uint32_t lookupsEach = 64; ///< Of one sample.
+constexpr std::uint32_t lookupSamples = 2'000;
+constexpr std::uint32_t changeCount = 40;
+constexpr std::uint64_t seed = 1;
+constexpr milliseconds settleTime{2'000};
+
+std::string hostOf(std::uint32_t number)
+{
+    return "host-" + std::to_string(number % hostCount) + ".example";
+}
+
+std::string prefixOf(std::uint32_t number)
+{
+    return "/v1/route-" + std::to_string(number) + "/";
+}
+
+/// The operators' configuration; each version has another time limit at one of its routes.
+std::string textOf(std::uint32_t size, std::uint32_t version)
+{
+    auto routes = nlohmann::json::array();
+    for (std::uint32_t i = 0; i < size; ++i)
+        routes.push_back({{wire::name, "route-" + std::to_string(i)},
+                          {wire::routeHost, hostOf(i)},
+                          {wire::routePrefix, prefixOf(i)},
+                          {wire::routeKind, wire::kindIdempotent},
+                          {wire::routeTimeLimitMs, i == version % size ? 5'000 + version : 5'000},
+                          {wire::routeObjectiveMs, 800},
+                          {wire::routeRank, 1},
+                          {wire::routeMaxRunners, 2},
+                          {wire::routeService, "service-" + std::to_string(i % serviceCount)}});
+    auto services = nlohmann::json::array();
+    for (std::uint32_t i = 0; i < serviceCount; ++i)
+        services.push_back({{wire::name, "service-" + std::to_string(i)}});
+    return nlohmann::json{{wire::version, version},
+                          {wire::routes, routes},
+                          {wire::services, services},
+                          {wire::limits,
+                           {{wire::limitHeaderBytes, 16'384},
+                            {wire::limitBodyBytes, 4'194'304},
+                            {wire::limitHeaderMs, 3'000},
+                            {wire::limitIdleMs, 15'000}}}}
+            .dump();
+}
+
+gateway::route_table tableOf(const std::string &text)
+{
+    return valueOf(adapter::decodeRoutes(nlohmann::json::parse(text)));
+}
+
+/// Time that this thread has computed; work beside it on the machine isn't in it.
+std::chrono::nanoseconds computed()
+{
+    std::timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+template <class Work>
+std::chrono::nanoseconds timeOf(const Work &work)
+{
+    const auto before = computed();
+    work();
+    return computed() - before;
+}
+
+struct request_line
+{
+    std::string host;
+    std::string path;
+};
+
+/// One in eight is for no route.
+std::vector<request_line> makeRequests(std::uint32_t size)
+{
+    std::mt19937_64 random(seed);
+    std::vector<request_line> made;
+    for (std::uint32_t i = 0; i < lookupsEach * lookupSamples; ++i) {
+        const auto number = static_cast<std::uint32_t>(random() % size);
+        const std::uint32_t host = random() % 8 == 0 ? number + 1 : number;
+        made.push_back({hostOf(host) + ":8080", prefixOf(number) + "items/17?page=2"});
+    }
+    return made;
+}
+
+void benchLookup(std::uint32_t size)
+{
+    const gateway::route_table table = tableOf(textOf(size, 1));
+    const std::vector<request_line> requests = makeRequests(size);
+    durations times;
+    std::size_t found = 0;
+    for (std::size_t first = 0; first < requests.size(); first += lookupsEach) {
+        const auto time = timeOf([&] {
+            for (std::size_t i = first; i < first + lookupsEach; ++i) {
+                const request_line &one = requests[i];
+                found += gateway::findRoute(table, one.host, one.path) != nullptr ? 1 : 0;
+            }
+        });
+        times.push_back(time / lookupsEach);
+    }
+    const auto nanoseconds = [&](double share) {
+        return static_cast<double>(quantileOf(times, share).count());
+    };
+    std::cout << "lookup "
+              << lineOf({{"routes", static_cast<double>(size), 0},
+                         {"p50_ns", nanoseconds(0.5), 0},
+                         {"p99_ns", nanoseconds(0.99), 0},
+                         {"count", static_cast<double>(requests.size()), 0},
+                         {"found", static_cast<double>(found), 0}})
+              << std::endl;
+}
+
+struct change_times
+{
+    durations parse; ///< Of the store's text.
+    durations read;
+    durations set; ///< Until requests see it.
+    durations tell; ///< Encoding for the others.
+    durations hear; ///< Decoding there.
+    durations follower; ///< Of the instance that follows the store: all but hearing.
+    durations told; ///< Of one that is told.
+};
+
+/// @returns Bytes that the others are told; 0 where it can't be told.
+std::size_t applyChange(std::uint32_t size, std::uint32_t version,
+                        gateway::catalogue_keeper &keeper, change_times &times)
+{
+    const std::string text = textOf(size, version);
+    const auto before = keeper.table();
+    nlohmann::json spec;
+    gateway::route_table table;
+    result<std::string> told = std::string();
+    times.parse.push_back(timeOf([&] { spec = nlohmann::json::parse(text); }));
+    times.read.push_back(timeOf([&] { table = valueOf(adapter::decodeRoutes(spec)); }));
+    times.set.push_back(timeOf([&] { keeper.setTable(std::move(table)); }));
+    times.tell.push_back(timeOf([&] { told = gateway::encode(*keeper.table(), *before); }));
+    times.hear.push_back(timeOf([&] {
+        if (succeeded(told))
+            told = succeeded(gateway::decodeRouteTable(valueOf(told), *before))
+                    ? told
+                    : result<std::string>(std::string());
+    }));
+    times.follower.push_back(times.parse.back() + times.read.back() + times.set.back()
+                             + times.tell.back());
+    times.told.push_back(times.hear.back() + times.set.back());
+    return succeeded(told) ? valueOf(told).size() : 0;
+}
+
+void benchChange(std::uint32_t size)
+{
+    gateway::catalogue_hub hub{gateway::catalogue{}};
+    journal events({"bench"}, systemClock(), changeCount);
+    gateway::catalogue_keeper keeper(hub, settleTime, systemClock(), events);
+    keeper.setTable(tableOf(textOf(size, 1)));
+    change_times times;
+    std::size_t bytes = 0;
+    for (std::uint32_t i = 0; i < changeCount; ++i)
+        bytes = applyChange(size, i + 2, keeper, times);
+    const auto microseconds = [](const durations &some) {
+        return static_cast<double>(quantileOf(some, 0.5).count()) / 1e3;
+    };
+    std::cout << "change "
+              << lineOf({{"routes", static_cast<double>(size), 0},
+                         {"parse_us", microseconds(times.parse), 0},
+                         {"read_us", microseconds(times.read), 0},
+                         {"set_us", microseconds(times.set), 0},
+                         {"tell_us", microseconds(times.tell), 0},
+                         {"hear_us", microseconds(times.hear), 0},
+                         {"follower_us", microseconds(times.follower), 0},
+                         {"told_us", bytes == 0 ? 0 : microseconds(times.told), 0},
+                         {"told_bytes", static_cast<double>(bytes), 0},
+                         {"count", changeCount, 0}})
+              << std::endl;
+}
+
+} // namespace
+
+int routesBench(const std::vector<std::string> &words)
+{
+    if (!words.empty()) {
+        std::cerr << "unknown word: " << words.front() << '\n';
+        return exitUsage;
+    }
+    for (const std::uint32_t size : sizes)
+        benchLookup(size);
+    for (const std::uint32_t size : sizes)
+        benchChange(size);
+    return exitDone;
+}
+
+} // namespace poplarspool::bench
--- a/src/bench_app/main.cpp
+++ b/src/bench_app/main.cpp
@@ -1,6 +1,7 @@
 #include "bench/command.h"
 #include "bench/decisions.h"
 #include "bench/gossip_slope.h"
+#include "bench/routes.h"
 
 #include <array>
 #include <iostream>
@@ -23,6 +24,8 @@
         subcommand{"idle", "what instances spend on control", bench::idleCommand},
         subcommand{"slope", "fit figures of several fleets to straight lines", bench::slopeCommand},
         subcommand{"decisions", "how long the policy's decisions take", bench::decisionsBench},
+        subcommand{"routes", "how long lookups and changes take at several numbers of routes",
+                   bench::routesBench},
         subcommand{"gossip", "what gossip costs at several numbers of nodes", bench::gossipSlope},
         subcommand{"wait", "wait until a fleet answers", bench::waitCommand},
         subcommand{"call", "one HTTP request", bench::callCommand},
