Find a request's route by an index in place of a walk over all

Now the table comes with an index, made once when it is put in force: host, then the path from slash to slash, as far as there are routes. Prefixes that don't begin and end with a slash are kept aside and still walked.

The older test of lookups keeps its cases.

--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -126,10 +126,13 @@
 
 using runner_map = std::map<runner_id, std::shared_ptr<const runner>>;
 
+struct route_index;
+
 /// Everything that a request's path reads of the world.
 struct catalogue
 {
     std::shared_ptr<const route_table> table; ///< Null: none is known yet.
+    std::shared_ptr<const route_index> index; ///< Of the table; null where that is.
     runner_map runners;
     bool areRunnersKnown = false; ///< The list was read at least once.
     mono_time tableConfirmedAt{}; ///< When the store last said that the table is the newest.
@@ -141,11 +144,6 @@
 
 using catalogue_hub = published<catalogue>;
 
-/// @param path With or without a query.
-/// @returns The host's route with the longest prefix that begins the path; null where there is
-/// none.
-const route *findRoute(const route_table &table, std::string_view host, std::string_view path);
-
 /// @param draw Any number, evenly spread.
 /// @returns The service that the draw falls on by weight; invalid where all weights are 0.
 service_id drawService(const route &chosen, std::uint64_t draw);
--- a/src/bench/routes.cpp
+++ b/src/bench/routes.cpp
@@ -5,6 +5,7 @@
 #include "platform/decode.h"
 #include "platform/names.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <array>
 #include <ctime>
@@ -108,6 +109,7 @@
 void benchLookup(std::uint32_t size)
 {
     const gateway::route_table table = tableOf(textOf(size, 1));
+    const gateway::route_index index = gateway::indexOf(table);
     const std::vector<request_line> requests = makeRequests(size);
     durations times;
     std::size_t found = 0;
@@ -115,7 +117,7 @@
         const auto time = timeOf([&] {
             for (std::size_t i = first; i < first + lookupsEach; ++i) {
                 const request_line &one = requests[i];
-                found += gateway::findRoute(table, one.host, one.path) != nullptr ? 1 : 0;
+                found += gateway::findRoute(table, index, one.host, one.path) != nullptr ? 1 : 0;
             }
         });
         times.push_back(time / lookupsEach);
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -1,22 +1,10 @@
 #include "poplarspool/gateway/catalogue.h"
 
-#include "base/http_text.h"
-
 #include <algorithm>
 #include <numeric>
 
 namespace poplarspool::gateway {
 
-namespace {
-
-/// A Host header may name the port as well.
-std::string_view withoutPort(std::string_view host)
-{
-    return host.substr(0, host.rfind(':'));
-}
-
-} // namespace
-
 std::string_view nameOf(engine_stage stage)
 {
     switch (stage) {
@@ -36,20 +24,6 @@
     return one == other;
 }
 
-const route *findRoute(const route_table &table, std::string_view host, std::string_view path)
-{
-    const std::string_view name = withoutPort(host);
-    const std::string_view plainPath = path.substr(0, path.find('?'));
-    const route *best = nullptr;
-    for (const route &one : table.routes) {
-        if (!plainPath.starts_with(one.pathPrefix) || !equalsIgnoringCase(one.host, name))
-            continue;
-        if (best == nullptr || one.pathPrefix.size() > best->pathPrefix.size())
-            best = &one;
-    }
-    return best;
-}
-
 service_id drawService(const route &chosen, std::uint64_t draw)
 {
     const std::uint64_t total = std::accumulate(
--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/gateway/catalogue_keeper.h"
 
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,12 +18,19 @@
 {
     const std::uint64_t version = table.version;
     const std::size_t routes = table.routes.size();
+    const auto isNewer = [version](const catalogue &known) {
+        return !known.table || known.table->version < version;
+    };
+    if (!isNewer(*hub.current()))
+        return;
     bool isTaken = false;
     const auto shared = std::make_shared<const route_table>(std::move(table));
+    const auto index = std::make_shared<const route_index>(indexOf(*shared));
     hub.update([&](catalogue &next) {
-        if (next.table && next.table->version >= version)
+        if (!isNewer(next))
             return false;
         next.table = shared;
+        next.index = index;
         isTaken = true;
         return true;
     });
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -3,6 +3,7 @@
 #include "base/http_text.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <algorithm>
 #include <array>
@@ -139,7 +140,8 @@
     if (!known->table || !known->areRunnersKnown)
         return refusal(503, error_code::Unavailable, "no configuration is known yet",
                        config::startingRetryAfter);
-    chosen = findRoute(*known->table, headerOf(request.headers, "host"), request.path);
+    chosen = findRoute(*known->table, *known->index, headerOf(request.headers, "host"),
+                       request.path);
     if (chosen == nullptr) {
         if (parts.clock.mono() - known->tableConfirmedAt > config::routesTrustTime)
             return refusal(503, error_code::Stale, "the route is not known here",
--- a/tests/gateway/catalogue_test.cpp
+++ b/tests/gateway/catalogue_test.cpp
@@ -1,4 +1,4 @@
-#include "poplarspool/gateway/catalogue.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -31,7 +31,7 @@
         table.routes = {routeOf("short", "a.example", "/x/"), routeOf("long", "a.example", "/x/y/"),
                         routeOf("other", "b.example", "/x/y/z/")};
         const auto nameOf = [&table](std::string_view host, std::string_view path) {
-            const route *found = findRoute(table, host, path);
+            const route *found = findRoute(table, indexOf(table), host, path);
             return found == nullptr ? std::string() : found->name;
         };
         CPPUNIT_ASSERT_EQUAL(std::string("long"), nameOf("a.example", "/x/y/z/1?q=/x/"));
--- a/tests/gateway/request_relay_test.cpp
+++ b/tests/gateway/request_relay_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fixture.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/gateway/route_index.h"
 #include "scripted_runner.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -98,6 +99,7 @@
         }
         table.services = {{{"s"}, std::nullopt}};
         known.table = std::make_shared<const route_table>(table);
+        known.index = std::make_shared<const route_index>(indexOf(table));
         for (std::size_t i = 0; i < runners.size(); ++i) {
             runner made;
             made.id.text = "r" + std::to_string(i);
