Serve all routes but the one that can't be read, and bound every number

One route with a negative time, or of an unknown shape, made the whole configuration unreadable: all others went on by the version before. Numbers were converted without a look: a weight of 2^32 + 5 counted as 5, a time of 10^18 ms overflowed the clock, a version of -1 became the highest, after which no other was taken; `"routes": null` was a table without routes, 404 to all.

Now an entry that can't be read names itself (entry_refused, the first 16 of a configuration) and keeps its place without a service: its callers get 503, not run. Left out, they would get a 404, which is final, or the service of a shorter prefix. Where its host or prefix can't be read, no request gets 404. The whole configuration is refused where its version, lists, limits or all routes can't be read. Times are held to 24 h, counts to 32 bits, weights that are fractions or larger are scaled; runners without a name or a service are refused, since a route whose weights are all 0 would have found the latter.

What is refused is told between instances, so that the form of told routes is 3.

Tests: each fault in one route of three, times and weights at and beyond their bounds, tables of 1 to 5,000 routes with 60 services, callers of such routes.

--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -46,7 +46,10 @@
             0}; ///< Time to the first event, or to the whole answer, that is aimed at.
     std::uint32_t rank = 0; ///< 0 is the most urgent.
     std::uint32_t maxRunners = 1; ///< Runners on which one request may run.
-    std::vector<weighted_service> services; ///< Traffic is split over them by weight.
+    std::vector<weighted_service>
+            services; ///< Traffic is split over them by weight; none: refused.
+    /// Its host or prefix can't be read: any request that no other route takes may be for it.
+    bool isUnplaced = false;
 
     bool operator==(const route &) const = default;
 };
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -300,4 +300,11 @@
 inline constexpr std::chrono::milliseconds leaveMargin = 900ms;
 inline constexpr std::chrono::milliseconds lastCallersTime = 500ms;
 
+/// Longest time of a route or limit; longer ones are held to it, and can be added to any clock's.
+inline constexpr std::chrono::milliseconds maxRouteTime = std::chrono::hours(24);
+/// What the largest weight of a route becomes where one is a fraction or beyond 32 bits.
+inline constexpr double scaledWeight = 1'000'000;
+/// Entries of one configuration that are refused with a line each.
+inline constexpr std::size_t maxRefusedLines = 16;
+
 } // namespace poplarspool::config
--- a/include/poplarspool/gateway/route_index.h
+++ b/include/poplarspool/gateway/route_index.h
@@ -79,6 +79,7 @@
 {
     std::unordered_map<std::string, host_routes, host_hash, host_equal> hosts;
     std::unordered_map<path_step, path_node, path_step_hash, path_step_equal> steps;
+    std::optional<std::uint32_t> unplaced; ///< Place of the first route that has none.
 
     bool operator==(const route_index &) const = default;
 };
@@ -89,7 +90,7 @@
 /// @param host With or without a port.
 /// @param path With or without a query.
 /// @returns The host's route with the longest prefix that begins the path, of several the first;
-/// null where there is none.
+/// where there is none, one that can't be placed; null where there is none either.
 const route *findRoute(const route_table &table, const route_index &index, std::string_view host,
                        std::string_view path);
 
--- a/src/bench/routes.cpp
+++ b/src/bench/routes.cpp
@@ -68,7 +68,7 @@
 
 gateway::route_table tableOf(const std::string &text)
 {
-    return valueOf(adapter::decodeRoutes(nlohmann::json::parse(text)));
+    return valueOf(adapter::decodeRoutes(nlohmann::json::parse(text))).table;
 }
 
 /// Time that this thread has computed; work beside it on the machine isn't in it.
@@ -155,7 +155,7 @@
     gateway::route_table table;
     result<std::string> told = std::string();
     times.parse.push_back(timeOf([&] { spec = nlohmann::json::parse(text); }));
-    times.read.push_back(timeOf([&] { table = valueOf(adapter::decodeRoutes(spec)); }));
+    times.read.push_back(timeOf([&] { table = valueOf(adapter::decodeRoutes(spec)).table; }));
     times.set.push_back(timeOf([&] { keeper.setTable(std::move(table)); }));
     times.tell.push_back(timeOf([&] { told = gateway::encode(*keeper.table(), *before); }));
     times.hear.push_back(timeOf([&] {
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -42,6 +42,10 @@
 
     void add(const route &one, std::uint32_t place)
     {
+        if (one.isUnplaced) {
+            made.unplaced = made.unplaced.value_or(place);
+            return;
+        }
         auto [host, isNew] = made.hosts.try_emplace(one.host);
         if (isNew)
             host->second.root.number = count++;
@@ -144,8 +148,10 @@
     return made;
 }
 
-const route *findRoute(const route_table &table, const route_index &index, std::string_view host,
-                       std::string_view path)
+namespace {
+
+const route *findPlacedRoute(const route_table &table, const route_index &index,
+                             std::string_view host, std::string_view path)
 {
     const auto known = index.hosts.find(withoutPort(host));
     if (known == index.hosts.end())
@@ -162,4 +168,13 @@
     return best;
 }
 
+} // namespace
+
+const route *findRoute(const route_table &table, const route_index &index, std::string_view host,
+                       std::string_view path)
+{
+    const route *placed = findPlacedRoute(table, index, host, path);
+    return placed == nullptr && index.unplaced ? &table.routes[*index.unplaced] : placed;
+}
+
 } // namespace poplarspool::gateway
--- a/src/gateway/told_changes.cpp
+++ b/src/gateway/told_changes.cpp
@@ -14,7 +14,7 @@
 
 /// Form of a told table. Another version that changes the fields changes the number too, and this
 /// one then asks the store.
-constexpr std::uint32_t tableForm = 2;
+constexpr std::uint32_t tableForm = 3;
 
 /// Bounds of what is read from another instance: bytes of an address with its port and of a path,
 /// and items of each list.
@@ -59,6 +59,7 @@
     codec.text(one.name, config::maxNameBytes);
     codec.text(one.host, config::maxNameBytes);
     codec.text(one.pathPrefix, maxPathBytes);
+    codec.small(one.isUnplaced);
     codec.small(one.isStream);
     codec.small(one.isResumable);
     codec.small(one.repeats);
@@ -144,7 +145,7 @@
     for (const weighted_service &part : one.services)
         hash = hashOf(part.service.text, hash + part.weight);
     for (const auto number : {one.timeLimit.count(), one.objective.count(), std::int64_t{one.rank},
-                              std::int64_t{one.maxRunners}})
+                              std::int64_t{one.maxRunners}, std::int64_t{one.isUnplaced}})
         hash = hash * 31 + static_cast<std::uint64_t>(number);
     return hash;
 }
--- /dev/null
+++ b/tests/adapter/decode_bounds_test.cpp
@@ -0,0 +1,242 @@
+#include "platform/decode.h"
+#include "poplarspool/gateway/limits.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+json routeEntry(const std::string &name)
+{
+    json made{{"name", name},      {"host", "h"},    {"pathPrefix", "/" + name + "/"},
+              {"timeoutMs", 3000}, {"service", "s"}, {"kind", "idempotent"},
+              {"attempts", 2},     {"priority", 1}};
+    return json::parse(made.dump());
+}
+
+json specOf(const std::vector<json> &routes)
+{
+    json made = json::parse(R"({"version":7,"services":[{"name":"s"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+                  "idleTimeoutMs":15000}})");
+    made["routes"] = routes;
+    return made;
+}
+
+/// A table of three routes, of which the second is the given one.
+read_routes readWith(const json &entry)
+{
+    return valueOf(decodeRoutes(specOf({routeEntry("a"), entry, routeEntry("c")})));
+}
+
+json changedEntry(const std::string &key, const json &value)
+{
+    json made = routeEntry("b");
+    made[key] = value;
+    return made;
+}
+
+milliseconds timeReadFrom(const std::string &number)
+{
+    return readWith(changedEntry("timeoutMs", json::parse(number))).table.routes[1].timeLimit;
+}
+
+std::vector<std::uint32_t> weightsReadFrom(const std::vector<std::string> &numbers)
+{
+    json split = json::array();
+    for (const std::string &number : numbers)
+        split.push_back({{"service", "s"}, {"weight", json::parse(number)}});
+    std::vector<std::uint32_t> read;
+    for (const auto &one : readWith(changedEntry("split", split)).table.routes[1].services)
+        read.push_back(one.weight);
+    return read;
+}
+
+} // namespace
+
+class decode_bounds_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(decode_bounds_test);
+    CPPUNIT_TEST(aRouteThatCantBeReadHurtsNoOther);
+    CPPUNIT_TEST(aRouteOfNoReadablePlaceTakesWhatIsLeft);
+    CPPUNIT_TEST(aServiceThatCantBeReadHurtsNoOther);
+    CPPUNIT_TEST(configurationsThatSayNothingAreRefused);
+    CPPUNIT_TEST(timesAreHeldToTheirBound);
+    CPPUNIT_TEST(weightsAreSharesWhateverTheirSize);
+    CPPUNIT_TEST(trafficIsSplitByWeightsOfAnySum);
+    CPPUNIT_TEST(countsBeyondTheirTypeAreNotTakenForOthers);
+    CPPUNIT_TEST(emptyNamesOfRunnersNameNobody);
+    CPPUNIT_TEST(tablesOfAnySizeAreRead);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Its own callers are refused for now: it keeps its place, and has nobody to send to.
+    void aRouteThatCantBeReadHurtsNoOther()
+    {
+        const std::vector<std::pair<std::string, json>> faults{
+                {"kind", 1},
+                {"kind", nullptr},
+                {"service", ""},
+                {"service", 3},
+                {"timeoutMs", -1},
+                {"timeoutMs", "3 s"},
+                {"timeoutMs", nullptr},
+                {"targetLatencyMs", -0.5},
+                {"priority", -1},
+                {"attempts", "two"},
+                {"resumable", "no"},
+                {"name", 7},
+                {"split", json::parse(R"([{"service":"s","weight":-1}])")},
+                {"split", json::parse(R"([{"service":"s"}])")},
+                {"split", json::parse(R"([{"service":"","weight":1}])")},
+                {"split", json::parse(R"([7])")}};
+        for (const auto &[key, value] : faults) {
+            json bad = changedEntry(key, value);
+            if (key == "resumable")
+                bad["kind"] = "streaming";
+            const read_routes read = readWith(bad);
+            const std::string shown = key + " " + value.dump();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{3}, read.table.routes.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{1}, read.refused.size());
+            const std::string &reason = read.refused[0].message;
+            const std::string named = key == "name" ? "route  at place 1:" : "route b at place 1:";
+            CPPUNIT_ASSERT_MESSAGE(reason, reason.starts_with(named));
+            const gateway::route &second = read.table.routes[1];
+            CPPUNIT_ASSERT(second.host == "h" && second.pathPrefix == "/b/");
+            CPPUNIT_ASSERT(second.services.empty() && !second.isUnplaced);
+            for (const std::size_t place : {0U, 2U})
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.table.routes[place].services.size());
+        }
+    }
+
+    /// Nobody can say whose requests it would take: a 404 could be for its callers, and is final.
+    void aRouteOfNoReadablePlaceTakesWhatIsLeft()
+    {
+        json noHost = routeEntry("b");
+        noHost.erase("host");
+        for (const json &bad : {noHost, changedEntry("pathPrefix", 1), changedEntry("host", 5),
+                                json(3), json("b"), json(), json::array()}) {
+            const read_routes read = readWith(bad);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.refused.size());
+            CPPUNIT_ASSERT(read.table.routes[1].isUnplaced);
+            CPPUNIT_ASSERT(read.table.routes[1].services.empty());
+        }
+    }
+
+    void aServiceThatCantBeReadHurtsNoOther()
+    {
+        json spec = specOf({routeEntry("a")});
+        spec["services"] = json::parse(R"([{"name":"x","engine":{"slots":-1}},{"name":7},3,
+            {"name":"y","engine":{"slots":9,"kvCapacity":1e300}}])");
+        const read_routes read = valueOf(decodeRoutes(spec));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read.refused.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.table.services.size());
+        CPPUNIT_ASSERT_EQUAL(9U, read.table.services[0].engine->batch);
+    }
+
+    /// The configuration before stays in force.
+    void configurationsThatSayNothingAreRefused()
+    {
+        const json good = specOf({routeEntry("a")});
+        CPPUNIT_ASSERT(succeeded(decodeRoutes(good)));
+        CPPUNIT_ASSERT(succeeded(decodeRoutes(specOf({}))));
+        for (const char *key : {"version", "routes", "services", "limits"}) {
+            for (const json &value : {json(), json("text"), json(-1), json(1.5), json(true)}) {
+                json bad = good;
+                bad[key] = value;
+                CPPUNIT_ASSERT_MESSAGE(key + value.dump(), !succeeded(decodeRoutes(bad)));
+            }
+        }
+        for (const char *key : {"maxHeaderBytes", "headerTimeoutMs", "idleTimeoutMs"}) {
+            json bad = good;
+            bad["limits"][key] = -1;
+            CPPUNIT_ASSERT_MESSAGE(key, !succeeded(decodeRoutes(bad)));
+        }
+        json noneReadable = good;
+        noneReadable["routes"][0]["kind"] = 1;
+        CPPUNIT_ASSERT(!succeeded(decodeRoutes(noneReadable)));
+    }
+
+    void timesAreHeldToTheirBound()
+    {
+        CPPUNIT_ASSERT(timeReadFrom("0") == 0ms && timeReadFrom("1.9") == 1ms);
+        CPPUNIT_ASSERT(timeReadFrom("1500.0") == 1500ms && timeReadFrom("0.2") == 0ms);
+        CPPUNIT_ASSERT(timeReadFrom("86399999") == config::maxRouteTime - 1ms);
+        CPPUNIT_ASSERT(timeReadFrom("86400000") == config::maxRouteTime);
+        for (const char *huge : {"86400001", "4294967296", "9223372036854775808",
+                                 "18446744073709551615", "18446744073709551616", "1e300"})
+            CPPUNIT_ASSERT_MESSAGE(huge, timeReadFrom(huge) == config::maxRouteTime);
+    }
+
+    void weightsAreSharesWhateverTheirSize()
+    {
+        using weights = std::vector<std::uint32_t>;
+        CPPUNIT_ASSERT(weightsReadFrom({"4294967295", "1"}) == (weights{4294967295, 1}));
+        CPPUNIT_ASSERT(weightsReadFrom({"4294967296", "4294967296"})
+                       == (weights{1'000'000, 1'000'000}));
+        CPPUNIT_ASSERT(weightsReadFrom({"4294967296", "2147483648"})
+                       == (weights{1'000'000, 500'000}));
+        CPPUNIT_ASSERT(weightsReadFrom({"0.9", "0.1"}) == (weights{1'000'000, 111'111}));
+        CPPUNIT_ASSERT(weightsReadFrom({"90.0", "10"}) == (weights{90, 10}));
+        CPPUNIT_ASSERT(weightsReadFrom({"0", "0"}) == (weights{0, 0}));
+        CPPUNIT_ASSERT(weightsReadFrom({"1e300", "5"}) == (weights{1'000'000, 0}));
+    }
+
+    void trafficIsSplitByWeightsOfAnySum()
+    {
+        gateway::route split;
+        split.services = {{{"a"}, UINT32_MAX}, {{"b"}, UINT32_MAX}, {{"c"}, UINT32_MAX}};
+        std::map<std::string, int> counts;
+        constexpr std::uint64_t odd = 0x9e3779b97f4a7c15; // Spreads the draws over all numbers.
+        for (std::uint64_t i = 0; i < 30'000; ++i)
+            ++counts[drawService(split, i * odd).text];
+        for (const char *name : {"a", "b", "c"})
+            CPPUNIT_ASSERT(counts[name] > 9'000 && counts[name] < 11'000);
+    }
+
+    void countsBeyondTheirTypeAreNotTakenForOthers()
+    {
+        const auto ranked = readWith(changedEntry("priority", json::parse("4294967296")));
+        CPPUNIT_ASSERT_EQUAL(UINT32_MAX, ranked.table.routes[1].rank);
+        const auto tried = readWith(changedEntry("attempts", json::parse("4294967297")));
+        CPPUNIT_ASSERT_EQUAL(UINT32_MAX, tried.table.routes[1].maxRunners);
+        CPPUNIT_ASSERT(ranked.refused.empty() && tried.refused.empty());
+    }
+
+    /// A route whose weights are all 0 has no service, and must not find runners of none.
+    void emptyNamesOfRunnersNameNobody()
+    {
+        const json good{{"service", "s"}, {"address", "10.0.0.1:80"}};
+        CPPUNIT_ASSERT(succeeded(decodeRunner("i-1", good)));
+        CPPUNIT_ASSERT(!succeeded(decodeRunner("", good)));
+        json noService = good;
+        noService["service"] = "";
+        CPPUNIT_ASSERT(!succeeded(decodeRunner("i-1", noService)));
+    }
+
+    void tablesOfAnySizeAreRead()
+    {
+        for (const std::size_t count : {1U, 16U, 255U, 256U, 257U, 400U, 2'000U, 5'000U}) {
+            std::vector<json> routes;
+            for (std::size_t i = 0; i < count; ++i)
+                routes.push_back(routeEntry("r" + std::to_string(i)));
+            json spec = specOf(routes);
+            for (int i = 1; i < 60; ++i)
+                spec["services"].push_back({{"name", "s" + std::to_string(i)}});
+            const read_routes read = valueOf(decodeRoutes(spec));
+            CPPUNIT_ASSERT_EQUAL(count, read.table.routes.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{60}, read.table.services.size());
+            CPPUNIT_ASSERT(read.refused.empty());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(decode_bounds_test);
+
+} // namespace poplarspool::adapter
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -43,7 +43,7 @@
 public:
     void routesSayWhatTheyHold()
     {
-        const auto table = valueOf(decodeRoutes(sampleRoutes()));
+        const auto table = valueOf(decodeRoutes(sampleRoutes())).table;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, table.version);
         CPPUNIT_ASSERT(table.routes[0].isStream && table.routes[0].isResumable);
         CPPUNIT_ASSERT(table.routes[0].repeats == gateway::repeat_rule::Idempotent);
--- /dev/null
+++ b/tests/gateway/refused_route_test.cpp
@@ -0,0 +1,124 @@
+#include "fixture.h"
+#include "gateway/request_relay.h"
+#include "poplarspool/gateway/route_index.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::requestOf;
+using test::testDialect;
+
+route routeOf(const std::string &prefix, std::vector<weighted_service> services)
+{
+    route made;
+    made.name = prefix;
+    made.host = "h";
+    made.pathPrefix = prefix;
+    made.timeLimit = services.empty() ? 0ms : 10s;
+    made.maxRunners = 2;
+    made.services = std::move(services);
+    return made;
+}
+
+/// Nothing is written to it: all replies are whole.
+struct silent_caller : http_sink
+{
+    bool begin(int, const http_headers &, std::string_view) override { return false; }
+    bool write(std::string_view) override { return false; }
+    void end() override { }
+    bool isGone() const override { return false; }
+};
+
+/// An instance that knows the routes and a runner of the service "s" that refuses connections.
+struct world
+{
+    dialect names = testDialect();
+    clock_source clock = systemClock();
+    metrics_registry registry;
+    journal events{{"test"}, clock, 64};
+    catalogue_hub hub{catalogue{}};
+    runner_ledger ledger{clock};
+    retry_budgets retries{{1, 100}};
+    connection_pool connections{4, 500ms, registry};
+    relay_metrics metrics{registry};
+    std::atomic<std::int64_t> leavesAt{INT64_MAX};
+    const relay_parts parts{names,   hub,    ledger, retries, connections,
+                            metrics, events, clock,  {"z"},   leavesAt};
+
+    explicit world(std::vector<route> routes)
+    {
+        route_table table;
+        table.version = 1;
+        table.routes = std::move(routes);
+        hub.update([&](catalogue &next) {
+            next.table = std::make_shared<const route_table>(table);
+            next.index = std::make_shared<const route_index>(indexOf(table));
+            next.areRunnersKnown = true;
+            next.tableConfirmedAt = clock.mono();
+            runner made;
+            made.id.text = "r";
+            made.service.text = "s";
+            made.address = {"127.0.0.1", 1};
+            next.runners[made.id] = std::make_shared<const runner>(made);
+            return true;
+        });
+    }
+
+    http_reply ask(const std::string &path)
+    {
+        const http_request request =
+                requestOf("GET", path, {{"Host", "h"}, {"Id", "q1"}, {"Limit", "5000"}});
+        silent_caller caller;
+        return request_relay(parts, request, caller).run().value();
+    }
+};
+
+void assertIsRefusedForNow(const http_reply &reply)
+{
+    CPPUNIT_ASSERT_EQUAL(503, reply.status);
+    CPPUNIT_ASSERT(!headerOf(reply.headers, "Retry-After").empty());
+}
+
+} // namespace
+
+class refused_route_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(refused_route_test);
+    CPPUNIT_TEST(whoAsksForARouteThatCantBeReadMayComeBack);
+    CPPUNIT_TEST(noRequestIsDeniedBesideARouteWithoutAPlace);
+    CPPUNIT_TEST(weightsOfNothingButZeroReachNobody);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Neither a final 404, nor the service of a shorter prefix.
+    void whoAsksForARouteThatCantBeReadMayComeBack()
+    {
+        world test({routeOf("/a/", {{{"s"}, 1}}), routeOf("/a/b/", {})});
+        assertIsRefusedForNow(test.ask("/a/b/1"));
+        CPPUNIT_ASSERT(test.events.events({"send_end", {}, {}}).empty());
+        CPPUNIT_ASSERT_EQUAL(404, test.ask("/c/1").status);
+    }
+
+    void noRequestIsDeniedBesideARouteWithoutAPlace()
+    {
+        route unplaced = routeOf("", {});
+        unplaced.isUnplaced = true;
+        world test({routeOf("/a/", {{{"s"}, 1}}), unplaced});
+        assertIsRefusedForNow(test.ask("/c/1"));
+    }
+
+    void weightsOfNothingButZeroReachNobody()
+    {
+        world test({routeOf("/a/", {{{"s"}, 0}})});
+        assertIsRefusedForNow(test.ask("/a/1"));
+        CPPUNIT_ASSERT(test.events.events({"send_end", {}, {}}).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(refused_route_test);
+
+} // namespace poplarspool::gateway
--- a/tests/gateway/route_index_test.cpp
+++ b/tests/gateway/route_index_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(ofEqualPrefixesTheFirstWins);
     CPPUNIT_TEST(findsEachOfManyRoutes);
     CPPUNIT_TEST(pathsOfManySlashesAreFound);
+    CPPUNIT_TEST(aRouteWithoutAPlaceTakesWhatIsLeft);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +141,20 @@
         const std::string path(1U << 20U, '/');
         CPPUNIT_ASSERT(findRoute(table, indexOf(table), "h", path) == &table.routes.front());
     }
+
+    void aRouteWithoutAPlaceTakesWhatIsLeft()
+    {
+        route_table table;
+        table.routes.resize(3);
+        table.routes[0].host = "h";
+        table.routes[0].pathPrefix = "/a/";
+        table.routes[1].isUnplaced = true;
+        table.routes[2].isUnplaced = true;
+        const route_index index = indexOf(table);
+        CPPUNIT_ASSERT(findRoute(table, index, "h", "/a/b") == table.routes.data());
+        CPPUNIT_ASSERT(findRoute(table, index, "h", "/b/") == &table.routes[1]);
+        CPPUNIT_ASSERT(findRoute(table, index, "", "") == &table.routes[1]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(route_index_test);
--- a/tests/gateway/told_routes_test.cpp
+++ b/tests/gateway/told_routes_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST_SUITE(told_routes_test);
     CPPUNIT_TEST(editedTablesAreToldAsTheyAre);
     CPPUNIT_TEST(oneChangeAmongManyRoutesFits);
+    CPPUNIT_TEST(routesThatCantBeReadAreToldAsSuch);
     CPPUNIT_TEST(manyNewRoutesAreLeftToTheStore);
     CPPUNIT_TEST(whatLeavesIsToldAtAnyCount);
     CPPUNIT_TEST(runsBeyondTheTableBeforeAreRefused);
@@ -139,6 +140,17 @@
         }
     }
 
+    void routesThatCantBeReadAreToldAsSuch()
+    {
+        const route_table before = tableOf(4, 3);
+        route_table after = tableOf(9, 3);
+        after.routes[0].services.clear();
+        after.routes[1] = route{};
+        after.routes[1].isUnplaced = true;
+        CPPUNIT_ASSERT(valueOf(decodeRouteTable(valueOf(encode(after, before)), before)) == after);
+        CPPUNIT_ASSERT(valueOf(decodeRouteTable(valueOf(encode(before, {})), {})) == before);
+    }
+
     void manyNewRoutesAreLeftToTheStore()
     {
         // The routes before are one item of 256, as a run.
