Follow tables of many sizes and lists of many pages against a store over HTTP

The stand-in of the store lists in pages where a test says so. Two instances, of which one follows the store: a change of one among 2,000 routes is told to the other, with no line changes_untold; a table that grows by 400 routes and shrinks again twice in a second ends alike in both; an entry that can't be read is named and hurts no other. 1 to 3,000 runners in pages of 500.

--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -89,7 +90,9 @@
         afterFirstWrite = older;
     }
 
+    std::atomic<std::size_t> pageSize{SIZE_MAX}; ///< Objects of one answer to a list.
     std::atomic<int> watches{0};
+    std::atomic<int> pages{0}; ///< Answers to lists.
     std::atomic<int> writes{0}; ///< Calls of the instances that create or replace.
 
 private:
@@ -105,7 +108,7 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         const std::size_t from = path.find("watch=");
         if (from == std::string::npos)
-            return reply(kind, 0, false);
+            return listFrom(kind, path);
         ++watches;
         const std::uint64_t since = std::stoull(path.substr(from + 6));
         const auto wait = milliseconds(std::stol(path.substr(path.find("waitMs=") + 7))) / 10;
@@ -140,6 +143,15 @@
                 && (found == objects.end() || found->second.revision != metadata.at("revision"));
     }
 
+    /// One page, after the name that the path says.
+    http_reply listFrom(const std::string &kind, const std::string &path)
+    {
+        ++pages;
+        const std::size_t at = path.find("after=");
+        const std::string after = at == std::string::npos ? "" : path.substr(at + 6);
+        return reply(kind, 0, false, after.substr(0, after.find('&')));
+    }
+
     http_reply take(const std::string &kind, const http_request &request)
     {
         const auto body = nlohmann::json::parse(request.body);
@@ -171,15 +183,24 @@
                    });
     }
 
-    http_reply reply(const std::string &kind, std::uint64_t since, bool isWatch)
+    http_reply reply(const std::string &kind, std::uint64_t since, bool isWatch,
+                     const std::string &after = {})
     {
         const std::lock_guard lock(guard);
         if (since > content.revision)
             return marked(jsonReply("{}", 410));
         std::string items;
+        std::size_t count = 0;
+        bool isTruncated = false;
         for (const auto &[name, one] : content.kinds[kind]) {
             if (one.revision <= since || (one.isRemoved && !isWatch))
                 continue;
+            if (!isWatch && !after.empty() && name <= after)
+                continue;
+            if (!isWatch && count++ == pageSize) {
+                isTruncated = true;
+                break;
+            }
             const std::string text = textOf(name, one);
             items += items.empty() ? "" : ",";
             items += isWatch ? std::string(R"({"removed":)") + (one.isRemoved ? "true" : "false")
@@ -187,7 +208,8 @@
                              : text;
         }
         return marked(jsonReply(std::string(isWatch ? R"({"events":[)" : R"({"items":[)") + items
-                                + R"(],"currentRev":)" + std::to_string(content.revision) + "}"));
+                                + (isTruncated ? R"(],"truncated":true)" : "]")
+                                + R"(,"currentRev":)" + std::to_string(content.revision) + "}"));
     }
 
     http_reply marked(http_reply given) const
--- /dev/null
+++ b/tests/adapter/table_sizes_test.cpp
@@ -0,0 +1,137 @@
+#include "adapter/pair_of_instances.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using test::configSpec;
+using test::following_instance;
+using test::pair_of_instances;
+using test::runnerSpec;
+using test::small_store;
+using test::waitUntil;
+
+constexpr std::size_t fewRoutes = 16;
+
+std::shared_ptr<const gateway::route_table> tableOf(const following_instance &one)
+{
+    return one.hub.current()->table;
+}
+
+bool haveRoutes(const pair_of_instances &both, std::uint64_t version, std::size_t routes)
+{
+    const auto holds = [&](const following_instance &one) {
+        const auto table = tableOf(one);
+        return table && table->version == version && table->routes.size() == routes;
+    };
+    return holds(*both.one) && holds(*both.two);
+}
+
+std::size_t countOf(const pair_of_instances &both, const std::string &kind)
+{
+    return both.one->events.events({kind, {}, {}}).size()
+            + both.two->events.events({kind, {}, {}}).size();
+}
+
+/// As configSpec(), with another time limit at one route.
+std::string changedSpec(int version, std::size_t routes, std::size_t place)
+{
+    json spec = json::parse(configSpec(version, static_cast<int>(routes)));
+    spec[wire::routes][place][wire::routeTimeLimitMs] = 7'000;
+    return spec.dump();
+}
+
+} // namespace
+
+class table_sizes_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(table_sizes_test);
+    CPPUNIT_TEST(oneChangeAmongManyRoutesIsTold);
+    CPPUNIT_TEST(tablesThatGrowAndShrinkInASecondAreFollowed);
+    CPPUNIT_TEST(anEntryThatCantBeReadIsNamedAndHurtsNoOther);
+    CPPUNIT_TEST(runnersAreListedInPages);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oneChangeAmongManyRoutesIsTold()
+    {
+        constexpr std::size_t count = 2'000;
+        small_store store;
+        store.put(wire::configKind, wire::configName, configSpec(3, count));
+        const pair_of_instances both(store);
+        CPPUNIT_ASSERT(waitUntil([&] { return both.followedByOthers() >= 2; }));
+        CPPUNIT_ASSERT(haveRoutes(both, 3, count));
+        store.put(wire::configKind, wire::configName, changedSpec(5, count, 1'234));
+        CPPUNIT_ASSERT(waitUntil([&] { return haveRoutes(both, 5, count); }));
+        for (const auto *one : {both.one.get(), both.two.get()})
+            CPPUNIT_ASSERT(tableOf(*one)->routes[1'234].timeLimit == 7s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(both, "changes_untold"));
+    }
+
+    void tablesThatGrowAndShrinkInASecondAreFollowed()
+    {
+        small_store store;
+        store.put(wire::configKind, wire::configName, configSpec(1, fewRoutes));
+        const pair_of_instances both(store);
+        CPPUNIT_ASSERT(waitUntil([&] { return both.followedByOthers() >= 2; }));
+        int version = 1;
+        for (const std::size_t more : {400U, 0U, 400U, 0U}) {
+            version += 3;
+            store.put(wire::configKind, wire::configName,
+                      configSpec(version, static_cast<int>(fewRoutes + more)));
+            std::this_thread::sleep_for(250ms);
+        }
+        CPPUNIT_ASSERT(waitUntil(
+                [&] { return haveRoutes(both, static_cast<std::uint64_t>(version), fewRoutes); }));
+        store.put(wire::configKind, wire::configName, configSpec(version + 1, 416));
+        CPPUNIT_ASSERT(waitUntil(
+                [&] { return haveRoutes(both, static_cast<std::uint64_t>(version) + 1, 416); }));
+        CPPUNIT_ASSERT(*tableOf(*both.one) == *tableOf(*both.two));
+    }
+
+    void anEntryThatCantBeReadIsNamedAndHurtsNoOther()
+    {
+        small_store store;
+        store.put(wire::configKind, wire::configName, configSpec(1, fewRoutes));
+        const pair_of_instances both(store);
+        CPPUNIT_ASSERT(waitUntil([&] { return both.followedByOthers() >= 2; }));
+        json spec = json::parse(configSpec(4, fewRoutes));
+        spec[wire::routes][5][wire::routeTimeLimitMs] = -1;
+        store.put(wire::configKind, wire::configName, spec.dump());
+        CPPUNIT_ASSERT(waitUntil([&] { return haveRoutes(both, 4, fewRoutes); }));
+        for (const auto *one : {both.one.get(), both.two.get()}) {
+            const auto table = tableOf(*one);
+            for (std::size_t place = 0; place < fewRoutes; ++place)
+                CPPUNIT_ASSERT_EQUAL(place == 5, table->routes[place].services.empty());
+        }
+        std::string lines;
+        for (const auto *one : {both.one.get(), both.two.get()}) {
+            for (const event &line : one->events.events({"entry_refused", {}, {}}))
+                lines += line.fields.front().value;
+        }
+        CPPUNIT_ASSERT(lines.find("route-of-some-length-5") != std::string::npos);
+    }
+
+    void runnersAreListedInPages()
+    {
+        for (const std::size_t count : {1U, 499U, 500U, 501U, 3'000U}) {
+            small_store store;
+            store.pageSize = 500;
+            for (std::size_t i = 0; i < count; ++i)
+                store.put(wire::runnerKind, "i-" + std::to_string(i), runnerSpec("in_service"));
+            metrics_registry metrics;
+            store_client client(store.at(), metrics);
+            const auto listed = client.list(wire::runnerKind, read_mode::Current);
+            CPPUNIT_ASSERT_EQUAL(count, valueOf(listed).objects.size());
+            CPPUNIT_ASSERT_EQUAL(static_cast<int>((count + 499) / 500), store.pages.load());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(table_sizes_test);
+
+} // namespace poplarspool::adapter
