--- a/tests/adapter/table_sizes_test.cpp
+++ b/tests/adapter/table_sizes_test.cpp
@@ -10,8 +10,10 @@
 using nlohmann::json;
 using test::configSpec;
 using test::following_instance;
+using test::jsonReply;
 using test::pair_of_instances;
 using test::runnerSpec;
+using test::scripted_store;
 using test::small_store;
 using test::waitUntil;
 
@@ -54,6 +56,8 @@
     CPPUNIT_TEST(tablesThatGrowAndShrinkInASecondAreFollowed);
     CPPUNIT_TEST(anEntryThatCantBeReadIsNamedAndHurtsNoOther);
     CPPUNIT_TEST(runnersAreListedInPages);
+    CPPUNIT_TEST(anyNameMayEndAPage);
+    CPPUNIT_TEST(aListThatDoesNotGoOnEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,6 +134,29 @@
             CPPUNIT_ASSERT_EQUAL(static_cast<int>((count + 499) / 500), store.pages.load());
         }
     }
+
+    void anyNameMayEndAPage()
+    {
+        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a b&c=%/\u00fc"}}],
+                                            "truncated":true,"currentRev":5})"),
+                              jsonReply(R"({"items":[],"currentRev":5})")});
+        store_client client(store.address, store.metrics);
+        CPPUNIT_ASSERT(succeeded(client.list("k", read_mode::Current)));
+        CPPUNIT_ASSERT(store.asked[1].ends_with("k?after=a%20b%26c%3D%25%2F%C3%BC"));
+    }
+
+    /// Each call is paid for.
+    void aListThatDoesNotGoOnEnds()
+    {
+        for (const char *page : {R"({"items":[],"truncated":true,"currentRev":5})",
+                                 R"({"items":[{"metadata":7}],"truncated":true,"currentRev":5})"}) {
+            scripted_store store({jsonReply(page), jsonReply(page), jsonReply(page)});
+            store_client client(store.address, store.metrics);
+            CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Current)).code
+                           == error_code::Broken);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.asked.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_sizes_test);
