--- a/tests/adapter/decode_bounds_test.cpp
+++ b/tests/adapter/decode_bounds_test.cpp
@@ -52,10 +52,11 @@
     json split = json::array();
     for (const std::string &number : numbers)
         split.push_back({{"service", "s"}, {"weight", json::parse(number)}});
-    std::vector<std::uint32_t> read;
-    for (const auto &one : readWith(changedEntry("split", split)).table.routes[1].services)
-        read.push_back(one.weight);
-    return read;
+    const read_routes read = readWith(changedEntry("split", split));
+    std::vector<std::uint32_t> weights;
+    for (const auto &one : read.table.routes[1].services)
+        weights.push_back(one.weight);
+    return weights;
 }
 
 } // namespace
