--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -16,8 +16,8 @@
 inline constexpr std::size_t maxHeaderBytes = 16 * 1024;
 /// Bytes of one request's body.
 inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
-/// Levels of arrays and objects in each other, in JSON of others: values are copied by recursion, on
-/// stacks of connectionStackBytes.
+/// Levels of arrays and objects in each other, in JSON of others: values are copied by recursion,
+/// on stacks of connectionStackBytes.
 inline constexpr std::size_t maxJsonDepth = 64;
 /// Connections of callers that one instance holds open; one thread each.
 inline constexpr std::uint32_t maxCallerConnections = 1200;
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -46,8 +46,9 @@
     connection_pool connections{4, 500ms, registry};
     relay_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
-    const relay_parts parts{names,   hub,    ledger, retries, connections,
-                            metrics, events, clock,  {"z"},   leavesAt};
+    suspect_keeper suspects{{}, {}, {"test"}, clock, registry, events};
+    const relay_parts parts{names,  hub,   ledger, retries,  connections, metrics,
+                            events, clock, {"z"},  leavesAt, suspects};
 
     explicit world(std::vector<route> routes)
     {
