--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <mutex>
 
 namespace poplarspool::adapter {
@@ -106,6 +107,7 @@
     CPPUNIT_TEST(lossAndReturnOfTheStoreAreLogged);
     CPPUNIT_TEST(watchesWaitForAsLongAsNewsMayBeLate);
     CPPUNIT_TEST(aLossElsewhereIsNotedWithoutSources);
+    CPPUNIT_TEST(whatALaterAnswerDeniesIsNoEpoch);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST(anObjectThatStandsAlreadyIsNotWritten);
     CPPUNIT_TEST(conditionalWritesNameTheirRevision);
@@ -258,6 +260,29 @@
         watch.stop();
     }
 
+    void whatALaterAnswerDeniesIsNoEpoch()
+    {
+        const auto listOf = [](const std::string &epoch) {
+            http_reply list = jsonReply(R"({"items":[],"currentRev":5})");
+            list.headers.emplace_back(wire::storeEpoch, epoch);
+            return list;
+        };
+        scripted_store store({listOf("5"), listOf("900000"), listOf("5"), jsonReply("{}", 503),
+                              listOf("5"), listOf("18446744073709551615"), listOf("7")});
+        store_client client(store.address, store.metrics);
+        std::vector<std::uint64_t> epochs;
+        for (const read_mode mode :
+             {read_mode::Current, read_mode::Current, read_mode::Stale, read_mode::Current,
+              read_mode::Current, read_mode::Stale, read_mode::Current}) {
+            static_cast<void>(client.list("k", mode));
+            epochs.push_back(client.epoch());
+        }
+        constexpr auto highest = std::numeric_limits<std::uint64_t>::max();
+        CPPUNIT_ASSERT(
+                epochs
+                == (std::vector<std::uint64_t>{5, 900'000, 900'000, 900'000, 5, highest, 7}));
+    }
+
     void objectsAreReplacedOrCreated()
     {
         scripted_store store({jsonReply("{}", 409), jsonReply("{}")});
--- a/tests/adapter/older_copy_test.cpp
+++ b/tests/adapter/older_copy_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(aSecondCopyWithinTheFirstChangesNothing);
     CPPUNIT_TEST(instancesEnterThemselvesAgainOnce);
     CPPUNIT_TEST(whatWasEnteredBeforeTheFirstListIsEnteredAgain);
+    CPPUNIT_TEST(anEpochThatIsNamedOnceIsForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +188,23 @@
         CPPUNIT_ASSERT_EQUAL(2, store.writes.load());
     }
 
+    /// One answer names an epoch that never was. The instance wrote its entry again every 2 s.
+    void anEpochThatIsNamedOnceIsForgotten()
+    {
+        small_store store;
+        store.put(wire::configKind, wire::configName, test::configSpec(4));
+        platform_gateway instance(instanceSettings(store));
+        CPPUNIT_ASSERT(succeeded(instance.start()));
+        const bool hasEntered = waitUntil([&] { return store.has(wire::instanceKind, "edge-1"); });
+        store.nameOnce(900'000);
+        const int asked = store.watches;
+        const bool goesOn = waitUntil([&] { return store.watches >= asked + 24; });
+        instance.leave();
+        CPPUNIT_ASSERT(hasEntered);
+        CPPUNIT_ASSERT(goesOn);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(store.writes), store.writes <= 2);
+    }
+
     /// An instance starts and enters itself; the store goes back before the instance has listed
     /// anything, so that its first list is of the copy already. Nothing shows it but the epoch in
     /// which its object was written: the others would never hear of it.
--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -91,6 +91,13 @@
     }
 
     std::atomic<std::size_t> pageSize{SIZE_MAX}; ///< Objects of one answer to a list.
+    /// The next answer names another epoch.
+    void nameOnce(std::uint64_t wrong)
+    {
+        const std::lock_guard lock(guard);
+        wrongEpoch = wrong;
+    }
+
     std::atomic<int> watches{0};
     std::atomic<int> pages{0}; ///< Answers to lists.
     std::atomic<int> writes{0}; ///< Calls of the instances that create or replace.
@@ -212,10 +219,11 @@
                                 + R"(,"currentRev":)" + std::to_string(content.revision) + "}"));
     }
 
-    http_reply marked(http_reply given) const
+    http_reply marked(http_reply given)
     {
-        if (epoch > 0)
-            given.headers.emplace_back(wire::storeEpoch, std::to_string(epoch));
+        const std::uint64_t named = std::exchange(wrongEpoch, std::nullopt).value_or(epoch);
+        if (named > 0)
+            given.headers.emplace_back(wire::storeEpoch, std::to_string(named));
         return given;
     }
 
@@ -223,6 +231,7 @@
     std::mutex guard;
     copy content;
     std::uint64_t epoch = 0;
+    std::optional<std::uint64_t> wrongEpoch;
     std::optional<copy> afterFirstWrite;
     http_server server;
     const endpoint address;
