Give no fence after the highest

After a record of the lease with the fence 2^64-1, the next term had the fence 0: engines that require fences would refuse every order of it, and others would take older orders after newer ones. The least fence of an epoch wrapped as well, from an epoch of some 1.8e13 on.

Cause: both were added and multiplied without a look at the range.

Evidence, on the code before: noFenceFollowsTheHighest and anEpochWithoutRoomForFencesGivesNone got a term; both pass after.

--- a/src/gateway/order_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -3,9 +3,24 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace poplarspool::gateway {
 
+namespace {
+
+/// @returns Nothing where there is none above all that were given.
+std::optional<std::uint64_t> fenceAfter(const lease_record &present)
+{
+    const bool isLast = present.fence == std::numeric_limits<std::uint64_t>::max();
+    if (isLast || present.version.epoch > config::storeEpochMost)
+        return std::nullopt;
+    // Fences of terms whose records were lost must not be given again.
+    return std::max(present.fence + 1, present.version.epoch * config::fencesPerEpoch);
+}
+
+} // namespace
+
 order_lease::order_lease(lease_store store, instance_id self, milliseconds bound,
                          clock_source clock, journal &events)
     : store(std::move(store)), self(std::move(self)), bound(bound), clock(std::move(clock)),
@@ -42,9 +57,14 @@
     const lease_record &present = valueOf(found);
     if (!isFreeFrom(present))
         return std::nullopt;
-    // Fences of terms whose records were lost must not be given again.
-    const std::uint64_t least = present.version.epoch * config::fencesPerEpoch;
-    const lease_record next{self, std::max(present.fence + 1, least), present.version};
+    const auto fence = fenceAfter(present);
+    if (!fence) {
+        events.emit("lease_unusable",
+                    {{"fence", std::to_string(present.fence)},
+                     {"epoch", std::to_string(present.version.epoch)}});
+        return std::nullopt;
+    }
+    const lease_record next{self, *fence, present.version};
     const mono_time askedAt = clock.mono();
     const auto written = store.write(next);
     if (!succeeded(written)) {
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/gateway/order_lease_test.cpp
@@ -1,6 +1,9 @@
 #include "poplarspool/gateway/order_lease.h"
 
+#include "poplarspool/gateway/limits.h"
+
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 
 namespace poplarspool::gateway {
 
@@ -65,9 +68,36 @@
     CPPUNIT_TEST(withoutTheStoreThereIsNoTerm);
     CPPUNIT_TEST(aTermWhoseRecordIsLostIsWaitedFor);
     CPPUNIT_TEST(fencesOfLostTermsAreNotGivenAgain);
+    CPPUNIT_TEST(noFenceFollowsTheHighest);
+    CPPUNIT_TEST(anEpochWithoutRoomForFencesGivesNone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Another writer leaves a record with the highest fence that there is. The next one would be
+    /// 0, and engines would refuse it, or take older orders after newer ones.
+    void noFenceFollowsTheHighest()
+    {
+        world test;
+        test.record = {{"a"}, std::numeric_limits<std::uint64_t>::max() - 1, {0, 10}};
+        order_lease mine = test.leaseOf("a");
+        const auto last = mine.tryTake();
+        CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint64_t>::max(), last->fence);
+        CPPUNIT_ASSERT(!mine.tryTake());
+        CPPUNIT_ASSERT_EQUAL(last->fence, test.record.fence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events.events({"lease_unusable", {}, {}}).size());
+    }
+
+    /// Its least fence would be lower than that of an earlier epoch.
+    void anEpochWithoutRoomForFencesGivesNone()
+    {
+        world test;
+        test.record = {{"a"}, 7, {config::storeEpochMost, 10}};
+        CPPUNIT_ASSERT_EQUAL(config::storeEpochMost * config::fencesPerEpoch,
+                             test.leaseOf("a").tryTake()->fence);
+        test.record = {{"a"}, 7, {config::storeEpochMost + 1, 10}};
+        CPPUNIT_ASSERT(!test.leaseOf("a").tryTake());
+    }
+
     void theHolderTakesTermAfterTerm()
     {
         world test;
