Let who starts in a later epoch wait before it takes a term for orders

The store comes back from an older copy without the record of a term that still runs, or with an older one that names the instance that starts. That instance had read no epoch before, so it took a term at once, and two could order one engine within the bound.

Now an epoch above 0 at the first read counts like one that rises: nobody takes a term for twice the bound from then. It costs orders, for 6 s with a bound of 3 s, at each start in a later epoch.

Evidence: whoStartsAfterACopyWaitsForLostTerms fails without the change ("test.now - startedAt >= 6s"); test_gateway: 108 of 108 with it.

--- a/include/poplarspool/gateway/order_lease.h
+++ b/include/poplarspool/gateway/order_lease.h
@@ -50,7 +50,8 @@
 /// successor writes only after it has seen the same record for twice the bound. Between the last
 /// order of one holder and the first of the next there is at least one and a half times the bound.
 /// A store that comes back from an older copy may have lost the record of a term that still runs:
-/// for twice the bound from when this is noticed, nobody writes, whoever the record names.
+/// for twice the bound from when this is noticed, nobody writes, whoever the record names. Who
+/// starts afterwards can't tell how long ago that was, and waits as long.
 /// @attention For one thread.
 class order_lease
 {
--- a/src/gateway/order_lease.cpp
+++ b/src/gateway/order_lease.cpp
@@ -32,7 +32,9 @@
 bool order_lease::isFreeFrom(const lease_record &found)
 {
     const mono_time now = clock.mono();
-    if (epoch && *epoch != found.version.epoch)
+    // Also who starts in a later epoch: the record of a term that still runs may just have been
+    // lost.
+    if (epoch.value_or(0) != found.version.epoch)
         wentBackAt = now;
     epoch = found.version.epoch;
     if (wentBackAt != mono_time{} && now - wentBackAt < 2 * bound)
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/gateway/order_lease_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(fencesOfLostTermsAreNotGivenAgain);
     CPPUNIT_TEST(noFenceFollowsTheHighest);
     CPPUNIT_TEST(anEpochWithoutRoomForFencesGivesNone);
+    CPPUNIT_TEST(whoStartsAfterACopyWaitsForLostTerms);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +169,24 @@
         CPPUNIT_ASSERT(!test.leaseOf("a").tryTake());
     }
 
+    /// An instance takes a term and orders an engine; the store comes back from a copy without that
+    /// record, or with an older one of another instance, and that one starts anew. It can't tell
+    /// how long ago that was. Taken at its word, both would order the engine within the bound.
+    void whoStartsAfterACopyWaitsForLostTerms()
+    {
+        const lease_record none;
+        for (const lease_record &older : {none, lease_record{{"b"}, 1, {0, 11}}}) {
+            world test;
+            CPPUNIT_ASSERT(test.leaseOf("a").tryTake());
+            test.goBackTo(older);
+            const mono_time startedAt = test.now;
+            order_lease started = test.leaseOf("b");
+            while (!started.tryTake())
+                test.now += 100ms;
+            CPPUNIT_ASSERT(test.now - startedAt >= 6s);
+        }
+    }
+
     /// An instance takes a term and orders an engine; the store comes back from a copy that has not
     /// that record, but an older one of the other instance, or none. Taken at its word, both would
     /// order the engine within the bound.
