Tell instances that start after an older copy which runners had left

An instance that starts after the store has gone back believed the copy: runners that had left in the lost time were in service for it, until their word was written again or their entries lapsed (up to three heartbeats, 3.6 s).

Instances that have seen the store go back now name these entries in their own objects (id, birth, count of writes; at most 64), and who starts doubts them as the others do. Only those that follow the store for others, or by themselves, do so, by one write each, and only where a runner has left in the lost time. Who starts reads these objects anyway: no call more. A mark counts once, so that a runner believed after 10 s is not doubted again, and not for runners that have written since. Entries that are older than what is known, of runners that live, are not marked.

--- a/include/poplarspool/gateway/catalogue_keeper.h
+++ b/include/poplarspool/gateway/catalogue_keeper.h
@@ -71,6 +71,11 @@
     /// The store has come back from an older copy; the next list is of that copy.
     /// @param lastSeenAt When it was last known not to have.
     void noteOlderCopy(mono_time lastSeenAt);
+    /// What an instance that starts now should know of the last older copy.
+    const std::vector<entry_mark> &copyMarks() const { return copies.marks(); }
+    /// Leaves runners alone whose entries others know to be outdated, where this instance has
+    /// started too late to know it.
+    void doubt(const std::vector<entry_mark> &told);
     /// Drops the runners whose time to come back is over, and takes entries of an older copy that
     /// still stand. To be called after each answer.
     void settle();
@@ -93,6 +98,7 @@
     std::set<runner_id> missing; ///< Kept although listed no more.
     copied_entries copies;
     bool isCopyNext = false; ///< The next list is of an older copy.
+    bool hasSeenCopy = false; ///< What was lost is known here.
 };
 
 } // namespace poplarspool::gateway
--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -23,6 +23,8 @@
     endpoint loadAddress; ///< News of load.
     zone_id zone;
     endpoint newsAddress; ///< News of the store; invalid: it takes none.
+    /// Runners that it knew to have left when the store came back from an older copy.
+    std::vector<entry_mark> outdated;
 
     bool operator==(const listed_gateway &) const = default;
 };
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -287,6 +287,8 @@
 /// Time after which an entry of such a copy is believed if it still stands: entries of runners that
 /// have ended lapse after three of their heartbeats, of 1.2 s each.
 inline constexpr std::chrono::milliseconds copyDoubtTime = 10s;
+/// Entries of such a copy that an instance names to those that start: some kilobytes in the store.
+inline constexpr std::size_t maxEntryMarks = 64;
 /// Time after its return in which entries that lapsed while it was away are found missing.
 inline constexpr std::chrono::milliseconds entryLapseTime = 500ms;
 /// Between gateways: rounds and time to suspicion. Callers keep an address for 2 s, and lose 1 s on
--- a/src/gateway/catalogue_keeper.cpp
+++ b/src/gateway/catalogue_keeper.cpp
@@ -111,6 +111,29 @@
     forgiveFrom(std::max(failedAt, lastSeenAt));
     lostAt = {};
     isCopyNext = true;
+    hasSeenCopy = true;
+}
+
+/// The marks may be here before the list that they are about. Whoever has seen the store go back
+/// judges by itself: what it has come to believe since must not be doubted anew.
+void catalogue_keeper::doubt(const std::vector<entry_mark> &told)
+{
+    if (hasSeenCopy || told.empty())
+        return;
+    copies.doubt(told, clock.mono());
+    hub.update([&](catalogue &next) {
+        bool isChanged = false;
+        for (const entry_mark &mark : told) {
+            const auto found = next.runners.find(mark.id);
+            if (found == next.runners.end() || !copies.isOutdated(*found->second))
+                continue;
+            events.emit("runner_doubted",
+                        {{"runner", mark.id.text}, {"writes", std::to_string(mark.writes)}});
+            next.runners.erase(found);
+            isChanged = true;
+        }
+        return isChanged;
+    });
 }
 
 void catalogue_keeper::takeAway(catalogue &next, const runner_id &id)
--- a/src/gateway/copied_entries.cpp
+++ b/src/gateway/copied_entries.cpp
@@ -34,15 +34,43 @@
     return before != gone.end() && before->second.bornMs >= entry.bornMs;
 }
 
+/// One that the copy shows as leaving is left alone anyway; one without a count of its writes would
+/// be doubted at each start from then on; and one that lives though its entry is older is needed.
+bool copied_entries::isWorthTelling(const runner_map &known, const runner &entry)
+{
+    const auto present = known.find(entry.id);
+    const bool hasLeft = present == known.end() || present->second->isDraining;
+    return hasLeft && !entry.isDraining && entry.writes > 0;
+}
+
 void copied_entries::setCopy(const runner_map &known, const std::vector<runner> &copy,
                              mono_time now)
 {
     forgetOld(now);
     outdated.clear();
+    marksOfCopy.clear();
     copiedAt = now;
     for (const runner &entry : copy) {
-        if (isLessThanKnown(known, entry))
-            outdated[entry.id] = entry;
+        if (!isLessThanKnown(known, entry))
+            continue;
+        outdated[entry.id] = {entry.bornMs, entry.writes, now, entry};
+        if (isWorthTelling(known, entry) && marksOfCopy.size() < config::maxEntryMarks)
+            marksOfCopy.push_back({entry.id, entry.bornMs, entry.writes});
+    }
+}
+
+void copied_entries::doubt(const std::vector<entry_mark> &told, mono_time now)
+{
+    for (const entry_mark &mark : told) {
+        const auto before = toldMarks.find(mark.id);
+        if (before != toldMarks.end()
+            && std::tie(before->second.bornMs, before->second.writes)
+                    >= std::tie(mark.bornMs, mark.writes))
+            continue;
+        toldMarks[mark.id] = mark;
+        outdated[mark.id] = {mark.bornMs, mark.writes, now, std::nullopt};
+        // Against the next copy.
+        gone[mark.id] = {mark.bornMs, now};
     }
 }
 
@@ -51,24 +79,33 @@
     const auto found = outdated.find(entry.id);
     if (found == outdated.end())
         return false;
-    const runner &copied = found->second;
+    doubted_entry &copied = found->second;
     const bool isNewer =
             std::tie(entry.bornMs, entry.writes) > std::tie(copied.bornMs, copied.writes);
-    const bool saysThatItLeaves = entry.isDraining && !copied.isDraining;
-    if (!isNewer && !saysThatItLeaves)
+    const bool wasLeaving = copied.listed && copied.listed->isDraining;
+    if (!isNewer && (!entry.isDraining || wasLeaving)) {
+        copied.listed = entry;
         return true;
+    }
     outdated.erase(found);
     return false;
 }
 
 std::vector<runner> copied_entries::takeOverdue(mono_time now)
 {
+    if (now - copiedAt >= config::copyDoubtTime)
+        marksOfCopy.clear();
     std::vector<runner> overdue;
-    if (now - copiedAt < config::copyDoubtTime)
-        return overdue;
-    for (const auto &[id, entry] : outdated)
-        overdue.push_back(entry);
-    outdated.clear();
+    for (auto at = outdated.begin(); at != outdated.end();) {
+        const doubted_entry &one = at->second;
+        if (now - one.since < config::copyDoubtTime) {
+            ++at;
+            continue;
+        }
+        if (one.listed)
+            overdue.push_back(*one.listed);
+        at = outdated.erase(at);
+    }
     return overdue;
 }
 
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -112,7 +112,7 @@
     void instancesSurviveTheStore()
     {
         const gateway::listed_gateway self{
-                {"edge-1"}, {"10.0.0.1", 7300}, {"10.0.0.1", 7301}, {"a"}, {}};
+                {"edge-1"}, {"10.0.0.1", 7300}, {"10.0.0.1", 7301}, {"a"}, {}, {{{"i-1"}, 7, 41}}};
         CPPUNIT_ASSERT(valueOf(decodeInstance("edge-1", encodeInstance(self))) == self);
         CPPUNIT_ASSERT(!succeeded(decodeInstance("edge-1", json::object())));
     }
--- a/tests/adapter/following_instance.h
+++ b/tests/adapter/following_instance.h
@@ -33,7 +33,8 @@
                 choices.peerAddress,
                 {},
                 choices.zone,
-                gateway::newsAddressOf(choices)};
+                gateway::newsAddressOf(choices),
+                {}};
     }
 
     /// @returns Null where it isn't known.
--- a/tests/adapter/older_copy_test.cpp
+++ b/tests/adapter/older_copy_test.cpp
@@ -61,6 +61,29 @@
     return std::min<std::size_t>(std::ranges::count_if(seen, isOfRunners), listed - 1);
 }
 
+std::vector<gateway::listed_gateway> listedIn(following_instance &one)
+{
+    const auto listed = one.client.list(wire::instanceKind, read_mode::Current);
+    CPPUNIT_ASSERT(succeeded(listed));
+    return decodeAll(valueOf(listed).objects, decodeInstance, one.events);
+}
+
+/// @returns Whether an instance's object says that a runner's entry is outdated.
+bool doesNameOutdated(const small_store &store, const std::string &instance,
+                      const std::string &runner)
+{
+    gateway::gateway_settings reader = settingsFor(store);
+    reader.instance.text = "reader";
+    following_instance one(reader);
+    for (const gateway::listed_gateway &each : listedIn(one)) {
+        if (each.id.text == instance
+            && std::ranges::find(each.outdated, runner_id{runner}, &gateway::entry_mark::id)
+                    != each.outdated.end())
+            return true;
+    }
+    return false;
+}
+
 void putRunner(small_store &store, const std::string &name, const std::string &state, int writes)
 {
     store.put(wire::runnerKind, name, runnerSpec(state, writes));
@@ -78,6 +101,7 @@
     CPPUNIT_TEST(instancesEnterThemselvesAgainOnce);
     CPPUNIT_TEST(whatWasEnteredBeforeTheFirstListIsEnteredAgain);
     CPPUNIT_TEST(anEpochThatIsNamedOnceIsForgotten);
+    CPPUNIT_TEST(whoStartsAfterwardsHearsOfLostLeaving);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,6 +245,37 @@
         CPPUNIT_ASSERT(hasStarted);
         CPPUNIT_ASSERT(isBack);
     }
+
+    /// Callers of an instance that started after the store had gone back are sent to a runner that
+    /// had left before. The copy has it in service. An instance that knew of its leaving says so in
+    /// its own object, which costs one write; who starts lists these objects anyway.
+    void whoStartsAfterwardsHearsOfLostLeaving()
+    {
+        small_store store;
+        putRunner(store, "gone", "in_service", 4);
+        putRunner(store, "stays", "in_service", 4);
+        const auto copy = store.current();
+        platform_gateway knowing(instanceSettings(store));
+        CPPUNIT_ASSERT(succeeded(knowing.start()));
+        const bool hasEntered = waitUntil(
+                [&] { return store.has(wire::instanceKind, "edge-1") && store.watches > 2; });
+        store.remove(wire::runnerKind, "gone");
+        const int asked = store.watches;
+        const bool hasHeard = waitUntil([&] { return store.watches >= asked + 4; });
+        store.goBackTo(copy);
+        const bool isSaid = waitUntil([&] { return doesNameOutdated(store, "edge-1", "gone"); });
+        const int written = store.writes;
+        following_instance started(settingsFor(store));
+        CPPUNIT_ASSERT(succeeded(started.follower.start()));
+        started.follower.setListed(listedIn(started));
+        const bool isLeftAlone =
+                waitUntil([&] { return isUsed(started, "stays") && !isUsed(started, "gone"); });
+        knowing.leave();
+        CPPUNIT_ASSERT(hasEntered && hasHeard);
+        CPPUNIT_ASSERT(isSaid);
+        CPPUNIT_ASSERT(isLeftAlone);
+        CPPUNIT_ASSERT(written <= 3);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(older_copy_test);
--- a/tests/gateway/catalogue_keeper_test.cpp
+++ b/tests/gateway/catalogue_keeper_test.cpp
@@ -21,6 +21,13 @@
     return made;
 }
 
+runner writtenRunner(const std::string &id, std::uint64_t writes)
+{
+    runner made = runnerOf(id);
+    made.writes = writes;
+    return made;
+}
+
 struct world
 {
     mono_time now{std::chrono::hours(1)};
@@ -66,6 +73,9 @@
     CPPUNIT_TEST(whatACopyLacksIsNotKeptForLonger);
     CPPUNIT_TEST(aLifeThatIsOverIsNotBroughtBack);
     CPPUNIT_TEST(whatIsMissingIsNotBroughtBackByASecondCopy);
+    CPPUNIT_TEST(whoStartsAfterACopyLeavesAloneWhatOthersDoubt);
+    CPPUNIT_TEST(marksCountOnceAndNotForLivingRunners);
+    CPPUNIT_TEST(livingRunnersAreNotMarked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -253,6 +263,65 @@
         test.keeper.settle();
         CPPUNIT_ASSERT(!test.isUsed("a"));
     }
+
+    /// Callers are sent to a runner that has left. The store came back from an older copy that has
+    /// it in service, and an instance started after that: it has never known anything else. Others
+    /// know. Their marks may be here before the list or after it, and go before a second copy.
+    void whoStartsAfterACopyLeavesAloneWhatOthersDoubt()
+    {
+        for (const bool isListedFirst : {false, true}) {
+            world other;
+            other.keeper.setRunners({writtenRunner("a", 4), writtenRunner("b", 4)});
+            other.keeper.takeChanges({{{"a"}, std::nullopt}});
+            other.keeper.noteOlderCopy(other.now);
+            const std::vector<runner> copy{writtenRunner("a", 4), writtenRunner("b", 4)};
+            other.keeper.setRunners(copy);
+            world started;
+            if (isListedFirst)
+                started.keeper.setRunners(copy);
+            started.keeper.doubt(other.keeper.copyMarks());
+            if (!isListedFirst)
+                started.keeper.setRunners(copy);
+            CPPUNIT_ASSERT(!started.isUsed("a") && started.isUsed("b"));
+            started.keeper.noteOlderCopy(started.now);
+            started.keeper.setRunners(copy);
+            CPPUNIT_ASSERT(!started.isUsed("a") && started.isUsed("b"));
+        }
+    }
+
+    /// Runners that live after all write their entries, or still stand when the doubt is over. The
+    /// marks stay in the store; taken again, they would withdraw those runners for good.
+    void marksCountOnceAndNotForLivingRunners()
+    {
+        world test;
+        const std::vector<entry_mark> marks{{{"a"}, 0, 4}, {{"b"}, 0, 4}, {{"c"}, 0, 4}};
+        test.keeper.setRunners(
+                {writtenRunner("a", 5), writtenRunner("b", 4), writtenRunner("c", 4)});
+        test.keeper.doubt(marks);
+        CPPUNIT_ASSERT(test.isUsed("a") && !test.isUsed("b") && !test.isUsed("c"));
+        test.keeper.takeChanges({{{"b"}, writtenRunner("b", 6)}});
+        CPPUNIT_ASSERT(test.isUsed("b"));
+        test.now += config::copyDoubtTime;
+        test.keeper.settle();
+        CPPUNIT_ASSERT(test.isUsed("c"));
+        test.keeper.doubt(marks);
+        CPPUNIT_ASSERT(test.isUsed("a") && test.isUsed("b") && test.isUsed("c"));
+    }
+
+    /// A runner wrote something else in the lost time than that it leaves. It is in use everywhere;
+    /// an instance that starts must not do without it.
+    void livingRunnersAreNotMarked()
+    {
+        world test;
+        test.keeper.setRunners({writtenRunner("a", 5), writtenRunner("b", 4)});
+        test.keeper.takeChanges({{{"b"}, runnerOf("b", true)}});
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners({writtenRunner("a", 4), writtenRunner("b", 3)});
+        CPPUNIT_ASSERT(test.keeper.copyMarks() == (std::vector<entry_mark>{{{"b"}, 0, 3}}));
+        test.now += config::copyDoubtTime;
+        test.keeper.settle();
+        CPPUNIT_ASSERT(test.keeper.copyMarks().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_keeper_test);
