Measure what all instances ask of a store that comes back without their objects

The new test plays a store that is away for a second, breaks all calls off, and comes back without any instance's object: all must be back within 2 s, by one write each.

Nothing had to be repaired.

--- a/tests/adapter/small_store.h
+++ b/tests/adapter/small_store.h
@@ -13,6 +13,8 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace poplarspool::adapter::test {
 
@@ -35,9 +37,22 @@
         std::map<std::string, std::map<std::string, object>> kinds;
     };
 
-    small_store()
+    /// A call that has arrived.
+    struct call
+    {
+        enum class form { List, Watch, Get, Write };
+
+        form how = form::List;
+        std::string kind;
+        std::string caller; ///< Of writes: the object's name.
+        std::chrono::steady_clock::time_point at;
+        bool isRefused = false; ///< The store was away.
+    };
+
+    /// @param connections That it takes at a time.
+    explicit small_store(std::uint32_t connections = defaultHttpLimits().connections)
         : server(
-                "store", {"127.0.0.1", 0}, defaultHttpLimits(),
+                "store", {"127.0.0.1", 0}, limitsFor(connections),
                 [this](const http_request &request, http_sink &) { return answer(request); },
                 metrics),
           address(valueOf(server.start()))
@@ -83,6 +98,21 @@
         ++epoch;
     }
 
+    /// Breaks all calls off, those that wait too, until it comes back.
+    void goAway() { isAway = true; }
+
+    void comeBackAs(const copy &older)
+    {
+        goBackTo(older);
+        isAway = false;
+    }
+
+    std::vector<call> takeCalls()
+    {
+        const std::lock_guard lock(callsGuard);
+        return std::exchange(calls, {});
+    }
+
     /// Lists wait for that write, and are answered from the copy.
     void goBackAfterTheFirstWrite(const copy &older)
     {
@@ -103,7 +133,45 @@
     std::atomic<int> writes{0}; ///< Calls of the instances that create or replace.
 
 private:
+    static http_limits limitsFor(std::uint32_t connections)
+    {
+        http_limits made = defaultHttpLimits();
+        made.connections = connections;
+        return made;
+    }
+
+    static call callOf(const http_request &request)
+    {
+        const std::string path = request.path.substr(std::string(wire::objectsPath).size());
+        call made;
+        made.kind = path.substr(0, path.find_first_of("?/"));
+        made.at = std::chrono::steady_clock::now();
+        if (request.method != "GET") {
+            made.how = call::form::Write;
+            made.caller = nlohmann::json::parse(request.body).at("metadata").at("name");
+        } else if (path.find('/') != std::string::npos) {
+            made.how = call::form::Get;
+        } else if (path.find("watch=") != std::string::npos) {
+            made.how = call::form::Watch;
+        }
+        return made;
+    }
+
     std::optional<http_reply> answer(const http_request &request)
+    {
+        call arrived = callOf(request);
+        arrived.isRefused = isAway;
+        {
+            const std::lock_guard lock(callsGuard);
+            calls.push_back(arrived);
+        }
+        if (arrived.isRefused)
+            return std::nullopt;
+        auto made = answerCall(request);
+        return isAway ? std::nullopt : std::move(made);
+    }
+
+    std::optional<http_reply> answerCall(const http_request &request)
     {
         const std::string path = request.path.substr(std::string(wire::objectsPath).size());
         const std::string kind = path.substr(0, path.find_first_of("?/"));
@@ -120,7 +188,7 @@
         const std::uint64_t since = std::stoull(path.substr(from + 6));
         const auto wait = milliseconds(std::stol(path.substr(path.find("waitMs=") + 7))) / 10;
         for (const auto end = std::chrono::steady_clock::now() + wait;
-             std::chrono::steady_clock::now() < end && !hasNews(kind, since);)
+             std::chrono::steady_clock::now() < end && !isAway && !hasNews(kind, since);)
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
         return reply(kind, since, true);
     }
@@ -233,6 +301,9 @@
     std::uint64_t epoch = 0;
     std::optional<std::uint64_t> wrongEpoch;
     std::optional<copy> afterFirstWrite;
+    std::atomic<bool> isAway{false};
+    std::mutex callsGuard;
+    std::vector<call> calls;
     http_server server;
     const endpoint address;
 };
