Let the stand-in of the store come back from an older copy on command

The processes of the product could not be tried against a store that comes back from an older copy: the stand-in kept all that it had acknowledged. It now takes a copy, goes back to it in a new epoch (header Store-Epoch in all answers from then on, versions given out again, 410 to watches beyond them, calls on their way broken off), and writes again what was lost under given prefixes, removals too, unless it has been written since.

A watch beyond the version gets 410 in later epochs only: where the store has never gone back, nothing changes.

--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds maxWatchTime{60000};
 constexpr std::uint64_t weightBytes = 16ULL * 1024 * 1024 * 1024;
 
+/// Header of all answers once the store has come back from an older copy: how often.
+constexpr char epochHeader[] = "Store-Epoch";
+
 /// Lost: the connection is closed without an answer.
 using answer = std::optional<http_reply>;
 
@@ -108,6 +111,8 @@
 
     answer serve(const http_request &request);
     answer serveControl(const http_request &request, const request_target &target);
+    std::optional<int> serveCopies(const http_request &request, const request_target &target);
+    answer serveInOneEpoch(const http_request &request, const request_target &target);
     answer servePlatform(const http_request &request, const request_target &target);
     answer serveObject(const http_request &request, const request_target &target,
                        const std::string &key);
@@ -144,7 +149,7 @@
         faults.delay();
         if (faults.isOut())
             return std::nullopt;
-        return servePlatform(request, target);
+        return serveInOneEpoch(request, target);
     } catch (const json::exception &fault) {
         return refusal(400, fault.what());
     } catch (const std::out_of_range &) {
@@ -166,6 +171,8 @@
                         {"instances", counts.instanceLists},
                         {"weights", counts.weights}});
     }
+    if (const auto status = serveCopies(request, target))
+        return replyOf(*status, json::object());
     const json body = json::parse(request.body);
     if (target.path == "/standin/fault") {
         setFault({faultOf(body.at("mode").get<std::string>()), body.value("slow_ms", 0U),
@@ -183,6 +190,38 @@
     return replyOf(200, json::object());
 }
 
+/// @returns The status; nothing where the call is none of these.
+std::optional<int> platform_standin::state::serveCopies(const http_request &request,
+                                                        const request_target &target)
+{
+    if (target.path == "/standin/copy") {
+        objects.keepCopy();
+        return 200;
+    }
+    if (target.path == "/standin/go_back")
+        return objects.goBack() ? 200 : 409;
+    if (target.path != "/standin/write_again")
+        return std::nullopt;
+    const json body = json::parse(request.body);
+    for (const json &prefix : body.at("prefixes"))
+        objects.writeAgain(prefix.get<std::string>());
+    return 200;
+}
+
+/// A call during which the store goes back is broken off: its answer would name versions of one
+/// epoch as those of another.
+answer platform_standin::state::serveInOneEpoch(const http_request &request,
+                                                const request_target &target)
+{
+    const std::uint64_t epoch = objects.epoch();
+    answer reply = servePlatform(request, target);
+    if (objects.epoch() != epoch)
+        return std::nullopt;
+    if (reply && epoch > 0)
+        reply->headers.emplace_back(epochHeader, std::to_string(epoch));
+    return reply;
+}
+
 answer platform_standin::state::servePlatform(const http_request &request,
                                               const request_target &target)
 {
@@ -258,6 +297,8 @@
     const auto seen = objects.watch(prefix->second, *after, std::chrono::milliseconds(bounded));
     if (faults.isOut())
         return std::nullopt;
+    if (seen.isGone)
+        return refusal(410, "no such version in this epoch");
     return replyOf(200, jsonOf(seen));
 }
 
--- a/src/standin/platform_objects.cpp
+++ b/src/standin/platform_objects.cpp
@@ -70,6 +70,8 @@
     std::unique_lock guard(lock);
     const std::uint64_t wakesBefore = wakes;
     stored_list out;
+    if (epochs > 0 && after > version)
+        return {{}, version, true};
     changed.wait_for(guard, wait, [&] {
         out.objects = changedSince(prefix, after);
         return !out.objects.empty() || wakes != wakesBefore || isEnding;
@@ -78,6 +80,53 @@
     return out;
 }
 
+void object_table::keepCopy()
+{
+    const std::lock_guard guard(lock);
+    copied = objects;
+    copiedVersion = version;
+}
+
+bool object_table::goBack()
+{
+    const std::lock_guard guard(lock);
+    if (!copied)
+        return false;
+    for (const auto &[key, object] : objects) {
+        if (object.version > copiedVersion)
+            lost[key] = object;
+    }
+    objects = *copied;
+    version = copiedVersion;
+    backVersion = version;
+    ++epochs;
+    ++wakes;
+    changed.notify_all();
+    return true;
+}
+
+void object_table::writeAgain(const std::string &prefix)
+{
+    const std::lock_guard guard(lock);
+    auto at = lost.lower_bound(prefix);
+    while (at != lost.end() && at->first.starts_with(prefix)) {
+        const auto present = objects.find(at->first);
+        const bool isNewer = present != objects.end() && present->second.version > backVersion;
+        if (!isNewer) {
+            at->second.version = ++version;
+            objects[at->first] = at->second;
+        }
+        at = lost.erase(at);
+    }
+    changed.notify_all();
+}
+
+std::uint64_t object_table::epoch() const
+{
+    const std::lock_guard guard(lock);
+    return epochs;
+}
+
 void object_table::wakeAll()
 {
     const std::lock_guard guard(lock);
--- a/src/standin/platform_objects.h
+++ b/src/standin/platform_objects.h
@@ -26,6 +26,7 @@
 {
     std::vector<stored_object> objects;
     std::uint64_t version = 0;
+    bool isGone = false; ///< Only of a watch: its version isn't of this epoch.
 };
 
 /// Outcome of a conditional write: the new version, or the present one where it lost.
@@ -48,20 +49,37 @@
     /// Waits for a change under the prefix beyond `after`, until `wait` is over or wakeAll().
     stored_list watch(const std::string &prefix, std::uint64_t after,
                       std::chrono::milliseconds wait);
+    /// Keeps a copy of all that it holds, in place of the one before.
+    void keepCopy();
+    /// Comes back from that copy, in a new epoch: what was acknowledged since is lost, and its
+    /// versions are given out again.
+    /// @returns False where none was kept.
+    bool goBack();
+    /// What was lost under the prefix is written again, unless it has been written since.
+    void writeAgain(const std::string &prefix);
+    /// @returns How often it has come back from a copy.
+    std::uint64_t epoch() const;
     /// Ends the watches that wait now, without a change.
     void wakeAll();
     /// Ends all watches, also later ones, at once.
     void end();
 
 private:
+    using object_map = std::map<std::string, stored_object>;
+
     std::uint64_t versionOf(const std::string &key) const;
     write_outcome write(const std::string &key, stored_object next, std::uint64_t ifVersion);
     std::vector<stored_object> changedSince(const std::string &prefix, std::uint64_t after) const;
 
     mutable std::mutex lock;
     std::condition_variable changed;
-    std::map<std::string, stored_object> objects;
+    object_map objects;
     std::uint64_t version = 0;
+    std::uint64_t epochs = 0;
+    std::optional<object_map> copied;
+    std::uint64_t copiedVersion = 0;
+    std::uint64_t backVersion = 0; ///< At the last coming back.
+    object_map lost; ///< Newest of each that no copy had.
     std::uint64_t wakes = 0;
     bool isEnding = false;
 };
