Name runners to those that start also where they were kept at a second copy

Where the store went back twice within 2 s and a runner was removed in between, it was kept as one that may have lapsed, and so not named to instances that start; once its time was over it was left alone here, and those went on using it.

Now a runner that is dropped while the copy still shows it in service is named from then on.

--- a/include/poplarspool/gateway/copied_entries.h
+++ b/include/poplarspool/gateway/copied_entries.h
@@ -65,7 +65,7 @@
 
     void forgetOld(mono_time now);
     bool isLessThanKnown(const runner_map &known, const runner &entry) const;
-    static bool isWorthTelling(const runner_map &known, const runner &entry);
+    void mark(const runner &entry);
 
     std::map<runner_id, gone_runner> gone;
     std::map<runner_id, doubted_entry> outdated;
--- a/src/gateway/copied_entries.cpp
+++ b/src/gateway/copied_entries.cpp
@@ -10,6 +10,10 @@
 {
     forgetOld(now);
     gone[entry.id] = {entry.bornMs, now};
+    // It was kept for a while, since the copy before lacked it: now it is known to have left.
+    const auto copied = outdated.find(entry.id);
+    if (copied != outdated.end() && copied->second.listed)
+        mark(*copied->second.listed);
 }
 
 void copied_entries::forgetOld(mono_time now)
@@ -34,13 +38,12 @@
     return before != gone.end() && before->second.bornMs >= entry.bornMs;
 }
 
-/// One that the copy shows as leaving is left alone anyway; one without a count of its writes would
-/// be doubted at each start from then on; and one that lives though its entry is older is needed.
-bool copied_entries::isWorthTelling(const runner_map &known, const runner &entry)
+/// One that the copy shows as leaving is left alone anyway, and one without a count of its writes
+/// would be doubted at each start from then on.
+void copied_entries::mark(const runner &entry)
 {
-    const auto present = known.find(entry.id);
-    const bool hasLeft = present == known.end() || present->second->isDraining;
-    return hasLeft && !entry.isDraining && entry.writes > 0;
+    if (!entry.isDraining && entry.writes > 0 && marksOfCopy.size() < config::maxEntryMarks)
+        marksOfCopy.push_back({entry.id, entry.bornMs, entry.writes});
 }
 
 void copied_entries::setCopy(const runner_map &known, const std::vector<runner> &copy,
@@ -54,8 +57,11 @@
         if (!isLessThanKnown(known, entry))
             continue;
         outdated[entry.id] = {entry.bornMs, entry.writes, now, entry};
-        if (isWorthTelling(known, entry) && marksOfCopy.size() < config::maxEntryMarks)
-            marksOfCopy.push_back({entry.id, entry.bornMs, entry.writes});
+        const auto present = known.find(entry.id);
+        const bool hasLeft = present == known.end() || present->second->isDraining;
+        // One that lives though its entry is older is needed.
+        if (hasLeft)
+            mark(entry);
     }
 }
 
--- a/tests/adapter/older_copy_stress_test.cpp
+++ b/tests/adapter/older_copy_stress_test.cpp
@@ -100,6 +100,22 @@
                                    [runner](const auto &one) { return isUsed(*one, runner); });
     }
 
+    /// @returns Whether an instance that starts now comes to leave the runner alone, by what the
+    ///          others put into their objects.
+    bool doesNewcomerLeaveAlone(int runner) const
+    {
+        gateway::gateway_settings settings;
+        settings.instance.text = "newcomer";
+        settings.storeAddress = store.at();
+        following_instance newcomer(settings);
+        if (!succeeded(newcomer.follower.start()))
+            return false;
+        return waitUntil([&] {
+            newcomer.follower.setListed(listedNow());
+            return newcomer.hasLogged("runners_listed") && !isUsed(newcomer, runner);
+        });
+    }
+
     /// @returns The last lines of an instance that uses the runner.
     std::string linesOfOneThatUses(int runner) const
     {
@@ -117,6 +133,16 @@
     int drawRunner() { return static_cast<int>(draw() % runnerCount); }
 
 private:
+    std::vector<gateway::listed_gateway> listedNow() const
+    {
+        std::vector<gateway::listed_gateway> listed;
+        for (const auto &one : instances) {
+            listed.push_back(one->entry());
+            listed.back().outdated = one->follower.marksToTell();
+        }
+        return listed;
+    }
+
     void enter(int runner)
     {
         ++writes;
@@ -177,8 +203,9 @@
 public:
     /// Callers are sent to a runner that has left. Runners leave with and without a word; the store
     /// goes back to copies of any age, again before the last one is over; instances notice at
-    /// different times and tell each other meanwhile. Whatever an instance knew of a leaving runner
-    /// must hold, and in the end all must agree with what the runners have written.
+    /// different times and tell each other meanwhile; others start. Whatever an instance knew of a
+    /// leaving runner must hold, who starts must hear of it, and in the end all must agree with
+    /// what the runners have written.
     void nobodyUsesARunnerThatWasKnownToLeave()
     {
         const int seeds = fromEnvironment("POPLARSPOOL_STRESS_SEEDS", usualSeeds);
@@ -200,6 +227,7 @@
             CPPUNIT_ASSERT_MESSAGE(name, waitUntil([&] { return fleet.doAllAgree(); }));
             fleet.goBack();
             assertUnused(fleet, leaving, name);
+            CPPUNIT_ASSERT_MESSAGE(name, fleet.doesNewcomerLeaveAlone(leaving));
             if (round % 2 == 1)
                 fleet.goBack();
             fleet.writeAgain();
--- a/tests/gateway/catalogue_keeper_test.cpp
+++ b/tests/gateway/catalogue_keeper_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(whoStartsAfterACopyLeavesAloneWhatOthersDoubt);
     CPPUNIT_TEST(marksCountOnceAndNotForLivingRunners);
     CPPUNIT_TEST(livingRunnersAreNotMarked);
+    CPPUNIT_TEST(whatIsKeptAtASecondCopyIsMarkedOnceItIsGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -322,6 +323,27 @@
         test.keeper.settle();
         CPPUNIT_ASSERT(test.keeper.copyMarks().empty());
     }
+
+    /// A runner is removed right after the store has come back, and is kept as one that may have
+    /// lapsed. The store goes back again and shows it in service; after its time it is left alone.
+    /// An instance that starts then was never told, and used it.
+    void whatIsKeptAtASecondCopyIsMarkedOnceItIsGone()
+    {
+        world test;
+        const std::vector<runner> copy{writtenRunner("a", 4)};
+        test.keeper.setRunners(copy);
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners(copy);
+        test.keeper.takeChanges({{{"a"}, std::nullopt}});
+        test.now += 300ms;
+        test.keeper.noteOlderCopy(test.now);
+        test.keeper.setRunners(copy);
+        CPPUNIT_ASSERT(test.keeper.copyMarks().empty());
+        test.now += 3s;
+        test.keeper.settle();
+        CPPUNIT_ASSERT(!test.isUsed("a"));
+        CPPUNIT_ASSERT(test.keeper.copyMarks() == (std::vector<entry_mark>{{{"a"}, 0, 4}}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_keeper_test);
