Check with spin that who starts after an older copy is told of lost leaving

The model of copies had two instances that knew the store from its beginning. Now the second one may start anew once, at any time and without its memory; the first writes a mark of the leaving into the store in a later epoch, and a copy may lose that too.

Without the marks, with marks dropped that are read before the first list, or without memory across a second copy, the miss is found. The other models were not run: nothing in them changes.

--- a/model/copies.pml
+++ b/model/copies.pml
@@ -5,9 +5,17 @@
  * Property P_CURRENT: an instance that has just heard what the store holds, and takes itself to be up
  * to date, knows of the leaving if the store does.
  * Property P_NEVER_BACK: an instance that has known of the leaving goes on knowing it.
+ * Property P_STARTED: the second instance starts anew once, whenever, without its memory. The first
+ * one, if it knows of the leaving in a later epoch, writes so into the store, and a copy may lose that
+ * as well. Who has listed the runners and read that mark, in either order, knows of the leaving, and
+ * goes on knowing it.
  * See docs/MODEL.md.
  */
-#define MOST 5 /* changes within one epoch */
+#ifdef P_STARTED
+#define MOST 4 /* changes within one epoch */
+#else
+#define MOST 5
+#endif
 
 byte epoch = 0;
 byte revision = 1;
@@ -18,6 +26,13 @@
 byte copyRevision = 0;
 byte copyLeftAt = 0;
 
+#ifdef P_STARTED
+bool isMarked = false;     /* the mark stands in the store */
+bool isMarkCopied = false;
+bool isStarted = false;    /* instance 1 has started anew */
+bool hasReadMark = false;  /* and has read the mark since */
+#endif
+
 /* The two instances: 0 follows the store and tells, 1 is told and asks where it has to. */
 byte knownEpoch[2];
 byte knownRevision[2];
@@ -44,11 +59,17 @@
         hasLeft = true
     :: isCopied = true;
         copyRevision = revision;
-        copyLeftAt = leftAt
+        copyLeftAt = leftAt;
+#ifdef P_STARTED
+        isMarkCopied = isMarked
+#endif
     :: isCopied && epoch < 2 ->
         epoch++;
         revision = copyRevision;
-        leftAt = copyLeftAt
+        leftAt = copyLeftAt;
+#ifdef P_STARTED
+        isMarked = isMarkCopied
+#endif
     fi
 }
 
@@ -67,6 +88,9 @@
 #else
     /* Within an epoch the store is believed; its copy is not, against what was known. */
     knowsLeft[i] = (leftAt > 0) || (isListed[i] && knowsLeft[i]);
+#endif
+#if defined(P_STARTED) && !defined(NO_EARLY_MARKS)
+    knowsLeft[i] = knowsLeft[i] || (i == 1 && !isListed[1] && hasReadMark);
 #endif
     knownEpoch[i] = epoch;
     knownRevision[i] = revision;
@@ -126,6 +150,26 @@
 bool knew[2];
 #endif
 
+#ifdef P_STARTED
+inline startAnew()
+{
+    isStarted = true;
+    isListed[1] = false;
+    knowsLeft[1] = false;
+    knownEpoch[1] = 0;
+    knownRevision[1] = 0;
+    hasReadMark = false
+}
+
+inline readMark()
+{
+    hasReadMark = true;
+#ifndef NO_MARKS
+    knowsLeft[1] = knowsLeft[1] || isListed[1]
+#endif
+}
+#endif
+
 active proctype world()
 {
     do
@@ -136,7 +180,15 @@
         :: true -> ask(1)
         :: isListed[0] -> tell()
         :: isTold && isListed[1] -> hear()
+#ifdef P_STARTED
+        :: !isStarted -> startAnew()
+        :: isListed[0] && knowsLeft[0] && knownEpoch[0] > 0 -> isMarked = true
+        :: isStarted && isMarked -> readMark()
+#endif
         fi;
+#ifdef P_STARTED
+        assert(!hasReadMark || !isListed[1] || knowsLeft[1]);
+#endif
 #ifdef P_NEVER_BACK
         assert(!knew[0] || knowsLeft[0]);
         assert(!knew[1] || knowsLeft[1]);
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -57,6 +57,10 @@
 copies - NEVER_BACK -
 copies - CURRENT EPOCH
 copies - NEVER_BACK MEMORY
+copies - STARTED -
+copies - STARTED MARKS
+copies - STARTED EARLY_MARKS
+copies - STARTED MEMORY
 LIST
 }
 
