Let an exception end a step of a thread, and not the process

All instances ended in the same second when an encoder threw on a thread on which nothing catches. That encoder is mended; each other throw on a long-lived thread, foreseen or not, would still end the process and break off every answer that it is sending.

--- a/src/base/named_thread.cpp
+++ b/src/base/named_thread.cpp
@@ -44,16 +44,19 @@
     }
 }
 
-void logUncaught(const journal &events)
+/// Of the exception that is being handled.
+std::vector<event_field> fieldsOfException()
 {
-    const std::exception_ptr thrown = std::current_exception();
-    if (!thrown)
-        return;
     const std::type_info *type = abi::__cxa_current_exception_type();
-    events.emitLast("uncaught_exception",
-                    {{"thread", std::string(threadName())},
-                     {"type", type == nullptr ? "" : readable(type->name())},
-                     {"reason", reasonOf(thrown)}});
+    return {{"thread", std::string(threadName())},
+            {"type", type == nullptr ? "" : readable(type->name())},
+            {"reason", reasonOf(std::current_exception())}};
+}
+
+void logUncaught(const journal &events)
+{
+    if (std::current_exception())
+        events.emitLast("uncaught_exception", fieldsOfException());
 }
 
 /// Another thread is about to end the process: ended by this one, its line would be lost.
@@ -86,16 +89,36 @@
 std::thread startNamed(std::string name, std::function<void()> run)
 {
     return std::thread([name = std::move(name), run = std::move(run)] {
-        ownName = name;
+        nameThisThread(name);
         run();
     });
 }
 
+void nameThisThread(std::string name)
+{
+    ownName = std::move(name);
+}
+
 std::string_view threadName()
 {
     return ownName.empty() ? unnamed : std::string_view(ownName);
 }
 
+step_faults stepFaultsOf(journal &events, metrics_registry &metrics)
+{
+    return {&events, metrics.counterOf("poplarspool_steps_failed_total")};
+}
+
+void noteFailedStep(const step_faults &faults) noexcept
+{
+    faults.failed.add();
+    try {
+        if (faults.events != nullptr)
+            faults.events->emit("step_failed", fieldsOfException());
+    } catch (...) { // NOLINT(bugprone-empty-catch): out of memory; the step is counted.
+    }
+}
+
 uncaught_log::uncaught_log(journal &events)
 {
     uncaughtTo = &events;
