Let an exception end a step of a thread, and not the process

All instances ended in the same second when an encoder threw on a thread on which nothing catches.

contained() runs one step: an exception is logged (step_failed, with thread, type and reason) and counted (poplarspool_steps_failed_total), and the thread goes on. Jobs of connection threads run in it: a connection that throws is closed and counted as ended.

--- a/include/poplarspool/base/http.h
+++ b/include/poplarspool/base/http.h
@@ -2,6 +2,7 @@
 
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/endpoint.h"
+#include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
 
@@ -85,8 +86,9 @@
 public:
     /// @param name Label of its metrics.
     /// @param bind Port 0 lets the system choose.
+    /// @param events Gets a line for each connection that ended by an exception; may be null.
     http_server(const std::string &name, const endpoint &bind, http_limits limits,
-                http_handler handler, metrics_registry &metrics);
+                http_handler handler, metrics_registry &metrics, journal *events = nullptr);
     ~http_server();
 
     /// Binds and starts to accept.
--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -324,6 +324,11 @@
 inline constexpr std::size_t maxRankedAddresses = 16;
 inline constexpr std::size_t minElsewhereAddresses = 4;
 
+// --- Containment -------------------------------------------------------------------------------
+
+/// Pause of a long-lived thread after a step that failed.
+inline constexpr std::chrono::milliseconds failedStepPause = 200ms;
+
 // --- Seeing ------------------------------------------------------------------------------------
 
 /// Events that one instance's ring keeps.
--- a/include/poplarspool/operators/operator_server.h
+++ b/include/poplarspool/operators/operator_server.h
@@ -74,7 +74,7 @@
 {
 public:
     operator_server(const endpoint &bind, std::string keySha256, operator_handlers handlers,
-                    metrics_registry &metrics);
+                    metrics_registry &metrics, journal &events);
     ~operator_server();
     result<endpoint> start();
     void stop();
--- a/src/base/connection_threads.cpp
+++ b/src/base/connection_threads.cpp
@@ -11,12 +11,16 @@
 
 struct connection_threads::state
 {
-    explicit state(std::uint32_t limit) : limit(limit) { }
+    state(std::string name, std::uint32_t limit, step_faults faults)
+        : name(std::move(name)), limit(limit), faults(faults)
+    { }
 
     void work(std::function<void()> job);
     bool takeJob(std::function<void()> &job);
 
+    const std::string name;
     const std::uint32_t limit;
+    const step_faults faults;
     std::mutex guard;
     std::condition_variable jobGiven;
     std::condition_variable threadEnded;
@@ -45,8 +49,9 @@
 
 void connection_threads::state::work(std::function<void()> job)
 {
+    nameThisThread(name);
     do {
-        job();
+        contained(faults, job);
         job = nullptr;
         const std::lock_guard lock(guard);
         --busy;
@@ -85,7 +90,8 @@
 
 } // namespace
 
-connection_threads::connection_threads(std::uint32_t limit) : inner(std::make_shared<state>(limit))
+connection_threads::connection_threads(std::string name, std::uint32_t limit, step_faults faults)
+    : inner(std::make_shared<state>(std::move(name), limit, faults))
 { }
 
 connection_threads::~connection_threads()
@@ -99,8 +105,8 @@
     if (inner->busy >= inner->limit || inner->isEnding)
         return false;
     if (inner->waiting > 0) {
-        --inner->waiting;
         inner->handedOver.push_back(std::move(job));
+        --inner->waiting;
         inner->jobGiven.notify_one();
     } else {
         if (!startDetached([shared = inner, job] { shared->work(job); }))
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -47,17 +47,23 @@
 struct http_server::state
 {
     state(const std::string &name, const endpoint &bind, http_limits limits, http_handler handler,
-          metrics_registry &metrics)
+          metrics_registry &metrics, journal *events)
         : bind(bind), limits(std::make_shared<const http_limits>(limits)),
           handler(std::move(handler)), connections(metrics.gaugeOf(labelled("connections", name))),
           refused(metrics.counterOf(labelled("refused_total", name))),
           timeouts(metrics.counterOf(labelled("timeouts_total", name))),
           badRequests(metrics.counterOf(labelled("bad_requests_total", name))),
-          faults(metrics.counterOf(labelled("faults_total", name))), serving(limits.connections),
-          lingering(maxLingering), listener([this](int fd) { accept(fd); })
+          faults{events, metrics.counterOf(labelled("faults_total", name))},
+          serving("http_" + name, limits.connections, faults),
+          lingering("http_refused_" + name, maxLingering, faults), listener([this](int fd) {
+              descriptor arrived(fd);
+              contained(faults, [&] { accept(std::move(arrived)); });
+          })
     { }
 
-    void accept(int fd);
+    struct connection_end;
+
+    void accept(descriptor arrived);
     void refuse(const std::shared_ptr<descriptor> &connection);
     void serve(descriptor &connection);
     bool answer(int fd, const arrived_request &arrived, milliseconds writeTime, bool closes);
@@ -70,7 +76,7 @@
     counter &refused;
     counter &timeouts;
     counter &badRequests;
-    counter &faults; ///< Exceptions out of the handler.
+    const step_faults faults; ///< Of the handler, or of the connection.
     std::atomic<std::uint32_t> open{0};
     std::atomic<bool> isEnding{false};
     raised_flag stopping;
@@ -79,18 +85,34 @@
     http_listener listener;
 };
 
+/// Closes a connection and then counts it as ended, also where serving it threw. The thread's own
+/// copy of the job lives longer than the server.
+struct http_server::state::connection_end
+{
+    connection_end(state &owner, descriptor &connection) : owner(owner), connection(connection) { }
+    connection_end(const connection_end &) = delete;
+    connection_end &operator=(const connection_end &) = delete;
+    ~connection_end()
+    {
+        connection.reset();
+        owner.open.fetch_sub(1);
+        owner.connections.add(-1);
+    }
+
+    state &owner;
+    descriptor &connection;
+};
+
 /// Runs on the accepting thread, so it may not wait for anything.
-void http_server::state::accept(int fd)
+void http_server::state::accept(descriptor arrived)
 {
-    const auto connection = std::make_shared<descriptor>(fd);
-    sendWithoutDelay(fd);
+    const auto connection = std::make_shared<descriptor>(std::move(arrived));
+    sendWithoutDelay(connection->get());
     connections.add(1);
     open.fetch_add(1);
     const bool started = serving.run([this, connection] {
+        const connection_end end(*this, *connection);
         serve(*connection);
-        connection->reset();
-        open.fetch_sub(1);
-        connections.add(-1);
     });
     if (started)
         return;
@@ -142,7 +164,7 @@
     try {
         reply = handler(request, writer);
     } catch (...) {
-        faults.add();
+        noteFailedStep(faults);
         // Begun replies are cut; the caller sees that they are not whole.
         reply = errorReply(500, error_code::Internal, verdict::MayHaveRun, "internal fault");
     }
@@ -163,8 +185,8 @@
 }
 
 http_server::http_server(const std::string &name, const endpoint &bind, http_limits limits,
-                         http_handler handler, metrics_registry &metrics)
-    : inner(std::make_unique<state>(name, bind, limits, std::move(handler), metrics))
+                         http_handler handler, metrics_registry &metrics, journal *events)
+    : inner(std::make_unique<state>(name, bind, limits, std::move(handler), metrics, events))
 { }
 
 http_server::~http_server()
--- a/src/base/named_thread.cpp
+++ b/src/base/named_thread.cpp
@@ -38,17 +38,21 @@
     }
 }
 
+/// Logs the exception that is being handled.
+void logException(journal &events, std::string_view kind)
+{
+    const std::type_info *type = abi::__cxa_current_exception_type();
+    events.emit(kind,
+                {{"thread", std::string(threadName())},
+                 {"type", type == nullptr ? "" : readable(type->name())},
+                 {"reason", reasonOf(std::current_exception())}});
+}
+
 void logAndEnd()
 {
     journal *events = uncaughtTo.exchange(nullptr);
-    const std::exception_ptr thrown = std::current_exception();
-    if (events != nullptr && thrown) {
-        const std::type_info *type = abi::__cxa_current_exception_type();
-        events->emit("uncaught_exception",
-                     {{"thread", std::string(threadName())},
-                      {"type", type == nullptr ? "" : readable(type->name())},
-                      {"reason", reasonOf(thrown)}});
-    }
+    if (events != nullptr && std::current_exception())
+        logException(*events, "uncaught_exception");
     handlerBefore();
 }
 
@@ -57,16 +61,36 @@
 std::thread startNamed(std::string name, std::function<void()> run)
 {
     return std::thread([name = std::move(name), run = std::move(run)] {
-        ownName = name;
+        nameThisThread(name);
         run();
     });
 }
 
+void nameThisThread(std::string name)
+{
+    ownName = std::move(name);
+}
+
 std::string_view threadName()
 {
     return ownName.empty() ? unnamed : std::string_view(ownName);
 }
 
+step_faults stepFaultsOf(journal &events, metrics_registry &metrics)
+{
+    return {&events, metrics.counterOf("poplarspool_steps_failed_total")};
+}
+
+void noteFailedStep(const step_faults &faults) noexcept
+{
+    faults.failed.add();
+    try {
+        if (faults.events != nullptr)
+            logException(*faults.events, "step_failed");
+    } catch (...) { // NOLINT(bugprone-empty-catch): out of memory; the step is counted.
+    }
+}
+
 uncaught_log::uncaught_log(journal &events)
 {
     uncaughtTo = &events;
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -161,7 +161,7 @@
                   [this](const http_request &request, http_sink &connection) {
                       return serve(request, connection);
                   },
-                  metrics)
+                  metrics, &events)
     { }
 
     std::optional<http_reply> serve(const http_request &request, http_sink &connection);
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -183,7 +183,7 @@
       callServer(choices.peerAddress, {choices.instance, life, choices.peerKey}, callHandlers(),
                  metrics, events),
       operatorServer(choices.operatorAddress, choices.operatorKeySha256, operatorHandlers(),
-                     metrics),
+                     metrics, events),
       callerServer(choices.callerAddress, choices.callerLimits, callerHandlers(), clock, metrics,
                    events)
 { }
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -112,12 +112,12 @@
 struct operator_server::state
 {
     state(const endpoint &bind, std::string keySha256, operator_handlers handlers,
-          metrics_registry &metrics)
+          metrics_registry &metrics, journal &events)
         : keySha256(std::move(keySha256)), handlers(std::move(handlers)), metrics(metrics),
           server(
                   "operators", bind, operatorLimits(),
                   [this](const http_request &request, http_sink &) { return serve(request); },
-                  metrics)
+                  metrics, &events)
     { }
 
     bool mayEnter(const http_request &request) const;
@@ -216,8 +216,10 @@
 }
 
 operator_server::operator_server(const endpoint &bind, std::string keySha256,
-                                 operator_handlers handlers, metrics_registry &metrics)
-    : inner(std::make_unique<state>(bind, std::move(keySha256), std::move(handlers), metrics))
+                                 operator_handlers handlers, metrics_registry &metrics,
+                                 journal &events)
+    : inner(std::make_unique<state>(bind, std::move(keySha256), std::move(handlers), metrics,
+                                    events))
 { }
 
 operator_server::~operator_server() = default;
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -60,7 +60,7 @@
                   metrics.counterOf("poplarspool_peer_call_bytes_total{direction=\"received\"}")),
           bytesSent(metrics.counterOf("poplarspool_peer_call_bytes_total{direction=\"sent\"}")),
           refused(metrics.counterOf("poplarspool_peer_connections_refused_total")),
-          threads(config::maxPeerConnections)
+          threads("peer_calls", config::maxPeerConnections, stepFaultsOf(log, metrics))
     { }
 
     void acceptLoop();
--- a/tests/base/named_thread_test.cpp
+++ b/tests/base/named_thread_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST_SUITE(named_thread_test);
     CPPUNIT_TEST(threadsKnowTheirNames);
     CPPUNIT_TEST(anEndByAnExceptionNamesThreadAndReason);
+    CPPUNIT_TEST(aStepThatThrowsEndsNeitherThreadNorProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +65,28 @@
                                  "reason=\"too many\"")
                        != std::string::npos);
     }
+
+    void aStepThatThrowsEndsNeitherThreadNorProcess()
+    {
+        metrics_registry metrics;
+        journal events({"edge-1"}, systemClock(), 8);
+        const step_faults faults = stepFaultsOf(events, metrics);
+        std::vector<bool> outcomes;
+        startNamed("watch", [&] {
+            outcomes.push_back(contained(faults, [] { throw std::length_error("too many"); }));
+            outcomes.push_back(contained(faults, [] { throw 7; }));
+            outcomes.push_back(contained(faults, [] {}));
+        }).join();
+        CPPUNIT_ASSERT(outcomes == (std::vector<bool>{false, false, true}));
+        const auto failed = events.events({"step_failed", {}, {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, failed.size());
+        CPPUNIT_ASSERT(failed.front().fields
+                       == (std::vector<event_field>{{"thread", "watch"},
+                                                    {"type", "std::length_error"},
+                                                    {"reason", "too many"}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                             metrics.counterOf("poplarspool_steps_failed_total").get());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(named_thread_test);
--- a/tests/operators/commands_test.cpp
+++ b/tests/operators/commands_test.cpp
@@ -43,7 +43,7 @@
 {
 public:
     explicit operators_bench(std::string keySha256 = "")
-        : server({"127.0.0.1", 0}, std::move(keySha256), handlers(), metrics)
+        : server({"127.0.0.1", 0}, std::move(keySha256), handlers(), metrics, events)
     {
         const auto started = server.start();
         CPPUNIT_ASSERT(succeeded(started));
@@ -132,6 +132,7 @@
     }
 
     metrics_registry metrics;
+    journal events{{"entry-1"}, systemClock(), 16};
     http_pool pool{2, std::chrono::seconds(10), metrics};
     operator_server server;
     endpoint address;
