Let gossip, news of loads and of the store, and stages go on after a step that throws

An exception on one of these threads ended the process, and with it each answer that it was sending.

Each of them takes its steps in contained() now, and goes on after failedStepPause. Datagrams are given up one by one and without a pause, so that those of other senders don't wait behind one that throws. Members of the fleet stay due until their handler has taken them; a rumor whose handler throws is given up and takes no other with it; a look at the stages is followed by the next.

Evidence: a test for each thread whose handler throws, at first and then no more: the next step works, and the lines are counted.

--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -3,6 +3,7 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
+#include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/peer/datagram_settings.h"
@@ -77,7 +78,7 @@
     /// @param onNews Gets a sender's number and its news, in the sender's order.
     load_exchange(datagram_settings choices, std::function<load_news(news_audience)> collect,
                   std::function<void(std::uint64_t sender, const load_news &)> onNews,
-                  clock_source clock, metrics_registry &metrics);
+                  clock_source clock, metrics_registry &metrics, journal &events);
     ~load_exchange();
 
     result<unit> start();
--- a/include/poplarspool/peer/store_relay.h
+++ b/include/poplarspool/peer/store_relay.h
@@ -3,6 +3,7 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
+#include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/peer/datagram_settings.h"
@@ -32,7 +33,7 @@
     /// @param onNews Gets a sender's number and its news, in the sender's order, on another thread.
     store_relay(datagram_settings choices, std::function<relay_turn()> collect,
                 std::function<void(std::uint64_t sender, const store_news &)> onNews,
-                metrics_registry &metrics);
+                metrics_registry &metrics, journal &events);
     ~store_relay();
 
     result<unit> start();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,16 +63,16 @@
                   [this](std::uint64_t sender, const peer::load_news &news) {
                       ledger.takeNews(sender, news);
                   },
-                  clock, registry),
+                  clock, registry, log),
           callers(
                   "callers", choices.callerAddress, defaultHttpLimits(),
                   [this](const http_request &request, http_sink &caller) {
                       return relay(request, caller);
                   },
-                  registry),
+                  registry, &log),
           stages({hub, ledger, connections, names, clock, log,
                   registry.counterOf("poplarspool_gateway_stage_orders_total"),
-                  [this] { return ownsStages(); }},
+                  stepFaultsOf(log, registry), [this] { return ownsStages(); }},
                  std::move(leases), choices.instance, choices.leaseBound)
     { }
 
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -1,7 +1,6 @@
 #include "gateway/stage_keeper.h"
 
 #include "gateway/runner_control.h"
-#include "poplarspool/base/named_thread.h"
 #include "poplarspool/gateway/limits.h"
 
 namespace poplarspool::gateway {
@@ -36,12 +35,14 @@
         thread.join();
 }
 
+/// After a look that failed, the next one goes on: an order is noted before it is sent, and bound
+/// by its term. The time between two looks is the pause.
 void stage_keeper::run()
 {
     std::unique_lock lock(guard);
     while (!stopped.wait_for(lock, config::stageLookTime, [this] { return isStopping; })) {
         lock.unlock();
-        look();
+        contained(tools.faults, [this] { look(); });
         lock.lock();
     }
 }
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -2,6 +2,7 @@
 
 #include "base/connection_pool.h"
 #include "gateway/runner_ledger.h"
+#include "poplarspool/base/named_thread.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/order_lease.h"
@@ -24,6 +25,7 @@
     const clock_source clock;
     journal &events;
     counter &orders;
+    const step_faults faults;
     /// Whether the planning falls on this instance. Two may think so: the lease keeps them apart.
     std::function<bool()> isOwner;
 };
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -46,7 +46,8 @@
     state(gossip_settings given, gossip_handlers callbacks, clock_source time,
           metrics_registry &metrics, journal &log)
         : choices(std::move(given)), handlers(std::move(callbacks)), clock(std::move(time)),
-          events(log), key(deriveFrameKey(choices.key)), stopTime(choices.suspectTime / stopShare),
+          events(log), faults(stepFaultsOf(log, metrics)), key(deriveFrameKey(choices.key)),
+          stopTime(choices.suspectTime / stopShare),
           dropped(metrics, "poplarspool_gossip_dropped_total"),
           bytesSent(metrics.counterOf("poplarspool_gossip_bytes_total{direction=\"sent\"}")),
           bytesReceived(
@@ -59,6 +60,8 @@
     { }
 
     void run();
+    void takeStep();
+    void tellLastTime();
     void wake();
     void waitUntil(mono_time time);
     void noteStop(mono_time now);
@@ -74,6 +77,7 @@
     const gossip_handlers handlers;
     const clock_source clock;
     journal &events;
+    const step_faults faults;
     const frame_key key;
     const milliseconds stopTime;
     drop_counters dropped;
@@ -94,7 +98,9 @@
     // Of the gossip thread alone.
     replay_guard replays;
     std::uint64_t counterSent = 0;
+    mono_time nextRound{};
     mono_time awakeAt{};
+    std::vector<policy::member> untoldMembers; ///< Not yet taken by the handler.
     mono_time arrivedAt{}; ///< Of what is received now; not later than it truly arrived.
 };
 
@@ -185,21 +191,35 @@
     return inner->protocol.allRumors();
 }
 
+/// What a failed step leaves undone comes with a later one: each round tells all anew, and members
+/// stay due until their handler has taken them.
 void gossip::state::run()
 {
-    mono_time nextRound = clock.mono();
+    nextRound = clock.mono();
     awakeAt = nextRound;
     while (!isStopping) {
-        waitUntil(nextRound);
-        const mono_time now = clock.mono();
-        noteStop(now);
-        receiveAll();
-        if (now >= nextRound || isRoundDue.exchange(false)) {
-            runRound(now);
-            nextRound = now + choices.roundTime;
-        }
-        tellHandlers();
+        if (!contained(faults, [this] { takeStep(); }) && !isStopping)
+            waitForSocket(wakeEvent.get(), POLLIN, socket_clock::now() + config::failedStepPause,
+                          -1);
     }
+    contained(faults, [this] { tellLastTime(); });
+}
+
+void gossip::state::takeStep()
+{
+    waitUntil(nextRound);
+    const mono_time now = clock.mono();
+    noteStop(now);
+    receiveAll();
+    if (now >= nextRound || isRoundDue.exchange(false)) {
+        runRound(now);
+        nextRound = now + choices.roundTime;
+    }
+    tellHandlers();
+}
+
+void gossip::state::tellLastTime()
+{
     std::vector<outgoing> last;
     {
         const std::lock_guard lock(mutex);
@@ -254,7 +274,8 @@
             return;
         bytesReceived.add(static_cast<std::uint64_t>(size) + config::datagramOverheadBytes);
         datagramsReceived.add();
-        receive({buffer.data(), static_cast<std::size_t>(size)}, from);
+        // Lost like any datagram where it throws; without a pause, since others wait behind it.
+        contained(faults, [&] { receive({buffer.data(), static_cast<std::size_t>(size)}, from); });
     }
 }
 
@@ -338,21 +359,21 @@
 {
     std::vector<member_change> changes;
     std::vector<rumor> news;
-    std::vector<policy::member> members;
     {
         const std::lock_guard lock(mutex);
         changes = protocol.takeChanges();
         news = protocol.takeNewRumors();
         if (protocol.takeIsChanged())
-            members = protocol.listedMembers();
+            untoldMembers = protocol.listedMembers();
     }
     logChanges(changes);
-    if (!members.empty() && handlers.onMembers)
-        handlers.onMembers(members);
     for (const rumor &item : news) {
         if (handlers.onRumor)
-            handlers.onRumor(item);
+            contained(faults, [&] { handlers.onRumor(item); });
     }
+    if (!untoldMembers.empty() && handlers.onMembers)
+        handlers.onMembers(untoldMembers);
+    untoldMembers.clear();
 }
 
 void gossip::state::logChanges(const std::vector<member_change> &changes)
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -23,12 +23,14 @@
 {
     state(datagram_settings choices, std::function<load_news(news_audience)> collect,
           std::function<void(std::uint64_t, const load_news &)> onNews, clock_source clock,
-          metrics_registry &metrics)
+          metrics_registry &metrics, journal &events)
         : collect(std::move(collect)), onNews(std::move(onNews)), clock(std::move(clock)),
+          faults(stepFaultsOf(events, metrics)),
           port(std::move(choices), frame_kind::Load, metrics, "poplarspool_load_news_total")
     { }
 
     void run();
+    void takeStep();
     void tellDue(mono_time now);
     void tellAudience(news_audience audience, const std::vector<endpoint> &to);
     bool hear(std::uint64_t sender, std::string_view payload);
@@ -36,6 +38,7 @@
     const std::function<load_news(news_audience)> collect;
     const std::function<void(std::uint64_t, const load_news &)> onNews;
     const clock_source clock;
+    const step_faults faults;
     datagram_port port;
     raised_flag stopping;
     std::thread thread;
@@ -44,6 +47,7 @@
     std::vector<endpoint> far;
 
     // Of the thread alone.
+    mono_time nextAt{}; ///< When to tell again.
     mono_time farAt{}; ///< When the far ones are due.
     std::array<bool, newsAudiences> wereQuiet{};
 };
@@ -51,9 +55,9 @@
 load_exchange::load_exchange(datagram_settings choices,
                              std::function<load_news(news_audience)> collect,
                              std::function<void(std::uint64_t, const load_news &)> onNews,
-                             clock_source clock, metrics_registry &metrics)
+                             clock_source clock, metrics_registry &metrics, journal &events)
     : inner(std::make_unique<state>(std::move(choices), std::move(collect), std::move(onNews),
-                                    std::move(clock), metrics))
+                                    std::move(clock), metrics, events))
 { }
 
 load_exchange::~load_exchange()
@@ -84,26 +88,35 @@
     inner->far = std::move(far);
 }
 
+/// News are hints, and collected anew each time: those of a step that failed are lost like any
+/// datagram.
 void load_exchange::state::run()
 {
-    mono_time nextAt = clock.mono();
+    nextAt = clock.mono();
     while (!stopping.isRaised()) {
-        const mono_time now = clock.mono();
-        if (now >= nextAt) {
-            tellDue(now);
-            const std::lock_guard lock(guard);
-            nextAt = now
-                    + loadNewsInterval(near.size(), near.size() + far.size(),
-                                       config::loadNewsPerSecond);
-        }
-        const auto left = std::chrono::ceil<milliseconds>(nextAt - clock.mono());
-        waitForSocket(port.descriptorNumber(), POLLIN,
-                      socket_clock::now() + std::max(left, milliseconds(0)),
-                      stopping.descriptorNumber());
-        port.receive([this](std::uint64_t sender, std::string_view payload) {
-            return hear(sender, payload);
-        });
+        if (!contained(faults, [this] { takeStep(); }))
+            waitForSocket(-1, 0, socket_clock::now() + config::failedStepPause,
+                          stopping.descriptorNumber());
+    }
+}
+
+void load_exchange::state::takeStep()
+{
+    const mono_time now = clock.mono();
+    if (now >= nextAt) {
+        tellDue(now);
+        const std::lock_guard lock(guard);
+        nextAt = now
+                + loadNewsInterval(near.size(), near.size() + far.size(),
+                                   config::loadNewsPerSecond);
     }
+    const auto left = std::chrono::ceil<milliseconds>(nextAt - clock.mono());
+    waitForSocket(port.descriptorNumber(), POLLIN,
+                  socket_clock::now() + std::max(left, milliseconds(0)),
+                  stopping.descriptorNumber());
+    port.receive([this](std::uint64_t sender, std::string_view payload) {
+        return hear(sender, payload);
+    });
 }
 
 void load_exchange::state::tellDue(mono_time now)
@@ -141,8 +154,8 @@
     const auto news = decodeLoadNews(payload);
     if (!succeeded(news))
         return false;
-    onNews(sender, valueOf(news));
-    return true;
+    // There is no pause: news of other senders would wait.
+    return contained(faults, [&] { onNews(sender, valueOf(news)); });
 }
 
 } // namespace poplarspool::peer
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -75,7 +75,8 @@
     void lookTwice()
     {
         stage_keeper keeper({hub, ledger, connections, names, clock, events,
-                             metrics.counterOf("orders"), [this] { return isOwner; }},
+                             metrics.counterOf("orders"), stepFaultsOf(events, metrics),
+                             [this] { return isOwner; }},
                             store(), {"self"}, 3000ms);
         keeper.look();
         now += config::stageSettleTime;
@@ -105,6 +106,7 @@
     CPPUNIT_TEST(onlyTheOwnerOrders);
     CPPUNIT_TEST(enginesWithoutStagesGetNoOrders);
     CPPUNIT_TEST(aSlowStoreDoesNotHoldUpTheEnd);
+    CPPUNIT_TEST(aLookThatThrowsIsFollowedByTheNext);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,7 +186,8 @@
             return notRun(error_code::TimedOut, "no answer");
         };
         stage_keeper keeper({test.hub, test.ledger, test.connections, test.names, systemClock(),
-                             test.events, test.metrics.counterOf("orders"), [] { return true; }},
+                             test.events, test.metrics.counterOf("orders"),
+                             stepFaultsOf(test.events, test.metrics), [] { return true; }},
                             slow, {"self"}, 3000ms);
         keeper.start();
         reached.get_future().wait();
@@ -193,6 +196,28 @@
         keeper.stop();
         CPPUNIT_ASSERT(engine.requests().empty());
     }
+
+    void aLookThatThrowsIsFollowedByTheNext()
+    {
+        world test({"127.0.0.1", 1});
+        std::promise<void> asked;
+        int looks = 0;
+        const auto isOwner = [&]() -> bool {
+            if (++looks == 1)
+                throw std::length_error("too many");
+            if (looks == 2)
+                asked.set_value();
+            return false;
+        };
+        stage_keeper keeper({test.hub, test.ledger, test.connections, test.names, systemClock(),
+                             test.events, test.metrics.counterOf("orders"),
+                             stepFaultsOf(test.events, test.metrics), isOwner},
+                            test.store(), {"self"}, 3000ms);
+        keeper.start();
+        CPPUNIT_ASSERT(asked.get_future().wait_for(20s) == std::future_status::ready);
+        keeper.stop();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events.events({"step_failed", {}, {}}).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stage_keeper_test);
--- a/tests/peer/gossip_test.cpp
+++ b/tests/peer/gossip_test.cpp
@@ -43,15 +43,27 @@
 struct instance_of_test
 {
     instance_of_test(const std::string &name, wake_up &wake)
-        : events(instance_id{name}, systemClock(), 256),
-          talk(settingsOf(name),
-               {[&wake](const auto &) { wake.notify(); },
-                [&wake](const rumor &) { wake.notify(); }},
-               systemClock(), metrics, events)
+        : events(instance_id{name}, systemClock(), 256), talk(settingsOf(name),
+                                                              {[this, &wake](const auto &members) {
+                                                                   throwIfDue(throwingMembers);
+                                                                   toldMembers = members.size();
+                                                                   wake.notify();
+                                                               },
+                                                               [this, &wake](const rumor &) {
+                                                                   throwIfDue(throwingRumors);
+                                                                   wake.notify();
+                                                               }},
+                                                              systemClock(), metrics, events)
     {
         CPPUNIT_ASSERT(succeeded(talk.start()));
     }
 
+    static void throwIfDue(std::atomic<int> &left)
+    {
+        if (left-- > 0)
+            throw std::length_error("too many");
+    }
+
     static gossip_settings settingsOf(const std::string &name)
     {
         gossip_settings choices;
@@ -82,6 +94,9 @@
                 .get();
     }
 
+    std::atomic<int> throwingMembers{0}; ///< So many of the first lists of members,
+    std::atomic<int> throwingRumors{0}; ///< and of the first rumors, end by an exception.
+    std::atomic<std::size_t> toldMembers{0};
     metrics_registry metrics;
     journal events;
     gossip talk;
@@ -93,6 +108,7 @@
 {
     CPPUNIT_TEST_SUITE(gossip_test);
     CPPUNIT_TEST(threeInstancesShareMembersVersionsAndRumors);
+    CPPUNIT_TEST(handlersThatThrowEndNoThread);
     CPPUNIT_TEST(badDatagramsAreDroppedAndCounted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -130,6 +146,22 @@
                 [&] { return a.talk.members().size() == 2 && b.talk.members().size() == 2; }));
     }
 
+    void handlersThatThrowEndNoThread()
+    {
+        wake_up wake;
+        instance_of_test a("a", wake);
+        instance_of_test b("b", wake);
+        a.throwingMembers = 2;
+        a.throwingRumors = 1;
+        b.talk.setContacts({a.talk.members().front().peerAddress});
+        CPPUNIT_ASSERT(wake.wait([&] { return a.toldMembers == 2 && b.toldMembers == 2; }));
+        b.talk.spread({"load/r1", 5, "busy"});
+        CPPUNIT_ASSERT(wake.wait([&] { return a.throwingRumors < 1; }));
+        b.talk.spread({"load/r2", 6, "busy"});
+        CPPUNIT_ASSERT(wake.wait([&] { return a.throwingRumors < 0; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, a.events.events({"step_failed", {}, {}}).size());
+    }
+
     /// Strangers write to the port, an old datagram is played again, and a peer's software is
     /// broken. Nothing of it is decoded or takes effect; each is counted under its reason.
     void badDatagramsAreDroppedAndCounted()
--- a/tests/peer/load_news_test.cpp
+++ b/tests/peer/load_news_test.cpp
@@ -21,22 +21,38 @@
 {
     speaker(const std::string &name, std::uint16_t port, const std::string &key)
         : exchange(
-                {{name}, 1, {"127.0.0.1", port}, key}, [](news_audience) { return sampleNews(); },
+                {{name}, 1, {"127.0.0.1", port}, key},
+                [this](news_audience) {
+                    throwIfDue(throwingTurns);
+                    return sampleNews();
+                },
                 [this](std::uint64_t, const load_news &news) {
                     const std::lock_guard lock(guard);
+                    throwIfDue(throwingNews);
                     heard = news;
                     told.notify_all();
                 },
-                systemClock(), metrics)
+                systemClock(), metrics, events)
     { }
 
+    static void throwIfDue(int &left)
+    {
+        if (left-- > 0)
+            throw std::length_error("too many");
+    }
+
+    std::size_t failedSteps() const { return events.events({"step_failed", {}, {}}).size(); }
+
     bool hearsWithin(milliseconds time)
     {
         std::unique_lock lock(guard);
         return told.wait_for(lock, time, [this] { return heard.has_value(); });
     }
 
+    int throwingTurns = 0; ///< So many of the first turns,
+    int throwingNews = 0; ///< and of the first news, end by an exception.
     metrics_registry metrics;
+    journal events{{"test"}, systemClock(), 16};
     std::mutex guard;
     std::condition_variable told;
     std::optional<load_news> heard;
@@ -51,6 +67,7 @@
     CPPUNIT_TEST(newsSurviveTheWire);
     CPPUNIT_TEST(malformedNewsAreRefused);
     CPPUNIT_TEST(instancesHearEachOther);
+    CPPUNIT_TEST(whatThrowsDoesNotEndTheExchange);
     CPPUNIT_TEST(theFleetsDatagramsAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +98,20 @@
         CPPUNIT_ASSERT(*second.heard == sampleNews());
     }
 
+    void whatThrowsDoesNotEndTheExchange()
+    {
+        speaker first("a", 39473, "key-of-the-test-fleet");
+        speaker second("b", 39474, "key-of-the-test-fleet");
+        first.throwingTurns = 2;
+        second.throwingNews = 2;
+        first.exchange.setPeers({{"127.0.0.1", 39474}}, {});
+        CPPUNIT_ASSERT(succeeded(second.exchange.start()));
+        CPPUNIT_ASSERT(succeeded(first.exchange.start()));
+        CPPUNIT_ASSERT(second.hearsWithin(20s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.failedSteps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
+    }
+
     /// At 295 instances in six zones, each told each other one: 206,000 datagrams a second went out
     /// and came in again, requests waited for the processor, and a day took longer to serve than it
     /// lasted. Now the fleet sends what 97 do; smaller ones tell as often as before.
--- /dev/null
+++ b/tests/peer/store_relay_test.cpp
@@ -0,0 +1,88 @@
+#include "poplarspool/peer/store_relay.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cppunit/extensions/HelperMacros.h>
+#include <mutex>
+
+namespace poplarspool::peer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr milliseconds turnTime{20};
+
+/// A relay that tells news with its turn as revision, and keeps what it hears.
+struct relay_run
+{
+    relay_run(const std::string &name, std::uint16_t port)
+        : relay(
+                {{name}, 1, {"127.0.0.1", port}, "key-of-the-test-fleet"},
+                [this] { return nextTurn(); },
+                [this](std::uint64_t, const store_news &news) { take(news); }, metrics, events)
+    { }
+
+    relay_turn nextTurn()
+    {
+        if (++turns <= throwingTurns)
+            throw std::length_error("too many");
+        return {store_news{{kind_news{}}}, turnTime};
+    }
+
+    void take(const store_news &news)
+    {
+        const std::lock_guard lock(guard);
+        if (throwingNews-- > 0)
+            throw std::length_error("too many");
+        heard = news;
+        changed.notify_all();
+    }
+
+    bool hears()
+    {
+        std::unique_lock lock(guard);
+        return changed.wait_for(lock, 20s, [this] { return heard.has_value(); });
+    }
+
+    std::size_t failedSteps() const { return events.events({"step_failed", {}, {}}).size(); }
+
+    int turns = 0;
+    int throwingTurns = 0;
+    int throwingNews = 0;
+    metrics_registry metrics;
+    journal events{{"test"}, systemClock(), 16};
+    std::mutex guard;
+    std::condition_variable changed;
+    std::optional<store_news> heard;
+    store_relay relay;
+};
+
+} // namespace
+
+class store_relay_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_relay_test);
+    CPPUNIT_TEST(whatThrowsEndsNoThread);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void whatThrowsEndsNoThread()
+    {
+        relay_run first("a", 39475);
+        relay_run second("b", 39476);
+        first.throwingTurns = 2;
+        second.throwingNews = 2;
+        first.relay.setPeers({{"127.0.0.1", 39476}});
+        CPPUNIT_ASSERT(succeeded(second.relay.start()));
+        CPPUNIT_ASSERT(succeeded(first.relay.start()));
+        CPPUNIT_ASSERT(second.hears());
+        first.relay.stop();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.failedSteps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_relay_test);
+
+} // namespace poplarspool::peer
