Have encoders of news say that a bound is broken, in place of throwing

Encoders of news of the store and of loads threw bad_payload out of their library, on the threads that tell. Their bounds hold by what their callers gather, but nothing in their type said so.

encode() gives a result, as that of told changes does. What cannot be told is not sent and counted: direction="untold" of poplarspool_store_news_total and poplarspool_load_news_total.

Evidence: a test for each with one item or byte beyond a bound (TooLarge) and at it, and one of the relay: two turns that can't be told are counted, and the third is heard. The tests of the round trips follow the new type and hold what they held.

--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -54,7 +54,8 @@
 /// @returns The number that stands for a runner in these messages.
 std::uint32_t runnerKey(const runner_id &id);
 
-std::string encode(const load_news &news);
+/// @returns TooLarge where a bound is broken.
+result<std::string> encode(const load_news &news);
 result<load_news> decodeLoadNews(std::string_view payload);
 
 /// Whom news go to. Both hear all of it, at their own pace.
--- a/include/poplarspool/peer/store_news.h
+++ b/include/poplarspool/peer/store_news.h
@@ -34,7 +34,8 @@
     bool operator==(const store_news &) const = default;
 };
 
-std::string encode(const store_news &news);
+/// @returns TooLarge where a bound is broken.
+result<std::string> encode(const store_news &news);
 result<store_news> decodeStoreNews(std::string_view payload);
 
 /// The changes of one kind that were seen lately, without a hole between them: each datagram
--- a/src/peer/datagram_port.cpp
+++ b/src/peer/datagram_port.cpp
@@ -13,7 +13,8 @@
                              const std::string &metric)
     : choices(std::move(choices)), kind(kind), key(deriveFrameKey(this->choices.key)),
       sent(metrics.counterOf(metric + "{direction=\"sent\"}")),
-      dropped(metrics.counterOf(metric + "{direction=\"dropped\"}"))
+      dropped(metrics.counterOf(metric + "{direction=\"dropped\"}")),
+      untold(metrics.counterOf(metric + "{direction=\"untold\"}"))
 { }
 
 result<unit> datagram_port::open()
@@ -29,14 +30,16 @@
     return unit{};
 }
 
-void datagram_port::send(const std::vector<endpoint> &to, std::string_view payload)
+void datagram_port::send(const std::vector<endpoint> &to, const result<std::string> &payload)
 {
+    if (!succeeded(payload))
+        return untold.add();
     frame_header header;
     header.kind = kind;
     header.sender = senderNumber(choices.self);
     header.senderLife = choices.life;
     header.counter = ++counterSent;
-    const std::string frame = sealFrame(key, header, payload);
+    const std::string frame = sealFrame(key, header, valueOf(payload));
     for (const endpoint &peer : to) {
         const auto address = numericAddressOf(peer);
         if (!address)
--- a/src/peer/datagram_port.h
+++ b/src/peer/datagram_port.h
@@ -30,7 +30,8 @@
     result<unit> open();
     int descriptorNumber() const { return socket.get(); }
 
-    void send(const std::vector<endpoint> &to, std::string_view payload);
+    /// @param payload Counted as untold where it could not be encoded.
+    void send(const std::vector<endpoint> &to, const result<std::string> &payload);
     /// Hands on what has arrived, in each sender's order.
     /// @param take Gets the sender's number and the payload.
     /// @returns False where it can't be read; it counts as dropped.
@@ -54,6 +55,7 @@
     const frame_key key;
     counter &sent;
     counter &dropped;
+    counter &untold;
     descriptor socket;
     std::map<std::uint64_t, sender_mark> marks;
     std::uint64_t counterSent = 0;
--- a/src/peer/load_news.cpp
+++ b/src/peer/load_news.cpp
@@ -37,11 +37,9 @@
     return static_cast<std::uint32_t>(hashOf(id.text));
 }
 
-std::string encode(const load_news &news)
+result<std::string> encode(const load_news &news)
 {
-    encoder out;
-    describe(out, news);
-    return out.take();
+    return encoded([&news](encoder &out) { describe(out, news); });
 }
 
 result<load_news> decodeLoadNews(std::string_view payload)
--- a/src/peer/store_news.cpp
+++ b/src/peer/store_news.cpp
@@ -30,11 +30,9 @@
 
 } // namespace
 
-std::string encode(const store_news &news)
+result<std::string> encode(const store_news &news)
 {
-    encoder out;
-    describe(out, news);
-    return out.take();
+    return encoded([&news](encoder &out) { describe(out, news); });
 }
 
 result<store_news> decodeStoreNews(std::string_view payload)
--- a/tests/peer/load_news_test.cpp
+++ b/tests/peer/load_news_test.cpp
@@ -68,19 +68,20 @@
     CPPUNIT_TEST(malformedNewsAreRefused);
     CPPUNIT_TEST(instancesHearEachOther);
     CPPUNIT_TEST(whatThrowsDoesNotEndTheExchange);
+    CPPUNIT_TEST(newsBeyondABoundAreRefused);
     CPPUNIT_TEST(theFleetsDatagramsAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void newsSurviveTheWire()
     {
-        CPPUNIT_ASSERT(valueOf(decodeLoadNews(encode(sampleNews()))) == sampleNews());
-        CPPUNIT_ASSERT(valueOf(decodeLoadNews(encode({}))) == load_news{});
+        CPPUNIT_ASSERT(valueOf(decodeLoadNews(valueOf(encode(sampleNews())))) == sampleNews());
+        CPPUNIT_ASSERT(valueOf(decodeLoadNews(valueOf(encode({})))) == load_news{});
     }
 
     void malformedNewsAreRefused()
     {
-        const std::string bytes = encode(sampleNews());
+        const std::string bytes = valueOf(encode(sampleNews()));
         for (std::size_t size = 0; size < bytes.size(); ++size)
             CPPUNIT_ASSERT(!succeeded(decodeLoadNews(bytes.substr(0, size))));
         CPPUNIT_ASSERT(!succeeded(decodeLoadNews(bytes + "x")));
@@ -112,6 +113,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
     }
 
+    void newsBeyondABoundAreRefused()
+    {
+        load_news news;
+        news.work.resize(config::maxLoadItems + 1);
+        CPPUNIT_ASSERT(errorOf(encode(news)).code == error_code::TooLarge);
+        news.work.pop_back();
+        CPPUNIT_ASSERT(succeeded(encode(news)));
+    }
+
     /// At 295 instances in six zones, each told each other one: 206,000 datagrams a second went out
     /// and came in again, requests waited for the processor, and a day took longer to serve than it
     /// lasted. Now the fleet sends what 97 do; smaller ones tell as often as before.
--- a/tests/peer/store_news_test.cpp
+++ b/tests/peer/store_news_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(store_news_test);
     CPPUNIT_TEST(newsSurviveTheWire);
     CPPUNIT_TEST(malformedNewsAreRefused);
+    CPPUNIT_TEST(newsBeyondABoundAreRefused);
     CPPUNIT_TEST(changesAreToldAgain);
     CPPUNIT_TEST(whatDoesNotFitIsNotHidden);
     CPPUNIT_TEST(aHoleIsNotHidden);
@@ -29,18 +30,30 @@
     void newsSurviveTheWire()
     {
         const store_news news{{{0, true, 5, {2, 9}, 250, {"a", ""}}, {1, false, 9, {0, 9}, 0, {}}}};
-        CPPUNIT_ASSERT(valueOf(decodeStoreNews(encode(news))) == news);
+        CPPUNIT_ASSERT(valueOf(decodeStoreNews(valueOf(encode(news)))) == news);
     }
 
     void malformedNewsAreRefused()
     {
-        const std::string whole = encode(store_news{{{0, true, 5, {0, 9}, 250, {"abc"}}}});
+        const std::string whole = valueOf(encode(store_news{{{0, true, 5, {0, 9}, 250, {"abc"}}}}));
         for (std::size_t size = 0; size < whole.size(); ++size)
             CPPUNIT_ASSERT(!succeeded(decodeStoreNews(whole.substr(0, size))));
         CPPUNIT_ASSERT(!succeeded(decodeStoreNews(whole + "x")));
         CPPUNIT_ASSERT(!succeeded(decodeStoreNews("\xff\xff\xff\xff\x0f")));
     }
 
+    void newsBeyondABoundAreRefused()
+    {
+        store_news news;
+        news.kinds.resize(config::maxToldKinds + 1);
+        CPPUNIT_ASSERT(errorOf(encode(news)).code == error_code::TooLarge);
+        news.kinds.resize(1);
+        news.kinds.front().changes.resize(1, std::string(config::maxChangeBytes + 1, 'a'));
+        CPPUNIT_ASSERT(errorOf(encode(news)).code == error_code::TooLarge);
+        news.kinds.front().changes.front().pop_back();
+        CPPUNIT_ASSERT(succeeded(encode(news)));
+    }
+
     /// A datagram with a change is lost: the next one has it, too.
     void changesAreToldAgain()
     {
--- a/tests/peer/store_relay_test.cpp
+++ b/tests/peer/store_relay_test.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/peer/store_relay.h"
 
+#include "poplarspool/config.h"
+
 #include <atomic>
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
@@ -27,7 +29,10 @@
     {
         if (++turns <= throwingTurns)
             throw std::length_error("too many");
-        return {store_news{{kind_news{}}}, turnTime};
+        kind_news told;
+        if (turns <= throwingTurns + untoldTurns)
+            told.changes.emplace_back(config::maxChangeBytes + 1, 'a');
+        return {store_news{{told}}, turnTime};
     }
 
     void take(const store_news &news)
@@ -49,6 +54,7 @@
 
     int turns = 0;
     int throwingTurns = 0;
+    int untoldTurns = 0; ///< After those that throw; they break a bound.
     int throwingNews = 0;
     metrics_registry metrics;
     journal events{{"test"}, systemClock(), 16};
@@ -63,15 +69,16 @@
 class store_relay_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(store_relay_test);
-    CPPUNIT_TEST(whatThrowsEndsNoThread);
+    CPPUNIT_TEST(whatThrowsOrCannotBeToldEndsNoThread);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void whatThrowsEndsNoThread()
+    void whatThrowsOrCannotBeToldEndsNoThread()
     {
         relay_run first("a", 39475);
         relay_run second("b", 39476);
         first.throwingTurns = 2;
+        first.untoldTurns = 2;
         second.throwingNews = 2;
         first.relay.setPeers({{"127.0.0.1", 39476}});
         CPPUNIT_ASSERT(succeeded(second.relay.start()));
@@ -80,6 +87,9 @@
         first.relay.stop();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.failedSteps());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
+        counter &untold =
+                first.metrics.counterOf("poplarspool_store_news_total{direction=\"untold\"}");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, untold.get());
     }
 };
 
