Let the threads of the store go on after a step that throws

An exception of a handler of routes or runners, or of the instances' list, ended the process.

A watch that only asked again from where it was would hide what was half told: with the routes in force already and their change not yet gathered for the others, the second time would see no change, and tell the others that there was none. So a kind counts as not listed while its handlers run, and a step that threw lists it anew. A list counts as known only once all of it was taken; its revision was kept before that.

Evidence: a list and a change whose handlers throw once: the same list is taken again; the change is followed by a list, then by watches from there. An instance whose name JSON refuses fails to enter itself and goes on trying (three failed steps and more, process alive).

--- /dev/null
+++ b/tests/adapter/instances_test.cpp
@@ -0,0 +1,77 @@
+#include "adapter/following_instance.h"
+#include "adapter/small_store.h"
+#include "platform/adapter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+endpoint local(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+/// Its name is no text that JSON takes: it can't enter itself in the store.
+gateway::gateway_settings unnamableInstance(const endpoint &store)
+{
+    gateway::gateway_settings made;
+    made.instance.text = "edge-\xff";
+    made.callerAddress = local(39481);
+    made.readinessAddress = local(39482);
+    made.directoryAddress = local(39483);
+    made.peerAddress = local(39484);
+    made.loadAddress = local(39485);
+    made.metricsAddress = local(39486);
+    made.storeAddress = store;
+    made.addressKeepTime = 0s;
+    made.leaveSeconds = 0.3;
+    return made;
+}
+
+/// @returns The text after the metric's name.
+std::string valueAt(const endpoint &metricsAddress, const std::string &name)
+{
+    metrics_registry unused;
+    http_pool pool(1, 1s, unused);
+    http_request request;
+    request.path = "/metrics";
+    const auto reply = pool.send(metricsAddress, request, 1s);
+    const std::string text = succeeded(reply) ? valueOf(reply).body : "";
+    const std::size_t at = text.find("\n" + name + " ");
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + name.size() + 2;
+    return text.substr(begin, text.find('\n', begin) - begin);
+}
+
+} // namespace
+
+class instances_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(instances_test);
+    CPPUNIT_TEST(aStepThatThrowsIsTriedAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aStepThatThrowsIsTriedAgain()
+    {
+        test::small_store store;
+        const auto choices = unnamableInstance(store.at());
+        platform_gateway instance(choices);
+        CPPUNIT_ASSERT(succeeded(instance.start()));
+        CPPUNIT_ASSERT(test::waitUntil([&] {
+            const std::string failed =
+                    valueAt(choices.metricsAddress, "poplarspool_steps_failed_total");
+            return !failed.empty() && std::stoi(failed) >= 3;
+        }));
+        instance.leave();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(instances_test);
+
+} // namespace poplarspool::adapter
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -33,8 +33,11 @@
         handlers.onList = [this](const std::vector<store_object> &objects, store_version) {
             const std::lock_guard lock(guard);
             listSizes.push_back(objects.size());
+            throwIfDue(throwingLists);
+        };
+        handlers.onChanges = [this](const std::vector<store_change> &, store_span) {
+            throwIfDue(throwingChanges);
         };
-        handlers.onChanges = [](const std::vector<store_change> &, store_span) {};
         handlers.onAnswer = [this](const store_answer &answer) {
             const std::lock_guard lock(guard);
             revisions.push_back(answer.version.revision);
@@ -42,7 +45,8 @@
         };
         handlers.onFailure = [](mono_time) {};
         handlers.onOlderCopy = [](mono_time) {};
-        kind_watch watch("k", longBounds, client, handlers, {}, systemClock(), events);
+        kind_watch watch("k", longBounds, client, handlers, {}, systemClock(), store.metrics,
+                         events);
         watch.start();
         {
             std::unique_lock lock(guard);
@@ -52,6 +56,14 @@
         watch.stop();
     }
 
+    static void throwIfDue(int &left)
+    {
+        if (left-- > 0)
+            throw std::length_error("too many");
+    }
+
+    int throwingLists = 0; ///< So many of the first lists,
+    int throwingChanges = 0; ///< and of the first changes, end by an exception of the handler.
     scripted_store store;
     store_client client;
     journal events{{"test"}, systemClock(), 16};
@@ -79,6 +91,8 @@
     CPPUNIT_TEST(forgottenHistoryIsListedAnew);
     CPPUNIT_TEST(aFailureIsFollowedByAShortWatch);
     CPPUNIT_TEST(lossAndReturnOfTheStoreAreLogged);
+    CPPUNIT_TEST(aListThatThrowsIsTakenAnew);
+    CPPUNIT_TEST(changesThatThrowAreListedAnew);
     CPPUNIT_TEST(watchesWaitForAsLongAsNewsMayBeLate);
     CPPUNIT_TEST(objectsAreReplacedOrCreated);
     CPPUNIT_TEST(anObjectThatStandsAlreadyIsNotWritten);
@@ -167,6 +181,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("9"), regained.front().fields[2].value);
     }
 
+    /// Counted as known, what was listed would be missing until it changes again.
+    void aListThatThrowsIsTakenAnew()
+    {
+        watch_run test({jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"currentRev":5})"),
+                        jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"currentRev":5})")});
+        test.throwingLists = 1;
+        test.runUntilAnswered(1);
+        CPPUNIT_ASSERT(test.listSizes == (std::vector<std::size_t>{1, 1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events.events({"step_failed", {}, {}}).size());
+    }
+
+    /// Asked again from the same revision, what was told in part would look like no change.
+    void changesThatThrowAreListedAnew()
+    {
+        watch_run test({jsonReply(R"({"items":[],"currentRev":5})"),
+                        jsonReply(R"({"events":[],"currentRev":7})"),
+                        jsonReply(R"({"items":[],"currentRev":8})"),
+                        jsonReply(R"({"events":[],"currentRev":9})")});
+        test.throwingChanges = 1;
+        test.runUntilAnswered(3);
+        CPPUNIT_ASSERT(test.revisions == (std::vector<std::uint64_t>{5, 8, 9}));
+        CPPUNIT_ASSERT(test.listSizes == (std::vector<std::size_t>{0, 0}));
+        const auto failed = test.events.events({"step_failed", {}, {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, failed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("store_watch_k"), failed.front().fields.front().value);
+    }
+
     /// An instance loses the store for a moment; the store takes its watch just before that ends,
     /// and never answers it. A runner leaves in the same moment. Callers must not be sent there
     /// once the instance has been sound again for the time that news may take after a trouble, nor
--- a/tests/adapter/turned_away_test.cpp
+++ b/tests/adapter/turned_away_test.cpp
@@ -98,7 +98,7 @@
     relying_watch(const forgetful_store &store, const jumping_clock &clock)
         : client(store.at(), metrics), events({"test"}, clock.source(), 16),
           watch(wire::runnerKind, {3s, 2s}, client, handlers(), sources(clock), clock.source(),
-                events)
+                metrics, events)
     { }
 
     ~relying_watch()
