--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/gateway/gateway.h"
 
 #include "base/connection_pool.h"
+#include "gateway/caller_limits.h"
 #include "gateway/request_relay.h"
 #include "gateway/stage_keeper.h"
 #include "poplarspool/gateway/limits.h"
@@ -32,18 +33,6 @@
     return made;
 }
 
-http_limits callerLimitsOf(const caller_bounds &bounds)
-{
-    http_limits limits = defaultHttpLimits();
-    limits.headerBytes = bounds.headerBytes;
-    limits.bodyBytes = bounds.bodyBytes;
-    limits.readTime = std::max(bounds.headerTime, config::requestReadTime);
-    // Callers use connections that have been idle for nearly the whole bound: closed at the bound
-    // itself, some would be closed under a request.
-    limits.keepAliveTime = bounds.idleTime + config::idleMargin;
-    return limits;
-}
-
 } // namespace
 
 struct gateway::state
