Pass over busy ports in the tests of threads that go on

instances_test failed once on a busy machine: its fixed ports lay among those that the system gives to outgoing connections. It and the two new tests of news between instances look for free ones below those now, as the tests of pairs of instances do.

--- a/tests/adapter/instances_test.cpp
+++ b/tests/adapter/instances_test.cpp
@@ -10,22 +10,23 @@
 
 using namespace std::chrono_literals;
 
-endpoint local(std::uint16_t port)
+endpoint local(int port)
 {
-    return {"127.0.0.1", port};
+    return {"127.0.0.1", static_cast<std::uint16_t>(port)};
 }
 
 /// Its name is no text that JSON takes: it can't enter itself in the store.
-gateway::gateway_settings unnamableInstance(const endpoint &store)
+/// @param port The first of its ports.
+gateway::gateway_settings unnamableInstance(const endpoint &store, std::uint16_t port)
 {
     gateway::gateway_settings made;
     made.instance.text = "edge-\xff";
-    made.callerAddress = local(39481);
-    made.readinessAddress = local(39482);
-    made.directoryAddress = local(39483);
-    made.peerAddress = local(39484);
-    made.loadAddress = local(39485);
-    made.metricsAddress = local(39486);
+    made.callerAddress = local(port);
+    made.readinessAddress = local(port + 1);
+    made.directoryAddress = local(port + 2);
+    made.peerAddress = local(port + 3);
+    made.loadAddress = local(port + 4);
+    made.metricsAddress = local(port + 5);
     made.storeAddress = store;
     made.addressKeepTime = 0s;
     made.leaveSeconds = 0.3;
@@ -60,15 +61,22 @@
     void aStepThatThrowsIsTriedAgain()
     {
         test::small_store store;
-        const auto choices = unnamableInstance(store.at());
-        platform_gateway instance(choices);
-        CPPUNIT_ASSERT(succeeded(instance.start()));
+        gateway::gateway_settings choices;
+        std::unique_ptr<platform_gateway> instance;
+        bool isStarted = false;
+        // Busy ports are passed over.
+        for (std::uint16_t port = 23100; port < 23400 && !isStarted; port += 6) {
+            choices = unnamableInstance(store.at(), port);
+            instance = std::make_unique<platform_gateway>(choices);
+            isStarted = succeeded(instance->start());
+        }
+        CPPUNIT_ASSERT(isStarted);
         CPPUNIT_ASSERT(test::waitUntil([&] {
             const std::string failed =
                     valueAt(choices.metricsAddress, "poplarspool_steps_failed_total");
             return !failed.empty() && std::stoi(failed) >= 3;
         }));
-        instance.leave();
+        instance->leave();
     }
 };
 
--- a/tests/peer/load_news_test.cpp
+++ b/tests/peer/load_news_test.cpp
@@ -101,16 +101,23 @@
 
     void whatThrowsDoesNotEndTheExchange()
     {
-        speaker first("a", 39473, "key-of-the-test-fleet");
-        speaker second("b", 39474, "key-of-the-test-fleet");
-        first.throwingTurns = 2;
-        second.throwingNews = 2;
-        first.exchange.setPeers({{"127.0.0.1", 39474}}, {});
-        CPPUNIT_ASSERT(succeeded(second.exchange.start()));
-        CPPUNIT_ASSERT(succeeded(first.exchange.start()));
-        CPPUNIT_ASSERT(second.hearsWithin(20s));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.failedSteps());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
+        std::unique_ptr<speaker> first;
+        std::unique_ptr<speaker> second;
+        bool isStarted = false;
+        // Busy ports are passed over.
+        for (std::uint16_t port = 23400; port < 23600 && !isStarted; port += 2) {
+            const auto other = static_cast<std::uint16_t>(port + 1);
+            first = std::make_unique<speaker>("a", port, "key-of-the-test-fleet");
+            second = std::make_unique<speaker>("b", other, "key-of-the-test-fleet");
+            first->throwingTurns = 2;
+            second->throwingNews = 2;
+            first->exchange.setPeers({{"127.0.0.1", other}}, {});
+            isStarted = succeeded(second->exchange.start()) && succeeded(first->exchange.start());
+        }
+        CPPUNIT_ASSERT(isStarted);
+        CPPUNIT_ASSERT(second->hearsWithin(20s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first->failedSteps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second->failedSteps());
     }
 
     void newsBeyondABoundAreRefused()
--- a/tests/peer/store_relay_test.cpp
+++ b/tests/peer/store_relay_test.cpp
@@ -75,20 +75,27 @@
 public:
     void whatThrowsOrCannotBeToldEndsNoThread()
     {
-        relay_run first("a", 39475);
-        relay_run second("b", 39476);
-        first.throwingTurns = 2;
-        first.untoldTurns = 2;
-        second.throwingNews = 2;
-        first.relay.setPeers({{"127.0.0.1", 39476}});
-        CPPUNIT_ASSERT(succeeded(second.relay.start()));
-        CPPUNIT_ASSERT(succeeded(first.relay.start()));
-        CPPUNIT_ASSERT(second.hears());
-        first.relay.stop();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.failedSteps());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.failedSteps());
+        std::unique_ptr<relay_run> first;
+        std::unique_ptr<relay_run> second;
+        bool isStarted = false;
+        // Busy ports are passed over.
+        for (std::uint16_t port = 23600; port < 23800 && !isStarted; port += 2) {
+            const auto other = static_cast<std::uint16_t>(port + 1);
+            first = std::make_unique<relay_run>("a", port);
+            second = std::make_unique<relay_run>("b", other);
+            first->throwingTurns = 2;
+            first->untoldTurns = 2;
+            second->throwingNews = 2;
+            first->relay.setPeers({{"127.0.0.1", other}});
+            isStarted = succeeded(second->relay.start()) && succeeded(first->relay.start());
+        }
+        CPPUNIT_ASSERT(isStarted);
+        CPPUNIT_ASSERT(second->hears());
+        first->relay.stop();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first->failedSteps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second->failedSteps());
         counter &untold =
-                first.metrics.counterOf("poplarspool_store_news_total{direction=\"untold\"}");
+                first->metrics.counterOf("poplarspool_store_news_total{direction=\"untold\"}");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, untold.get());
     }
 };
