--- /dev/null
+++ b/tests/adapter/store_wire_test.cpp
@@ -0,0 +1,49 @@
+#include "adapter/scripted_store.h"
+#include "platform/store_wire.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+
+namespace poplarspool::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::jsonReply;
+using test::scripted_store;
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+class store_wire_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_wire_test);
+    CPPUNIT_TEST(deeplyNestedObjectsHideNoOthers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Copying such an object takes stack for each level: it ended every instance that listed it.
+    void deeplyNestedObjectsHideNoOthers()
+    {
+        for (const std::string &deep : {nested(100'000), "{\"a\":" + nested(100'000) + "}"}) {
+            const auto body = parsedAnswer(R"({"items":[{"metadata":{"name":"a"},"spec":)" + deep
+                                           + R"(},{"metadata":{"name":"[b"},"spec":[[1]]}],
+                                               "currentRev":9})");
+            const auto page = pageOf(body, 0);
+            CPPUNIT_ASSERT(page.has_value());
+            const std::vector<store_object> copies = page->objects;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, copies.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), copies[0].name);
+            CPPUNIT_ASSERT_EQUAL(std::string("[b"), copies[1].name);
+            CPPUNIT_ASSERT(copies[1].spec == nlohmann::json::parse("[[1]]"));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
+
+} // namespace poplarspool::adapter
