--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -215,6 +215,8 @@
 /// the store took it.
 inline constexpr std::chrono::milliseconds gatewayStorePauseFirst = 50ms;
 inline constexpr std::chrono::milliseconds gatewayStorePauseMost = 400ms;
+/// What longer times of the operators' configuration count as: beyond any request.
+inline constexpr std::chrono::milliseconds mostConfiguredTime = 24h;
 /// By how much an answer that the store held back may be older than its arrival.
 inline constexpr std::chrono::milliseconds storeConfirmDelay = 300ms;
 /// Connections to the small servers beside the callers' one, and bytes of a question there.
