--- a/tests/adapter/store_wire_test.cpp
+++ b/tests/adapter/store_wire_test.cpp
@@ -23,6 +23,7 @@
 {
     CPPUNIT_TEST_SUITE(store_wire_test);
     CPPUNIT_TEST(deeplyNestedObjectsHideNoOthers);
+    CPPUNIT_TEST(anEventThatCannotBeReadHidesNoOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,20 @@
             CPPUNIT_ASSERT(copies[1].spec == nlohmann::json::parse("[[1]]"));
         }
     }
+
+    void anEventThatCannotBeReadHidesNoOthers()
+    {
+        const auto seen = changesOf(
+                parsedAnswer(R"({"events":[{"object":{"metadata":{"name":"a"}},"removed":"no"},7,
+                                           {"removed":true},
+                                           {"object":{"metadata":{"name":"b"}},"removed":true}],
+                                 "currentRev":9})"),
+                0);
+        CPPUNIT_ASSERT(seen.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, seen->changes.size());
+        CPPUNIT_ASSERT(!seen->changes[0].isRemoved && seen->changes[3].isRemoved);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), seen->changes[3].object.name);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
