--- a/tests/adapter/store_wire_test.cpp
+++ b/tests/adapter/store_wire_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(store_wire_test);
     CPPUNIT_TEST(deeplyNestedObjectsHideNoOthers);
     CPPUNIT_TEST(anEventThatCannotBeReadHidesNoOthers);
+    CPPUNIT_TEST(aListWithoutAnEndIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +58,17 @@
         CPPUNIT_ASSERT(!seen->changes[0].isRemoved && seen->changes[3].isRemoved);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), seen->changes[3].object.name);
     }
+
+    /// Each page says that there is more, and names nothing to go on from: the calls never ended.
+    void aListWithoutAnEndIsGivenUp()
+    {
+        const auto page = jsonReply(R"({"items":[{"metadata":{"name":"a"}}],"truncated":true,
+                                        "currentRev":5})");
+        scripted_store store(std::deque<http_reply>(20, page));
+        store_client client(store.address, store.metrics);
+        CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Current)).code == error_code::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store.asked.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
