--- a/tests/adapter/store_wire_test.cpp
+++ b/tests/adapter/store_wire_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(deeplyNestedObjectsHideNoOthers);
     CPPUNIT_TEST(anEventThatCannotBeReadHidesNoOthers);
     CPPUNIT_TEST(aListWithoutAnEndIsGivenUp);
+    CPPUNIT_TEST(namesAreNoPartOfTheCall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,17 @@
         CPPUNIT_ASSERT(errorOf(client.list("k", read_mode::Current)).code == error_code::Broken);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store.asked.size());
     }
+
+    /// A list goes on after a name that others have chosen.
+    void namesAreNoPartOfTheCall()
+    {
+        scripted_store store({jsonReply(R"({"items":[{"metadata":{"name":"a&b c\r\nX: y"}}],
+                                            "truncated":true,"currentRev":5})"),
+                              jsonReply(R"({"items":[],"currentRev":5})")});
+        store_client client(store.address, store.metrics);
+        CPPUNIT_ASSERT(succeeded(client.list("k", read_mode::Current)));
+        CPPUNIT_ASSERT(store.asked[1].ends_with("k?after=a%26b%20c%0D%0AX%3A%20y"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
