--- a/tests/adapter/store_wire_test.cpp
+++ b/tests/adapter/store_wire_test.cpp
@@ -1,4 +1,6 @@
 #include "adapter/scripted_store.h"
+#include "platform/decode.h"
+#include "platform/dialect.h"
 #include "platform/store_wire.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -26,6 +28,7 @@
     CPPUNIT_TEST(anEventThatCannotBeReadHidesNoOthers);
     CPPUNIT_TEST(aListWithoutAnEndIsGivenUp);
     CPPUNIT_TEST(namesAreNoPartOfTheCall);
+    CPPUNIT_TEST(whatRunnersAreCalledEndsNoHeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +84,15 @@
         CPPUNIT_ASSERT(succeeded(client.list("k", read_mode::Current)));
         CPPUNIT_ASSERT(store.asked[1].ends_with("k?after=a%26b%20c%0D%0AX%3A%20y"));
     }
+
+    /// Each request to a runner names it in a header.
+    void whatRunnersAreCalledEndsNoHeader()
+    {
+        const nlohmann::json spec{{"service", "s"}, {"address", "10.0.0.1:80"}};
+        CPPUNIT_ASSERT(succeeded(decodeRunner("i-1", spec)));
+        for (const std::string name : {"i\r\nX: y", "i\n", "i\x01", ""})
+            CPPUNIT_ASSERT(errorOf(decodeRunner(name, spec)).code == error_code::Broken);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
