--- a/tests/adapter/store_wire_test.cpp
+++ b/tests/adapter/store_wire_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(aListWithoutAnEndIsGivenUp);
     CPPUNIT_TEST(namesAreNoPartOfTheCall);
     CPPUNIT_TEST(whatRunnersAreCalledEndsNoHeader);
+    CPPUNIT_TEST(handlesEndNoHeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +94,16 @@
         for (const std::string name : {"i\r\nX: y", "i\n", "i\x01", ""})
             CPPUNIT_ASSERT(errorOf(decodeRunner(name, spec)).code == error_code::Broken);
     }
+
+    /// A faulty engine's handle stands in the next request to another one.
+    void handlesEndNoHeader()
+    {
+        const gateway::dialect names = platformDialect();
+        CPPUNIT_ASSERT(names.readHandle(R"({"kvHandle":"a-1"})") == "a-1");
+        for (const char *body : {R"({"kvHandle":"a\r\nX: y"})", R"({"kvHandle":"a b"})",
+                                 R"({"kvHandle":""})", R"({"kvHandle":"\u0000"})"})
+            CPPUNIT_ASSERT(!names.readHandle(body));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_wire_test);
