Refuse an address with a zero byte in it

What callers would see: an entry with the address "10.0.0.1\0x:80" is taken; where a caller sends no Host, the request to that runner gets a header with the zero byte, which is malformed.

Cause: the system's parser of addresses reads up to the first zero byte, and all of the text was kept.

Evidence: the new case of endpoint_test failed before and passes.

--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -11,7 +11,8 @@
 bool isAddress(int family, const std::string &host)
 {
     unsigned char bytes[sizeof(in6_addr)];
-    return inet_pton(family, host.c_str(), bytes) == 1;
+    // The library reads up to the first zero byte.
+    return host.find('\0') == std::string::npos && inet_pton(family, host.c_str(), bytes) == 1;
 }
 
 std::optional<std::uint16_t> portOf(std::string_view digits)
--- a/tests/base/endpoint_test.cpp
+++ b/tests/base/endpoint_test.cpp
@@ -32,6 +32,8 @@
             CPPUNIT_ASSERT_MESSAGE(text, !succeeded(outcome));
             CPPUNIT_ASSERT(errorOf(outcome).ran == verdict::NotRun);
         }
+        using namespace std::string_literals;
+        CPPUNIT_ASSERT(!succeeded(parseEndpoint("127.0.0.1\0x:80"s)));
     }
 };
 
