Refuse a chunk that is longer than any memory

Cause: the sum of the size and its line's end began anew at 0, so that the reader took the chunk for arrived.

Evidence: fuzz_requests with such a bound, and the new test: std::out_of_range before, a 400 after.

--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -135,7 +135,7 @@
             break;
         if (*size > limits.bodyBytes - body.size())
             return bad_request{413, "body too large"};
-        while (buffer.size() < *size + lineEnd.size()) {
+        while (buffer.size() < lineEnd.size() || buffer.size() - lineEnd.size() < *size) {
             if (auto failed = fill())
                 return *failed;
         }
