Put made-up inputs to all that is read from outside

Instances ended together by a value that decoded well and could not be encoded. Tests hold what somebody thought of.

Six targets for the compiler's own fuzzing library, with checks of addresses and of undefined behaviour: requests, replies of runners, the store's JSON, datagrams, calls between instances, the operators' files. Beyond reading, they use what was read: routes go through the keeper, the search, the draw, the callers' limits and the encoder; requests are passed on and read again; what is told is heard as the same. SECONDS=60 looks for more.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build$(if $(SAN),-$(SAN),)
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test faults model demo format lint clean
+.PHONY: deps build test fuzz faults model demo format lint clean
 
 deps:
 	.ci/run deps
@@ -15,6 +15,15 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Decoders and encoders on inputs that nobody thought of; the same ones on each run. With
+# SECONDS=60, others for so long a target.
+SECONDS ?=
+fuzz: deps
+	cmake -S . -B build-fuzz -DCMAKE_CXX_COMPILER=clang++-14 -DPOPLARSPOOL_TESTS=OFF \
+	    -DPOPLARSPOOL_FUZZ=ON
+	cmake --build build-fuzz -j $(JOBS) --target fuzzers
+	scripts/fuzz.sh build-fuzz $(SECONDS)
+
 # Real processes, killed, frozen and cut off; a line a scenario.
 faults: build
 	$(BUILD)/poplarspool-faults $(BUILD)
@@ -34,4 +43,4 @@
 	scripts/lint.sh $(BUILD)
 
 clean:
-	rm -rf build build-address build-thread
+	rm -rf build build-address build-thread build-fuzz
--- /dev/null
+++ b/tests/fuzz/targets.cmake
@@ -0,0 +1,39 @@
+# The fuzzing targets, by the compiler's own library. Only the sources that read what comes from
+# outside are built for them, with checks of addresses and of undefined behaviour.
+if(NOT CMAKE_CXX_COMPILER_ID STREQUAL "Clang")
+  message(FATAL_ERROR "the fuzzing targets need clang")
+endif()
+
+set(fuzzed
+    src/base/clock.cpp src/base/endpoint.cpp src/base/error_reply.cpp src/base/hash.cpp
+    src/base/http_text.cpp src/base/journal.cpp src/base/metrics.cpp src/base/named_thread.cpp
+    src/base/request_reader.cpp src/base/result.cpp src/base/socket.cpp
+    src/policy/inventory.cpp src/policy/rules.cpp
+    src/peer/call_wire.cpp src/peer/codec.cpp src/peer/frame.cpp src/peer/gossip_message.cpp
+    src/peer/load_news.cpp src/peer/member_record.cpp src/peer/messages.cpp
+    src/peer/store_news.cpp
+    src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_keeper.cpp
+    src/gateway/copied_entries.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
+    src/gateway/gateway_settings.cpp src/gateway/runner_call.cpp src/gateway/told_changes.cpp
+    src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
+    src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
+    src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
+    platform/decode.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
+
+add_library(poplarspool_fuzzed STATIC EXCLUDE_FROM_ALL ${fuzzed})
+target_include_directories(poplarspool_fuzzed PUBLIC ${PROJECT_SOURCE_DIR}/include
+                           ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
+# After the build type's options, so that these levels hold.
+target_compile_options(poplarspool_fuzzed PUBLIC -O1 -g1 -Wno-error
+                       -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all)
+target_link_options(poplarspool_fuzzed PUBLIC -fsanitize=address,undefined)
+target_link_libraries(poplarspool_fuzzed PUBLIC Threads::Threads PkgConfig::LOG4CXX
+                      PkgConfig::XXHASH PkgConfig::TOMLPP OpenSSL::Crypto)
+
+add_custom_target(fuzzers)
+foreach(target calls datagrams files replies requests store)
+  add_executable(fuzz_${target} EXCLUDE_FROM_ALL tests/fuzz/${target}.cpp)
+  target_link_libraries(fuzz_${target} PRIVATE poplarspool_fuzzed)
+  target_link_options(fuzz_${target} PRIVATE -fsanitize=fuzzer)
+  add_dependencies(fuzzers fuzz_${target})
+endforeach()
