Build the fuzzing targets with the index of routes and the book of suspects

The targets were written before both; they look routes up by the index now, with the same checks, and are linked with what reads JSON of others.

--- a/tests/fuzz/store.cpp
+++ b/tests/fuzz/store.cpp
@@ -6,6 +6,7 @@
 #include "platform/dialect.h"
 #include "platform/store_wire.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <algorithm>
 
@@ -48,9 +49,10 @@
     keeper.setTable(table);
     keeper.setTable(table);
     require(keeper.table() != nullptr && *keeper.table() == table, "routes are not taken");
+    const gateway::route_index index = gateway::indexOf(table);
     for (const gateway::route &one : table.routes) {
         const gateway::route *found =
-                gateway::findRoute(table, one.host + ":80", one.pathPrefix + "?x");
+                gateway::findRoute(table, index, one.host + ":80", one.pathPrefix + "?x");
         require(found == nullptr || found->pathPrefix.size() <= one.pathPrefix.size(),
                 "a route is found for a path that it does not begin");
         for (const std::uint64_t draw : {std::uint64_t{0}, std::uint64_t{7}, UINT64_MAX}) {
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -5,7 +5,7 @@
 endif()
 
 set(fuzzed
-    src/base/clock.cpp src/base/endpoint.cpp src/base/error_reply.cpp src/base/hash.cpp
+    src/base/bounded_json.cpp src/base/clock.cpp src/base/endpoint.cpp src/base/error_reply.cpp src/base/hash.cpp
     src/base/http_text.cpp src/base/journal.cpp src/base/metrics.cpp src/base/named_thread.cpp
     src/base/request_reader.cpp src/base/result.cpp src/base/socket.cpp
     src/policy/inventory.cpp src/policy/rules.cpp
@@ -14,7 +14,8 @@
     src/peer/store_news.cpp
     src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_keeper.cpp
     src/gateway/copied_entries.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
-    src/gateway/gateway_settings.cpp src/gateway/runner_call.cpp src/gateway/told_changes.cpp
+    src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
+    src/gateway/suspect_book.cpp src/gateway/suspect_news.cpp src/gateway/told_changes.cpp
     src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
