Let callers in by the keys of their workspaces

A configuration may list workspaces with keys; the product had no line of them. On the customer's shifted deployment every request ran with its key passed on, and requests with unknown and with taken keys ran.

Who shows no key, an unknown one, two, or one of another scheme gets a final 401, not run; 503 where the configuration is not confirmed or a workspace in it can't be read, since the key may be a new one. Runners see the workspace's name in place of the key, also in prompts read ahead, second tries and resumed streams. A workspace's rank goes before its route's. A key is in no log line; reasons name places only.

Weighed: keeping keys in clear (simpler, but each dump and each datagram would hold them), and a keyed hash with a secret of the fleet (the platform hands out none).

--- a/include/poplarspool/base/hash.h
+++ b/include/poplarspool/base/hash.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -15,6 +16,20 @@
 /// SHA-256 in lower-case hex: names content and compares keys.
 std::string sha256Hex(std::string_view bytes);
 
+/// Half of a SHA-256: names a secret without holding it.
+struct digest_128
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    // The check takes the 0 in a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const digest_128 &) const = default;
+};
+
+/// @returns The first 128 bits of the SHA-256.
+digest_128 digest128Of(std::string_view bytes);
+
 /// Rendezvous weight of `owner` for `key`: the owner with the highest weight has the key.
 std::uint64_t rendezvousWeight(std::string_view owner, std::string_view key);
 
--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -5,6 +5,7 @@
 #include "poplarspool/base/ids.h"
 #include "poplarspool/base/published.h"
 #include "poplarspool/base/store_version.h"
+#include "poplarspool/workspaces/workspaces.h"
 
 #include <cstdint>
 #include <map>
@@ -50,6 +51,7 @@
             services; ///< Traffic is split over them by weight; none: refused.
     /// Its host or prefix can't be read: any request that no other route takes may be for it.
     bool isUnplaced = false;
+    bool isAnonymous = false; ///< Its callers need no key.
 
     bool operator==(const route &) const = default;
 };
@@ -91,6 +93,10 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_bounds bounds;
+    bool needsKeys = false; ///< Callers without a workspace's key are refused.
+    std::vector<poplarspool::workspaces::workspace> workspaces;
+    /// A workspace, or one of its keys, can't be read: a key that isn't known may be one of these.
+    bool hasUnreadKeys = false;
 
     bool operator==(const route_table &) const = default;
 };
--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -42,12 +42,18 @@
     std::string promptParts; ///< "ID:TOKENS,…", in the prompt's order.
     std::string lastEvent; ///< A stream goes on after this event.
 
+    // The header by which callers show a workspace's key, and the word before it. Runners never see
+    // either.
+    std::string key;
+    std::string keyScheme;
+
     // Headers that only the gateway may set.
     std::string expectedRunner;
     std::string priority; ///< 0 is the most urgent.
     std::string stage;
     std::string kvSource; ///< "ADDRESS/HANDLE": take over what was read there.
     std::string kvFetch; ///< "ADDRESS": copy cached parts from there first.
+    std::string workspace; ///< Whose key the caller has shown.
     std::string prefillStage; ///< The value of `stage` that only has the prompt read.
     /// All headers that are dropped from callers: a caller that sets them would act in our name.
     std::vector<std::string> reserved;
--- a/include/poplarspool/gateway/route_index.h
+++ b/include/poplarspool/gateway/route_index.h
@@ -80,6 +80,7 @@
     std::unordered_map<std::string, host_routes, host_hash, host_equal> hosts;
     std::unordered_map<path_step, path_node, path_step_hash, path_step_equal> steps;
     std::optional<std::uint32_t> unplaced; ///< Place of the first route that has none.
+    workspaces::key_index keys; ///< Place of the workspace that holds each.
 
     bool operator==(const route_index &) const = default;
 };
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <cstring>
 #include <span>
 #include <stdexcept>
 
@@ -24,6 +25,20 @@
     return text;
 }
 
+using sha256_bytes = std::array<unsigned char, 32>;
+
+sha256_bytes sha256Of(std::string_view bytes)
+{
+    // Looked up once: each call would look for the algorithm anew.
+    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    sha256_bytes digest{};
+    unsigned int size = 0;
+    if (algorithm == nullptr
+        || EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, algorithm, nullptr) != 1)
+        throw std::runtime_error("SHA-256 is not available");
+    return digest;
+}
+
 } // namespace
 
 std::uint64_t hashOf(std::string_view bytes, std::uint64_t seed)
@@ -40,11 +55,16 @@
 
 std::string sha256Hex(std::string_view bytes)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int size = 0;
-    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1)
-        throw std::runtime_error("SHA-256 is not available");
-    return hexOf(std::span(digest).first(size));
+    return hexOf(sha256Of(bytes));
+}
+
+digest_128 digest128Of(std::string_view bytes)
+{
+    const sha256_bytes whole = sha256Of(bytes);
+    digest_128 made;
+    std::memcpy(&made.high, whole.data(), sizeof(made.high));
+    std::memcpy(&made.low, whole.data() + sizeof(made.high), sizeof(made.low));
+    return made;
 }
 
 std::uint64_t rendezvousWeight(std::string_view owner, std::string_view key)
--- /dev/null
+++ b/src/gateway/caller_key.cpp
@@ -0,0 +1,25 @@
+#include "gateway/caller_key.h"
+
+#include "base/http_text.h"
+
+#include <algorithm>
+
+namespace poplarspool::gateway {
+
+const workspaces::workspace *keyOwnerOf(const http_request &request, const dialect &names,
+                                        const route_table &table, const route_index &index)
+{
+    const auto isKey = [&names](const auto &header) {
+        return equalsIgnoringCase(header.first, names.key);
+    };
+    // With two of them, whoever checks one and whoever uses the other may differ.
+    if (std::ranges::count_if(request.headers, isKey) != 1)
+        return nullptr;
+    const auto shown = workspaces::readKey(names.keyScheme, headerOf(request.headers, names.key));
+    if (!shown)
+        return nullptr;
+    const auto found = index.keys.find(*shown);
+    return found == index.keys.end() ? nullptr : &table.workspaces[found->second];
+}
+
+} // namespace poplarspool::gateway
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -75,6 +75,7 @@
 {
     return equalsIgnoringCase(name, names.timeLimitMs)
             || (!extras.lastEvent.empty() && equalsIgnoringCase(name, names.lastEvent))
+            || (extras.hidesKey && equalsIgnoringCase(name, names.key))
             || holds(names.reserved, name);
 }
 
@@ -92,6 +93,8 @@
         appendHeader(text, names.kvFetch, extras.kvFetch);
     if (extras.isPrefillOnly)
         appendHeader(text, names.stage, names.prefillStage);
+    if (!extras.workspace.empty())
+        appendHeader(text, names.workspace, extras.workspace);
 }
 
 } // namespace
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -55,6 +55,8 @@
     std::string kvSource;
     std::string kvFetch;
     bool isPrefillOnly = false;
+    std::string workspace; ///< Whose key the caller has shown; empty: nobody's.
+    bool hidesKey = false; ///< The key is not passed on.
 };
 
 /// @returns The request as it goes to a runner, as text: without what concerns only the caller's
--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -70,9 +70,7 @@
         return std::nullopt;
     }
     noticeSilence(valueOf(connection).get(), config::runnerSilence);
-    send_extras extras;
-    extras.runner = reader.id.text;
-    extras.timeLeft = timeLeft();
+    send_extras extras = extrasTo(reader);
     extras.priority = priorityOf(place.urgency);
     extras.isPrefillOnly = true;
     if (place.cacheHolder) {
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_relay.h"
 
 #include "base/http_text.h"
+#include "gateway/caller_key.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/gateway/route_index.h"
@@ -46,6 +47,7 @@
       failed(registry.counterOf("poplarspool_gateway_answers_total{end=\"failed\"}")),
       cut(registry.counterOf("poplarspool_gateway_answers_total{end=\"cut\"}")),
       callersGone(registry.counterOf("poplarspool_gateway_answers_total{end=\"caller_gone\"}")),
+      unknownKeys(registry.counterOf("poplarspool_gateway_answers_total{end=\"unknown_key\"}")),
       quarantined(registry.counterOf("poplarspool_gateway_quarantined_total")),
       retries(registry.counterOf("poplarspool_gateway_retries_total")),
       resumes(registry.counterOf("poplarspool_gateway_resumes_total")),
@@ -68,6 +70,7 @@
     std::optional<http_reply> reply = serve();
     log("request_end",
         {{"route", chosen == nullptr ? "" : chosen->name},
+         {"workspace", owner == nullptr ? "" : owner->id.text},
          {"status",
           reply              ? std::to_string(reply->status)
                   : hasBegun ? "passed"
@@ -149,6 +152,8 @@
         parts.metrics.failed.add();
         return errorReply(404, error_code::NotFound, verdict::NotRun, "no such route");
     }
+    if (auto refused = pickWorkspace())
+        return refused;
     if (read.id.empty()) {
         parts.metrics.failed.add();
         return errorReply(400, error_code::BadRequest, verdict::NotRun,
@@ -165,6 +170,24 @@
     return std::nullopt;
 }
 
+/// As for routes: a 401 says for good that there is no such key.
+std::optional<http_reply> request_relay::pickWorkspace()
+{
+    const route_table &table = *known->table;
+    if (!table.needsKeys)
+        return std::nullopt;
+    owner = keyOwnerOf(request, parts.names, table, *known->index);
+    if (owner != nullptr || chosen->isAnonymous)
+        return std::nullopt;
+    const bool isOld = parts.clock.mono() - known->tableConfirmedAt > config::routesTrustTime;
+    if (isOld || table.hasUnreadKeys)
+        return refusal(503, error_code::Stale, "the key is not known here",
+                       config::startingRetryAfter);
+    parts.metrics.unknownKeys.add();
+    lastFault = "unknown_key";
+    return errorReply(401, error_code::Unauthorized, verdict::NotRun, "no such key");
+}
+
 std::optional<placement> request_relay::findPlace(const runner *reader)
 {
     // Runners come and go within a request's time; its route stays the one that it arrived by.
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -25,6 +25,7 @@
     counter &failed; ///< Ended by a failure of ours that promises nothing.
     counter &cut; ///< The answer had begun and was broken off.
     counter &callersGone;
+    counter &unknownKeys; ///< Ended since they show no workspace's key.
     counter &quarantined; ///< Of the refused: runners have ended under the request.
     counter &retries;
     counter &resumes;
@@ -89,6 +90,7 @@
     // request_relay.cpp: what to do.
     std::optional<http_reply> serve();
     std::optional<http_reply> pickRoute();
+    std::optional<http_reply> pickWorkspace();
     bool isQuarantined();
     /// @param reader Who has read the prompt; null: nobody yet.
     std::optional<placement> findPlace(const runner *reader);
@@ -124,6 +126,8 @@
     void noteBroken(const runner &target, call_fault fault);
     try_end noteServed(sending &now, try_end end);
     void keepConnection(runner_call &call, const reply_head &head, const endpoint &to);
+    /// What any send of the request adds.
+    send_extras extrasTo(const runner &target) const;
     send_extras extrasFor(const sending &now) const;
     socket_deadline deadlineIn(milliseconds time) const;
     std::uint32_t priorityOf(send_class urgency) const;
@@ -138,6 +142,7 @@
 
     std::shared_ptr<const catalogue> known;
     const route *chosen = nullptr;
+    const workspaces::workspace *owner = nullptr; ///< Of the key; null: it has shown none.
     service_id service;
     const engine_traits *engine = nullptr;
     mono_time endsAt{};
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -145,6 +145,7 @@
     index_maker maker(made);
     for (std::uint32_t place = 0; place < table.routes.size(); ++place)
         maker.add(table.routes[place], place);
+    made.keys = workspaces::indexOf(table.workspaces);
     return made;
 }
 
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -22,11 +22,14 @@
     return socket_clock::now() + std::max(time, milliseconds(1));
 }
 
-/// Within each class the operators' ranks decide. What can't be on time any more is read when
-/// nothing else waits: before it, each late request would make the next one late too.
+/// Within each class the operators' ranks decide, a workspace's before its route's. What can't be
+/// on time any more is read when nothing else waits: before it, each late request would make the
+/// next one late too.
 std::uint32_t request_relay::priorityOf(send_class urgency) const
 {
-    const std::uint32_t rank = std::min(chosen->rank, config::mostRank);
+    const std::uint32_t given =
+            owner != nullptr ? owner->rank.value_or(chosen->rank) : chosen->rank;
+    const std::uint32_t rank = std::min(given, config::mostRank);
     return (urgency == send_class::Urgent ? config::urgentPriority : config::laterPriority) + rank;
 }
 
@@ -78,11 +81,20 @@
     return connection;
 }
 
-send_extras request_relay::extrasFor(const sending &now) const
+send_extras request_relay::extrasTo(const runner &target) const
 {
     send_extras extras;
-    extras.runner = now.place.serving->id.text;
+    extras.runner = target.id.text;
     extras.timeLeft = std::max(timeLeft(), milliseconds(1));
+    extras.hidesKey = known->table->needsKeys;
+    if (owner != nullptr)
+        extras.workspace = owner->id.text;
+    return extras;
+}
+
+send_extras request_relay::extrasFor(const sending &now) const
+{
+    send_extras extras = extrasTo(*now.place.serving);
     if (engine != nullptr)
         extras.priority =
                 now.kvSource.empty() ? priorityOf(now.place.urgency) : config::readPriority;
--- a/src/gateway/told_changes.cpp
+++ b/src/gateway/told_changes.cpp
@@ -14,19 +14,21 @@
 
 /// Form of a told table. Another version that changes the fields changes the number too, and this
 /// one then asks the store.
-constexpr std::uint32_t tableForm = 3;
+constexpr std::uint32_t tableForm = 4;
 
 /// Bounds of what is read from another instance: bytes of an address with its port and of a path,
 /// and items of each list.
 constexpr std::size_t maxAddressBytes = 64;
 constexpr std::size_t maxPathBytes = 512;
 constexpr std::size_t maxItems = 256;
-/// Routes and services of a whole table, since a run of a few bytes stands for many.
+/// Routes, services and workspaces of a whole table, since a run of a few bytes stands for many.
 constexpr std::size_t maxToldRoutes = 16'384;
 constexpr std::size_t maxToldServices = 4'096;
+constexpr std::size_t maxToldWorkspaces = 65'536;
 /// Bytes of the smallest item of each list.
 constexpr std::size_t leastPartBytes = 2;
 constexpr std::size_t leastServiceBytes = 2;
+constexpr std::size_t keyBytes = sizeof(workspaces::key_digest);
 
 template <class Codec, class Time>
 void describeTime(Codec &codec, Time &time)
@@ -60,6 +62,7 @@
     codec.text(one.host, config::maxNameBytes);
     codec.text(one.pathPrefix, maxPathBytes);
     codec.small(one.isUnplaced);
+    codec.small(one.isAnonymous);
     codec.small(one.isStream);
     codec.small(one.isResumable);
     codec.small(one.repeats);
@@ -96,6 +99,24 @@
         describeTraits(codec, *one.engine);
 }
 
+template <class Codec, class Workspace>
+void describeWorkspace(Codec &codec, Workspace &one)
+{
+    codec.text(one.id.text, config::maxNameBytes);
+    codec.list(one.keys, maxItems, keyBytes, [](Codec &each, auto &key) {
+        each.fixed(key.high);
+        each.fixed(key.low);
+    });
+    bool hasRank = one.rank.has_value();
+    codec.small(hasRank);
+    if constexpr (Codec::isDecoding) {
+        if (hasRank)
+            one.rank.emplace();
+    }
+    if (one.rank)
+        codec.small(*one.rank);
+}
+
 template <class Codec, class Bounds>
 void describeBounds(Codec &codec, Bounds &bounds)
 {
@@ -105,8 +126,8 @@
     describeTime(codec, bounds.idleTime);
 }
 
-/// Routes or services of the new table: a run of those of the table before, or one that is told in
-/// full.
+/// Routes, services or workspaces of the new table: a run of those of the table before, or one that
+/// is told in full.
 template <class Part>
 struct told_part
 {
@@ -139,13 +160,20 @@
     describeParts(codec, parts, [](Codec &each, auto &one) { describeService(each, one); });
 }
 
+template <class Codec, class Parts>
+void describeWorkspaces(Codec &codec, Parts &parts)
+{
+    describeParts(codec, parts, [](Codec &each, auto &one) { describeWorkspace(each, one); });
+}
+
 std::uint64_t contentHash(const route &one)
 {
     std::uint64_t hash = hashOf(one.pathPrefix, hashOf(one.host, hashOf(one.name)));
     for (const weighted_service &part : one.services)
         hash = hashOf(part.service.text, hash + part.weight);
     for (const auto number : {one.timeLimit.count(), one.objective.count(), std::int64_t{one.rank},
-                              std::int64_t{one.maxRunners}, std::int64_t{one.isUnplaced}})
+                              std::int64_t{one.maxRunners}, std::int64_t{one.isUnplaced},
+                              std::int64_t{one.isAnonymous}})
         hash = hash * 31 + static_cast<std::uint64_t>(number);
     return hash;
 }
@@ -155,6 +183,14 @@
     return hashOf(one.id.text);
 }
 
+std::uint64_t contentHash(const workspaces::workspace &one)
+{
+    std::uint64_t hash = hashOf(one.id.text);
+    for (const workspaces::key_digest &key : one.keys)
+        hash = hash * 31 + key.low;
+    return hash;
+}
+
 /// Runs go on as long as they can, so that one part that differs costs no more than its own text.
 template <class Part>
 std::vector<told_part<Part>> toldParts(const std::vector<Part> &after,
@@ -262,16 +298,21 @@
 
 result<std::string> encode(const route_table &table, const route_table &before)
 {
-    if (table.routes.size() > maxToldRoutes || table.services.size() > maxToldServices)
-        return notRun(error_code::TooLarge, "more routes or services than are told");
+    if (table.routes.size() > maxToldRoutes || table.services.size() > maxToldServices
+        || table.workspaces.size() > maxToldWorkspaces)
+        return notRun(error_code::TooLarge, "more routes, services or workspaces than are told");
     return peer::encoded([&](peer::encoder &out) {
         out.small(tableForm);
         out.small(before.version);
         out.small(table.version);
         describeBounds(out, table.bounds);
+        out.small(table.needsKeys);
+        out.small(table.hasUnreadKeys);
         const auto services = toldParts(table.services, before.services);
         const auto routes = toldParts(table.routes, before.routes);
+        const auto workspaces = toldParts(table.workspaces, before.workspaces);
         describeServices(out, services);
+        describeWorkspaces(out, workspaces);
         describeRoutes(out, routes);
     });
 }
@@ -289,19 +330,25 @@
         in.small(base);
         in.small(table.version);
         describeBounds(in, table.bounds);
+        in.small(table.needsKeys);
+        in.small(table.hasUnreadKeys);
         if (table.version <= before.version)
             return before;
         if (base != before.version)
             return notRun(error_code::Stale, "told routes follow version " + std::to_string(base));
         std::vector<told_part<service>> services;
+        std::vector<told_part<workspaces::workspace>> workspaces;
         std::vector<told_part<route>> routes;
         describeServices(in, services);
+        describeWorkspaces(in, workspaces);
         describeRoutes(in, routes);
         in.finish();
         auto joinedServices = joinedParts(services, before.services, maxToldServices);
         auto joinedRoutes = joinedParts(routes, before.routes, maxToldRoutes);
-        if (!joinedServices || !joinedRoutes || !areKnownRules(*joinedRoutes))
+        auto joinedWorkspaces = joinedParts(workspaces, before.workspaces, maxToldWorkspaces);
+        if (!joinedServices || !joinedWorkspaces || !joinedRoutes || !areKnownRules(*joinedRoutes))
             return malformed("routes");
+        table.workspaces = std::move(*joinedWorkspaces);
         table.services = std::move(*joinedServices);
         table.routes = std::move(*joinedRoutes);
         return table;
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -12,14 +12,15 @@
     src/peer/call_wire.cpp src/peer/codec.cpp src/peer/frame.cpp src/peer/gossip_message.cpp
     src/peer/load_news.cpp src/peer/member_record.cpp src/peer/messages.cpp
     src/peer/store_news.cpp
-    src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_keeper.cpp
+    src/gateway/caller_key.cpp src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_keeper.cpp
     src/gateway/copied_entries.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
     src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
     src/gateway/suspect_book.cpp src/gateway/suspect_news.cpp src/gateway/told_changes.cpp
     src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
-    platform/decode.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
+    src/workspaces/workspaces.cpp
+    platform/decode.cpp platform/decode_workspaces.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
 
 add_library(poplarspool_fuzzed STATIC EXCLUDE_FROM_ALL ${fuzzed})
 target_include_directories(poplarspool_fuzzed PUBLIC ${PROJECT_SOURCE_DIR}/include
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -21,7 +21,10 @@
     names.kvSource = "Source";
     names.kvFetch = "Fetch";
     names.prefillStage = "prefill";
-    names.reserved = {"Runner", "Priority", "Stage", "Source", "Fetch"};
+    names.key = "Key";
+    names.keyScheme = "Sign";
+    names.workspace = "Space";
+    names.reserved = {"Runner", "Priority", "Stage", "Source", "Fetch", "Space"};
     names.seal = "Seal";
     names.notRun = "Not-Run";
     names.readHandle = [](std::string_view body) -> std::optional<std::string> {
--- a/tests/gateway/request_relay_test.cpp
+++ b/tests/gateway/request_relay_test.cpp
@@ -129,10 +129,27 @@
         }
     }
 
-    std::optional<http_reply> ask(const std::string &path, const std::string &limit = "5000")
+    /// From now on callers need the key "good" of the workspace "space".
+    void needKeys(const std::function<void(route_table &)> &edit = {})
     {
-        const http_request request =
-                requestOf("GET", path, {{"Host", "h"}, {"Id", "q1"}, {"Limit", limit}});
+        route_table table = *hub.current()->table;
+        table.needsKeys = true;
+        table.workspaces = {{{"space"}, {digest128Of("good")}, 0}};
+        if (edit)
+            edit(table);
+        hub.update([&table](catalogue &next) {
+            next.table = std::make_shared<const route_table>(table);
+            next.index = std::make_shared<const route_index>(indexOf(table));
+            return true;
+        });
+    }
+
+    std::optional<http_reply> ask(const std::string &path, const std::string &limit = "5000",
+                                  const http_headers &more = {})
+    {
+        http_headers headers{{"Host", "h"}, {"Id", "q1"}, {"Limit", limit}};
+        headers.insert(headers.end(), more.begin(), more.end());
+        const http_request request = requestOf("GET", path, headers);
         return request_relay(parts, request, caller).run();
     }
 };
@@ -173,6 +190,10 @@
     CPPUNIT_TEST(nothingIsSentForACallerThatLeft);
     CPPUNIT_TEST(unknownRoutesAreDeniedOnlyWhenRoutesAreFresh);
     CPPUNIT_TEST(withoutConfigurationNothingIsDenied);
+    CPPUNIT_TEST(runnersAreToldTheWorkspaceInPlaceOfTheKey);
+    CPPUNIT_TEST(whoShowsNoKeyIsRefusedForGood);
+    CPPUNIT_TEST(unknownKeysAreDeniedOnlyWhenKeysAreFresh);
+    CPPUNIT_TEST(anonymousRoutesNeedNoKey);
     CPPUNIT_TEST(aRequestThatEndsRunnersIsRefusedAtOnce);
     CPPUNIT_TEST(afterTwoEndsAnAttemptGoesNowhereElse);
     CPPUNIT_TEST(endsOfLeavingRunnersCountNothing);
@@ -359,6 +380,66 @@
         CPPUNIT_ASSERT_EQUAL(503, test.ask("/new/1")->status);
     }
 
+    void runnersAreToldTheWorkspaceInPlaceOfTheKey()
+    {
+        scripted_runner runner({{sealed("200 OK", "body")}});
+        world test({&runner});
+        test.needKeys();
+        const auto reply =
+                test.ask("/again/1", "5000", {{"Key", "Sign good"}, {"Space", "another"}});
+        CPPUNIT_ASSERT_EQUAL(200, reply->status);
+        const std::string seen = runner.requests()[0];
+        CPPUNIT_ASSERT(seen.find("Space: space\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(seen.find("another") == std::string::npos);
+        CPPUNIT_ASSERT(seen.find("good") == std::string::npos);
+    }
+
+    void whoShowsNoKeyIsRefusedForGood()
+    {
+        scripted_runner runner({});
+        world test({&runner});
+        test.needKeys();
+        for (const http_headers &shown :
+             {http_headers{}, http_headers{{"Key", "Sign bad"}}, http_headers{{"Key", "good"}},
+              http_headers{{"Key", "Sign good"}, {"Key", "Sign good"}}}) {
+            const auto reply = test.ask("/once/1", "5000", shown);
+            CPPUNIT_ASSERT_EQUAL(401, reply->status);
+            CPPUNIT_ASSERT(reply->body.find("not_run") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(404, test.ask("/none/1")->status);
+        CPPUNIT_ASSERT(runner.requests().empty());
+    }
+
+    /// An instance that is cut off doesn't know of a new key: its holder must be able to come back.
+    void unknownKeysAreDeniedOnlyWhenKeysAreFresh()
+    {
+        world test({});
+        test.needKeys();
+        test.hub.update([&test](catalogue &next) {
+            next.tableConfirmedAt = test.clock.mono() - config::routesTrustTime - 1s;
+            return true;
+        });
+        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+        test.hub.update([&test](catalogue &next) {
+            next.tableConfirmedAt = test.clock.mono();
+            return true;
+        });
+        CPPUNIT_ASSERT_EQUAL(401, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+        test.needKeys([](route_table &table) { table.hasUnreadKeys = true; });
+        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+    }
+
+    void anonymousRoutesNeedNoKey()
+    {
+        scripted_runner runner({{sealed("200 OK", "body")}, {sealed("200 OK", "body")}});
+        world test({&runner});
+        test.needKeys([](route_table &table) { table.routes[1].isAnonymous = true; });
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/1")->status);
+        CPPUNIT_ASSERT(runner.requests()[0].find("Space:") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/2", "5000", {{"Key", "Sign unknown"}})->status);
+        CPPUNIT_ASSERT(runner.requests()[1].find("unknown") == std::string::npos);
+    }
+
     void withoutConfigurationNothingIsDenied()
     {
         world test({});
--- a/tests/gateway/told_routes_test.cpp
+++ b/tests/gateway/told_routes_test.cpp
@@ -44,7 +44,14 @@
     return made;
 }
 
-/// A few routes and services are dropped, added, doubled, moved or changed.
+workspaces::workspace workspaceOf(std::uint64_t number)
+{
+    return {{"space-" + std::to_string(number)},
+            {digest128Of("key-" + std::to_string(number)), digest128Of("other")},
+            number % 3 == 0 ? std::optional(std::uint32_t{1}) : std::nullopt};
+}
+
+/// A few routes, services and workspaces are dropped, added, doubled, moved or changed.
 route_table editedTable(const route_table &before, draws &random)
 {
     route_table made = before;
@@ -54,7 +61,13 @@
                 + static_cast<std::ptrdiff_t>(parts.empty() ? 0 : random() % parts.size());
     };
     for (std::uint64_t left = random() % 8; left > 0; --left) {
-        const std::uint64_t edit = random() % 6;
+        const std::uint64_t edit = random() % 9;
+        if (edit == 6)
+            made.workspaces.insert(anyPlace(made.workspaces), workspaceOf(random() % 100));
+        if (edit == 7 && !made.workspaces.empty())
+            anyPlace(made.workspaces)->keys.clear();
+        if (edit == 8)
+            made.needsKeys = !made.needsKeys;
         if (edit == 0)
             made.routes.insert(anyPlace(made.routes), routeOf(random() % 100));
         if (made.routes.empty())
