--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -2,11 +2,12 @@
 
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
+#include "poplarspool/duties/lease.h"
+#include "poplarspool/duties/usage_keeper.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/gateway_settings.h"
-#include "poplarspool/gateway/order_lease.h"
 #include "poplarspool/gateway/suspects.h"
 
 #include <memory>
@@ -29,16 +30,23 @@
     bool operator==(const listed_gateway &) const = default;
 };
 
+/// What the platform does for a gateway.
+struct platform_links
+{
+    duties::lease_store stages; ///< Who orders engines.
+    suspect_store suspects; ///< Requests under which runners ended.
+    duties::lease_store usage; ///< Who reports usage.
+    duties::usage_sink usageSink;
+};
+
 /// One instance that passes requests on. It gets its knowledge of routes and runners from whoever
 /// follows the platform's store, through `keeper()`.
 class gateway
 {
 public:
     /// @param names How callers and runners name things.
-    /// @param leases Where the lease of whoever orders engines is kept.
-    /// @param suspects Where requests under which runners ended are kept.
-    gateway(gateway_settings choices, dialect names, lease_store leases, suspect_store suspects,
-            clock_source clock, metrics_registry &metrics, journal &events);
+    gateway(gateway_settings choices, dialect names, platform_links links, clock_source clock,
+            metrics_registry &metrics, journal &events);
     ~gateway();
 
     /// Binds the callers' address and begins to talk to other instances.
--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -4,7 +4,10 @@
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
 
+#include <algorithm>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace poplarspool::gateway {
 
@@ -34,6 +37,14 @@
     double retryExtra = 10; ///< `retries.extra`: beside the share, for the whole fleet.
     /// `orders.lease_ms`: time by which orders of two instances to engines are apart at least.
     milliseconds leaseBound{3000};
+    endpoint dutyAddress; ///< `duties.address`: of the platform, for calls of one instance.
+    std::vector<std::string> dutyKinds; ///< `duties.kinds`: which of them are wanted.
+    double usageWindowSeconds = 5; ///< `duties.usage_window_seconds`: that one report is about.
+    double usageLateSeconds = 10; ///< `duties.usage_late_seconds`: after the window's end.
+    /// `workspaces.strict_revoke`: without the store's word for `workspaces.revoke_ms`, no key is
+    /// good any more; else the last ones that were known are.
+    bool isRevokeStrict = false;
+    milliseconds revokeTime{5000};
     double leaveSeconds = 8; ///< `leave.seconds`: from SIGTERM to the end of the process.
     std::string logLevel = "info"; ///< `log.level`
 
@@ -51,6 +62,27 @@
     return made;
 }
 
+/// The duties that `duties.kinds` may name.
+inline constexpr char usageDuty[] = "accounting";
+
+/// @returns Whether this deployment wants the duty, and says where to.
+inline bool hasDuty(const gateway_settings &choices, std::string_view kind)
+{
+    return choices.dutyAddress.isValid()
+            && std::ranges::find(choices.dutyKinds, kind) != choices.dutyKinds.end();
+}
+
+/// @returns Where usage is told between instances: two ports after peerAddress's. Invalid where it
+///          isn't.
+inline endpoint usageAddressOf(const gateway_settings &choices)
+{
+    if (!hasDuty(choices, usageDuty) || !choices.peerAddress.isValid())
+        return {};
+    endpoint made = choices.peerAddress;
+    made.port += 2;
+    return made;
+}
+
 /// @returns What instances authenticate each other's datagrams with. The platform hands out no
 ///          secret; its network is the users' own. The key keeps out strays of other deployments,
 ///          not attackers.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -177,11 +177,6 @@
 inline constexpr double restRunning = 1;
 /// Time in which an order has shown its effect, or is lost: engines take 3 s and what runs there.
 inline constexpr std::chrono::milliseconds stageOrderTime = 8s;
-/// Fences that one epoch of the store has room for: one a term of a second and a half lasts weeks.
-inline constexpr std::uint64_t fencesPerEpoch = 1'000'000;
-/// The last epoch of the store that has room for fences.
-inline constexpr std::uint64_t storeEpochMost = 10'000'000'000'000;
-static_assert(storeEpochMost < UINT64_MAX / fencesPerEpoch);
 /// For one call of a report or an order; they are answered at once.
 inline constexpr std::chrono::milliseconds stageCallTime = 400ms;
 
--- a/include/poplarspool/policy/role_owner.h
+++ b/include/poplarspool/policy/role_owner.h
@@ -4,6 +4,7 @@
 
 #include <span>
 #include <string_view>
+#include <vector>
 
 /// Who has a soft role (planner of a pool, batcher of a bucket, poller of a runner). Instances with
 /// different views may name different owners: that wastes work, and breaks no promise.
@@ -15,4 +16,8 @@
 const member *ownerOf(std::span<const member> members, std::string_view key,
                       const zone_id &zone = {});
 
+/// @returns The live instances with the highest weights, at most `count`, the highest first.
+std::vector<const member *> ownersOf(std::span<const member> members, std::string_view key,
+                                     std::size_t count);
+
 } // namespace poplarspool::policy
--- a/src/gateway/order_lease.cpp
+++ b/src/duties/lease.cpp
@@ -1,11 +1,11 @@
-#include "poplarspool/gateway/order_lease.h"
+#include "poplarspool/duties/lease.h"
 
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/duties/limits.h"
 
 #include <algorithm>
 #include <limits>
 
-namespace poplarspool::gateway {
+namespace poplarspool::duties {
 
 namespace {
 
@@ -21,15 +21,15 @@
 
 } // namespace
 
-order_lease::order_lease(lease_store store, instance_id self, milliseconds bound,
-                         clock_source clock, journal &events)
+duty_lease::duty_lease(lease_store store, instance_id self, milliseconds bound, clock_source clock,
+                       journal &events)
     : store(std::move(store)), self(std::move(self)), bound(bound), clock(std::move(clock)),
       events(events)
 { }
 
 /// The holder's clock is not ours. That its record stands unchanged for twice the bound shows that
 /// whatever term it had taken is over: it could only have gone on by another write.
-bool order_lease::isFreeFrom(const lease_record &found)
+bool duty_lease::isFreeFrom(const lease_record &found)
 {
     const mono_time now = clock.mono();
     // Also who starts in a later epoch: the record of a term that still runs may just have been
@@ -49,37 +49,49 @@
     return now - seenAt >= 2 * bound;
 }
 
-std::optional<lease_term> order_lease::tryTake()
+std::optional<lease_record> duty_lease::findFree()
 {
     const auto found = store.read();
     if (!succeeded(found)) {
-        events.emit("lease_unknown", {{"reason", errorOf(found).message}});
+        events.emit("lease_unknown", {{"duty", store.duty}, {"reason", errorOf(found).message}});
         return std::nullopt;
     }
-    const lease_record &present = valueOf(found);
-    if (!isFreeFrom(present))
+    if (!isFreeFrom(valueOf(found)))
         return std::nullopt;
+    return valueOf(found);
+}
+
+std::optional<lease_term> duty_lease::take(const lease_record &present, std::string note)
+{
     const auto fence = fenceAfter(present);
     if (!fence) {
         events.emit("lease_unusable",
-                    {{"fence", std::to_string(present.fence)},
+                    {{"duty", store.duty},
+                     {"fence", std::to_string(present.fence)},
                      {"epoch", std::to_string(present.version.epoch)}});
         return std::nullopt;
     }
-    const lease_record next{self, *fence, present.version};
+    const lease_record next{self, *fence, present.version, std::move(note)};
     const mono_time askedAt = clock.mono();
     const auto written = store.write(next);
     if (!succeeded(written)) {
         // Where the write took effect after all, the record names this instance, and the next try
         // writes anew.
-        events.emit("lease_missed", {{"reason", errorOf(written).message}});
+        events.emit("lease_missed", {{"duty", store.duty}, {"reason", errorOf(written).message}});
         return std::nullopt;
     }
     events.emit("lease_taken",
-                {{"fence", std::to_string(next.fence)},
+                {{"duty", store.duty},
+                 {"fence", std::to_string(next.fence)},
                  {"before", present.holder.text},
                  {"epoch", std::to_string(present.version.epoch)}});
     return lease_term{next.fence, askedAt + bound / 2};
 }
 
-} // namespace poplarspool::gateway
+std::optional<lease_term> duty_lease::tryTake()
+{
+    const auto present = findFree();
+    return present ? take(*present, {}) : std::nullopt;
+}
+
+} // namespace poplarspool::duties
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "poplarspool/policy/role_owner.h"
 
 #include <algorithm>
+#include <optional>
 #include <thread>
 
 namespace poplarspool::gateway {
@@ -35,20 +36,53 @@
     return made;
 }
 
+constexpr std::string_view stagesRole = "stages";
+constexpr std::string_view usageRole = "usage";
+
+milliseconds durationOf(double seconds)
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
+}
+
+/// Requests that have begun here, of one life of this instance.
+struct usage_count
+{
+    usage_count(const clock_source &clock, milliseconds window)
+        : time(clock), parts{ledger, time, window}
+    { }
+
+    const std::uint64_t life = hashOf(randomHex128());
+    duties::usage_ledger ledger{life};
+    duties::fleet_clock time;
+    const duties::usage_parts parts;
+};
+
 } // namespace
 
 struct gateway::state
 {
-    state(gateway_settings given, dialect spoken, lease_store leases, suspect_store kept,
-          clock_source time, metrics_registry &registry, journal &log)
+    state(gateway_settings given, dialect spoken, platform_links links, clock_source time,
+          metrics_registry &registry, journal &log)
         : choices(std::move(given)), names(std::move(spoken)), clock(std::move(time)), events(log),
           keeper(hub, choices.settleTime, clock, log), ledger(clock),
           retries({choices.retryShare, choices.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTime, registry),
-          metrics(registry),
-          suspects(suspectTools(), std::move(kept), choices.instance, clock, registry, log),
-          parts{names,  hub,   ledger,       retries,  connections, metrics,
-                events, clock, choices.zone, leavesAt, suspects,    hashOf(peerKeyOf(choices))},
+          metrics(registry), suspects(suspectTools(), std::move(links.suspects), choices.instance,
+                                      clock, registry, log),
+          parts{names,
+                hub,
+                ledger,
+                retries,
+                connections,
+                metrics,
+                events,
+                clock,
+                choices.zone,
+                leavesAt,
+                suspects,
+                hashOf(peerKeyOf(choices)),
+                hasDuty(choices, usageDuty) ? &usage.parts : nullptr,
+                choices.isRevokeStrict ? choices.revokeTime : milliseconds::max()},
           members(gossipSettingsOf(choices, clock),
                   {{}, [this](const peer::rumor &news) { suspects.take(news); }}, clock, registry,
                   log),
@@ -67,16 +101,20 @@
                   registry, &log),
           stages({hub, ledger, connections, names, clock, log,
                   registry.counterOf("poplarspool_gateway_stage_orders_total"),
-                  stepFaultsOf(log, registry), [this] { return ownsStages(); }},
-                 std::move(leases), choices.instance, choices.leaseBound)
-    { }
+                  stepFaultsOf(log, registry), [this] { return owns(stagesRole); }},
+                 std::move(links.stages), choices.instance, choices.leaseBound)
+    {
+        if (hasDuty(choices, usageDuty))
+            addUsage(std::move(links.usage), std::move(links.usageSink), registry);
+    }
 
     /// Its thread tells the other members, which end before it.
     ~state() { suspects.stop(); }
     state(const state &) = delete;
     state &operator=(const state &) = delete;
 
-    bool ownsStages() const;
+    bool owns(std::string_view role) const;
+    void addUsage(duties::lease_store leases, duties::usage_sink sink, metrics_registry &registry);
     suspect_tools suspectTools();
     std::optional<http_reply> relay(const http_request &request, http_sink &caller);
     void followTable();
@@ -92,6 +130,7 @@
     retry_budgets retries;
     connection_pool connections;
     relay_metrics metrics;
+    usage_count usage{clock, durationOf(choices.usageWindowSeconds)};
     suspect_keeper suspects;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
@@ -101,16 +140,31 @@
     peer::load_exchange loads;
     http_server callers;
     stage_keeper stages;
+    std::optional<duties::usage_exchange> usageNews; ///< None: usage is not wanted.
+    std::optional<duties::usage_keeper> usageKeeper;
     mono_time leftAt{};
 };
 
-bool gateway::state::ownsStages() const
+bool gateway::state::owns(std::string_view role) const
 {
     const auto alive = members.members();
-    const policy::member *owner = policy::ownerOf(alive, "stages");
+    const policy::member *owner = policy::ownerOf(alive, role);
     return owner != nullptr && owner->id == choices.instance && !isLeaving.load();
 }
 
+void gateway::state::addUsage(duties::lease_store leases, duties::usage_sink sink,
+                              metrics_registry &registry)
+{
+    usageNews.emplace(
+            peer::datagram_settings{choices.instance, lifeOf(clock), usageAddressOf(choices),
+                                    peerKeyOf(choices)},
+            usage.life, usage.parts, [this] { return members.members(); }, clock, registry, events);
+    usageKeeper.emplace(duties::usage_tools{usage.parts, durationOf(choices.usageLateSeconds),
+                                            std::move(sink), clock, events, registry,
+                                            [this] { return owns(usageRole); }},
+                        std::move(leases), choices.instance, choices.leaseBound);
+}
+
 suspect_tools gateway::state::suspectTools()
 {
     suspect_tools made;
@@ -147,11 +201,10 @@
     ledger.forgetAllBut(now->runners);
 }
 
-gateway::gateway(gateway_settings choices, dialect names, lease_store leases,
-                 suspect_store suspects, clock_source clock, metrics_registry &metrics,
-                 journal &events)
-    : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(leases),
-                                    std::move(suspects), std::move(clock), metrics, events))
+gateway::gateway(gateway_settings choices, dialect names, platform_links links, clock_source clock,
+                 metrics_registry &metrics, journal &events)
+    : inner(std::make_unique<state>(std::move(choices), std::move(names), std::move(links),
+                                    std::move(clock), metrics, events))
 { }
 
 gateway::~gateway() = default;
@@ -167,6 +220,12 @@
     const auto listening = inner->callers.start();
     if (!succeeded(listening))
         return errorOf(listening);
+    if (inner->usageNews) {
+        const auto telling = inner->usageNews->start();
+        if (!succeeded(telling))
+            return errorOf(telling);
+        inner->usageKeeper->start();
+    }
     inner->stages.start();
     inner->suspects.start();
     return unit{};
@@ -229,6 +288,8 @@
     inner->members.setLeaving();
     // Waited for only at the end: with a slow store it would hold up what callers are told.
     inner->stages.requestStop();
+    if (inner->usageKeeper)
+        inner->usageKeeper->requestStop();
     inner->suspects.leave();
     inner->callers.announceEnd();
     inner->events.emit("leaving", {{"time_ms", std::to_string(inner->leaveTime.count())}});
@@ -243,6 +304,10 @@
     std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
     inner->callers.stop();
     inner->stages.stop();
+    if (inner->usageNews) {
+        inner->usageKeeper->stop();
+        inner->usageNews->stop();
+    }
     inner->suspects.stop();
     inner->connections.stop();
     inner->loads.stop();
--- a/src/gateway/request_relay.cpp
+++ b/src/gateway/request_relay.cpp
@@ -176,11 +176,12 @@
     const route_table &table = *known->table;
     if (!table.needsKeys)
         return std::nullopt;
-    owner = keyOwnerOf(request, parts.names, table, *known->index);
+    const auto age = parts.clock.mono() - known->tableConfirmedAt;
+    const bool areTrusted = std::chrono::floor<milliseconds>(age) <= parts.keyTrustTime;
+    owner = areTrusted ? keyOwnerOf(request, parts.names, table, *known->index) : nullptr;
     if (owner != nullptr || chosen->isAnonymous)
         return std::nullopt;
-    const bool isOld = parts.clock.mono() - known->tableConfirmedAt > config::routesTrustTime;
-    if (isOld || table.hasUnreadKeys)
+    if (age > config::routesTrustTime || table.hasUnreadKeys)
         return refusal(503, error_code::Stale, "the key is not known here",
                        config::startingRetryAfter);
     parts.metrics.unknownKeys.add();
--- a/src/gateway/request_relay.h
+++ b/src/gateway/request_relay.h
@@ -9,6 +9,7 @@
 #include "gateway/suspect_keeper.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
+#include "poplarspool/duties/usage_exchange.h"
 
 #include <atomic>
 #include <optional>
@@ -55,6 +56,10 @@
     suspect_keeper &suspects;
     /// Of requests' digests; the same on all instances of the fleet.
     const std::uint64_t digestSeed = 0;
+    /// Where requests of workspaces are counted as they begin to run; null: nowhere.
+    const duties::usage_parts *usage = nullptr;
+    /// Age of the last confirmed configuration from which on its keys count for nothing.
+    const milliseconds keyTrustTime = milliseconds::max();
 };
 
 /// Passes one request on to a runner, and the answer back, by the rules of its route: where it may
@@ -132,6 +137,7 @@
     socket_deadline deadlineIn(milliseconds time) const;
     std::uint32_t priorityOf(send_class urgency) const;
     void noteFirstByte(sending &now);
+    void noteBegun() const;
 
     const relay_parts &parts;
     const http_request &request;
--- a/src/gateway/runner_control.cpp
+++ b/src/gateway/runner_control.cpp
@@ -26,10 +26,9 @@
     return std::chrono::seconds(seconds);
 }
 
-error failureOf(const runner &target, call_fault fault, verdict ran)
+error failureOf(const std::string &who, call_fault fault, verdict ran)
 {
-    return {error_code::Unavailable, "runner " + target.id.text + ": " + std::string(nameOf(fault)),
-            ran, std::nullopt};
+    return {error_code::Unavailable, who + ": " + std::string(nameOf(fault)), ran, std::nullopt};
 }
 
 } // namespace
@@ -41,49 +40,58 @@
     return std::min(promised - margin, config::runnerIdleTime);
 }
 
-result<http_reply> askRunner(connection_pool &connections, const dialect &names,
-                             const runner &target, const http_request &asked, milliseconds time,
-                             const std::function<bool()> &check)
+result<whole_reply> callOn(descriptor connection, const std::string &who, std::string_view request,
+                           socket_deadline deadline, const std::function<bool()> &check)
 {
-    const socket_deadline deadline = socket_clock::now() + time;
-    auto connection = connections.take(target.address, deadline, -1);
-    if (!succeeded(connection))
-        return errorOf(connection);
-    noticeSilence(valueOf(connection).get(), config::runnerSilence);
-    runner_call call(std::move(valueOf(connection)), -1);
-    send_extras extras;
-    extras.runner = target.id.text;
-    extras.timeLeft = time;
-    const std::string text = runnerRequestText(asked, target.address, names, extras);
+    noticeSilence(connection.get(), config::runnerSilence);
+    runner_call call(std::move(connection), -1);
     if (check && !check())
-        return notRun(error_code::TimedOut,
-                      "the time to ask runner " + target.id.text + " is over");
-    const call_fault fault = call.send(text, deadline);
+        return notRun(error_code::TimedOut, "the time to ask " + who + " is over");
+    const call_fault fault = call.send(request, deadline);
     if (fault != call_fault::None) {
         call.abort();
-        return failureOf(target, fault,
-                         call.mayHaveArrived() ? verdict::MayHaveRun : verdict::NotRun);
+        return failureOf(who, fault, call.mayHaveArrived() ? verdict::MayHaveRun : verdict::NotRun);
     }
     const auto head = call.readHead(deadline);
     if (const auto *failed = std::get_if<call_fault>(&head)) {
         call.abort();
-        return failureOf(target, *failed, verdict::MayHaveRun);
+        return failureOf(who, *failed, verdict::MayHaveRun);
     }
     const auto &arrived = std::get<reply_head>(head);
     body_piece rest = call.readRest(deadline, config::maxHeldAnswerBytes);
     if (!rest.isLast) {
         call.abort();
-        return failureOf(target, rest.fault, verdict::MayHaveRun);
+        return failureOf(who, rest.fault, verdict::MayHaveRun);
     }
-    descriptor reusable = call.takeConnection();
-    const milliseconds idleTime = idleTimeOf(arrived.headers);
-    if (reusable.isOpen() && idleTime > milliseconds::zero())
-        connections.keep(target.address, std::move(reusable), idleTime);
-    http_reply reply;
-    reply.status = arrived.status;
-    reply.headers = arrived.headers;
-    reply.body = std::move(rest.bytes);
-    return reply;
+    whole_reply whole;
+    whole.reply.status = arrived.status;
+    whole.reply.headers = arrived.headers;
+    whole.reply.body = std::move(rest.bytes);
+    whole.connection = call.takeConnection();
+    return whole;
+}
+
+result<http_reply> askRunner(connection_pool &connections, const dialect &names,
+                             const runner &target, const http_request &asked, milliseconds time,
+                             const std::function<bool()> &check)
+{
+    const socket_deadline deadline = socket_clock::now() + time;
+    auto connection = connections.take(target.address, deadline, -1);
+    if (!succeeded(connection))
+        return errorOf(connection);
+    send_extras extras;
+    extras.runner = target.id.text;
+    extras.timeLeft = time;
+    auto answered =
+            callOn(std::move(valueOf(connection)), "runner " + target.id.text,
+                   runnerRequestText(asked, target.address, names, extras), deadline, check);
+    if (!succeeded(answered))
+        return errorOf(answered);
+    whole_reply &whole = valueOf(answered);
+    const milliseconds idleTime = idleTimeOf(whole.reply.headers);
+    if (whole.connection.isOpen() && idleTime > milliseconds::zero())
+        connections.keep(target.address, std::move(whole.connection), idleTime);
+    return std::move(whole.reply);
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_ledger.h
+++ b/src/gateway/runner_ledger.h
@@ -44,6 +44,7 @@
         /// The runner has begun to answer.
         /// @returns Whether that was not known yet.
         bool noteStart();
+        bool hasStarted() const { return startedAt != mono_time{}; }
         void noteEnd(send_end how) { end = how; }
         /// What is expected of a send that reads a prompt and finds a free place: the pace is
         /// learnt from it.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -168,6 +168,10 @@
         ++runs;
     if (fault == call_fault::CallerGone)
         return try_end::CallerGone;
+    // Far more often a runner's answer is lost than a runner.
+    const bool isAnswerLost = fault == call_fault::Closed || fault == call_fault::Malformed;
+    if (mayHaveRun && isAnswerLost && !now.record.hasStarted())
+        noteBegun();
     if (fault != call_fault::TimedOut)
         now.record.noteEnd(mayHaveRun ? send_end::Failed : send_end::Unreachable);
     if (mayHaveRun && fault != call_fault::TimedOut)
@@ -227,10 +231,19 @@
     return rest.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
 }
 
+void request_relay::noteBegun() const
+{
+    if (parts.usage == nullptr || owner == nullptr)
+        return;
+    const wall_time now = parts.usage->time.now().at;
+    parts.usage->ledger.noteBegun(duties::windowAt(now, parts.usage->window), owner->id);
+}
+
 void request_relay::noteFirstByte(sending &now)
 {
     if (!now.record.noteStart())
         return;
+    noteBegun();
     parts.ledger.noteRead(now.place.serving->id, read.prompt);
     if (firstByteAt != mono_time{})
         return;
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -5,48 +5,13 @@
 
 namespace poplarspool::gateway {
 
-stage_keeper::stage_keeper(stage_tools tools, lease_store store, instance_id self,
+stage_keeper::stage_keeper(stage_tools tools, duties::lease_store store, instance_id self,
                            milliseconds leaseBound)
     : tools(std::move(tools)), self(std::move(self)),
-      lease(std::move(store), this->self, leaseBound, this->tools.clock, this->tools.events)
+      lease(std::move(store), this->self, leaseBound, this->tools.clock, this->tools.events),
+      thread("stages", config::stageLookTime, this->tools.faults, [this] { look(); })
 { }
 
-stage_keeper::~stage_keeper()
-{
-    stop();
-}
-
-void stage_keeper::start()
-{
-    thread = startNamed("stages", [this] { run(); });
-}
-
-void stage_keeper::requestStop()
-{
-    const std::lock_guard lock(guard);
-    isStopping = true;
-    stopped.notify_all();
-}
-
-void stage_keeper::stop()
-{
-    requestStop();
-    if (thread.joinable())
-        thread.join();
-}
-
-/// After a look that failed, the next one goes on: an order is noted before it is sent, and bound
-/// by its term. The time between two looks is the pause.
-void stage_keeper::run()
-{
-    std::unique_lock lock(guard);
-    while (!stopped.wait_for(lock, config::stageLookTime, [this] { return isStopping; })) {
-        lock.unlock();
-        contained(tools.faults, [this] { look(); });
-        lock.lock();
-    }
-}
-
 /// While a fleet starts, its runners enter themselves one after the other: a split of the first few
 /// would be another one than that of all.
 bool stage_keeper::hasSettled(const catalogue &known)
@@ -128,7 +93,8 @@
 /// Orders can be carried out long after they were sent, also after newer ones. Each names the
 /// number of orders that the engine had taken when it was asked: one that comes late finds another
 /// number, and is dropped.
-void stage_keeper::order(const catalogue &known, const stage_change &change, const lease_term &term)
+void stage_keeper::order(const catalogue &known, const stage_change &change,
+                         const duties::lease_term &term)
 {
     const auto found = known.runners.find(change.engine);
     if (found == known.runners.end())
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -2,16 +2,13 @@
 
 #include "base/connection_pool.h"
 #include "gateway/runner_ledger.h"
-#include "poplarspool/base/named_thread.h"
+#include "poplarspool/base/look_thread.h"
+#include "poplarspool/duties/lease.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/dialect.h"
-#include "poplarspool/gateway/order_lease.h"
 #include "poplarspool/gateway/stage_plan.h"
 
-#include <condition_variable>
 #include <map>
-#include <mutex>
-#include <thread>
 
 namespace poplarspool::gateway {
 
@@ -34,14 +31,12 @@
 class stage_keeper
 {
 public:
-    stage_keeper(stage_tools tools, lease_store store, instance_id self, milliseconds leaseBound);
-    ~stage_keeper();
+    stage_keeper(stage_tools tools, duties::lease_store store, instance_id self,
+                 milliseconds leaseBound);
 
-    void start();
-    /// Begins no look any more. Doesn't wait: a look may be waiting for the store.
-    void requestStop();
-    /// @attention Waits for the present look.
-    void stop();
+    void start() { thread.start(); }
+    void requestStop() { thread.requestStop(); }
+    void stop() { thread.stop(); }
 
     /// One look, and the orders that follow from it. Of the keeper's thread, and of tests.
     void look();
@@ -55,24 +50,20 @@
         std::uint64_t bornMs = 0; ///< The engine's life that it was given in.
     };
 
-    void run();
     bool hasSettled(const catalogue &known);
     void lookAt(const catalogue &known, const service &engines);
     std::vector<stage_engine> enginesOf(const catalogue &known, const service &engines);
     void forgetDone(const catalogue &known);
-    void order(const catalogue &known, const stage_change &change, const lease_term &term);
+    void order(const catalogue &known, const stage_change &change, const duties::lease_term &term);
 
     const stage_tools tools;
     const instance_id self;
-    order_lease lease;
+    duties::duty_lease lease;
     std::map<runner_id, open_order> given;
     std::map<service_id, stage_memory> memories;
     std::size_t runnersSeen = 0;
     mono_time changedAt{}; ///< When the number of runners last changed.
-    std::mutex guard;
-    std::condition_variable stopped;
-    bool isStopping = false;
-    std::thread thread;
+    look_thread thread; ///< Ends before what it looks at.
 };
 
 } // namespace poplarspool::gateway
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -11,6 +11,8 @@
 using gateway::gateway_settings;
 using std::chrono::seconds;
 
+constexpr std::size_t maxDuties = 16;
+
 /// Below it, no watch could wait; above it, nobody would call it in time.
 auto newsTimeRule()
 {
@@ -70,6 +72,23 @@
             optionalKey<s>("orders.lease_ms", "ms", &s::leaseBound,
                            timeRule<milliseconds>(milliseconds(100), milliseconds(60000)),
                            "By which orders of two instances to engines are apart at least."),
+            optionalKey<s>("duties.address", "", &s::dutyAddress, endpointRule(),
+                           "Of the platform, for calls that one instance at a time makes."),
+            optionalKey<s>("duties.kinds", "", &s::dutyKinds,
+                           listRule(textRule(1, config::maxNameBytes), maxDuties),
+                           "Which of these calls are wanted: accounting reports usage; others are "
+                           "left to the platform."),
+            optionalKey<s>("duties.usage_window_seconds", "s", &s::usageWindowSeconds,
+                           realRule(0.5, 86400),
+                           "Of true time, that one report of usage is about."),
+            optionalKey<s>("duties.usage_late_seconds", "s", &s::usageLateSeconds,
+                           realRule(1, 86400), "After a window's end, when its report is late."),
+            optionalKey<s>("workspaces.strict_revoke", "", &s::isRevokeStrict, flagRule(),
+                           "Without the store's word for workspaces.revoke_ms, no key is good any "
+                           "more; else the last known ones are."),
+            optionalKey<s>("workspaces.revoke_ms", "ms", &s::revokeTime,
+                           timeRule<milliseconds>(milliseconds(500), milliseconds(600000)),
+                           "Age of the last known keys, for workspaces.strict_revoke."),
             optionalKey<s>("leave.seconds", "s", &s::leaveSeconds, realRule(1, 600),
                            "From SIGTERM to the end of the process."),
             optionalKey<s>("log.level", "", &s::logLevel, level,
@@ -109,7 +128,8 @@
                 root, faults);
     checkDiffer({{"peer.address", choices.peerAddress},
                  {"peer.load_address", choices.loadAddress},
-                 {"peer.share_store_news", gateway::newsAddressOf(choices)}},
+                 {"peer.share_store_news", gateway::newsAddressOf(choices)},
+                 {"duties.kinds", gateway::usageAddressOf(choices)}},
                 root, faults);
 }
 
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -20,6 +20,7 @@
     Reply = 4,
     Load = 5, ///< In a datagram.
     Store = 6, ///< In a datagram.
+    Usage = 7, ///< In a datagram.
 };
 
 /// Head of every frame between instances.
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -1,14 +1,11 @@
 #include "poplarspool/peer/load_exchange.h"
 
-#include "peer/datagram_port.h"
-#include "poplarspool/base/named_thread.h"
+#include "peer/datagram_loop.h"
 #include "poplarspool/config.h"
 
 #include <algorithm>
 #include <array>
 #include <mutex>
-#include <poll.h>
-#include <thread>
 
 namespace poplarspool::peer {
 
@@ -25,12 +22,15 @@
           std::function<void(std::uint64_t, const load_news &)> onNews, clock_source clock,
           metrics_registry &metrics, journal &events)
         : collect(std::move(collect)), onNews(std::move(onNews)), clock(std::move(clock)),
-          faults(stepFaultsOf(events, metrics)),
-          port(std::move(choices), frame_kind::Load, metrics, "poplarspool_load_news_total")
+          loop("load_news", std::move(choices), frame_kind::Load, "poplarspool_load_news_total",
+               {[this] { return tell(); },
+                [this](std::uint64_t sender, std::string_view payload) {
+                    return hear(sender, payload);
+                }},
+               this->clock, metrics, events)
     { }
 
-    void run();
-    void takeStep();
+    mono_time tell();
     void tellDue(mono_time now);
     void tellAudience(news_audience audience, const std::vector<endpoint> &to);
     bool hear(std::uint64_t sender, std::string_view payload);
@@ -38,18 +38,14 @@
     const std::function<load_news(news_audience)> collect;
     const std::function<void(std::uint64_t, const load_news &)> onNews;
     const clock_source clock;
-    const step_faults faults;
-    datagram_port port;
-    raised_flag stopping;
-    std::thread thread;
     std::mutex guard;
     std::vector<endpoint> near;
     std::vector<endpoint> far;
 
-    // Of the thread alone.
-    mono_time nextAt{}; ///< When to tell again.
+    // Of the loop's thread alone.
     mono_time farAt{}; ///< When the far ones are due.
     std::array<bool, newsAudiences> wereQuiet{};
+    datagram_loop loop;
 };
 
 load_exchange::load_exchange(datagram_settings choices,
@@ -67,18 +63,12 @@
 
 result<unit> load_exchange::start()
 {
-    const auto opened = inner->port.open();
-    if (!succeeded(opened))
-        return errorOf(opened);
-    inner->thread = startNamed("load_news", [this] { inner->run(); });
-    return unit{};
+    return inner->loop.start();
 }
 
 void load_exchange::stop()
 {
-    inner->stopping.raise();
-    if (inner->thread.joinable())
-        inner->thread.join();
+    inner->loop.stop();
 }
 
 void load_exchange::setPeers(std::vector<endpoint> near, std::vector<endpoint> far)
@@ -88,35 +78,12 @@
     inner->far = std::move(far);
 }
 
-/// News are hints, and collected anew each time: those of a step that failed are lost like any
-/// datagram.
-void load_exchange::state::run()
-{
-    nextAt = clock.mono();
-    while (!stopping.isRaised()) {
-        if (!contained(faults, [this] { takeStep(); }))
-            waitForSocket(-1, 0, socket_clock::now() + config::failedStepPause,
-                          stopping.descriptorNumber());
-    }
-}
-
-void load_exchange::state::takeStep()
+mono_time load_exchange::state::tell()
 {
     const mono_time now = clock.mono();
-    if (now >= nextAt) {
-        tellDue(now);
-        const std::lock_guard lock(guard);
-        nextAt = now
-                + loadNewsInterval(near.size(), near.size() + far.size(),
-                                   config::loadNewsPerSecond);
-    }
-    const auto left = std::chrono::ceil<milliseconds>(nextAt - clock.mono());
-    waitForSocket(port.descriptorNumber(), POLLIN,
-                  socket_clock::now() + std::max(left, milliseconds(0)),
-                  stopping.descriptorNumber());
-    port.receive([this](std::uint64_t sender, std::string_view payload) {
-        return hear(sender, payload);
-    });
+    tellDue(now);
+    const std::lock_guard lock(guard);
+    return now + loadNewsInterval(near.size(), near.size() + far.size(), config::loadNewsPerSecond);
 }
 
 void load_exchange::state::tellDue(mono_time now)
@@ -146,7 +113,7 @@
     const bool isQuiet = news.work.empty() && news.cached.empty();
     bool &wasQuiet = wereQuiet[static_cast<std::size_t>(audience)];
     if (!std::exchange(wasQuiet, isQuiet) || !isQuiet)
-        port.send(to, encode(news));
+        loop.send(to, encode(news));
 }
 
 bool load_exchange::state::hear(std::uint64_t sender, std::string_view payload)
@@ -154,8 +121,8 @@
     const auto news = decodeLoadNews(payload);
     if (!succeeded(news))
         return false;
-    // There is no pause: news of other senders would wait.
-    return contained(faults, [&] { onNews(sender, valueOf(news)); });
+    onNews(sender, valueOf(news));
+    return true;
 }
 
 } // namespace poplarspool::peer
--- a/src/policy/role_owner.cpp
+++ b/src/policy/role_owner.cpp
@@ -3,6 +3,8 @@
 #include "poplarspool/base/hash.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace poplarspool::policy {
 
@@ -27,4 +29,20 @@
     return best;
 }
 
+std::vector<const member *> ownersOf(std::span<const member> members, std::string_view key,
+                                     std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, const member *>> weighed;
+    for (const member &one : members) {
+        if (one.state == member_state::Alive)
+            weighed.emplace_back(rendezvousWeight(one.id.text, key), &one);
+    }
+    const auto end = weighed.begin() + static_cast<std::ptrdiff_t>(std::min(count, weighed.size()));
+    std::partial_sort(weighed.begin(), end, weighed.end(), std::greater<>());
+    std::vector<const member *> owners;
+    for (auto one = weighed.begin(); one != end; ++one)
+        owners.push_back(one->second);
+    return owners;
+}
+
 } // namespace poplarspool::policy
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -119,7 +119,7 @@
 
     void leasesSurviveTheStore()
     {
-        const gateway::lease_record lease{{"edge-1"}, 41, {0, 9}};
+        const duties::lease_record lease{{"edge-1"}, 41, {0, 9}};
         CPPUNIT_ASSERT(valueOf(decodeLease(encodeLease(lease), {0, 9})) == lease);
         CPPUNIT_ASSERT(!succeeded(decodeLease(json::object(), {0, 9})));
     }
--- a/tests/gateway/order_lease_test.cpp
+++ b/tests/duties/lease_test.cpp
@@ -1,11 +1,11 @@
-#include "poplarspool/gateway/order_lease.h"
+#include "poplarspool/duties/lease.h"
 
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/duties/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <limits>
 
-namespace poplarspool::gateway {
+namespace poplarspool::duties {
 
 namespace {
 
@@ -49,17 +49,17 @@
         revision = older.version.revision;
     }
 
-    order_lease leaseOf(const std::string &id)
+    duty_lease leaseOf(const std::string &id)
     {
-        return order_lease(store(), {id}, 3s, clock, events);
+        return duty_lease(store(), {id}, 3s, clock, events);
     }
 };
 
 } // namespace
 
-class order_lease_test : public CppUnit::TestFixture
+class lease_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(order_lease_test);
+    CPPUNIT_TEST_SUITE(lease_test);
     CPPUNIT_TEST(theHolderTakesTermAfterTerm);
     CPPUNIT_TEST(aSuccessorWaitsUntilTheTermIsLongOver);
     CPPUNIT_TEST(eachSignOfTheHolderBeginsTheWaitAnew);
@@ -80,7 +80,7 @@
     {
         world test;
         test.record = {{"a"}, std::numeric_limits<std::uint64_t>::max() - 1, {0, 10}};
-        order_lease mine = test.leaseOf("a");
+        duty_lease mine = test.leaseOf("a");
         const auto last = mine.tryTake();
         CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint64_t>::max(), last->fence);
         CPPUNIT_ASSERT(!mine.tryTake());
@@ -94,7 +94,7 @@
         world test;
         test.record = {{"a"}, 7, {config::storeEpochMost, 10}};
         // Who starts in a later epoch waits for lost terms first.
-        const auto takenBy = [&test](order_lease lease) {
+        const auto takenBy = [&test](duty_lease lease) {
             std::optional<lease_term> term;
             for (int tries = 0; tries < 100 && !term; ++tries) {
                 term = lease.tryTake();
@@ -112,7 +112,7 @@
     void theHolderTakesTermAfterTerm()
     {
         world test;
-        order_lease mine = test.leaseOf("a");
+        duty_lease mine = test.leaseOf("a");
         const auto first = mine.tryTake();
         CPPUNIT_ASSERT(first == (lease_term{1, test.now + 1500ms}));
         const auto second = mine.tryTake();
@@ -126,7 +126,7 @@
     {
         world test;
         const auto lastOrder = test.leaseOf("a").tryTake()->endsAt;
-        order_lease other = test.leaseOf("b");
+        duty_lease other = test.leaseOf("b");
         std::optional<lease_term> taken;
         while (!taken) {
             test.now += 100ms;
@@ -139,8 +139,8 @@
     void eachSignOfTheHolderBeginsTheWaitAnew()
     {
         world test;
-        order_lease mine = test.leaseOf("a");
-        order_lease other = test.leaseOf("b");
+        duty_lease mine = test.leaseOf("a");
+        duty_lease other = test.leaseOf("b");
         for (int i = 0; i < 4; ++i) {
             CPPUNIT_ASSERT(mine.tryTake());
             CPPUNIT_ASSERT(!other.tryTake());
@@ -155,7 +155,7 @@
     {
         world test;
         test.losesAnswers = true;
-        order_lease mine = test.leaseOf("a");
+        duty_lease mine = test.leaseOf("a");
         CPPUNIT_ASSERT(!mine.tryTake());
         test.losesAnswers = false;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, mine.tryTake()->fence);
@@ -166,8 +166,8 @@
         world test;
         lease_store late = test.store();
         late.read = [] { return lease_record(); };
-        order_lease mine = test.leaseOf("a");
-        order_lease other(late, {"b"}, 3s, test.clock, test.events);
+        duty_lease mine = test.leaseOf("a");
+        duty_lease other(late, {"b"}, 3s, test.clock, test.events);
         CPPUNIT_ASSERT(mine.tryTake());
         CPPUNIT_ASSERT(!other.tryTake());
     }
@@ -190,7 +190,7 @@
             CPPUNIT_ASSERT(test.leaseOf("a").tryTake());
             test.goBackTo(older);
             const mono_time startedAt = test.now;
-            order_lease started = test.leaseOf("b");
+            duty_lease started = test.leaseOf("b");
             while (!started.tryTake())
                 test.now += 100ms;
             CPPUNIT_ASSERT(test.now - startedAt >= 6s);
@@ -203,8 +203,8 @@
     void aTermWhoseRecordIsLostIsWaitedFor()
     {
         world test;
-        order_lease mine = test.leaseOf("a");
-        order_lease other = test.leaseOf("b");
+        duty_lease mine = test.leaseOf("a");
+        duty_lease other = test.leaseOf("b");
         CPPUNIT_ASSERT(other.tryTake());
         const lease_record copy = test.record;
         while (!mine.tryTake())
@@ -223,7 +223,7 @@
     void fencesOfLostTermsAreNotGivenAgain()
     {
         world test;
-        order_lease mine = test.leaseOf("a");
+        duty_lease mine = test.leaseOf("a");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, mine.tryTake()->fence);
         const lease_record copy = test.record;
         std::uint64_t highest = mine.tryTake()->fence;
@@ -238,6 +238,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(order_lease_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_test);
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::duties
--- /dev/null
+++ b/tests/duties/usage_exchange_test.cpp
@@ -0,0 +1,143 @@
+#include "poplarspool/duties/usage_exchange.h"
+
+#include "duties/usage_news.h"
+#include "poplarspool/config.h"
+#include "poplarspool/duties/limits.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace poplarspool::duties {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A UDP port that is free on the first loopback address.
+std::uint16_t freePort()
+{
+    const int fd = ::socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *raw = reinterpret_cast<sockaddr *>(&address);
+    socklen_t size = sizeof address;
+    CPPUNIT_ASSERT(bind(fd, raw, size) == 0);
+    getsockname(fd, raw, &size);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+policy::member memberAt(const std::string &name, const std::string &host)
+{
+    policy::member made;
+    made.id = {name};
+    made.peerAddress = {host, 1};
+    return made;
+}
+
+/// One instance at its own loopback address.
+struct node
+{
+    node(const std::string &name, std::uint64_t life, std::uint16_t port,
+         const std::vector<policy::member> &all, const std::string &host)
+        : ledger(life), exchange(
+                                {{name}, 1, {host, port}, "key"}, life, {ledger, time, 5s},
+                                [all] { return all; }, systemClock(), metrics, events)
+    {
+        CPPUNIT_ASSERT(succeeded(exchange.start()));
+    }
+
+    metrics_registry metrics;
+    journal events{{"test"}, systemClock(), 64};
+    fleet_clock time{systemClock()};
+    usage_ledger ledger;
+    usage_exchange exchange;
+};
+
+template <class Holds>
+bool comesTrue(const Holds &holds)
+{
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(10ms);
+    }
+    return true;
+}
+
+} // namespace
+
+class usage_exchange_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(usage_exchange_test);
+    CPPUNIT_TEST(newsSurviveTheWire);
+    CPPUNIT_TEST(brokenNewsAreNone);
+    CPPUNIT_TEST(keepersHoldTheCountsOfAll);
+    CPPUNIT_TEST(whoEndsTellsTheRest);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void newsSurviveTheWire()
+    {
+        const usage_news news{wall_time(7ms),
+                              {wall_time(9ms), 40},
+                              true,
+                              {UINT64_MAX, 340'000'000, {{{"a"}, 1}, {{"\u0c15"}, 1'000'000}}}};
+        CPPUNIT_ASSERT(valueOf(decodeUsageNews(valueOf(encode(news)))) == news);
+    }
+
+    void brokenNewsAreNone()
+    {
+        const std::string text = valueOf(encode(usage_news{wall_time(7ms), {}, false, {1, 2, {}}}));
+        for (std::size_t size = 0; size < text.size(); ++size)
+            CPPUNIT_ASSERT(!succeeded(decodeUsageNews(text.substr(0, size))));
+        CPPUNIT_ASSERT(!succeeded(decodeUsageNews(text + "x")));
+        CPPUNIT_ASSERT(!succeeded(decodeUsageNews(
+                valueOf(encode(usage_news{wall_time(-1ms), {}, false, {1, 2, {}}})))));
+    }
+
+    void keepersHoldTheCountsOfAll()
+    {
+        const std::uint16_t port = freePort();
+        const std::vector<policy::member> all{memberAt("a", "127.0.0.1"),
+                                              memberAt("b", "127.0.0.2")};
+        node a("a", 1, port, all, "127.0.0.1");
+        node b("b", 2, port, all, "127.0.0.2");
+        const window_number window = windowAt(a.time.now().at, 5s);
+        a.ledger.noteBegun(window, {"x"});
+        b.ledger.noteBegun(window, {"x"});
+        const usage_counts both{{{"x"}, 2}};
+        CPPUNIT_ASSERT(comesTrue([&] { return a.ledger.totalOf(window) == both; }));
+        CPPUNIT_ASSERT(comesTrue([&] { return b.ledger.totalOf(window) == both; }));
+        CPPUNIT_ASSERT(comesTrue([&] { return a.time.now().clocks == 2; }));
+    }
+
+    /// Guards against counts that are lost with an instance that is stopped in order.
+    void whoEndsTellsTheRest()
+    {
+        const std::uint16_t port = freePort();
+        const std::vector<policy::member> all{memberAt("a", "127.0.0.1"),
+                                              memberAt("b", "127.0.0.2")};
+        node a("a", 1, port, all, "127.0.0.1");
+        node b("b", 2, port, all, "127.0.0.2");
+        const window_number window = windowAt(a.time.now().at, 5s);
+        a.ledger.noteBegun(window, {"x"});
+        CPPUNIT_ASSERT(comesTrue([&] { return b.ledger.totalOf(window).contains({"x"}); }));
+        a.ledger.noteBegun(window, {"x"});
+        a.exchange.stop();
+        CPPUNIT_ASSERT(comesTrue([&] { return b.ledger.totalOf(window).at({"x"}) == 2; }));
+        // Nothing more is waited for.
+        CPPUNIT_ASSERT(
+                comesTrue([&] { return b.ledger.isComplete(window, endOf(window + 9, 5s)); }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(usage_exchange_test);
+
+} // namespace poplarspool::duties
--- /dev/null
+++ b/tests/duties/usage_test.cpp
@@ -0,0 +1,214 @@
+#include "poplarspool/duties/usage.h"
+
+#include "poplarspool/duties/limits.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace poplarspool::duties {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+wall_time at(std::int64_t sinceMs)
+{
+    return wall_time(milliseconds(sinceMs));
+}
+
+usage_counts noCounts(window_number)
+{
+    return {};
+}
+
+usage_counts countsByWindow(window_number window)
+{
+    return {{{"a"}, window}};
+}
+
+} // namespace
+
+class usage_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(usage_test);
+    CPPUNIT_TEST(windowsAreCountedFromTheStartOf1970);
+    CPPUNIT_TEST(countsOfAllLivesAreAdded);
+    CPPUNIT_TEST(tellingsJoinInAnyOrder);
+    CPPUNIT_TEST(changedCountsAreToldAFewTimes);
+    CPPUNIT_TEST(manyWorkspacesAreToldInParts);
+    CPPUNIT_TEST(whoHasCountedMustHaveTold);
+    CPPUNIT_TEST(oldWindowsAreForgotten);
+    CPPUNIT_TEST(notesSurviveTheStore);
+    CPPUNIT_TEST(theFirstNoteBeginsWithWhatIsDue);
+    CPPUNIT_TEST(eachWindowIsReportedOnce);
+    CPPUNIT_TEST(whatMayNotHaveBeenSentIsSentAgainAsItWas);
+    CPPUNIT_TEST(afterAnOlderCopyLostWindowsAreLeftOut);
+    CPPUNIT_TEST(anUnreadableNoteFixesAllWindowsSoFar);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void windowsAreCountedFromTheStartOf1970()
+    {
+        CPPUNIT_ASSERT_EQUAL(window_number{2}, windowAt(at(10'000), 5s));
+        CPPUNIT_ASSERT_EQUAL(window_number{1}, windowAt(at(9'999), 5s));
+        CPPUNIT_ASSERT_EQUAL(window_number{0}, windowAt(at(-7), 5s));
+        CPPUNIT_ASSERT(endOf(1, 5s) == at(10'000));
+    }
+
+    void countsOfAllLivesAreAdded()
+    {
+        usage_ledger ledger(1);
+        ledger.noteBegun(7, {"a"});
+        ledger.noteBegun(7, {"a"});
+        ledger.noteBegun(8, {"a"});
+        ledger.take({2, 7, {{{"a"}, 5}, {{"b"}, 1}}});
+        ledger.take({3, 7, {{{"b"}, 2}}});
+        CPPUNIT_ASSERT(ledger.totalOf(7) == (usage_counts{{{"a"}, 7}, {{"b"}, 3}}));
+        CPPUNIT_ASSERT(ledger.totalOf(9).empty());
+    }
+
+    /// Guards against counts that are added twice where datagrams come late, doubled or not at all.
+    void tellingsJoinInAnyOrder()
+    {
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            std::mt19937_64 random(seed);
+            std::vector<told_usage> told;
+            for (std::uint64_t i = 0; i < 200; ++i)
+                told.push_back({2 + random() % 5, random() % 3, {{{"a"}, random() % 50}}});
+            usage_ledger once(1);
+            usage_ledger again(1);
+            for (const told_usage &one : told)
+                once.take(one);
+            std::vector<told_usage> doubled = told;
+            doubled.insert(doubled.end(), told.begin(), told.end());
+            std::shuffle(doubled.begin(), doubled.end(), random);
+            for (const told_usage &one : doubled)
+                again.take(one);
+            for (window_number window = 0; window < 3; ++window)
+                CPPUNIT_ASSERT(once.totalOf(window) == again.totalOf(window));
+        }
+    }
+
+    void changedCountsAreToldAFewTimes()
+    {
+        usage_ledger ledger(1);
+        ledger.noteBegun(7, {"a"});
+        for (std::uint32_t i = 0; i < config::usageRepeats; ++i)
+            CPPUNIT_ASSERT(ledger.collect(false)
+                           == (std::vector<told_usage>{{1, 7, {{{"a"}, 1}}}}));
+        CPPUNIT_ASSERT(ledger.collect(false).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.collect(true).size());
+        ledger.noteBegun(7, {"a"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, ledger.collect(false)[0].counts[0].second);
+    }
+
+    void manyWorkspacesAreToldInParts()
+    {
+        usage_ledger ledger(1);
+        usage_ledger other(2);
+        for (int i = 0; i < 2'000; ++i)
+            ledger.noteBegun(7, {"workspace-" + std::to_string(i)});
+        for (const told_usage &part : ledger.collect(true)) {
+            std::size_t bytes = 0;
+            for (const auto &entry : part.counts)
+                bytes += entry.first.text.size() + 3;
+            CPPUNIT_ASSERT(bytes <= config::usageBytesPerDatagram);
+            other.take(part);
+        }
+        CPPUNIT_ASSERT(other.totalOf(7) == ledger.totalOf(7));
+    }
+
+    /// Guards against a report without the counts of an instance that is cut off for a while.
+    void whoHasCountedMustHaveTold()
+    {
+        usage_ledger ledger(1);
+        CPPUNIT_ASSERT(ledger.isComplete(7, at(40'000)));
+        ledger.take({2, 7, {{{"a"}, 1}}});
+        ledger.noteTold(2, at(39'000), false);
+        CPPUNIT_ASSERT(!ledger.isComplete(7, at(40'000)));
+        CPPUNIT_ASSERT(ledger.isComplete(8, at(40'000)));
+        ledger.noteTold(2, at(40'100), false);
+        CPPUNIT_ASSERT(ledger.isComplete(7, at(40'000)));
+        ledger.take({3, 7, {{{"a"}, 1}}});
+        CPPUNIT_ASSERT(!ledger.isComplete(7, at(40'000)));
+        ledger.noteTold(3, at(39'000), true);
+        CPPUNIT_ASSERT(ledger.isComplete(7, at(40'000)));
+    }
+
+    void oldWindowsAreForgotten()
+    {
+        usage_ledger ledger(1);
+        ledger.noteBegun(7, {"a"});
+        ledger.take({2, 7, {{{"a"}, 1}}});
+        ledger.forgetBefore(8);
+        CPPUNIT_ASSERT(ledger.totalOf(7).empty() && ledger.collect(true).empty());
+        CPPUNIT_ASSERT(ledger.isComplete(7, at(40'000)));
+    }
+
+    void notesSurviveTheStore()
+    {
+        const usage_note note{3, 9, {{8, {{{"a"}, 5}, {{"\u0c15"}, 1}}}, {9, {}}}};
+        CPPUNIT_ASSERT(decodeUsageNote(encode(note)) == note);
+        for (const char *text : {"", "{", "[]", "{\"epoch\":-1,\"settled\":1,\"reports\":[]}",
+                                 "{\"epoch\":1,\"settled\":1,\"reports\":[{\"window\":1}]}"})
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeUsageNote(text));
+    }
+
+    void theFirstNoteBeginsWithWhatIsDue()
+    {
+        const usage_note first = nextNote({}, {0, true, 11, 10, {}}, countsByWindow);
+        CPPUNIT_ASSERT(first == (usage_note{0, 10, {{10, {{{"a"}, 10}}}}}));
+    }
+
+    void eachWindowIsReportedOnce()
+    {
+        const usage_note before{0, 10, {{10, {}}}};
+        const usage_note next = nextNote(before, {0, false, 13, 12, 10}, countsByWindow);
+        CPPUNIT_ASSERT(next == (usage_note{0, 12, {{11, {{{"a"}, 11}}}, {12, {{{"a"}, 12}}}}}));
+        // Nobody waits for those that are too late anyway.
+        const usage_note late = nextNote(before, {0, false, 31, 30, 10}, noCounts);
+        CPPUNIT_ASSERT_EQUAL(window_number{28}, late.reports.front().window);
+        CPPUNIT_ASSERT_EQUAL(window_number{30}, late.settled);
+        // Nothing is due.
+        const usage_note same = nextNote(before, {0, false, 11, 10, 10}, noCounts);
+        CPPUNIT_ASSERT(same == (usage_note{0, 10, {}}));
+        const usage_note slow = nextNote(before, {0, false, 10, 9, 10}, noCounts);
+        CPPUNIT_ASSERT(slow == (usage_note{0, 10, {}}));
+    }
+
+    /// The holder ends after its write: its successor has counted otherwise, and can't know whether
+    /// the report was sent.
+    void whatMayNotHaveBeenSentIsSentAgainAsItWas()
+    {
+        const usage_note before{0, 10, {{9, {}}, {10, {{{"a"}, 4}}}}};
+        const usage_note next = nextNote(before, {0, false, 12, 11, {}}, countsByWindow);
+        CPPUNIT_ASSERT(next
+                       == (usage_note{0, 11, {{9, {}}, {10, {{{"a"}, 4}}}, {11, {{{"a"}, 11}}}}}));
+        const usage_note known = nextNote(before, {0, false, 12, 11, 9}, countsByWindow);
+        CPPUNIT_ASSERT_EQUAL(window_number{10}, known.reports.front().window);
+    }
+
+    /// The store comes back without the note of a report that was sent. Made anew, it would have
+    /// other counts.
+    void afterAnOlderCopyLostWindowsAreLeftOut()
+    {
+        const usage_note before{0, 8, {{8, {{{"a"}, 4}}}}};
+        const usage_note next = nextNote(before, {1, false, 12, 11, {}}, countsByWindow);
+        CPPUNIT_ASSERT(next == (usage_note{1, 12, {{8, {{{"a"}, 4}}}}}));
+        const usage_note after = nextNote(next, {1, false, 14, 13, 8}, countsByWindow);
+        CPPUNIT_ASSERT(after == (usage_note{1, 13, {{13, {{{"a"}, 13}}}}}));
+        CPPUNIT_ASSERT(nextNote({}, {1, true, 12, 11, {}}, countsByWindow)
+                       == (usage_note{1, 12, {}}));
+    }
+
+    void anUnreadableNoteFixesAllWindowsSoFar()
+    {
+        CPPUNIT_ASSERT(nextNote({}, {0, false, 12, 11, {}}, countsByWindow)
+                       == (usage_note{0, 12, {}}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(usage_test);
+
+} // namespace poplarspool::duties
--- a/tests/gateway/stage_keeper_test.cpp
+++ b/tests/gateway/stage_keeper_test.cpp
@@ -63,10 +63,10 @@
         };
     }
 
-    lease_store store()
+    duties::lease_store store()
     {
-        return {[] { return lease_record(); },
-                [this](const lease_record &) -> result<unit> {
+        return {[] { return duties::lease_record(); },
+                [this](const duties::lease_record &) -> result<unit> {
                     now += writeTime;
                     return unit{};
                 }};
@@ -179,8 +179,8 @@
         world test(engine.address());
         std::promise<void> reached;
         std::promise<void> answered;
-        lease_store slow = test.store();
-        slow.read = [&]() -> result<lease_record> {
+        duties::lease_store slow = test.store();
+        slow.read = [&]() -> result<duties::lease_record> {
             reached.set_value();
             answered.get_future().wait();
             return notRun(error_code::TimedOut, "no answer");
