Order spot runners in place of regular ones, with one zone to spare

The price of spot runners is that a whole zone of them goes at once, on a few seconds' notice.

A library scaling decides (pure, from what the catalogue shows and what was ordered), a keeper with a lease of its own orders and leaves a note of it to its successors.

Names that are no text no longer keep a report from being written.

--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -5,6 +5,7 @@
 #include "poplarspool/base/ids.h"
 #include "poplarspool/base/published.h"
 #include "poplarspool/base/store_version.h"
+#include "poplarspool/scaling/traits.h"
 #include "poplarspool/workspaces/workspaces.h"
 
 #include <cstdint>
@@ -71,6 +72,8 @@
 {
     service_id id;
     std::optional<engine_traits> engine; ///< None for plain services.
+    std::optional<poplarspool::scaling::fleet_traits> scaling =
+            {}; ///< None: nobody can order runners.
 
     bool operator==(const service &) const = default;
 };
@@ -124,6 +127,7 @@
     std::uint32_t slots = 1; ///< Requests at once.
     bool isDraining = false;
     engine_stage stage = engine_stage::None;
+    bool isSpot = false; ///< Cheaper, and may be taken away together with all of its zone.
     /// Set where it is listed no more, but may come back: not used any more from then on.
     mono_time keptUntil = mono_time::max();
 
--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
 #include "poplarspool/gateway/dialect.h"
+#include "poplarspool/gateway/fleet_sink.h"
 #include "poplarspool/gateway/gateway_settings.h"
 #include "poplarspool/gateway/suspects.h"
 
@@ -37,6 +38,8 @@
     suspect_store suspects; ///< Requests under which runners ended.
     duties::lease_store usage; ///< Who reports usage.
     duties::usage_sink usageSink;
+    duties::lease_store fleet; ///< Who orders runners.
+    fleet_sink fleetSink;
 };
 
 /// One instance that passes requests on. It gets its knowledge of routes and runners from whoever
--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -41,6 +41,8 @@
     std::vector<std::string> dutyKinds; ///< `duties.kinds`: which of them are wanted.
     double usageWindowSeconds = 5; ///< `duties.usage_window_seconds`: that one report is about.
     double usageLateSeconds = 10; ///< `duties.usage_late_seconds`: after the window's end.
+    /// `scaling.spot`: spot runners take the place of regular ones; else none are ordered.
+    bool ordersSpot = true;
     /// `workspaces.strict_revoke`: without the store's word for `workspaces.revoke_ms`, no key is
     /// good any more; else the last ones that were known are.
     bool isRevokeStrict = false;
@@ -64,6 +66,7 @@
 
 /// The duties that `duties.kinds` may name.
 inline constexpr char usageDuty[] = "accounting";
+inline constexpr char fleetDuty[] = "scaling";
 
 /// @returns Whether this deployment wants the duty, and says where to.
 inline bool hasDuty(const gateway_settings &choices, std::string_view kind)
--- a/src/duties/usage.cpp
+++ b/src/duties/usage.cpp
@@ -153,7 +153,7 @@
     }
     return json{
             {noteEpoch, note.epoch}, {noteSettled, note.settled}, {noteReports, std::move(reports)}}
-            .dump();
+            .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<usage_note> decodeUsageNote(std::string_view text)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/connection_pool.h"
 #include "base/socket.h"
 #include "gateway/caller_limits.h"
+#include "gateway/fleet_keeper.h"
 #include "gateway/request_relay.h"
 #include "gateway/stage_keeper.h"
 #include "poplarspool/base/hash.h"
@@ -38,6 +39,7 @@
 
 constexpr std::string_view stagesRole = "stages";
 constexpr std::string_view usageRole = "usage";
+constexpr std::string_view fleetRole = "fleet";
 
 milliseconds durationOf(double seconds)
 {
@@ -106,6 +108,10 @@
     {
         if (hasDuty(choices, usageDuty))
             addUsage(std::move(links.usage), std::move(links.usageSink), registry);
+        if (hasDuty(choices, fleetDuty) && choices.ordersSpot)
+            fleet.emplace(fleet_tools{hub, std::move(links.fleetSink), clock, log, registry,
+                                      [this] { return owns(fleetRole); }},
+                          std::move(links.fleet), choices.instance, choices.leaseBound);
     }
 
     /// Its thread tells the other members, which end before it.
@@ -142,6 +148,7 @@
     stage_keeper stages;
     std::optional<duties::usage_exchange> usageNews; ///< None: usage is not wanted.
     std::optional<duties::usage_keeper> usageKeeper;
+    std::optional<fleet_keeper> fleet; ///< None: runners are not to be ordered.
     mono_time leftAt{};
 };
 
@@ -226,6 +233,8 @@
             return errorOf(telling);
         inner->usageKeeper->start();
     }
+    if (inner->fleet)
+        inner->fleet->start();
     inner->stages.start();
     inner->suspects.start();
     return unit{};
@@ -290,6 +299,8 @@
     inner->stages.requestStop();
     if (inner->usageKeeper)
         inner->usageKeeper->requestStop();
+    if (inner->fleet)
+        inner->fleet->requestStop();
     inner->suspects.leave();
     inner->callers.announceEnd();
     inner->events.emit("leaving", {{"time_ms", std::to_string(inner->leaveTime.count())}});
@@ -304,6 +315,8 @@
     std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
     inner->callers.stop();
     inner->stages.stop();
+    if (inner->fleet)
+        inner->fleet->stop();
     if (inner->usageNews) {
         inner->usageKeeper->stop();
         inner->usageNews->stop();
--- a/src/gateway/stage_keeper.cpp
+++ b/src/gateway/stage_keeper.cpp
@@ -3,6 +3,8 @@
 #include "gateway/runner_control.h"
 #include "poplarspool/gateway/limits.h"
 
+#include <algorithm>
+
 namespace poplarspool::gateway {
 
 stage_keeper::stage_keeper(stage_tools tools, duties::lease_store store, instance_id self,
@@ -13,12 +15,14 @@
 { }
 
 /// While a fleet starts, its runners enter themselves one after the other: a split of the first few
-/// would be another one than that of all.
+/// would be another one than that of all. Those that leave are not waited for.
 bool stage_keeper::hasSettled(const catalogue &known)
 {
     const mono_time now = tools.clock.mono();
-    if (known.runners.size() != runnersSeen || changedAt == mono_time{}) {
-        runnersSeen = known.runners.size();
+    const auto serving = static_cast<std::size_t>(std::ranges::count_if(
+            known.runners, [](const auto &entry) { return !entry.second->isDraining; }));
+    if (serving != runnersSeen || changedAt == mono_time{}) {
+        runnersSeen = serving;
         changedAt = now;
     }
     return now - changedAt >= config::stageSettleTime;
--- a/src/gateway/stage_keeper.h
+++ b/src/gateway/stage_keeper.h
@@ -62,7 +62,7 @@
     std::map<runner_id, open_order> given;
     std::map<service_id, stage_memory> memories;
     std::size_t runnersSeen = 0;
-    mono_time changedAt{}; ///< When the number of runners last changed.
+    mono_time changedAt{}; ///< When the number of serving runners last changed.
     look_thread thread; ///< Ends before what it looks at.
 };
 
--- a/src/gateway/told_changes.cpp
+++ b/src/gateway/told_changes.cpp
@@ -14,7 +14,7 @@
 
 /// Form of a told table. Another version that changes the fields changes the number too, and this
 /// one then asks the store.
-constexpr std::uint32_t tableForm = 4;
+constexpr std::uint32_t tableForm = 5;
 
 /// Bounds of what is read from another instance: bytes of an address with its port and of a path,
 /// and items of each list.
@@ -28,6 +28,7 @@
 /// Bytes of the smallest item of each list.
 constexpr std::size_t leastPartBytes = 2;
 constexpr std::size_t leastServiceBytes = 2;
+constexpr std::size_t leastPriceBytes = 9;
 constexpr std::size_t keyBytes = sizeof(workspaces::key_digest);
 
 template <class Codec, class Time>
@@ -51,6 +52,7 @@
     codec.small(entry.slots);
     codec.small(entry.isDraining);
     codec.small(entry.stage);
+    codec.small(entry.isSpot);
     codec.small(entry.bornMs);
     codec.small(entry.writes);
 }
@@ -85,18 +87,45 @@
     codec.fixed(traits.linkMbps);
 }
 
+template <class Codec, class Traits>
+void describeScaling(Codec &codec, Traits &traits)
+{
+    codec.small(traits.least);
+    codec.small(traits.most);
+    describeTime(codec, traits.bootTime);
+    codec.fixed(traits.spotPrice);
+    std::vector<std::pair<zone_id, double>> prices(traits.zonePrices.begin(),
+                                                   traits.zonePrices.end());
+    codec.list(prices, maxItems, leastPriceBytes, [](Codec &each, auto &price) {
+        each.text(price.first.text, config::maxNameBytes);
+        each.fixed(price.second);
+    });
+    if constexpr (Codec::isDecoding)
+        traits.zonePrices = {prices.begin(), prices.end()};
+}
+
+/// Describes what may be missing.
+template <class Codec, class Part, class Describe>
+void describeOptional(Codec &codec, Part &part, const Describe &describe)
+{
+    bool isThere = part.has_value();
+    codec.small(isThere);
+    if constexpr (Codec::isDecoding) {
+        if (isThere)
+            part.emplace();
+    }
+    if (part)
+        describe(codec, *part);
+}
+
 template <class Codec, class Service>
 void describeService(Codec &codec, Service &one)
 {
     codec.text(one.id.text, config::maxNameBytes);
-    bool isEngine = one.engine.has_value();
-    codec.small(isEngine);
-    if constexpr (Codec::isDecoding) {
-        if (isEngine)
-            one.engine.emplace();
-    }
-    if (one.engine)
-        describeTraits(codec, *one.engine);
+    describeOptional(codec, one.engine,
+                     [](Codec &inner, auto &traits) { describeTraits(inner, traits); });
+    describeOptional(codec, one.scaling,
+                     [](Codec &inner, auto &traits) { describeScaling(inner, traits); });
 }
 
 template <class Codec, class Workspace>
@@ -107,14 +136,7 @@
         each.fixed(key.high);
         each.fixed(key.low);
     });
-    bool hasRank = one.rank.has_value();
-    codec.small(hasRank);
-    if constexpr (Codec::isDecoding) {
-        if (hasRank)
-            one.rank.emplace();
-    }
-    if (one.rank)
-        codec.small(*one.rank);
+    describeOptional(codec, one.rank, [](Codec &inner, auto &rank) { inner.small(rank); });
 }
 
 template <class Codec, class Bounds>
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -76,8 +76,10 @@
                            "Of the platform, for calls that one instance at a time makes."),
             optionalKey<s>("duties.kinds", "", &s::dutyKinds,
                            listRule(textRule(1, config::maxNameBytes), maxDuties),
-                           "Which of these calls are wanted: accounting reports usage; others are "
-                           "left to the platform."),
+                           "Which of these calls are wanted: accounting reports usage, scaling "
+                           "orders runners; others are left to the platform."),
+            optionalKey<s>("scaling.spot", "", &s::ordersSpot, flagRule(),
+                           "Spot runners take the place of regular ones; else none are ordered."),
             optionalKey<s>("duties.usage_window_seconds", "s", &s::usageWindowSeconds,
                            realRule(0.5, 86400),
                            "Of true time, that one report of usage is about."),
--- a/tests/duties/usage_test.cpp
+++ b/tests/duties/usage_test.cpp
@@ -150,6 +150,10 @@
     {
         const usage_note note{3, 9, {{8, {{{"a"}, 5}, {{"\u0c15"}, 1}}}, {9, {}}}};
         CPPUNIT_ASSERT(decodeUsageNote(encode(note)) == note);
+        // A name that is no text must not keep the others from being reported.
+        const usage_note odd{3, 9, {{9, {{{"\xff"}, 5}, {{"a"}, 1}}}}};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             decodeUsageNote(encode(odd))->reports[0].counts.at({"a"}));
         for (const char *text : {"", "{", "[]", "{\"epoch\":-1,\"settled\":1,\"reports\":[]}",
                                  "{\"epoch\":1,\"settled\":1,\"reports\":[{\"window\":1}]}"})
             CPPUNIT_ASSERT_MESSAGE(text, !decodeUsageNote(text));
--- a/tests/fuzz/datagrams.cpp
+++ b/tests/fuzz/datagrams.cpp
@@ -1,9 +1,11 @@
+#include "duties/usage_news.h"
 #include "fuzz.h"
 #include "peer/frame.h"
 #include "peer/gossip_message.h"
 #include "poplarspool/gateway/catalogue_keeper.h"
 #include "poplarspool/peer/load_exchange.h"
 #include "poplarspool/peer/store_news.h"
+#include "poplarspool/scaling/fleet_plan.h"
 
 #include <algorithm>
 
@@ -68,12 +70,23 @@
             [&](std::string_view text) { return gateway::decodeRouteTable(text, none); });
 }
 
+/// What holders of a duty leave to each other in the store.
+void checkNotes(std::string_view bytes)
+{
+    if (const auto note = duties::decodeUsageNote(bytes))
+        require(duties::decodeUsageNote(duties::encode(*note)) == note,
+                "a note of usage is read as another one");
+    if (const auto note = scaling::decodeFleetNote(bytes))
+        require(scaling::decodeFleetNote(scaling::encode(*note)) == note,
+                "a note of the fleet is read as another one");
+}
+
 } // namespace
 
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    switch (fuzz::takeByte(bytes) % 6) {
+    switch (fuzz::takeByte(bytes) % 8) {
     case 0:
         checkFrame(bytes);
         break;
@@ -93,9 +106,17 @@
     case 4:
         checkRunnerChange(bytes);
         break;
-    default:
+    case 5:
         checkRouteTable(bytes);
         break;
+    case 6:
+        checkRoundTrip(
+                bytes, [](const duties::usage_news &news) { return duties::encode(news); },
+                duties::decodeUsageNews);
+        break;
+    default:
+        checkNotes(bytes);
+        break;
     }
     return 0;
 }
