--- a/src/duties/usage_exchange.cpp
+++ b/src/duties/usage_exchange.cpp
@@ -106,6 +106,7 @@
         return;
     timeToldAt = now;
     std::vector<const policy::member *> others;
+    others.reserve(all.size());
     for (const policy::member &one : all)
         others.push_back(&one);
     loop.send(addressesOf(others), encode(newsOf({life, 0, {}}, false)));
--- a/tests/adapter/duty_client_test.cpp
+++ b/tests/adapter/duty_client_test.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using gateway::test::script;
 using gateway::test::script_end;
 using gateway::test::scripted_runner;
 
