--- a/tests/fuzz/store.cpp
+++ b/tests/fuzz/store.cpp
@@ -75,7 +75,8 @@
 {
     static const gateway::dialect names = platformDialect();
     const std::string text = gateway::runnerRequestText(
-            {}, target.address, names, {target.id.text, milliseconds(5), {}, {}, {}, {}, false});
+            {}, target.address, names,
+            {target.id.text, milliseconds(5), {}, {}, {}, {}, false, {}, false});
     const auto sent = parseRequestHead("GET / HTTP/1.1" + text.substr(text.find("\r\n")));
     const auto *head = std::get_if<request_head>(&sent);
     require(head != nullptr
