Take out what the duties don't need, and split the test of relays

Prices by zone were decoded and told to other instances, and no decision reads them; two limits had no use. Which windows are skipped is counted from the note, once it is written, in place of a search of its own before. Counts are told by one loop.

--- a/include/poplarspool/duties/limits.h
+++ b/include/poplarspool/duties/limits.h
@@ -20,9 +20,6 @@
 inline constexpr std::chrono::milliseconds dutyTryPause = 1s;
 /// For one call to the platform: a slow one takes 60 times its usual 4 ms.
 inline constexpr std::chrono::milliseconds dutyCallTime = 700ms;
-/// Idle connections to the platform, and how long one is kept.
-inline constexpr std::size_t maxIdleDutyConnections = 1;
-inline constexpr std::chrono::milliseconds dutyIdleTime = 2s;
 
 /// Between two tellings of an instance's counts: what it counted since is lost with it.
 inline constexpr std::chrono::milliseconds usageTellTime = 400ms;
--- a/include/poplarspool/scaling/traits.h
+++ b/include/poplarspool/scaling/traits.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include "poplarspool/base/clock.h"
-#include "poplarspool/base/ids.h"
 
 #include <cstdint>
-#include <map>
 
 namespace poplarspool::scaling {
 
@@ -15,7 +13,6 @@
     std::uint32_t most = 0;
     milliseconds bootTime{0}; ///< From an order until its runners serve.
     double spotPrice = 1; ///< Against a regular one; 1: there are none, or they save nothing.
-    std::map<zone_id, double> zonePrices; ///< Of a regular runner's second.
 
     bool operator==(const fleet_traits &) const = default;
 };
--- a/src/duties/usage_exchange.cpp
+++ b/src/duties/usage_exchange.cpp
@@ -33,7 +33,7 @@
     { }
 
     mono_time tell();
-    void tellCounts(bool isLast);
+    void tellCounts(bool tellsAll, bool isLast);
     void tellTime(const std::vector<policy::member> &all);
     bool hear(std::uint64_t sender, std::string_view payload);
     usage_news newsOf(told_usage usage, bool isLast) const;
@@ -79,11 +79,7 @@
     const bool isChanged = present != keepers;
     keepers = std::move(present);
     // A new one has none of the counts so far.
-    if (isChanged)
-        tellCounts(false);
-    else
-        for (told_usage &part : parts.ledger.collect(false))
-            loop.send(keepers, encode(newsOf(std::move(part), false)));
+    tellCounts(isChanged, false);
     // Also where nothing was counted: it says that all has been told, and what time it is.
     loop.send(keepers, encode(newsOf({life, 0, {}}, false)));
     tellTime(all);
@@ -93,9 +89,9 @@
     return clock.mono() + config::usageTellTime;
 }
 
-void usage_exchange::state::tellCounts(bool isLast)
+void usage_exchange::state::tellCounts(bool tellsAll, bool isLast)
 {
-    for (told_usage &part : parts.ledger.collect(true))
+    for (told_usage &part : parts.ledger.collect(tellsAll))
         loop.send(keepers, encode(newsOf(std::move(part), isLast)));
 }
 
@@ -153,7 +149,7 @@
 void usage_exchange::stop()
 {
     inner->loop.stop();
-    inner->tellCounts(true);
+    inner->tellCounts(true, true);
 }
 
 } // namespace poplarspool::duties
--- a/src/duties/usage_keeper.cpp
+++ b/src/duties/usage_keeper.cpp
@@ -61,38 +61,37 @@
     const usage_note next = nextNote(before, state, [this](window_number window) {
         return tools.parts.ledger.totalOf(window);
     });
-    noteSkipped(before, next);
     if (next.reports.empty() && before && next.settled == before->settled) {
         done = due;
         return;
     }
     const auto term = lease.take(*present, encode(next));
-    if (!term || !sendAll(next, *term))
+    if (!term)
+        return;
+    noteSkipped(before, next);
+    if (!sendAll(next, *term))
         return;
     done = delivered = next.settled;
     nextTryAt = {};
 }
 
+/// Of the windows between two notes, the last ones are reported.
 void usage_keeper::noteSkipped(const std::optional<usage_note> &before,
                                const usage_note &next) const
 {
     if (!before)
         return;
-    window_number expected = before->settled + 1;
-    for (const usage_report &one : next.reports) {
-        if (one.window > before->settled) {
-            expected = one.window;
-            break;
-        }
-    }
-    const bool hasNew = !next.reports.empty() && next.reports.back().window > before->settled;
-    const window_number first = hasNew ? expected : next.settled + 1;
-    if (first <= before->settled + 1)
+    const auto made = static_cast<window_number>(
+            std::ranges::count_if(next.reports, [&before](const usage_report &one) {
+                return one.window > before->settled;
+            }));
+    const window_number left = next.settled - before->settled - made;
+    if (left == 0)
         return;
-    skipped.add(first - before->settled - 1);
+    skipped.add(left);
     tools.events.emit("usage_windows_skipped",
                       {{"from", std::to_string(before->settled + 1)},
-                       {"to", std::to_string(first - 1)},
+                       {"to", std::to_string(before->settled + left)},
                        {"epoch", std::to_string(next.epoch)}});
 }
 
--- a/src/gateway/told_changes.cpp
+++ b/src/gateway/told_changes.cpp
@@ -28,7 +28,6 @@
 /// Bytes of the smallest item of each list.
 constexpr std::size_t leastPartBytes = 2;
 constexpr std::size_t leastServiceBytes = 2;
-constexpr std::size_t leastPriceBytes = 9;
 constexpr std::size_t keyBytes = sizeof(workspaces::key_digest);
 
 template <class Codec, class Time>
@@ -94,14 +93,6 @@
     codec.small(traits.most);
     describeTime(codec, traits.bootTime);
     codec.fixed(traits.spotPrice);
-    std::vector<std::pair<zone_id, double>> prices(traits.zonePrices.begin(),
-                                                   traits.zonePrices.end());
-    codec.list(prices, maxItems, leastPriceBytes, [](Codec &each, auto &price) {
-        each.text(price.first.text, config::maxNameBytes);
-        each.fixed(price.second);
-    });
-    if constexpr (Codec::isDecoding)
-        traits.zonePrices = {prices.begin(), prices.end()};
 }
 
 /// Describes what may be missing.
--- a/tests/gateway/fleet_keeper_test.cpp
+++ b/tests/gateway/fleet_keeper_test.cpp
@@ -19,7 +19,7 @@
         auto table = std::make_shared<route_table>();
         service scaled;
         scaled.id.text = "s";
-        scaled.scaling = scaling::fleet_traits{1, 10, 4s, 0.22, {}};
+        scaled.scaling = scaling::fleet_traits{1, 10, 4s, 0.22};
         table->services = {scaled, {{"plain"}, {}, {}}};
         hub.update([&](catalogue &next) {
             next.table = table;
--- /dev/null
+++ b/tests/gateway/relay_keys_test.cpp
@@ -0,0 +1,91 @@
+#include "poplarspool/gateway/limits.h"
+#include "relay_world.h"
+#include "scripted_runner.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::scripted_runner;
+using test::sealed;
+using world = test::relay_world;
+
+} // namespace
+
+class relay_keys_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(relay_keys_test);
+    CPPUNIT_TEST(runnersAreToldTheWorkspaceInPlaceOfTheKey);
+    CPPUNIT_TEST(whoShowsNoKeyIsRefusedForGood);
+    CPPUNIT_TEST(unknownKeysAreDeniedOnlyWhenKeysAreFresh);
+    CPPUNIT_TEST(anonymousRoutesNeedNoKey);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void runnersAreToldTheWorkspaceInPlaceOfTheKey()
+    {
+        scripted_runner runner({{sealed("200 OK", "body")}});
+        world test({&runner});
+        test.needKeys();
+        const auto reply =
+                test.ask("/again/1", "5000", {{"Key", "Sign good"}, {"Space", "another"}});
+        CPPUNIT_ASSERT_EQUAL(200, reply->status);
+        const std::string seen = runner.requests()[0];
+        CPPUNIT_ASSERT(seen.find("Space: space\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(seen.find("another") == std::string::npos);
+        CPPUNIT_ASSERT(seen.find("good") == std::string::npos);
+    }
+
+    void whoShowsNoKeyIsRefusedForGood()
+    {
+        scripted_runner runner({});
+        world test({&runner});
+        test.needKeys();
+        for (const http_headers &shown :
+             {http_headers{}, http_headers{{"Key", "Sign bad"}}, http_headers{{"Key", "good"}},
+              http_headers{{"Key", "Sign good"}, {"Key", "Sign good"}}}) {
+            const auto reply = test.ask("/once/1", "5000", shown);
+            CPPUNIT_ASSERT_EQUAL(401, reply->status);
+            CPPUNIT_ASSERT(reply->body.find("not_run") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(404, test.ask("/none/1")->status);
+        CPPUNIT_ASSERT(runner.requests().empty());
+    }
+
+    /// An instance that is cut off doesn't know of a new key: its holder must be able to come back.
+    void unknownKeysAreDeniedOnlyWhenKeysAreFresh()
+    {
+        world test({});
+        test.needKeys();
+        test.hub.update([&test](catalogue &next) {
+            next.tableConfirmedAt = test.clock.mono() - config::routesTrustTime - 1s;
+            return true;
+        });
+        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+        test.hub.update([&test](catalogue &next) {
+            next.tableConfirmedAt = test.clock.mono();
+            return true;
+        });
+        CPPUNIT_ASSERT_EQUAL(401, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+        test.needKeys([](route_table &table) { table.hasUnreadKeys = true; });
+        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
+    }
+
+    void anonymousRoutesNeedNoKey()
+    {
+        scripted_runner runner({{sealed("200 OK", "body")}, {sealed("200 OK", "body")}});
+        world test({&runner});
+        test.needKeys([](route_table &table) { table.routes[1].isAnonymous = true; });
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/1")->status);
+        CPPUNIT_ASSERT(runner.requests()[0].find("Space:") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/2", "5000", {{"Key", "Sign unknown"}})->status);
+        CPPUNIT_ASSERT(runner.requests()[1].find("unknown") == std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_keys_test);
+
+} // namespace poplarspool::gateway
--- a/tests/gateway/request_relay_test.cpp
+++ b/tests/gateway/request_relay_test.cpp
@@ -4,12 +4,10 @@
 
 #include "fixture.h"
 #include "poplarspool/gateway/limits.h"
-#include "poplarspool/gateway/route_index.h"
+#include "relay_world.h"
 #include "scripted_runner.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <set>
-#include <sys/socket.h>
 
 namespace poplarspool::gateway {
 
@@ -20,145 +18,8 @@
 using test::script;
 using test::script_end;
 using test::scripted_runner;
-using test::testDialect;
-
-/// What a caller gets; its end of the connection is one of a pair of sockets.
-struct caller_end : http_sink
-{
-    caller_end()
-    {
-        std::array<int, 2> ends{};
-        CPPUNIT_ASSERT(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
-        ours = descriptor(ends[0]);
-        theirs = descriptor(ends[1]);
-    }
-
-    bool begin(int givenStatus, const http_headers &, std::string_view) override
-    {
-        status = givenStatus;
-        return true;
-    }
-    bool write(std::string_view piece) override
-    {
-        body += piece;
-        return true;
-    }
-    void end() override { isWhole = true; }
-    bool isGone() const override { return false; }
-    int descriptorNumber() const override { return ours.get(); }
-
-    descriptor ours;
-    descriptor theirs;
-    int status = 0;
-    std::string body;
-    bool isWhole = false;
-};
-
-struct world
-{
-    dialect names = testDialect();
-    clock_source clock = systemClock();
-    metrics_registry registry;
-    journal events{{"test"}, clock, 64};
-    catalogue_hub hub{catalogue{}};
-    runner_ledger ledger{clock};
-    retry_budgets retries{{1, 100}};
-    connection_pool connections{4, 500ms, registry};
-    relay_metrics metrics{registry};
-    std::atomic<std::int64_t> leavesAt{INT64_MAX};
-    std::set<endpoint> ended; ///< Where nobody listens any more.
-    suspect_keeper suspects{
-            {[this](const endpoint &at) { return ended.contains(at); }, {}, {}, {}, {}},
-            {},
-            {"test"},
-            clock,
-            registry,
-            events};
-    const relay_parts parts{names,  hub,   ledger, retries,  connections, metrics,
-                            events, clock, {"z"},  leavesAt, suspects,    7};
-    caller_end caller;
-
-    /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
-    explicit world(const std::vector<const scripted_runner *> &runners)
-    {
-        catalogue known;
-        route_table table;
-        table.version = 1;
-        for (const char *kind : {"once", "again", "stream"}) {
-            route made;
-            made.name = kind;
-            made.host = "h";
-            made.pathPrefix = "/" + made.name + "/";
-            made.isStream = made.isResumable = made.name == "stream";
-            made.repeats = made.name == "once" ? repeat_rule::AtMostOnce : repeat_rule::Idempotent;
-            made.timeLimit = 10s;
-            made.objective = 1s;
-            made.maxRunners = 2;
-            made.services = {{{"s"}, 1}};
-            table.routes.push_back(made);
-        }
-        table.services = {{{"s"}, std::nullopt}};
-        known.table = std::make_shared<const route_table>(table);
-        known.index = std::make_shared<const route_index>(indexOf(table));
-        for (std::size_t i = 0; i < runners.size(); ++i) {
-            runner made;
-            made.id.text = "r" + std::to_string(i);
-            made.service.text = "s";
-            made.address = runners[i]->address();
-            known.runners[made.id] = std::make_shared<const runner>(made);
-        }
-        known.areRunnersKnown = true;
-        known.tableConfirmedAt = clock.mono();
-        hub.update([&known](catalogue &next) {
-            next = known;
-            return true;
-        });
-    }
-
-    /// Runners have ended under attempts of the same request.
-    void noteEnds(const std::string &path, int count)
-    {
-        const endpoint gone{"127.0.0.1", 9};
-        ended.insert(gone);
-        const http_request request = requestOf("GET", path, {{"Host", "h"}});
-        for (int i = 0; i < count; ++i) {
-            runner life;
-            life.id.text = "gone-" + std::to_string(i);
-            life.address = gone;
-            suspects.noteBroken(digestOf(request, parts.digestSeed), life);
-        }
-    }
-
-    /// From now on callers need the key "good" of the workspace "space".
-    void needKeys(const std::function<void(route_table &)> &edit = {})
-    {
-        route_table table = *hub.current()->table;
-        table.needsKeys = true;
-        table.workspaces = {{{"space"}, {digest128Of("good")}, 0}};
-        if (edit)
-            edit(table);
-        hub.update([&table](catalogue &next) {
-            next.table = std::make_shared<const route_table>(table);
-            next.index = std::make_shared<const route_index>(indexOf(table));
-            return true;
-        });
-    }
-
-    std::optional<http_reply> ask(const std::string &path, const std::string &limit = "5000",
-                                  const http_headers &more = {})
-    {
-        http_headers headers{{"Host", "h"}, {"Id", "q1"}, {"Limit", limit}};
-        headers.insert(headers.end(), more.begin(), more.end());
-        const http_request request = requestOf("GET", path, headers);
-        return request_relay(parts, request, caller).run();
-    }
-};
-
-std::string sealed(const std::string &status, const std::string &body, const std::string &id = "q1")
-{
-    return "HTTP/1.1 " + status + "\r\nId: " + id
-            + "\r\nSeal: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
+using test::sealed;
+using world = test::relay_world;
 
 const std::string refusalText = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string streamHead =
@@ -190,10 +51,6 @@
     CPPUNIT_TEST(nothingIsSentForACallerThatLeft);
     CPPUNIT_TEST(unknownRoutesAreDeniedOnlyWhenRoutesAreFresh);
     CPPUNIT_TEST(withoutConfigurationNothingIsDenied);
-    CPPUNIT_TEST(runnersAreToldTheWorkspaceInPlaceOfTheKey);
-    CPPUNIT_TEST(whoShowsNoKeyIsRefusedForGood);
-    CPPUNIT_TEST(unknownKeysAreDeniedOnlyWhenKeysAreFresh);
-    CPPUNIT_TEST(anonymousRoutesNeedNoKey);
     CPPUNIT_TEST(aRequestThatEndsRunnersIsRefusedAtOnce);
     CPPUNIT_TEST(afterTwoEndsAnAttemptGoesNowhereElse);
     CPPUNIT_TEST(endsOfLeavingRunnersCountNothing);
@@ -380,66 +237,6 @@
         CPPUNIT_ASSERT_EQUAL(503, test.ask("/new/1")->status);
     }
 
-    void runnersAreToldTheWorkspaceInPlaceOfTheKey()
-    {
-        scripted_runner runner({{sealed("200 OK", "body")}});
-        world test({&runner});
-        test.needKeys();
-        const auto reply =
-                test.ask("/again/1", "5000", {{"Key", "Sign good"}, {"Space", "another"}});
-        CPPUNIT_ASSERT_EQUAL(200, reply->status);
-        const std::string seen = runner.requests()[0];
-        CPPUNIT_ASSERT(seen.find("Space: space\r\n") != std::string::npos);
-        CPPUNIT_ASSERT(seen.find("another") == std::string::npos);
-        CPPUNIT_ASSERT(seen.find("good") == std::string::npos);
-    }
-
-    void whoShowsNoKeyIsRefusedForGood()
-    {
-        scripted_runner runner({});
-        world test({&runner});
-        test.needKeys();
-        for (const http_headers &shown :
-             {http_headers{}, http_headers{{"Key", "Sign bad"}}, http_headers{{"Key", "good"}},
-              http_headers{{"Key", "Sign good"}, {"Key", "Sign good"}}}) {
-            const auto reply = test.ask("/once/1", "5000", shown);
-            CPPUNIT_ASSERT_EQUAL(401, reply->status);
-            CPPUNIT_ASSERT(reply->body.find("not_run") != std::string::npos);
-        }
-        CPPUNIT_ASSERT_EQUAL(404, test.ask("/none/1")->status);
-        CPPUNIT_ASSERT(runner.requests().empty());
-    }
-
-    /// An instance that is cut off doesn't know of a new key: its holder must be able to come back.
-    void unknownKeysAreDeniedOnlyWhenKeysAreFresh()
-    {
-        world test({});
-        test.needKeys();
-        test.hub.update([&test](catalogue &next) {
-            next.tableConfirmedAt = test.clock.mono() - config::routesTrustTime - 1s;
-            return true;
-        });
-        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
-        test.hub.update([&test](catalogue &next) {
-            next.tableConfirmedAt = test.clock.mono();
-            return true;
-        });
-        CPPUNIT_ASSERT_EQUAL(401, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
-        test.needKeys([](route_table &table) { table.hasUnreadKeys = true; });
-        CPPUNIT_ASSERT_EQUAL(503, test.ask("/once/1", "5000", {{"Key", "Sign new"}})->status);
-    }
-
-    void anonymousRoutesNeedNoKey()
-    {
-        scripted_runner runner({{sealed("200 OK", "body")}, {sealed("200 OK", "body")}});
-        world test({&runner});
-        test.needKeys([](route_table &table) { table.routes[1].isAnonymous = true; });
-        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/1")->status);
-        CPPUNIT_ASSERT(runner.requests()[0].find("Space:") == std::string::npos);
-        CPPUNIT_ASSERT_EQUAL(200, test.ask("/again/2", "5000", {{"Key", "Sign unknown"}})->status);
-        CPPUNIT_ASSERT(runner.requests()[1].find("unknown") == std::string::npos);
-    }
-
     void withoutConfigurationNothingIsDenied()
     {
         world test({});
--- a/tests/scaling/fleet_plan_test.cpp
+++ b/tests/scaling/fleet_plan_test.cpp
@@ -10,7 +10,7 @@
 
 fleet_traits sampleTraits()
 {
-    return {1, 70, 4s, 0.22, {{{"a"}, 0.85}, {{"b"}, 1.2}}};
+    return {1, 70, 4s, 0.22};
 }
 
 zone_fleet zoneOf(const std::string &name, std::uint32_t regular, std::uint32_t spot)
