Relay every change of the store, in parts and through forwarders, and list long kinds from stale pages

Cause: a relay sent at most one datagram of changes. A batch that exceeded it (32 changes or 1,200 bytes: a release that drains 40 runners at once) was left out, and each instance of the zone then asked the store: one call per instance and batch, so the calls grew with the product of instances and changes. A relay also sent every datagram to each instance of its zone, and an instance that started read the whole list of runners in current pages, twenty and more calls for 10,000 runners.

Change: changes that the repeating datagram omits are sent once in partial updates, and a batch longer than a datagram in parts, which the receiver joins (update_assembler). From 64 recipients on a relay sends to one in sixteen of them, and these forward; two relays choose different groups. Only the first page of a list is read as current: the others may be stale, at a tenth of the price, and one watch from the oldest page's revision brings what has changed since, before the list is used.

Tests: manyChangesAtOnceCostNoCallPerInstance, stalePagesOfALongListAreCaughtUp, allChangesAreSentOnce, longBatchesAreJoined (not run against the code before).

--- a/include/poplarspool/config.h
+++ b/include/poplarspool/config.h
@@ -150,24 +150,29 @@
 /// Interval at which an instance sends load updates: what it has sent to runners.
 inline constexpr std::chrono::milliseconds loadUpdateInterval = 40ms;
 /// Maximum number of load updates that an instance sends per second to its own zone and to all
-/// others; above it, loadUpdateInterval grows. At 150 and 100 per second, prompts in a fleet of 67
-/// queued behind each other at engines that seemed idle, and the undisturbed benchmark day scored
-/// 0.576; at 400 and 300 it scores 0.660, of which the extra traffic costs 0.002.
+/// others; above it, loadUpdateInterval grows. With a third of these rates, prompts in a fleet of
+/// 67 queue behind each other at engines that seem idle.
 inline constexpr std::size_t sameZoneLoadUpdatesPerSecond = 400;
 inline constexpr std::size_t otherZonesLoadUpdatesPerSecond = 300;
 /// Number of instances above which the load updates of the whole fleet no longer grow: each
 /// instance handles a smaller share of the requests and has less to report. Without this limit, 295
-/// instances send and receive 206,000 datagrams per second, 3.4 times as many as 87 do, and a
-/// benchmark day of 295 instances exceeded its CPU time.
+/// instances send and receive 206,000 datagrams per second, 3.4 times as many as 87 do.
 inline constexpr std::size_t loadUpdateFullRateFleet = 96;
+/// Maximum interval between two load updates to the same instances: a request lasts for less. A
+/// group of instances that can't be told as often is told nothing.
+inline constexpr std::chrono::milliseconds maxLoadUpdateInterval = 4s;
+/// Number of other instances in a zone from which they send one digest to each other zone.
+inline constexpr std::size_t minZonePeersForDigest = 8;
+/// Runners in one part of a digest, on the average: parts are of different sizes.
+inline constexpr std::size_t digestPartItems = 40;
+/// Maximum number of parts of a digest: those of 10,000 busy runners.
+inline constexpr std::uint32_t maxDigestParts = 256;
 /// Maximum numbers of entries in one load update, so that it fits into a datagram.
 inline constexpr std::size_t maxLoadItems = 64;
 inline constexpr std::size_t maxCachedPrefixes = 48;
 /// Number of other instances from which on two relays watch the platform's store for them. If one
 /// relay dies, freezes or is rejected by the store, the others need not query the store themselves.
-/// With fewer instances, the second relay costs more store calls than it saves: with 18 instances,
-/// 235 calls on an undisturbed and 369 on a disturbed benchmark day instead of 175 and 283 (534 and
-/// 1,233 if each instance watches the store itself).
+/// With fewer instances, the second relay costs more store calls than it saves.
 inline constexpr std::size_t minOthersForTwoRelays = 32;
 /// Interval between two datagrams of a relay without changes, and time without a datagram after
 /// which a relay is considered gone. Two datagrams may be lost.
@@ -190,7 +195,14 @@
 inline constexpr std::size_t maxUpdateKinds = 4;
 inline constexpr std::size_t maxRelayedChanges = 32;
 inline constexpr std::size_t maxChangeBytes = 1150;
-inline constexpr std::size_t maxRelayedBytes = 1200;
+inline constexpr std::size_t maxRelayedBytes = 1150;
+/// Maximum number of datagrams for the changes of one call to the store: those of 8,000 runners.
+inline constexpr std::size_t maxUpdateParts = 256;
+/// Number of recipients up to which a relay sends to each of them. With more, it sends to a few
+/// instances that forward its datagrams: its own link and processor must not limit the fleet.
+inline constexpr std::size_t maxDirectRecipients = 64;
+/// Maximum number of instances to which one instance forwards; their addresses are in the datagram.
+inline constexpr std::size_t maxForwardGroup = 15;
 /// Maximum size of one rumor's payload, in bytes.
 inline constexpr std::size_t maxRumorBytes = 512;
 /// Maximum size of one call between instances, in bytes.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -51,6 +51,20 @@
 inline constexpr std::uint32_t prefillHandoffMinTokens = 400;
 /// Cost of crossing zones for plain services, as a share of one request's time.
 inline constexpr double serviceCrossZoneCost = 0.2;
+/// Runners of a service and stage whose load a request looks at, of however many there are. More
+/// than half of them may be ejected, and enough are left to choose among.
+inline constexpr std::size_t sampledRunners = 32;
+/// Engines that are considered in the place of the preferred one while that is ejected or full.
+inline constexpr std::size_t preferredRunners = 4;
+/// Probes of the ring by which the preferred engine is found. With 21, no engine is preferred for
+/// more than a twentieth more keys than the mean.
+inline constexpr std::size_t affinityProbes = 21;
+/// Prompt parts whose holders are remembered, twice: those added last, and those before them. And
+/// the holders of a prompt's parts that are considered as sources of a copy.
+inline constexpr std::size_t maxHeldParts = 8192;
+inline constexpr std::size_t maxCopySources = 4;
+/// Interval at which the load of silent instances is removed.
+inline constexpr std::chrono::milliseconds silenceCheckInterval = 100ms;
 /// Engines of a stage that are sampled for one request, besides the preferred engine of its shared
 /// parts.
 inline constexpr std::ptrdiff_t sampledEngines = 4;
@@ -71,8 +85,8 @@
 /// requests.
 inline constexpr std::chrono::milliseconds refusalBackoff = 60ms;
 /// Number of recent sends by which a runner is judged, and the share and the minimum count of them
-/// that must have failed to eject it. The share lies above a service's usual failure rate (0.14
-/// for one of the users).
+/// that must have failed to eject it. The share lies above the failure rate of a sound service,
+/// which may be 0.14.
 inline constexpr std::size_t outcomeWindowSize = 10;
 inline constexpr double ejectionFailureShare = 0.4;
 inline constexpr std::size_t minFailuresToEject = 3;
@@ -97,12 +111,10 @@
 inline constexpr double lateRoomShare = 0.5;
 inline constexpr double lateTimeShare = 0.5;
 /// Time for which another instance's load update is valid. For instances that send less often: the
-/// number of their intervals for which it stays valid, and the maximum interval. In a large fleet,
-/// instances of other zones send every 2.5 s; if their updates expired in between, their load
-/// would seem to come and go.
+/// number of their intervals for which it stays valid. In a large fleet, instances of other zones
+/// send every 2.5 s; if their updates expired in between, their load would seem to come and go.
 inline constexpr std::chrono::milliseconds loadUpdateExpiry = 2s;
 inline constexpr int maxSilentIntervals = 2;
-inline constexpr std::chrono::milliseconds maxLoadUpdateInterval = 4s;
 /// Number of times that each update is sent, against lost datagrams.
 inline constexpr std::uint32_t updateRepeats = 2;
 /// Maximum updates about cached parts that wait to be sent: some seconds' worth at 100 requests per
@@ -148,25 +160,25 @@
 inline constexpr std::chrono::milliseconds routesTrustTime = 1900ms;
 
 /// Minimum share of the engines that run requests (decode), for engines with large and with small
-/// batches; their minimum number; and the batch size from which a batch is large. On the users'
-/// calm days a fifth of the engines with large batches suffices (worth 0.588 with the stages that
-/// engines start with, 0.765 with two of nine engines, 0.224 with one of nine). Engines with small
-/// batches run out of slots: with batches of 16, two in five instead of three in ten raised the
-/// mean worth from 0.421 to 0.451 over five days with faults and three seeds; 0.45, 0.5 and 0.55
-/// gave less.
+/// batches; their minimum number; and the batch size from which a batch is large. Engines with
+/// small batches run out of slots before they run out of time for prompts.
 inline constexpr double decodeShareLargeBatch = 0.2;
 inline constexpr double decodeShareSmallBatch = 0.4;
 inline constexpr std::uint32_t minDecoders = 2;
 inline constexpr std::uint32_t largeBatch = 64;
 /// Running requests per engine, as a share of its batch, from which more decode engines are
-/// needed; beyond it, requests queue. With a threshold of 45 of 128, too few engines were left for
-/// prefill: worth 0.517 and 0.298 instead of 0.762 and 0.568 on the users' calm and heaviest day.
+/// needed; beyond it, requests queue. A lower threshold leaves too few engines for prefill.
 inline constexpr double decodeFillShare = 0.95;
 /// A decode engine is returned to prefill if the others are filled up to this share of the
 /// threshold.
 inline constexpr double decodeReturnShare = 0.7;
 /// Share of the engines that always prefill.
 inline constexpr double minPrefillShare = 0.3;
+/// Number of prefill engines that one instance can keep busy. An instance passes on some twenty
+/// requests per second, and the mean prompt takes less than a tenth of a second.
+inline constexpr std::size_t prefillEnginesPerInstance = 2;
+/// A fleet counts as settled while less than one in this many runners joins or leaves.
+inline constexpr std::size_t settledFleetDivisor = 100;
 /// Services with fewer engines than this keep their stages: each change takes one engine away.
 inline constexpr std::size_t minStagedEngines = 4;
 /// Time over which the running requests are averaged: longer than the first second of a burst,
@@ -314,6 +326,8 @@
 inline constexpr std::chrono::milliseconds gatewaySuspectTime = 1000ms;
 /// Time beyond the idle limit for which callers' connections are kept open.
 inline constexpr std::chrono::milliseconds idleMargin = 2s;
+/// Maximum number of addresses in a reply to a caller; callers ignore further ones.
+inline constexpr std::ptrdiff_t maxDirectoryAddresses = 64;
 /// Number of instances in a caller's zone from which only these are returned to it: with one, its
 /// loss would leave the caller without an address.
 inline constexpr std::size_t minZoneAddresses = 2;
--- a/include/poplarspool/peer/store_update.h
+++ b/include/poplarspool/peer/store_update.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarspool/base/clock.h"
+#include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/base/store_version.h"
 
@@ -24,6 +25,12 @@
     store_version version; ///< up to and including this version.
     std::uint32_t ageMs = 0; ///< Time since the store last confirmed that `version` was the newest.
     std::vector<std::string> changes; ///< Oldest first; each at most config::maxChangeBytes.
+    /// Updates with newer changes follow at once: nothing is confirmed before the last of them.
+    bool isPartial = false;
+    /// Changes of one call to the store that exceed a datagram are split into several updates with
+    /// the same `since` and `version`. They are applied when all parts have arrived.
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
 
     bool operator==(const kind_update &) const = default;
 };
@@ -31,6 +38,10 @@
 struct store_update
 {
     std::vector<kind_update> kinds;
+    /// Number of the relay if another instance has forwarded its update; 0: the sender's own.
+    std::uint64_t origin = 0;
+    /// Instances to which the receiver forwards the update.
+    std::vector<endpoint> forwardTo = {};
 
     bool operator==(const store_update &) const = default;
 };
@@ -53,10 +64,17 @@
              mono_time now);
     /// @returns An update with as many of the newest changes as fit; `since` and `version` are set.
     kind_update makeUpdate(std::size_t maxBytes) const;
+    /// @param repeatedBytes Argument of the makeUpdate() that follows.
+    /// @returns The older changes that makeUpdate() will omit and that were not taken yet, as
+    /// partial updates of at most `maxBytes` each. However many changes a call to the store
+    /// returns, each is sent at least once; if they were omitted, all receivers would call the
+    /// store.
+    std::vector<kind_update> takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes);
 
 private:
     struct change_batch
     {
+        bool isSent = false;
         std::uint64_t since = 0;
         std::uint64_t to = 0;
         mono_time addedAt{};
@@ -64,6 +82,8 @@
         std::size_t bytes = 0;
     };
 
+    std::deque<change_batch>::const_iterator firstRepeated(std::size_t maxBytes) const;
+
     std::uint64_t baseRevision = 0; ///< Changes are known after this revision,
     store_version version; ///< up to and including this version.
     std::deque<change_batch> batches; ///< Oldest first; no other changes lie between them.
--- a/include/poplarspool/peer/store_update_exchange.h
+++ b/include/poplarspool/peer/store_update_exchange.h
@@ -11,16 +11,17 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace poplarspool::peer {
 
-/// Result of one iteration of the sender: the update to send and the time until the next iteration.
+/// Result of one iteration of the sender: the updates to send and the time until the next
+/// iteration.
 struct relay_iteration
 {
-    std::optional<store_update> update; ///< Update to send, if any.
+    std::vector<store_update>
+            updates; ///< Sent in this order; empty for an instance that relays none.
     milliseconds wait{0};
 };
 
@@ -29,9 +30,9 @@
 class store_update_exchange
 {
 public:
-    /// @param collect Returns the update to send, if any. Called on the sender thread.
-    /// @param onUpdate Gets the sender's number and its update, in the order in which it sent
-    ///                 them. Called on the receiver thread.
+    /// @param collect Returns the updates to send. Called on the sender thread.
+    /// @param onUpdate Gets the relay's number and its update, in the order in which it sent them.
+    ///                 Called on the receiver thread.
     store_update_exchange(datagram_settings settings, std::function<relay_iteration()> collect,
                           std::function<void(std::uint64_t sender, const store_update &)> onUpdate,
                           metrics_registry &metrics, journal &events);
--- /dev/null
+++ b/include/poplarspool/peer/update_assembler.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "poplarspool/peer/store_update.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace poplarspool::peer {
+
+/// Joins the parts of updates that were too long for one datagram.
+///
+/// @attention Not thread-safe.
+class update_assembler
+{
+public:
+    /// @param sender Number of the relay.
+    /// @returns The whole update with its last missing part; nullopt before.
+    std::optional<kind_update> add(std::uint64_t sender, const kind_update &received,
+                                   mono_time now);
+
+private:
+    using update_key = std::tuple<std::uint64_t, std::uint32_t, std::uint64_t, store_version>;
+
+    struct pending_update
+    {
+        mono_time startedAt{};
+        std::size_t missing = 0;
+        std::vector<std::optional<std::vector<std::string>>> parts;
+    };
+
+    std::map<update_key, pending_update> pending; ///< By sender, kind, `since` and version.
+};
+
+} // namespace poplarspool::peer
--- a/src/peer/relay_election.cpp
+++ b/src/peer/relay_election.cpp
@@ -5,6 +5,7 @@
 #include "poplarspool/config.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplarspool::peer {
 
@@ -31,9 +32,14 @@
         return;
     relay &sending = relays[sender];
     sending.receivedAt = now;
-    sending.kinds.clear();
-    for (const kind_update &one : update.kinds)
-        sending.kinds[one.kind] = {one.isAnswered, one.version, now - milliseconds(one.ageMs)};
+    const auto before = std::exchange(sending.kinds, {});
+    for (const kind_update &one : update.kinds) {
+        const auto known = before.find(one.kind);
+        if (!one.isPartial)
+            sending.kinds[one.kind] = {one.isAnswered, one.version, now - milliseconds(one.ageMs)};
+        else if (known != before.end())
+            sending.kinds.insert(*known);
+    }
 }
 
 bool relay_election::decide(bool canRelay, std::size_t wantedRelays, mono_time now)
--- a/src/peer/store_update.cpp
+++ b/src/peer/store_update.cpp
@@ -4,14 +4,18 @@
 #include "poplarspool/config.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplarspool::peer {
 
 namespace {
 
 /// Minimum bytes of an encoded item of each list.
-constexpr std::size_t minKindBytes = 7;
+constexpr std::size_t minKindBytes = 10;
 constexpr std::size_t minChangeBytes = 1;
+constexpr std::size_t minAddressBytes = 2;
+/// Bytes of an address in text form.
+constexpr std::size_t maxHostBytes = 46;
 
 template <class Codec, class Update>
 void storeUpdateFields(Codec &codec, Update &update)
@@ -25,7 +29,16 @@
         each.small(item.ageMs);
         each.list(item.changes, config::maxRelayedChanges, minChangeBytes,
                   [](Codec &inner, auto &change) { inner.text(change, config::maxChangeBytes); });
+        each.small(item.isPartial);
+        each.small(item.part);
+        each.small(item.parts);
     });
+    codec.fixed(update.origin);
+    codec.list(update.forwardTo, config::maxForwardGroup, minAddressBytes,
+               [](Codec &each, auto &address) {
+                   each.text(address.host, maxHostBytes);
+                   each.small(address.port);
+               });
 }
 
 } // namespace
@@ -68,7 +81,7 @@
         std::size_t bytes = 0;
         for (const std::string &one : changes)
             bytes += one.size() + minChangeBytes;
-        batches.push_back({since, to.revision, now, std::move(changes), bytes});
+        batches.push_back({false, since, to.revision, now, std::move(changes), bytes});
     }
     version = std::max(version, to);
     while (!batches.empty()
@@ -79,7 +92,9 @@
     }
 }
 
-kind_update recent_changes::makeUpdate(std::size_t maxBytes) const
+/// @returns The first of the newest batches that fit into one update together.
+std::deque<recent_changes::change_batch>::const_iterator
+recent_changes::firstRepeated(std::size_t maxBytes) const
 {
     auto first = batches.end();
     std::size_t bytes = 0;
@@ -92,6 +107,12 @@
             break;
         --first;
     }
+    return first;
+}
+
+kind_update recent_changes::makeUpdate(std::size_t maxBytes) const
+{
+    auto first = firstRepeated(maxBytes);
     kind_update update;
     update.version = version;
     update.since = first == batches.begin() ? baseRevision : std::prev(first)->to;
@@ -100,4 +121,35 @@
     return update;
 }
 
+std::vector<kind_update> recent_changes::takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes)
+{
+    std::vector<kind_update> updates;
+    const auto repeated = static_cast<std::size_t>(firstRepeated(repeatedBytes) - batches.begin());
+    for (std::size_t i = 0; i < batches.size(); ++i) {
+        change_batch &batch = batches[i];
+        if (std::exchange(batch.isSent, true) || i >= repeated)
+            continue;
+        kind_update whole;
+        whole.since = i == 0 ? baseRevision : batches[i - 1].to;
+        whole.version = {version.epoch, batch.to};
+        whole.isPartial = true;
+        const std::size_t firstPart = updates.size();
+        std::size_t bytes = maxBytes;
+        for (const std::string &change : batch.changes) {
+            bytes += change.size() + minChangeBytes;
+            if (bytes > maxBytes || updates.back().changes.size() >= config::maxRelayedChanges) {
+                updates.push_back(whole);
+                bytes = change.size() + minChangeBytes;
+            }
+            updates.back().changes.push_back(change);
+        }
+        const std::size_t parts = updates.size() - firstPart;
+        for (std::size_t part = 0; part < parts; ++part) {
+            updates[firstPart + part].part = static_cast<std::uint32_t>(part);
+            updates[firstPart + part].parts = static_cast<std::uint32_t>(parts);
+        }
+    }
+    return updates;
+}
+
 } // namespace poplarspool::peer
--- a/src/peer/store_update_exchange.cpp
+++ b/src/peer/store_update_exchange.cpp
@@ -1,13 +1,16 @@
 #include "poplarspool/peer/store_update_exchange.h"
 
 #include "peer/datagram_socket.h"
+#include "peer/forward_groups.h"
 #include "poplarspool/base/named_thread.h"
 #include "poplarspool/config.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <poll.h>
 #include <thread>
+#include <utility>
 
 namespace poplarspool::peer {
 
@@ -17,18 +20,21 @@
           std::function<void(std::uint64_t, const store_update &)> onUpdate,
           metrics_registry &metrics, journal &events)
         : collect(std::move(collect)), onUpdate(std::move(onUpdate)),
-          faults(stepFailureReporterOf(events, metrics)),
+          faults(stepFailureReporterOf(events, metrics)), self(senderNumber(settings.self)),
           socket(std::move(settings), frame_kind::Store, metrics, "poplarspool_store_news_total")
     { }
 
     void sendLoop();
     void sendOnce();
+    void sendUpdate(const store_update &update, const std::vector<endpoint> &to);
+    void forwardAll(std::vector<store_update> waiting);
     void receiveLoop();
     bool receive(std::uint64_t sender, std::string_view payload);
 
     const std::function<relay_iteration()> collect;
     const std::function<void(std::uint64_t, const store_update &)> onUpdate;
     const step_failure_reporter faults;
+    const std::uint64_t self;
     datagram_socket socket; ///< Sends on sendThread, receives on receiveThread.
     pollable_flag stopping;
     std::thread sendThread;
@@ -37,6 +43,8 @@
     std::condition_variable changed;
     bool isWakeRequested = false;
     std::vector<endpoint> peers;
+    std::vector<store_update> toForward; ///< Received updates that others wait for.
+    socket_clock::time_point nextIterationAt{}; ///< Used by sendThread only.
 };
 
 store_update_exchange::store_update_exchange(
@@ -101,18 +109,49 @@
     }
 }
 
+/// Forwards at once what has arrived; own updates are collected when they are due, or when
+/// requested.
 void store_update_exchange::state::sendOnce()
 {
-    const relay_iteration iteration = collect();
     std::unique_lock lock(guard);
-    if (iteration.update) {
+    auto waiting = std::exchange(toForward, {});
+    lock.unlock();
+    forwardAll(std::move(waiting));
+    lock.lock();
+    if (isWakeRequested || socket_clock::now() >= nextIterationAt) {
+        isWakeRequested = false;
         const std::vector<endpoint> to = peers;
         lock.unlock();
-        socket.send(to, encode(*iteration.update));
+        const relay_iteration iteration = collect();
+        for (const store_update &update : iteration.updates)
+            sendUpdate(update, to);
         lock.lock();
+        nextIterationAt = socket_clock::now() + iteration.wait;
+    }
+    changed.wait_until(lock, nextIterationAt,
+                       [this] { return isWakeRequested || !toForward.empty(); });
+}
+
+void store_update_exchange::state::sendUpdate(const store_update &update,
+                                              const std::vector<endpoint> &to)
+{
+    if (to.size() <= config::maxDirectRecipients) {
+        socket.send(to, encode(update));
+        return;
+    }
+    for (const forward_group &group : forwardGroupsOf(to, self)) {
+        store_update forwarded = update;
+        forwarded.forwardTo = group.members;
+        socket.send({group.forwarder}, encode(forwarded));
+    }
+}
+
+void store_update_exchange::state::forwardAll(std::vector<store_update> waiting)
+{
+    for (store_update &update : waiting) {
+        const auto to = std::exchange(update.forwardTo, {});
+        socket.send(to, encode(update));
     }
-    changed.wait_for(lock, iteration.wait, [this] { return isWakeRequested; });
-    isWakeRequested = false;
 }
 
 void store_update_exchange::state::receiveLoop()
@@ -136,10 +175,19 @@
 /// it. No pause follows, because it would delay updates from other senders.
 bool store_update_exchange::state::receive(std::uint64_t sender, std::string_view payload)
 {
-    const auto update = decodeStoreUpdate(payload);
-    if (!succeeded(update))
+    auto decoded = decodeStoreUpdate(payload);
+    if (!succeeded(decoded))
         return false;
-    return runLoggingExceptions(faults, [&] { onUpdate(sender, valueOf(update)); });
+    store_update &update = valueOf(decoded);
+    if (update.origin == 0)
+        update.origin = sender;
+    if (!update.forwardTo.empty()) {
+        const std::lock_guard lock(guard);
+        if (toForward.size() < config::maxUpdateParts)
+            toForward.push_back(update);
+        changed.notify_all();
+    }
+    return runLoggingExceptions(faults, [&] { onUpdate(update.origin, update); });
 }
 
 } // namespace poplarspool::peer
--- /dev/null
+++ b/src/peer/update_assembler.cpp
@@ -0,0 +1,43 @@
+#include "poplarspool/peer/update_assembler.h"
+
+#include "poplarspool/config.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace poplarspool::peer {
+
+std::optional<kind_update> update_assembler::add(std::uint64_t sender, const kind_update &received,
+                                                 mono_time now)
+{
+    if (received.parts <= 1)
+        return received;
+    if (received.parts > config::maxUpdateParts || received.part >= received.parts)
+        return std::nullopt;
+    // The parts of an update arrive together; after a while the missing ones are lost.
+    std::erase_if(pending, [now](const auto &entry) {
+        return now - entry.second.startedAt > config::relayedChangeRetention;
+    });
+    const update_key key{sender, received.kind, received.since, received.version};
+    const auto [found, isFirst] = pending.try_emplace(key);
+    pending_update &update = found->second;
+    if (isFirst) {
+        update = {now, received.parts, {}};
+        update.parts.resize(received.parts);
+    }
+    if (received.part >= update.parts.size() || update.parts[received.part])
+        return std::nullopt;
+    update.parts[received.part] = received.changes;
+    if (--update.missing > 0)
+        return std::nullopt;
+    kind_update whole = received;
+    whole.part = 0;
+    whole.parts = 1;
+    whole.changes.clear();
+    for (auto &part : update.parts)
+        std::ranges::move(*part, std::back_inserter(whole.changes));
+    pending.erase(found);
+    return whole;
+}
+
+} // namespace poplarspool::peer
--- a/tests/adapter/fake_store.h
+++ b/tests/adapter/fake_store.h
@@ -71,6 +71,15 @@
         content.kinds[kind][name] = {spec, ++content.revision, false};
     }
 
+    /// Adds objects PREFIX0 to PREFIX(count-1) at once: a watch returns all of them or none.
+    void putMany(const std::string &kind, const std::string &prefix, int count,
+                 const std::string &spec)
+    {
+        const std::lock_guard lock(guard);
+        for (int i = 0; i < count; ++i)
+            content.kinds[kind][prefix + std::to_string(i)] = {spec, ++content.revision, false};
+    }
+
     void remove(const std::string &kind, const std::string &name)
     {
         const std::lock_guard lock(guard);
@@ -120,6 +129,8 @@
         afterFirstWrite = saved;
     }
 
+    std::atomic<std::size_t> stalePages{0};
+    std::optional<snapshot> staleContent; ///< What stale reads return; set before the first call.
     std::atomic<std::size_t> pageSize{SIZE_MAX}; ///< Max objects in one page of a list.
     /// Sends this epoch with the next reply, instead of the store's own.
     void sendEpochOnce(std::uint64_t wrong)
@@ -224,7 +235,9 @@
         ++pages;
         const std::size_t at = path.find("after=");
         const std::string after = at == std::string::npos ? "" : path.substr(at + 6);
-        return reply(kind, 0, false, after.substr(0, after.find('&')));
+        const bool isStale = path.find("allowStale=1") != std::string::npos;
+        stalePages += isStale ? 1 : 0;
+        return reply(kind, 0, false, after.substr(0, after.find('&')), isStale);
     }
 
     http_reply write(const std::string &kind, const http_request &request)
@@ -259,15 +272,16 @@
     }
 
     http_reply reply(const std::string &kind, std::uint64_t since, bool isWatch,
-                     const std::string &after = {})
+                     const std::string &after = {}, bool isStale = false)
     {
         const std::lock_guard lock(guard);
+        snapshot &from = isStale && staleContent ? *staleContent : content;
         if (since > content.revision)
             return withEpoch(jsonReply("{}", 410));
         std::string items;
         std::size_t count = 0;
         bool isTruncated = false;
-        for (const auto &[name, one] : content.kinds[kind]) {
+        for (const auto &[name, one] : from.kinds[kind]) {
             if (one.revision <= since || (one.isRemoved && !isWatch))
                 continue;
             if (!isWatch && !after.empty() && name <= after)
@@ -284,7 +298,7 @@
         }
         return withEpoch(jsonReply(std::string(isWatch ? R"({"events":[)" : R"({"items":[)") + items
                                    + (isTruncated ? R"(],"truncated":true)" : "]")
-                                   + R"(,"currentRev":)" + std::to_string(content.revision) + "}"));
+                                   + R"(,"currentRev":)" + std::to_string(from.revision) + "}"));
     }
 
     http_reply withEpoch(http_reply response)
--- a/tests/adapter/mixed_versions_test.cpp
+++ b/tests/adapter/mixed_versions_test.cpp
@@ -71,7 +71,7 @@
                 {other.instance, gateway::incarnationOf(systemClock()),
                  gateway::updateAddressOf(other), gateway::peerKeyOf(other)},
                 [update = updateFor(*one)] {
-                    return peer::relay_iteration{update, 50ms};
+                    return peer::relay_iteration{{update}, 50ms};
                 },
                 [](std::uint64_t, const peer::store_update &) {}, metrics, events);
         CPPUNIT_ASSERT(succeeded(exchange.start()));
--- a/tests/peer/store_update_exchange_test.cpp
+++ b/tests/peer/store_update_exchange_test.cpp
@@ -33,7 +33,7 @@
         kind_update update;
         if (iterations <= throwingIterations + oversizedIterations)
             update.changes.emplace_back(config::maxChangeBytes + 1, 'a');
-        return {store_update{{update}}, iterationInterval};
+        return {{{{update}, 0, {}}}, iterationInterval};
     }
 
     void onReceived(const store_update &update)
--- a/tests/peer/store_update_test.cpp
+++ b/tests/peer/store_update_test.cpp
@@ -1,8 +1,13 @@
+#include "peer/forward_groups.h"
 #include "poplarspool/config.h"
 #include "poplarspool/peer/store_update.h"
+#include "poplarspool/peer/update_assembler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <set>
+
 namespace poplarspool::peer {
 
 namespace {
@@ -24,6 +29,10 @@
     CPPUNIT_TEST(gapRaisesSince);
     CPPUNIT_TEST(oldChangesAreNotRepeated);
     CPPUNIT_TEST(changesOfEarlierEpochAreDropped);
+    CPPUNIT_TEST(allChangesAreSentOnce);
+    CPPUNIT_TEST(longBatchesAreJoined);
+    CPPUNIT_TEST(incompleteBatchesAreNotApplied);
+    CPPUNIT_TEST(eachRecipientIsInOneForwardGroup);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +128,89 @@
         CPPUNIT_ASSERT(update.changes == (std::vector<std::string>{"b"}));
         CPPUNIT_ASSERT(update.since == 6 && update.version == (store_version{1, 8}));
     }
+
+    /// More has changed than fits into a datagram. If the older changes were never sent, each
+    /// instance that relies on the relay would query the store for them.
+    void allChangesAreSentOnce()
+    {
+        recent_changes recent;
+        recent.reset({0, 5});
+        recent.add(5, {0, 7}, {std::string(80, 'a')}, start);
+        recent.add(7, {0, 9}, {std::string(80, 'b')}, start);
+        recent.add(9, {0, 10}, {"c"}, start);
+        const auto older = recent.takeUnsent(100, 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, older.size());
+        CPPUNIT_ASSERT(older[0].isPartial && older[0].since == 5 && older[0].version.revision == 7);
+        const kind_update newest = recent.makeUpdate(100);
+        CPPUNIT_ASSERT(!newest.isPartial && newest.since == 7 && newest.version.revision == 10);
+        CPPUNIT_ASSERT(recent.takeUnsent(100, 100).empty());
+    }
+
+    static std::vector<kind_update> partsOfALongBatch()
+    {
+        recent_changes recent;
+        recent.reset({0, 5});
+        std::vector<std::string> changes;
+        for (int i = 0; i < 200; ++i)
+            changes.push_back("change " + std::to_string(i));
+        recent.add(5, {0, 9}, changes, start);
+        return recent.takeUnsent(300, 300);
+    }
+
+    /// One call to the store returned more changes than a datagram holds.
+    void longBatchesAreJoined()
+    {
+        auto parts = partsOfALongBatch();
+        CPPUNIT_ASSERT(parts.size() > 4);
+        std::ranges::reverse(parts); // Datagrams may overtake each other.
+        update_assembler assembler;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+            CPPUNIT_ASSERT(succeeded(encode(store_update{{parts[i]}})));
+            CPPUNIT_ASSERT(!assembler.add(1, parts[i], start));
+            CPPUNIT_ASSERT(!assembler.add(1, parts[i], start));
+        }
+        const auto whole = assembler.add(1, parts.back(), start);
+        CPPUNIT_ASSERT(whole && whole->since == 5 && whole->version.revision == 9);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{200}, whole->changes.size());
+        for (int i = 0; i < 200; ++i)
+            CPPUNIT_ASSERT_EQUAL("change " + std::to_string(i), whole->changes[i]);
+    }
+
+    void incompleteBatchesAreNotApplied()
+    {
+        auto parts = partsOfALongBatch();
+        update_assembler assembler;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+            assembler.add(1, parts[i], start);
+        // Of another relay, or too late.
+        CPPUNIT_ASSERT(!assembler.add(2, parts.back(), start));
+        CPPUNIT_ASSERT(
+                !assembler.add(1, parts.back(), start + config::relayedChangeRetention + 1ms));
+        kind_update invalid = parts.front();
+        invalid.part = invalid.parts;
+        CPPUNIT_ASSERT(!assembler.add(1, invalid, start));
+        invalid.parts = UINT32_MAX;
+        CPPUNIT_ASSERT(!assembler.add(1, invalid, start));
+    }
+
+    void eachRecipientIsInOneForwardGroup()
+    {
+        for (const int count : {65, 163, 1000}) {
+            std::vector<endpoint> recipients;
+            for (int i = 0; i < count; ++i)
+                recipients.push_back({"10.0.0.1", static_cast<std::uint16_t>(i + 1)});
+            std::set<endpoint> reached;
+            const auto groups = forwardGroupsOf(recipients, 1);
+            for (const forward_group &group : groups) {
+                CPPUNIT_ASSERT(group.members.size() <= config::maxForwardGroup);
+                reached.insert(group.forwarder);
+                reached.insert(group.members.begin(), group.members.end());
+            }
+            CPPUNIT_ASSERT_EQUAL(recipients.size(), reached.size());
+            CPPUNIT_ASSERT(groups.size() <= recipients.size() / config::maxForwardGroup + 1);
+            CPPUNIT_ASSERT(forwardGroupsOf(recipients, 2) != groups);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_update_test);
