--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -1,15 +1,14 @@
 #pragma once
 
 #include "poplarspool/base/clock.h"
-#include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
 #include "poplarspool/base/published.h"
 #include "poplarspool/base/store_version.h"
+#include "poplarspool/gateway/runner_set.h"
 #include "poplarspool/scaling/traits.h"
 #include "poplarspool/workspaces/workspaces.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,8 +19,6 @@
 /// plain immutable values.
 namespace poplarspool::gateway {
 
-using service_id = name_of<struct service_tag>; ///< A group of interchangeable runners.
-
 /// Whether a request that has been sent once may be sent again.
 enum class retry_policy {
     Idempotent, ///< May be executed more than once.
@@ -107,45 +104,6 @@
     bool operator==(const route_table &) const = default;
 };
 
-enum class engine_stage {
-    None, ///< Not a staged engine: a plain service, or an engine that does all work.
-    Prefill, ///< Processes prompts only.
-    Decode, ///< Generates tokens; can also process prompts, more slowly.
-};
-
-std::string_view nameOf(engine_stage stage);
-
-/// A target, as it registered itself with the platform.
-struct runner
-{
-    runner_id id;
-    /// Start time in Unix milliseconds; identifies the incarnation. A runner that restarts under
-    /// the same id has none of the state of its previous incarnation. 0 if not reported.
-    std::uint64_t startedAtMs = 0;
-    /// Sequence number of the write that produced this entry, counted from the runner's start. 0 if
-    /// not reported.
-    std::uint64_t writes = 0;
-    service_id service;
-    endpoint address;
-    zone_id zone;
-    std::uint32_t slots = 1; ///< Requests that it runs concurrently.
-    bool isDraining = false;
-    engine_stage stage = engine_stage::None;
-    /// Spot capacity: cheaper, but may be reclaimed together with the whole zone.
-    bool isSpot = false;
-    /// End of the grace period of a runner that is no longer listed but may come back. It gets no
-    /// requests from then on.
-    mono_time retainedUntil = mono_time::max();
-
-    bool operator==(const runner &) const = default;
-};
-
-/// @returns Whether two entries of a runner are equal apart from the sequence number of their
-/// write.
-bool equalExceptWrites(const runner &one, runner other);
-
-using runner_map = std::map<runner_id, std::shared_ptr<const runner>>;
-
 struct route_index;
 
 /// The state that request handling reads, as one consistent snapshot.
@@ -153,7 +111,8 @@
 {
     std::shared_ptr<const route_table> table; ///< Null until the first one is received.
     std::shared_ptr<const route_index> index; ///< Index of `table`; null if that is null.
-    runner_map runners;
+    /// Never null. Shared, so that a new confirmation copies no runners.
+    std::shared_ptr<const runner_set> runners = std::make_shared<const runner_set>();
     bool areRunnersKnown = false; ///< The list of runners has been received at least once.
     mono_time tableConfirmedAt{}; ///< When the store last confirmed `table` as the latest.
     mono_time runnersConfirmedAt{}; ///< The same for `runners`.
--- a/include/poplarspool/gateway/catalogue_updater.h
+++ b/include/poplarspool/gateway/catalogue_updater.h
@@ -5,6 +5,7 @@
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/rollback_filter.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -87,9 +88,11 @@
 private:
     bool isInGracePeriod() const;
     void startGracePeriod(mono_time outageSeenAt);
-    void putRunner(catalogue &next, const runner &entry);
-    void handleRemoval(catalogue &next, const runner_id &id);
-    void removeRunner(catalogue &next, const runner_id &id);
+    /// Publishes a changed copy of the runners.
+    void updateRunners(const std::function<void(runner_set &)> &change);
+    void putRunner(runner_set &runners, const runner &entry);
+    void handleRemoval(runner_set &runners, const runner_id &id);
+    void removeRunner(runner_set &runners, const runner_id &id);
 
     catalogue_publisher &publisher;
     const milliseconds settleTime;
--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -48,11 +48,16 @@
 
 struct placement_candidate
 {
+    static constexpr std::uint32_t notPreferred = UINT32_MAX;
+
     std::shared_ptr<const runner> target;
     runner_load load;
     std::uint32_t cachedTokens = 0; ///< Known cached tokens of this prompt's beginning.
     /// Of these, the prefilled ones: other engines can copy them.
     std::uint32_t copyableTokens = 0;
+    /// Rank in the order in which all instances prefer the engines of a stage for the prompt's
+    /// shared parts; `notPreferred` behind the first few.
+    std::uint32_t affinityRank = notPreferred;
     bool isTried = false; ///< By this request, without success.
     bool isMisdirected = false; ///< It has denied its own entry.
 
@@ -66,7 +71,6 @@
     std::optional<engine_traits> engine; ///< None for plain services.
     std::uint32_t promptTokens = 0;
     std::uint32_t sharedTokens = 0; ///< Tokens of the prompt's parts that other requests share.
-    std::uint64_t affinityKey = 0; ///< Of the shared parts; 0: none.
     bool mayHandOff = true; ///< The prompt may be prefilled on another engine.
     bool hasBegun = false; ///< The caller has a part of the answer: too late to refuse.
     /// Prefilled on another engine: only its KV cache has to be taken over.
--- a/include/poplarspool/gateway/rollback_filter.h
+++ b/include/poplarspool/gateway/rollback_filter.h
@@ -32,7 +32,7 @@
     /// Records that a runner was removed from the list.
     void recordRemoval(const runner &entry, mono_time now);
     /// Compares all entries of the restored snapshot with the runners known before the rollback.
-    void applySnapshot(const runner_map &known, const std::vector<runner> &snapshot, mono_time now);
+    void applySnapshot(const runner_set &known, const std::vector<runner> &snapshot, mono_time now);
     /// Adds markers received from an instance that knows more than the snapshot contains. Each
     /// marker is applied only once.
     void addMarkers(const std::vector<outdated_entry_marker> &received, mono_time now);
@@ -67,7 +67,7 @@
     };
 
     void forgetExpired(mono_time now);
-    bool isOlderThanKnown(const runner_map &known, const runner &entry) const;
+    bool isOlderThanKnown(const runner_set &known, const runner &entry) const;
     void addOwnMarker(const runner &entry);
 
     std::map<runner_id, removed_runner> removed;
--- a/include/poplarspool/gateway/stage_plan.h
+++ b/include/poplarspool/gateway/stage_plan.h
@@ -36,6 +36,8 @@
     mono_time updatedAt{}; ///< 0 if never updated.
     /// Since when the plan differs from the current split; 0 if it doesn't.
     mono_time imbalancedSince{};
+    /// Number of prefill engines from which further ones would be idle.
+    std::uint32_t maxUsefulPrefill = UINT32_MAX;
 
     bool operator==(const stage_plan_state &) const = default;
 };
@@ -46,7 +48,7 @@
 
 /// @returns The number of engines wanted in the decode stage; the others do prefill.
 std::uint32_t wantedDecoders(std::size_t engines, std::uint32_t decodersNow,
-                             const engine_traits &traits, double meanRunning);
+                             const engine_traits &traits, const stage_plan_state &state);
 
 /// @returns Changes that lead to the wanted split; empty if the current split is acceptable.
 std::vector<stage_change> planStages(std::span<const stage_engine> engines,
--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -7,10 +7,12 @@
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/peer/datagram_settings.h"
+#include "poplarspool/policy/view.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,10 +51,22 @@
 {
     std::vector<runner_work> work; ///< Complete: runners not listed have no requests of the sender.
     std::vector<cached_prefix> cached; ///< Prefixes added recently.
-
+    std::uint32_t zone = 0; ///< zoneKey() of the sender; 0 if unknown.
+    /// Number of updates that a zone's digest is split into, by the runners' keys, and the number
+    /// of this one; 0 parts: the update is of the sender alone. A digest contains the sum of all
+    /// instances of the zone.
+    std::uint32_t digestParts = 0;
+    std::uint32_t digestPart = 0;
+    std::uint64_t origin = 0; ///< Number of the instance that made the digest.
+    bool mustForward = false; ///< The receiver forwards it to the instances of its own zone.
+
+    bool isDigest() const { return digestParts > 0; }
     bool operator==(const load_update &) const = default;
 };
 
+/// @returns Hash that identifies a zone in load updates; never 0.
+std::uint32_t zoneKey(const zone_id &zone);
+
 /// @returns Hash that identifies a runner in load updates.
 std::uint32_t runnerKey(const runner_id &id);
 
@@ -60,8 +74,8 @@
 result<std::string> encode(const load_update &update);
 result<load_update> decodeLoadUpdate(std::string_view payload);
 
-/// Recipients of an update: the instances in the sender's availability zone, or all others. Both
-/// groups get the same data, at different intervals.
+/// Recipients of an update: the instances in the sender's availability zone, or all others, which
+/// get the same data at another interval.
 enum class update_recipients { SameZone, OtherZones };
 inline constexpr std::size_t updateRecipientGroups = 2;
 
@@ -73,16 +87,58 @@
 milliseconds loadUpdateInterval(std::size_t peers, std::size_t others,
                                 std::size_t datagramsPerSecond);
 
+/// Instances that get an instance's updates.
+struct load_peers
+{
+    std::vector<endpoint> sameZone;
+    std::vector<endpoint> otherZones;
+    /// Instances in other zones that get this zone's digest from this instance, and forward it to
+    /// the others of their zone.
+    std::vector<endpoint> digestRecipients;
+
+    bool operator==(const load_peers &) const = default;
+};
+
+/// Whether an instance sends the sum of its zone to other zones, instead of its own update to each
+/// instance there. Small zones save nothing by that.
+/// @param sameZone Number of other instances in the zone.
+bool usesDigests(std::size_t sameZone);
+
+/// For each ordered pair of zones, one instance of the first sends the digest and one of the second
+/// forwards it.
+/// @param alive All members that are in service, with this one.
+/// @param port Port of load updates, the same on all instances.
+/// @returns The addresses to which this instance sends its zone's digest.
+std::vector<endpoint> digestRecipientsOf(const std::vector<policy::member> &alive,
+                                         const instance_id &self, std::uint16_t port);
+
+/// Times between two updates to the instances of the own zone and to all others; nullopt: they get
+/// none.
+struct load_intervals
+{
+    std::optional<milliseconds> sameZone;
+    std::optional<milliseconds> otherZones;
+
+    bool operator==(const load_intervals &) const = default;
+};
+
+/// In fleets that are too large for config::maxLoadUpdateInterval, updates that are rarer would be
+/// outdated for most of the time. The instances of other zones then get none, and those of the own
+/// zone get them the more often.
+load_intervals loadUpdateIntervals(std::size_t sameZone, std::size_t otherZones);
+
 /// Exchanges load updates with every other instance: many times a second within the availability
 /// zone, less often with other zones in large fleets. Gossip would deliver the updates two or
 /// three rounds later, when half of a request's duration has passed.
 class load_exchange
 {
 public:
-    /// @param collect Returns the update to send. Called on the thread of the exchange, as is
-    ///                onUpdate.
+    /// @param collect Returns the update to send. Called on the thread of the exchange, as are
+    ///                the others.
+    /// @param collectDigest Returns the parts of the zone's digest.
     /// @param onUpdate Gets the sender's number and its update, in the order in which it sent them.
     load_exchange(datagram_settings settings, std::function<load_update(update_recipients)> collect,
+                  std::function<std::vector<load_update>()> collectDigest,
                   std::function<void(std::uint64_t sender, const load_update &)> onUpdate,
                   clock_source clock, metrics_registry &metrics, journal &events);
     ~load_exchange();
@@ -94,6 +150,8 @@
     ///                 most requests stay in their zone and traffic between zones is expensive.
     /// @param otherZones All other instances.
     void setPeers(std::vector<endpoint> sameZone, std::vector<endpoint> otherZones);
+    /// Sets the instances in other zones that get the zone's digest from this one.
+    void setDigestRecipients(std::vector<endpoint> recipients);
 
 private:
     struct state;
--- a/src/bench/decisions.cpp
+++ b/src/bench/decisions.cpp
@@ -2,6 +2,8 @@
 
 #include "bench/command.h"
 #include "bench/sample_stats.h"
+#include "gateway/runner_table.h"
+#include "poplarspool/base/hash.h"
 #include "poplarspool/policy/plan.h"
 #include "poplarspool/policy/routing.h"
 
@@ -164,6 +166,42 @@
     std::cout << "planned_changes=" << changes << std::endl;
 }
 
+/// One decision of a gateway about a long prompt, in a fleet of that many engines.
+void benchPlacement(std::size_t engines)
+{
+    gateway::runner_set listed;
+    for (std::size_t i = 0; i < engines; ++i) {
+        gateway::runner made;
+        made.id.text = "engine-" + std::to_string(i);
+        made.service.text = "llm";
+        made.zone = zoneOf(static_cast<std::uint32_t>(i % zoneCount));
+        made.stage = i % 3 == 0 ? gateway::engine_stage::Prefill : gateway::engine_stage::Decode;
+        listed.put(std::make_shared<const gateway::runner>(made));
+    }
+    gateway::catalogue known;
+    known.runners = std::make_shared<const gateway::runner_set>(std::move(listed));
+    gateway::runner_table table(systemClock());
+    const gateway::engine_traits traits{128, 750'000, 18'432, 320'000};
+    gateway::placement_query query;
+    query.service.text = "llm";
+    query.zone = zoneOf(0);
+    query.engine = traits;
+    query.promptTokens = 17'000;
+    query.sharedTokens = 13'300;
+    query.objectiveLeftMs = 800;
+    print("place_of_" + std::to_string(engines), timesOf(decisionCount, [&](std::uint32_t i) {
+              query.draw = hashOf(std::to_string(i));
+              query.now = systemClock().mono();
+              const std::vector<gateway::prompt_part> prompt{{i % 2000 + 1, 13'300},
+                                                             {i + 10'000ULL, 3'700}};
+              const auto candidates = table.candidatesOf(
+                      known, {query.service, &traits, prompt, {}, i % 2000 + 1, query.draw});
+              const auto chosen = gateway::choosePlacement(query, candidates);
+              if (const auto *place = std::get_if<gateway::placement>(&chosen))
+                  table.recordCached(place->serving->id, prompt);
+          }));
+}
+
 void benchAddresses()
 {
     const view now = makeView(makeFleet(1, modelCount));
@@ -186,6 +224,8 @@
     benchRoute("route_11_models_each", modelCount);
     benchPlan();
     benchAddresses();
+    for (const std::size_t engines : {140U, 1'200U, 10'000U, 20'000U})
+        benchPlacement(engines);
     return exitSuccess;
 }
 
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -126,85 +126,93 @@
     if (hasSeenRollback || received.empty())
         return;
     rollbackFilter.addMarkers(received, clock.mono());
-    publisher.update([&](catalogue &next) {
-        bool isChanged = false;
+    updateRunners([&](runner_set &runners) {
         for (const outdated_entry_marker &marker : received) {
-            const auto found = next.runners.find(marker.id);
-            if (found == next.runners.end() || !rollbackFilter.isOutdated(*found->second))
+            const runner_entry known = runners.find(marker.id);
+            if (!known || !rollbackFilter.isOutdated(*known))
                 continue;
             events.emit("runner_doubted",
                         {{"runner", marker.id.text}, {"writes", std::to_string(marker.writes)}});
-            next.runners.erase(found);
-            isChanged = true;
+            runners.erase(marker.id);
         }
-        return isChanged;
     });
 }
 
-void catalogue_updater::handleRemoval(catalogue &next, const runner_id &id)
+void catalogue_updater::updateRunners(const std::function<void(runner_set &)> &change)
+{
+    publisher.update([&](catalogue &next) {
+        auto runners = std::make_shared<runner_set>(*next.runners);
+        change(*runners);
+        next.runners = std::move(runners);
+        return true;
+    });
+}
+
+void catalogue_updater::handleRemoval(runner_set &runners, const runner_id &id)
 {
-    const auto found = next.runners.find(id);
+    const runner_entry known = runners.find(id);
     rollbackFilter.forget(id);
-    if (found == next.runners.end() || missing.contains(id))
+    if (!known || missing.contains(id))
         return;
     // A draining runner was leaving anyway and has no reason to come back.
-    if (!isInGracePeriod() || found->second->isDraining)
-        return removeRunner(next, id);
-    runner kept = *found->second;
+    if (!isInGracePeriod() || known->isDraining)
+        return removeRunner(runners, id);
+    runner kept = *known;
     kept.retainedUntil = graceEndsAt;
-    found->second = std::make_shared<const runner>(std::move(kept));
+    runners.put(std::make_shared<const runner>(std::move(kept)));
     missing.insert(id);
     events.emit("runner_missing",
                 {{"runner", id.text}, {"kept_ms", millisecondsText(graceEndsAt - clock.mono())}});
 }
 
-void catalogue_updater::removeRunner(catalogue &next, const runner_id &id)
+void catalogue_updater::removeRunner(runner_set &runners, const runner_id &id)
 {
-    const auto found = next.runners.find(id);
-    if (found == next.runners.end())
+    const runner_entry known = runners.find(id);
+    if (!known)
         return;
-    events.emit("runner_gone", {{"runner", id.text}, {"address", textOf(found->second->address)}});
-    rollbackFilter.recordRemoval(*found->second, clock.mono());
-    next.runners.erase(found);
+    events.emit("runner_gone", {{"runner", id.text}, {"address", textOf(known->address)}});
+    rollbackFilter.recordRemoval(*known, clock.mono());
+    runners.erase(id);
 }
 
 void catalogue_updater::setRunners(const std::vector<runner> &listed)
 {
-    publisher.update([&](catalogue &next) {
+    updateRunners([&](runner_set &runners) {
         if (std::exchange(isSnapshotNext, false))
-            rollbackFilter.applySnapshot(next.runners, listed, clock.mono());
+            rollbackFilter.applySnapshot(runners, listed, clock.mono());
         std::set<runner_id> present;
         for (const runner &entry : listed) {
             present.insert(entry.id);
             if (rollbackFilter.isOutdated(entry))
                 continue;
             missing.erase(entry.id);
-            next.runners[entry.id] = std::make_shared<const runner>(entry);
+            const runner_entry known = runners.find(entry.id);
+            if (!known || *known != entry)
+                runners.put(std::make_shared<const runner>(entry));
         }
         std::vector<runner_id> absent;
-        for (const auto &known : next.runners) {
-            if (!present.contains(known.first))
-                absent.push_back(known.first);
-        }
+        runners.forEach([&](const runner_entry &known) {
+            if (!present.contains(known->id))
+                absent.push_back(known->id);
+        });
         for (const runner_id &id : absent)
-            handleRemoval(next, id);
-        next.areRunnersKnown = true;
-        return true;
+            handleRemoval(runners, id);
     });
+    publisher.update([](catalogue &next) { return !std::exchange(next.areRunnersKnown, true); });
     events.emit("runners_listed",
                 {{"count", std::to_string(listed.size())},
                  {"outdated", std::to_string(rollbackFilter.countOutdated())}});
 }
 
-void catalogue_updater::putRunner(catalogue &next, const runner &entry)
+void catalogue_updater::putRunner(runner_set &runners, const runner &entry)
 {
     if (rollbackFilter.isOutdated(entry))
         return;
     missing.erase(entry.id);
-    std::shared_ptr<const runner> &known = next.runners[entry.id];
+    const runner_entry known = runners.find(entry.id);
     if (known && *known == entry)
         return;
-    known = std::make_shared<const runner>(entry);
+    runners.put(std::make_shared<const runner>(entry));
     events.emit("runner_entry",
                 {{"runner", entry.id.text},
                  {"address", textOf(entry.address)},
@@ -216,14 +224,15 @@
 
 void catalogue_updater::applyChanges(const std::vector<runner_change> &changes)
 {
-    publisher.update([&](catalogue &next) {
+    if (changes.empty())
+        return;
+    updateRunners([&](runner_set &runners) {
         for (const runner_change &change : changes) {
             if (change.entry)
-                putRunner(next, *change.entry);
+                putRunner(runners, *change.entry);
             else
-                handleRemoval(next, change.id);
+                handleRemoval(runners, change.id);
         }
-        return true;
     });
 }
 
@@ -231,19 +240,17 @@
 {
     const std::vector<runner> accepted = rollbackFilter.takeTimedOut(clock.mono());
     if (!accepted.empty()) {
-        publisher.update([&](catalogue &next) {
+        updateRunners([&](runner_set &runners) {
             for (const runner &entry : accepted)
-                putRunner(next, entry);
-            return true;
+                putRunner(runners, entry);
         });
     }
     if (missing.empty() || clock.mono() < graceEndsAt)
         return;
     const auto expired = std::exchange(missing, {});
-    publisher.update([&](catalogue &next) {
+    updateRunners([&](runner_set &runners) {
         for (const runner_id &id : expired)
-            removeRunner(next, id);
-        return true;
+            removeRunner(runners, id);
     });
 }
 
--- a/src/gateway/fleet_scaler.cpp
+++ b/src/gateway/fleet_scaler.cpp
@@ -24,8 +24,9 @@
 void fleet_scaler::updateSizesSettled(const catalogue &known)
 {
     const mono_time now = dependencies.clock.mono();
-    const auto regular = static_cast<std::size_t>(std::ranges::count_if(
-            known.runners, [](const auto &entry) { return !entry.second->isSpot; }));
+    std::size_t regular = 0;
+    known.runners->forEach(
+            [&regular](const runner_entry &entry) { regular += entry->isSpot ? 0 : 1; });
     if (regular > maxRegularSeen || changedAt == mono_time{}) {
         maxRegularSeen = regular;
         changedAt = now;
@@ -93,14 +94,14 @@
 std::vector<scaling::zone_fleet> fleet_scaler::zonesOf(const catalogue &known, const service &one)
 {
     std::map<zone_id, scaling::zone_fleet> zones;
-    for (const auto &entry : known.runners) {
-        const runner &target = *entry.second;
+    known.runners->forEach([&](const runner_entry &entry) {
+        const runner &target = *entry;
         if (target.service != one.id || target.isDraining
             || target.retainedUntil != mono_time::max())
-            continue;
+            return;
         scaling::zone_fleet &zone = zones[target.zone];
         ++(target.isSpot ? zone.spot : zone.regular);
-    }
+    });
     // Include zones that have lost all runners.
     for (const auto &entry : targetSizes) {
         if (entry.first.first == one.id.text)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/connection_pool.h"
 #include "base/socket.h"
+#include "gateway/address_subset.h"
 #include "gateway/caller_limits.h"
 #include "gateway/fleet_scaler.h"
 #include "gateway/request_proxy.h"
@@ -67,7 +68,8 @@
           metrics_registry &registry, journal &eventLog)
         : settings(std::move(given)), names(std::move(dialectNames)), clock(std::move(time)),
           events(eventLog), catalogueUpdater(publisher, settings.settleTime, clock, eventLog),
-          runnerTable(clock), retries({settings.retryShare, settings.retryExtra}),
+          runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock)),
+          retries({settings.retryShare, settings.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
           metrics(registry),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
@@ -87,7 +89,11 @@
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
           members(gossipSettingsOf(settings, clock),
-                  {{}, [this](const peer::rumor &rumor) { quarantineManager.onRumor(rumor); }},
+                  {[this](const std::vector<policy::member> &alive) {
+                       loadExchange.setDigestRecipients(peer::digestRecipientsOf(
+                               alive, settings.instance, settings.loadAddress.port));
+                   },
+                   [this](const peer::rumor &rumor) { quarantineManager.onRumor(rumor); }},
                   clock, registry, eventLog),
           loadExchange(
                   {settings.instance, incarnationOf(clock), settings.loadAddress,
@@ -95,6 +101,7 @@
                   [this](peer::update_recipients recipients) {
                       return runnerTable.collectUpdate(recipients);
                   },
+                  [this] { return runnerTable.collectDigest(); },
                   [this](std::uint64_t sender, const peer::load_update &update) {
                       runnerTable.applyUpdate(sender, update);
                   },
@@ -108,7 +115,8 @@
           stageManager({publisher, runnerTable, connections, names, clock, eventLog,
                         registry.counterOf("poplarspool_gateway_stage_orders_total"),
                         stepFailureReporterOf(eventLog, registry),
-                        [this] { return owns(stagesRole); }},
+                        [this] { return owns(stagesRole); },
+                        [this] { return instanceCount.load(); }},
                        std::move(links.stageLeases), settings.instance, settings.leaseBound)
     {
         if (hasDuty(settings, usageDuty))
@@ -122,8 +130,12 @@
     }
 
     /// The manager's thread sends to other members through `members`, which is destroyed before
-    /// it.
-    ~state() { quarantineManager.stop(); }
+    /// it, and the thread of `members` uses `loadExchange`, which is destroyed even earlier.
+    ~state()
+    {
+        quarantineManager.stop();
+        members.stop();
+    }
     state(const state &) = delete;
     state &operator=(const state &) = delete;
 
@@ -149,6 +161,7 @@
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
+    std::atomic<std::size_t> instanceCount{1}; ///< Listed or known by gossip.
     const proxy_context proxyContext;
     peer::gossip members;
     peer::load_exchange loadExchange;
@@ -219,7 +232,7 @@
         || limitsVersion.exchange(current->table->version) == current->table->version)
         return;
     callerServer.setLimits(callerLimitsOf(current->table->callerLimits));
-    runnerTable.removeUnlisted(current->runners);
+    runnerTable.removeUnlisted(*current->runners);
 }
 
 gateway::gateway(gateway_settings settings, dialect names, platform_links links, clock_source clock,
@@ -272,7 +285,8 @@
     }
     inner->members.setContacts(std::move(contacts));
     inner->loadExchange.setPeers(std::move(near), std::move(far));
-    inner->retries.setInstances(std::max(listed.size(), inner->members.members().size()));
+    inner->instanceCount = std::max(listed.size(), inner->members.members().size());
+    inner->retries.setInstances(inner->instanceCount);
 }
 
 void gateway::recordStoreRollback()
@@ -299,7 +313,8 @@
         if (one.zone == callerZone)
             near.push_back(one.callerAddress);
     }
-    return near.size() >= config::minZoneAddresses ? near : all;
+    return addressSubset(near.size() >= config::minZoneAddresses ? std::move(near) : std::move(all),
+                         hashOf(inner->settings.instance.text));
 }
 
 void gateway::leave()
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -75,13 +75,12 @@
 
 /// The runner that all instances choose independently to prefill shared parts that no runner has
 /// cached: two runners that prefill them at the same time would do the work twice.
-const placement_candidate *preferredEngineOf(const candidate_list &open, std::uint64_t key)
+const placement_candidate *preferredEngineOf(const candidate_list &open)
 {
-    const auto preferred =
-            std::ranges::max_element(open, {}, [key](const placement_candidate *one) {
-                return hashOf(one->target->id.text, key);
-            });
-    return key == 0 || preferred == open.end() ? nullptr : *preferred;
+    const auto preferred = std::ranges::min_element(open, {}, &placement_candidate::affinityRank);
+    const bool isPreferred = preferred != open.end()
+            && (*preferred)->affinityRank != placement_candidate::notPreferred;
+    return isPreferred ? *preferred : nullptr;
 }
 
 /// In a large fleet, the load sent by other instances is known late: if all chose the least loaded
@@ -92,7 +91,7 @@
 {
     if (std::ssize(engines) <= config::sampledEngines)
         return engines;
-    const placement_candidate *preferred = preferredEngineOf(engines, query.affinityKey);
+    const placement_candidate *preferred = preferredEngineOf(engines);
     std::ranges::partial_sort(
             engines, engines.begin() + config::sampledEngines, {},
             [&query](const placement_candidate *one) { return tieBreak(query, *one->target); });
@@ -252,7 +251,7 @@
     const placement_candidate *serving = engines.decoders.front();
     double bestCost = std::numeric_limits<double>::infinity();
     const prefill_inputs direct{query, urgency, engines.holder,
-                                preferredEngineOf(engines.decoders, query.affinityKey)};
+                                preferredEngineOf(engines.decoders)};
     for (const placement_candidate *one : engines.decoders) {
         if (!mayPrefillOn(query, *one, engines))
             continue;
@@ -267,7 +266,7 @@
     if (!engines.prefillers.empty()) {
         const placement_candidate *at = leastLoadedDecoder(query, engines.decoders, urgency);
         const prefill_inputs handoff{query, urgency, engines.holder,
-                                     preferredEngineOf(engines.prefillers, query.affinityKey)};
+                                     preferredEngineOf(engines.prefillers)};
         const prefill_option there = bestPrefillOption(handoff, engines.prefillers);
         const double transferMs = transferTimeMs(*query.engine, query.promptTokens);
         if (there.costMs + transferMs + decodeLoadMs(query, *at, urgency)
@@ -298,17 +297,14 @@
     return later.waitingThere < room && waitMs < query.timeLeftMs * config::lateTimeShare;
 }
 
-/// On the heaviest days, more prompts arrive than the engines can prefill in time. Served in the
-/// order of arrival, all of them would start late. So a request that can still start in time only
-/// waits for others that can; late requests are served when no such request waits. An estimate by
-/// open requests alone, without slots and waiting prompts, accepted requests as on time that were
-/// not: at four times the load that engines can start, 6 instead of 286 requests per second were on
-/// time (8 engines, simulated).
+/// Under overload, more prompts arrive than the engines can prefill in time. Served in the order of
+/// arrival, all of them would start late. So a request that can still start in time only waits for
+/// others that can; late requests are served when no such request waits. The estimate includes
+/// slots and waiting prompts: by open requests alone, requests would be accepted as on time that
+/// are not.
 ///
-/// Late requests are accepted only if they start soon. That does not increase the number of
-/// answers (mean worth 0.414 with it and 0.419 without, over ten days of a deployment in overload;
-/// the difference is noise), but their callers learn at once when to come back, and not only after
-/// some engines have refused them.
+/// Late requests are accepted only if they start soon: the callers of the others learn at once when
+/// to come back, and not only after some engines have refused them.
 std::variant<placement, no_placement> chooseEngine(const placement_query &query,
                                                    std::span<const placement_candidate> candidates)
 {
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -38,6 +38,12 @@
     return tokens;
 }
 
+/// Hash of the prompt's shared parts: all but the last, which is the request's own.
+std::uint64_t affinityKeyOf(const std::vector<prompt_part> &prompt)
+{
+    return prompt.size() < 2 ? 0 : prompt[prompt.size() - 2].chain;
+}
+
 } // namespace
 
 proxy_metrics::proxy_metrics(metrics_registry &registry)
@@ -201,8 +207,6 @@
     query.zone = context.zone;
     query.promptTokens = metadata.promptTokens;
     query.sharedTokens = std::min(sharedTokensOf(metadata.prompt), metadata.promptTokens);
-    query.affinityKey =
-            metadata.prompt.size() < 2 ? 0 : metadata.prompt[metadata.prompt.size() - 2].chain;
     query.mayHandOff = !hasHandoffFailed && sends == 0 && context.retries.hasRoom(service);
     query.hasBegun = hasBegun;
     query.isPrefilled = prefillEngine != nullptr;
@@ -219,8 +223,9 @@
     query.draw = hashOf(metadata.id, sends);
     if (engine != nullptr)
         query.engine = *engine;
-    const auto candidates =
-            context.runnerTable.candidatesOf(*latest, service, engine, metadata.prompt, tried);
+    const auto candidates = context.runnerTable.candidatesOf(
+            *latest,
+            {service, engine, metadata.prompt, tried, affinityKeyOf(metadata.prompt), query.draw});
     const auto found = choosePlacement(query, candidates);
     if (const auto *place = std::get_if<placement>(&found))
         return *place;
--- a/src/gateway/rollback_filter.cpp
+++ b/src/gateway/rollback_filter.cpp
@@ -25,11 +25,10 @@
 
 /// A restarted runner is a new incarnation, and the state of the previous one says nothing about
 /// it. The snapshot may also list an incarnation that ended long ago.
-bool rollback_filter::isOlderThanKnown(const runner_map &known, const runner &entry) const
+bool rollback_filter::isOlderThanKnown(const runner_set &known, const runner &entry) const
 {
-    const auto present = known.find(entry.id);
-    if (present != known.end()) {
-        const runner &newer = *present->second;
+    if (const runner_entry present = known.find(entry.id)) {
+        const runner &newer = *present;
         if (newer.startedAtMs != entry.startedAtMs)
             return newer.startedAtMs > entry.startedAtMs;
         const bool isMissing = newer.retainedUntil != mono_time::max();
@@ -47,7 +46,7 @@
         ownMarkers.push_back({entry.id, entry.startedAtMs, entry.writes});
 }
 
-void rollback_filter::applySnapshot(const runner_map &known, const std::vector<runner> &snapshot,
+void rollback_filter::applySnapshot(const runner_set &known, const std::vector<runner> &snapshot,
                                     mono_time now)
 {
     forgetExpired(now);
@@ -58,8 +57,8 @@
         if (!isOlderThanKnown(known, entry))
             continue;
         outdated[entry.id] = {entry.startedAtMs, entry.writes, now, entry};
-        const auto present = known.find(entry.id);
-        const bool hasLeft = present == known.end() || present->second->isDraining;
+        const runner_entry present = known.find(entry.id);
+        const bool hasLeft = !present || present->isDraining;
         // A runner that is alive stays in use although its entry in the snapshot is older.
         if (hasLeft)
             addOwnMarker(entry);
--- /dev/null
+++ b/src/gateway/runner_candidates.cpp
@@ -0,0 +1,169 @@
+#include "gateway/candidate_sample.h"
+#include "gateway/runner_table.h"
+#include "poplarspool/gateway/limits.h"
+
+#include <algorithm>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+/// Number of recorded times from which a runner is compared with its siblings.
+constexpr std::uint32_t minStarts = 3;
+constexpr std::array allStages{engine_stage::None, engine_stage::Decode, engine_stage::Prefill};
+
+double medianOf(std::vector<double> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+/// Adds the candidate unless its runner is among the candidates.
+/// @returns The runner's candidate.
+placement_candidate &addOnce(std::vector<placement_candidate> &candidates, placement_candidate one)
+{
+    const auto known = std::ranges::find(candidates, one.target, &placement_candidate::target);
+    return known != candidates.end() ? *known : candidates.emplace_back(std::move(one));
+}
+
+} // namespace
+
+void runner_table::countCachedTokens(const runner_record &entry,
+                                     std::span<const prompt_part> prompt, placement_candidate &into)
+{
+    bool isPrefilled = true;
+    for (const prompt_part &part : prompt) {
+        const auto chain = static_cast<std::uint32_t>(part.chain);
+        if (!entry.holds(chain))
+            return;
+        isPrefilled = isPrefilled && entry.cached.at(chain).isPrefilled;
+        into.cachedTokens += part.tokens;
+        into.copyableTokens += isPrefilled ? part.tokens : 0;
+    }
+}
+
+/// @attention The caller must hold `guard`.
+placement_candidate runner_table::candidateAt(const candidate_query &query,
+                                              const runner_entry &target, mono_time now)
+{
+    placement_candidate one;
+    one.target = target;
+    one.isTried = std::ranges::find(query.tried, target->id) != query.tried.end();
+    const std::map<engine_stage, engine_pace> &paceByStage = paces[query.service];
+    if (const auto pace = paceByStage.find(target->stage); pace != paceByStage.end())
+        one.load.pace = pace->second;
+    const auto found = records.find(peer::runnerKey(target->id));
+    if (found == records.end())
+        return one;
+    runner_record &entry = found->second;
+    entry.beginIncarnation(target->startedAtMs);
+    entry.capacity = query.engine == nullptr
+            ? 0
+            : static_cast<std::uint64_t>(config::cacheShare
+                                         * static_cast<double>(query.engine->kvTokens));
+    const work_sum &own = entry.own;
+    const work_sum &others = entry.others;
+    one.load.open = own.open + others.open;
+    one.load.urgentWaiting = own.urgent.count + others.urgent.count;
+    one.load.lateWaiting = own.late.count + others.late.count;
+    one.load.urgentPrefillMs = own.urgent.prefillMs + others.urgent.prefillMs;
+    one.load.latePrefillMs = own.late.prefillMs + others.late.prefillMs;
+    one.load.runMs = entry.runMs;
+    one.load.ejectedUntil = entry.ejectedUntil;
+    one.isMisdirected =
+            entry.misdirectedUntil > now && equalExceptWrites(entry.misdirected, *target);
+    countCachedTokens(entry, query.prompt, one);
+    return one;
+}
+
+/// The holders of the longest cached beginning of the prompt. The last part is the request's own.
+/// @attention The caller must hold `guard`.
+std::vector<placement_candidate>
+runner_table::holdersOf(const catalogue &known, const candidate_query &query, mono_time now)
+{
+    std::vector<placement_candidate> found;
+    for (std::size_t shared = query.prompt.size(); shared-- > 1;) {
+        const auto part = static_cast<std::uint32_t>(query.prompt[shared - 1].chain);
+        for (const std::uint32_t key : holders.holdersOf(part)) {
+            const runner_entry target = known.runners->findByKey(key);
+            if (!target || target->service != query.service)
+                continue;
+            placement_candidate holder = candidateAt(query, target, now);
+            if (holder.copyableTokens > 0)
+                addOnce(found, std::move(holder));
+            if (found.size() == config::maxCopySources)
+                return found;
+        }
+    }
+    return found;
+}
+
+std::vector<placement_candidate> runner_table::candidatesOf(const catalogue &known,
+                                                            const candidate_query &query)
+{
+    std::vector<placement_candidate> candidates;
+    const std::lock_guard lock(guard);
+    const mono_time now = clock.mono();
+    expireSilentPeers(now);
+    for (const engine_stage stage : allStages) {
+        const runner_ring &group = known.runners->groupOf(query.service, stage);
+        for (const runner_entry &target : sampleOf(group, query.draw))
+            candidates.push_back(candidateAt(query, target, now));
+        std::uint32_t rank = 0;
+        for (const runner_entry &target : preferredOf(group, query.affinityKey))
+            addOnce(candidates, candidateAt(query, target, now)).affinityRank = rank++;
+    }
+    for (placement_candidate &holder : holdersOf(known, query, now))
+        addOnce(candidates, std::move(holder));
+    for (const runner_id &id : query.tried) {
+        const runner_entry target = known.runners->find(id);
+        if (target && target->service == query.service)
+            addOnce(candidates, candidateAt(query, target, now));
+    }
+    estimateSlowness(candidates, now);
+    return candidates;
+}
+
+std::vector<std::uint32_t> runner_table::openRequestsAt(std::span<const runner_entry> targets)
+{
+    std::vector<std::uint32_t> counts;
+    counts.reserve(targets.size());
+    const std::lock_guard lock(guard);
+    expireSilentPeers(clock.mono());
+    for (const runner_entry &target : targets) {
+        const auto found = records.find(peer::runnerKey(target->id));
+        counts.push_back(
+                found == records.end() ? 0 : found->second.own.open + found->second.others.open);
+    }
+    return counts;
+}
+
+/// Compares slow runners with their siblings, since the duration of a request depends on the load
+/// of all.
+void runner_table::estimateSlowness(std::vector<placement_candidate> &candidates,
+                                    mono_time now) const
+{
+    const auto meanOf = [&](const placement_candidate &one) {
+        const auto found = records.find(peer::runnerKey(one.target->id));
+        const bool isKnown = found != records.end() && found->second.starts >= minStarts
+                && now - found->second.lastStartAt <= config::slownessExpiry;
+        return isKnown ? found->second.meanStartMs : 0.0;
+    };
+    std::vector<double> means;
+    for (const placement_candidate &one : candidates) {
+        const double mean = meanOf(one);
+        if (mean > 0)
+            means.push_back(mean);
+    }
+    if (means.size() < 2)
+        return;
+    const double usual = std::max(medianOf(means), config::minMedianStartMs);
+    for (placement_candidate &one : candidates) {
+        const double ratio = meanOf(one) / usual;
+        if (ratio > config::slowRatio)
+            one.load.slowness = std::min(ratio, config::maxSlowness);
+    }
+}
+
+} // namespace poplarspool::gateway
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -3,7 +3,6 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace poplarspool::gateway {
 
@@ -13,8 +12,6 @@
 constexpr double newSampleWeight = 0.25;
 /// The same for the run time of a request: answers differ in length by a factor of more than ten.
 constexpr double newRunSampleWeight = 0.06;
-/// Number of recorded times from which a runner is compared with its siblings.
-constexpr std::uint32_t minStarts = 3;
 
 std::chrono::nanoseconds ejectionTimeAfter(std::uint32_t failuresInRow)
 {
@@ -23,30 +20,16 @@
                                               config::maxEjectionTime);
 }
 
-/// Tokens between two values of one sender's counter, which wraps around. A value far below the
-/// last one is from a new incarnation of the sender, which counts from 0.
-std::uint32_t tokensSince(std::uint32_t before, std::uint32_t now)
-{
-    constexpr std::uint32_t half = 1U << 31U;
-    const std::uint32_t passed = now - before;
-    return passed < half ? passed : now;
-}
-
 double millisecondsOf(std::chrono::nanoseconds time)
 {
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-double medianOf(std::vector<double> &values)
-{
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 } // namespace
 
-runner_table::runner_table(clock_source clock) : clock(std::move(clock)) { }
+runner_table::runner_table(clock_source clock, std::uint32_t zone, std::uint64_t self)
+    : clock(std::move(clock)), zone(zone), self(self)
+{ }
 
 runner_table::open_send::open_send(runner_table &table, const runner_id &target, double prefillMs,
                                    send_class urgency)
@@ -90,25 +73,6 @@
     prefillMs = std::max(prefillMs - lessMs, 0.0);
 }
 
-runner_table::waiting_work &runner_table::work_sum::of(send_class urgency)
-{
-    return urgency == send_class::Urgent ? urgent : late;
-}
-
-void runner_table::work_sum::add(const peer::runner_work &update)
-{
-    open += update.open;
-    urgent.add(update.urgentWaiting, update.urgentPrefillMs);
-    late.add(update.lateWaiting, update.latePrefillMs);
-}
-
-void runner_table::work_sum::subtract(const peer::runner_work &update)
-{
-    open -= std::min(open, update.open);
-    urgent.subtract(update.urgentWaiting, update.urgentPrefillMs);
-    late.subtract(update.lateWaiting, update.latePrefillMs);
-}
-
 void runner_table::opened(const open_send &sent)
 {
     const std::lock_guard lock(guard);
@@ -129,9 +93,8 @@
         engine_pace &pace = paces[sent.service][sent.stage];
         pace = updatePace(pace, sent.expectedMs, tookMs);
     }
-    // The time of a prefill alone depends on the prompt's length. When it was compared too,
-    // engines with long prompts seemed slow and lost their shared parts to others: mean worth
-    // 0.411 instead of 0.432 over five days with faults and three seeds.
+    // The time of a prefill alone depends on the prompt's length. If it were compared too, engines
+    // with long prompts would seem slow and lose their shared parts to others.
     if (!sent.isRun)
         return;
     const bool isOld = now - entry.lastStartAt > config::slownessExpiry;
@@ -160,7 +123,7 @@
 }
 
 /// A runner that fails part of its requests while it reports itself healthy is detected only by
-/// the outcomes of its sends. A service's usual failures (one in seven for one of the users) must
+/// the outcomes of its sends. A service's usual failures, which may be one in seven, must
 /// not eject a runner, so the share of failed sends counts, not the first failure.
 void runner_table::recordOutcome(runner_record &entry, send_outcome how, mono_time now)
 {
@@ -225,6 +188,7 @@
     if (!holds(chain)) {
         tokensIn += tokens;
         ownTokensIn += tokens;
+        zoneTokensIn += tokens;
         cached[chain].isPrefilled = false;
     }
     cached_part &part = cached[chain];
@@ -232,174 +196,6 @@
     part.isPrefilled = part.isPrefilled || isPrefilled;
 }
 
-void runner_table::countCachedTokens(const runner_record &entry,
-                                     const std::vector<prompt_part> &prompt,
-                                     placement_candidate &into)
-{
-    bool isPrefilled = true;
-    for (const prompt_part &part : prompt) {
-        const auto chain = static_cast<std::uint32_t>(part.chain);
-        if (!entry.holds(chain))
-            return;
-        isPrefilled = isPrefilled && entry.cached.at(chain).isPrefilled;
-        into.cachedTokens += part.tokens;
-        into.copyableTokens += isPrefilled ? part.tokens : 0;
-    }
-}
-
-std::vector<placement_candidate> runner_table::candidatesOf(const catalogue &known,
-                                                            const service_id &service,
-                                                            const engine_traits *engine,
-                                                            const std::vector<prompt_part> &prompt,
-                                                            const std::vector<runner_id> &tried)
-{
-    std::vector<placement_candidate> candidates;
-    const std::uint64_t capacity = engine == nullptr
-            ? 0
-            : static_cast<std::uint64_t>(config::cacheShare
-                                         * static_cast<double>(engine->kvTokens));
-    const std::lock_guard lock(guard);
-    const mono_time now = clock.mono();
-    expireSilentPeers(now);
-    const std::map<engine_stage, engine_pace> &paceByStage = paces[service];
-    for (const auto &[id, target] : known.runners) {
-        if (target->service != service)
-            continue;
-        placement_candidate one;
-        one.target = target;
-        one.isTried = std::ranges::find(tried, id) != tried.end();
-        if (const auto pace = paceByStage.find(target->stage); pace != paceByStage.end())
-            one.load.pace = pace->second;
-        const std::uint32_t key = peer::runnerKey(id);
-        const auto found = records.find(key);
-        if (found != records.end()) {
-            runner_record &entry = found->second;
-            entry.beginIncarnation(target->startedAtMs);
-            entry.capacity = capacity;
-            const work_sum &own = entry.own;
-            const work_sum &others = entry.others;
-            one.load.open = own.open + others.open;
-            one.load.urgentWaiting = own.urgent.count + others.urgent.count;
-            one.load.lateWaiting = own.late.count + others.late.count;
-            one.load.urgentPrefillMs = own.urgent.prefillMs + others.urgent.prefillMs;
-            one.load.latePrefillMs = own.late.prefillMs + others.late.prefillMs;
-            one.load.runMs = entry.runMs;
-            one.load.ejectedUntil = entry.ejectedUntil;
-            one.isMisdirected =
-                    entry.misdirectedUntil > now && equalExceptWrites(entry.misdirected, *target);
-            countCachedTokens(entry, prompt, one);
-        }
-        candidates.push_back(std::move(one));
-    }
-    estimateSlowness(candidates, now);
-    return candidates;
-}
-
-/// Subtracts an instance's last update from the sums.
-void runner_table::subtract(const peer_record &update)
-{
-    for (const auto &[runner, work] : update.work) {
-        records[runner].others.subtract(work);
-    }
-}
-
-/// An instance that has crashed does not announce the end of its requests.
-void runner_table::expireSilentPeers(mono_time now)
-{
-    for (auto peer = peers.begin(); peer != peers.end();) {
-        const std::chrono::nanoseconds silence = std::max<std::chrono::nanoseconds>(
-                config::loadUpdateExpiry, config::maxSilentIntervals * peer->second.interval);
-        if (now - peer->second.receivedAt <= silence) {
-            ++peer;
-            continue;
-        }
-        subtract(peer->second);
-        peer = peers.erase(peer);
-    }
-}
-
-peer::load_update runner_table::collectUpdate(peer::update_recipients recipients)
-{
-    const auto index = static_cast<std::size_t>(recipients);
-    peer::load_update update;
-    const std::lock_guard lock(guard);
-    for (auto &[key, entry] : records) {
-        std::uint32_t &sendsLeft = entry.sendsLeft[index];
-        const work_sum &own = entry.own;
-        if ((own.open == 0 && sendsLeft == 0) || update.work.size() >= config::maxLoadItems)
-            continue;
-        sendsLeft -= std::min(sendsLeft, 1U);
-        update.work.push_back({key, own.open, static_cast<std::uint32_t>(own.urgent.prefillMs),
-                               static_cast<std::uint32_t>(own.late.prefillMs),
-                               static_cast<std::uint32_t>(entry.ownTokensIn), own.urgent.count,
-                               own.late.count});
-    }
-    std::deque<cached_update> &waiting = pendingUpdates[index];
-    const std::size_t count = std::min(waiting.size(), config::maxCachedPrefixes);
-    for (std::size_t i = 0; i < count; ++i) {
-        cached_update one = waiting.front();
-        waiting.pop_front();
-        update.cached.push_back(one.chain);
-        if (--one.repeatsLeft > 0)
-            waiting.push_back(one);
-    }
-    return update;
-}
-
-void runner_table::applyUpdate(std::uint64_t sender, const peer::load_update &update)
-{
-    const std::lock_guard lock(guard);
-    const mono_time now = clock.mono();
-    peer_record &entry = peers[sender];
-    if (entry.receivedAt != mono_time{})
-        entry.interval = std::min<std::chrono::nanoseconds>(now - entry.receivedAt,
-                                                            config::maxLoadUpdateInterval);
-    entry.receivedAt = now;
-    subtract(entry);
-    for (auto &[runner, work] : entry.work)
-        work = {.runner = runner, .prefilledTokens = work.prefilledTokens};
-    for (const peer::runner_work &one : update.work) {
-        runner_record &runnerEntry = records[one.runner];
-        runnerEntry.others.add(one);
-        peer::runner_work &known = entry.work[one.runner];
-        runnerEntry.tokensIn += tokensSince(known.prefilledTokens, one.prefilledTokens);
-        known = one;
-    }
-    for (const peer::cached_prefix &one : update.cached) {
-        runner_record &runnerEntry = records[one.runner];
-        const bool wasHeld = runnerEntry.holds(one.prefixHash);
-        cached_part &part = runnerEntry.cached[one.prefixHash];
-        part.usedAt = runnerEntry.tokensIn;
-        part.isPrefilled = one.isPrefilled || (wasHeld && part.isPrefilled);
-    }
-}
-
-/// Compares slow runners with their siblings, since the duration of a request depends on the load
-/// of all.
-void runner_table::estimateSlowness(std::vector<placement_candidate> &candidates, mono_time now)
-{
-    const auto meanOf = [&](const placement_candidate &one) {
-        const auto found = records.find(peer::runnerKey(one.target->id));
-        const bool isKnown = found != records.end() && found->second.starts >= minStarts
-                && now - found->second.lastStartAt <= config::slownessExpiry;
-        return isKnown ? found->second.meanStartMs : 0.0;
-    };
-    std::vector<double> means;
-    for (const placement_candidate &one : candidates) {
-        const double mean = meanOf(one);
-        if (mean > 0)
-            means.push_back(mean);
-    }
-    if (means.size() < 2)
-        return;
-    const double usual = std::max(medianOf(means), config::minMedianStartMs);
-    for (placement_candidate &one : candidates) {
-        const double ratio = meanOf(one) / usual;
-        if (ratio > config::slowRatio)
-            one.load.slowness = std::min(ratio, config::maxSlowness);
-    }
-}
-
 /// An engine that crashed restarts in its initial stage, and its entry shows that seconds later.
 /// In the meantime it refuses all requests that are sent by the old entry. Ejection as for failed
 /// runners did not suffice if many engines had restarted: they were tried again and again, and
@@ -450,25 +246,27 @@
     // The last part belongs to this request alone: no other request will need it.
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
         const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
-        for (std::deque<cached_update> &waiting : pendingUpdates) {
-            waiting.push_back({{runner, chain, isPrefilled}, config::updateRepeats});
-            // If a zone has no other members, its queue is never drained: without a bound, an
-            // instance alone in its zone would queue updates until it runs out of memory. The
-            // oldest updates are the least useful.
-            if (waiting.size() > config::maxPendingUpdates)
-                waiting.pop_front();
-        }
+        holders.add(chain, runner);
+        for (std::deque<cached_update> &waiting : pendingUpdates)
+            queueCached(waiting, {runner, chain, isPrefilled});
     }
 }
 
-void runner_table::removeUnlisted(const runner_map &listed)
+/// If a zone has no other members, its queue is never drained: without a bound, an instance alone
+/// in its zone would queue updates until it runs out of memory. The oldest updates are the least
+/// useful.
+void runner_table::queueCached(std::deque<cached_update> &waiting, const peer::cached_prefix &one)
+{
+    waiting.push_back({one, config::updateRepeats});
+    if (waiting.size() > config::maxPendingUpdates)
+        waiting.pop_front();
+}
+
+void runner_table::removeUnlisted(const runner_set &listed)
 {
     const std::lock_guard lock(guard);
-    std::unordered_set<std::uint32_t> present;
-    for (const auto &entry : listed)
-        present.insert(peer::runnerKey(entry.first));
-    std::erase_if(records, [&present](const auto &entry) {
-        return entry.second.own.open == 0 && !present.contains(entry.first);
+    std::erase_if(records, [&listed](const auto &entry) {
+        return entry.second.own.open == 0 && !listed.findByKey(entry.first);
     });
 }
 
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/cache_holders.h"
 #include "gateway/envelope.h"
 #include "poplarspool/gateway/placement.h"
 #include "poplarspool/peer/load_exchange.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -24,11 +26,26 @@
     Unknown, ///< The caller left, or the time limit was reached.
 };
 
+/// What selects the runners that a request considers.
+struct candidate_query
+{
+    service_id service;
+    /// Of the service; null for plain ones.
+    const engine_traits *engine = nullptr;
+    std::span<const prompt_part> prompt = {};
+    /// Runners that the request was sent to without success.
+    std::span<const runner_id> tried = {};
+    std::uint64_t affinityKey = 0; ///< Of the prompt's shared parts; 0: none.
+    std::uint64_t draw = 0; ///< Uniformly distributed random bits.
+};
+
 /// This instance's open requests at each runner, and the recent outcomes there.
 class runner_table
 {
 public:
-    explicit runner_table(clock_source clock);
+    /// @param zone Key of this instance's zone in load updates.
+    /// @param self Number of this instance in load updates.
+    explicit runner_table(clock_source clock, std::uint32_t zone = 0, std::uint64_t self = 0);
 
     /// An open send. Ends when it goes out of scope.
     class open_send
@@ -71,12 +88,12 @@
         send_outcome end = send_outcome::Unknown;
     };
 
-    /// @param engine Of the service; null for plain ones.
-    /// @param tried Runners that the request was sent to without success.
-    std::vector<placement_candidate> candidatesOf(const catalogue &known, const service_id &service,
-                                                  const engine_traits *engine,
-                                                  const std::vector<prompt_part> &prompt,
-                                                  const std::vector<runner_id> &tried);
+    /// @returns Sampled runners of the service, those that all instances prefer for the prompt's
+    /// shared parts, holders of these parts, and the runners that were tried.
+    std::vector<placement_candidate> candidatesOf(const catalogue &known,
+                                                  const candidate_query &query);
+    /// @returns The number of open requests at each of these runners.
+    std::vector<std::uint32_t> openRequestsAt(std::span<const runner_entry> targets);
 
     /// Called when the runner says that it is not the one that its entry describes, or not of that
     /// stage.
@@ -89,11 +106,14 @@
 
     /// @returns The load update for the other instances.
     peer::load_update collectUpdate(peer::update_recipients recipients);
-    /// Applies another instance's load update.
+    /// @returns The load of all instances of the zone, for the other zones; empty if that has not
+    ///          changed since there were no requests.
+    std::vector<peer::load_update> collectDigest();
+    /// Applies another instance's load update, or the digest of another zone.
     void applyUpdate(std::uint64_t sender, const peer::load_update &update);
 
     /// Removes runners that are no longer listed and have no open requests.
-    void removeUnlisted(const runner_map &listed);
+    void removeUnlisted(const runner_set &listed);
 
 private:
     struct cached_part
@@ -121,6 +141,7 @@
 
         waiting_work &of(send_class urgency);
         void add(const peer::runner_work &update);
+        void add(const work_sum &other);
         void subtract(const peer::runner_work &update);
     };
 
@@ -129,6 +150,7 @@
         std::uint64_t startedAtMs = 0; ///< Of the incarnation that this record describes.
         work_sum own;
         work_sum others; ///< Sum of the other instances' latest updates.
+        work_sum zoneOthers; ///< Of these, of the instances of this zone.
         std::uint32_t failuresInRow = 0;
         runner misdirected; ///< The entry that it has denied last.
         mono_time misdirectedUntil{};
@@ -141,6 +163,8 @@
         /// Tokens added to its cache so far, by all instances as far as known.
         std::uint64_t tokensIn = 0;
         std::uint64_t ownTokensIn = 0; ///< Of these, by this instance.
+        std::uint64_t zoneTokensIn = 0; ///< Of these, by the instances of this zone.
+        std::uint64_t digestTokensIn = 0; ///< zoneTokensIn in the last digest that contained it.
         /// Tokens that its cache holds in addition to running requests; 0: not known yet.
         std::uint64_t capacity = 0;
         /// By the low 32 bits of the chain's hash.
@@ -157,6 +181,9 @@
     {
         mono_time receivedAt{};
         std::chrono::nanoseconds interval{0}; ///< Between its last two updates.
+        std::uint32_t zone = 0;
+        std::uint32_t digestParts = 0; ///< 0: of one instance.
+        std::uint64_t origin = 0; ///< Of a digest.
         std::unordered_map<std::uint32_t, peer::runner_work> work; ///< By runner.
     };
 
@@ -170,22 +197,39 @@
     void started(const open_send &sent);
     void ended(const open_send &sent);
     void recordOutcome(runner_record &entry, send_outcome how, mono_time now);
-    static void countCachedTokens(const runner_record &entry,
-                                  const std::vector<prompt_part> &prompt,
+    static void countCachedTokens(const runner_record &entry, std::span<const prompt_part> prompt,
                                   placement_candidate &into);
+    placement_candidate candidateAt(const candidate_query &query, const runner_entry &target,
+                                    mono_time now);
+    std::vector<placement_candidate> holdersOf(const catalogue &known, const candidate_query &query,
+                                               mono_time now);
     runner_record &useParts(const runner_id &target, const std::vector<prompt_part> &prompt,
                             bool isPrefilled);
+    static peer::runner_work workOf(std::uint32_t runner, const work_sum &sum,
+                                    std::uint64_t tokensIn);
+    static std::vector<peer::cached_prefix> takeCached(std::deque<cached_update> &waiting);
+    static void queueCached(std::deque<cached_update> &waiting, const peer::cached_prefix &one);
     void queueCachedUpdate(std::uint32_t runner, const std::vector<prompt_part> &prompt,
                            bool isPrefilled);
     void subtract(const peer_record &update);
+    bool isOfThisZone(const peer_record &update) const;
+    peer_record *recordFor(std::uint64_t sender, const peer::load_update &update);
+    void applyCached(const peer::load_update &update);
     void expireSilentPeers(mono_time now);
-    void estimateSlowness(std::vector<placement_candidate> &candidates, mono_time now);
+    void estimateSlowness(std::vector<placement_candidate> &candidates, mono_time now) const;
 
     const clock_source clock;
+    const std::uint32_t zone;
+    const std::uint64_t self;
     std::mutex guard;
     std::unordered_map<std::uint32_t, runner_record> records; ///< By runner.
     std::map<service_id, std::map<engine_stage, engine_pace>> paces;
     std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
+    mono_time silenceCheckedAt{};
+    mono_time digestCollectedAt{};
+    std::uint32_t digestParts = 1;
+    bool wasDigestEmpty = true;
+    cache_holders holders;
     std::array<std::deque<cached_update>, peer::updateRecipientGroups> pendingUpdates;
 };
 
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -185,9 +185,8 @@
 void request_proxy::recordBrokenReply(const runner &target, call_fault fault)
 {
     const auto listed = context.publisher.current();
-    const auto found = listed->runners.find(target.id);
-    const bool isStaying = found != listed->runners.end() && !found->second->isDraining
-            && found->second->retainedUntil == mono_time::max();
+    const runner_entry entry = listed->runners->find(target.id);
+    const bool isStaying = entry && !entry->isDraining && entry->retainedUntil == mono_time::max();
     if (!isStaying)
         return;
     if (fault == call_fault::Closed)
--- a/src/gateway/stage_manager.cpp
+++ b/src/gateway/stage_manager.cpp
@@ -16,13 +16,15 @@
 { }
 
 /// While a fleet starts, its runners register one after the other, and a split of the first few
-/// would differ from that of all. Draining runners are not counted.
+/// would differ from that of all. Draining runners are not counted. In a large fleet some runner
+/// joins or leaves every second, which must not hold up the plan.
 bool stage_manager::isFleetSettled(const catalogue &known)
 {
     const mono_time now = dependencies.clock.mono();
-    const auto serving = static_cast<std::size_t>(std::ranges::count_if(
-            known.runners, [](const auto &entry) { return !entry.second->isDraining; }));
-    if (serving != servingCount || changedAt == mono_time{}) {
+    const std::size_t serving = known.runners->servingCount();
+    const std::size_t difference =
+            std::max(serving, servingCount) - std::min(serving, servingCount);
+    if (difference > serving / config::settledFleetDivisor || changedAt == mono_time{}) {
         servingCount = serving;
         changedAt = now;
     }
@@ -52,24 +54,30 @@
 {
     const mono_time now = dependencies.clock.mono();
     std::erase_if(pendingOrders, [&](const auto &entry) {
-        const auto found = known.runners.find(entry.first);
-        return found == known.runners.end() || found->second->stage == entry.second.wanted
-                || found->second->startedAtMs != entry.second.startedAtMs
+        const runner_entry listed = known.runners->find(entry.first);
+        return !listed || listed->stage == entry.second.wanted
+                || listed->startedAtMs != entry.second.startedAtMs
                 || now - entry.second.orderedAt >= config::stageOrderTimeout;
     });
 }
 
 std::vector<stage_engine> stage_manager::enginesOf(const catalogue &known, const service &engines)
 {
-    std::vector<stage_engine> found;
+    std::vector<runner_entry> staged;
     const mono_time now = dependencies.clock.mono();
-    for (const placement_candidate &one :
-         dependencies.runnerTable.candidatesOf(known, engines.id, &*engines.engine, {}, {})) {
-        const runner &target = *one.target;
-        // An engine without a stage does all work and refuses orders to change stage.
-        if (target.isDraining || target.retainedUntil <= now || target.stage == engine_stage::None)
-            continue;
-        stage_engine seen{target.id, target.zone, target.stage, one.load.open, false};
+    // An engine without a stage does all work and refuses orders to change stage.
+    for (const engine_stage stage : {engine_stage::Prefill, engine_stage::Decode}) {
+        known.runners->groupOf(engines.id, stage).forEach([&](const runner_entry &one) {
+            if (one->retainedUntil > now)
+                staged.push_back(one);
+        });
+    }
+    const std::vector<std::uint32_t> open = dependencies.runnerTable.openRequestsAt(staged);
+    std::vector<stage_engine> found;
+    found.reserve(staged.size());
+    for (std::size_t i = 0; i < staged.size(); ++i) {
+        const runner &target = *staged[i];
+        stage_engine seen{target.id, target.zone, target.stage, open[i], false};
         const auto order = pendingOrders.find(target.id);
         if (order != pendingOrders.end()) {
             seen.stage = order->second.wanted;
@@ -84,6 +92,8 @@
 {
     const std::vector<stage_engine> seen = enginesOf(known, engines);
     stage_plan_state &state = planStates[engines.id];
+    state.maxUsefulPrefill = static_cast<std::uint32_t>(dependencies.instanceCount()
+                                                        * config::prefillEnginesPerInstance);
     state = updateMeanRunning(state, seen, dependencies.clock.mono());
     const std::vector<stage_change> changes = dueChanges(seen, *engines.engine, state);
     if (changes.empty())
@@ -101,10 +111,10 @@
 void stage_manager::placeOrder(const catalogue &known, const stage_change &change,
                                const duties::lease_term &term)
 {
-    const auto found = known.runners.find(change.engine);
-    if (found == known.runners.end())
+    const runner_entry entry = known.runners->find(change.engine);
+    if (!entry)
         return;
-    const runner &target = *found->second;
+    const runner &target = *entry;
     const auto isInTerm = [&] { return dependencies.clock.mono() < term.endsAt; };
     const auto timeLeft = [&] {
         const auto left =
--- a/src/gateway/stage_manager.h
+++ b/src/gateway/stage_manager.h
@@ -26,6 +26,8 @@
     /// Whether this instance is responsible for planning. For a short time, this may be true on two
     /// instances; the lease ensures that only one of them acts.
     std::function<bool()> isOwner;
+    /// Number of instances that send requests to the engines.
+    std::function<std::size_t()> instanceCount;
 };
 
 /// Periodically plans the stages of all engines and orders engines to change stage, on a thread of
--- a/src/gateway/stage_plan.cpp
+++ b/src/gateway/stage_plan.cpp
@@ -29,32 +29,55 @@
     return std::max(byShare, config::minDecoders);
 }
 
-/// Selects the engine of that stage whose change costs least: from the zone with the most engines
-/// of the stage, so that KV cache need not cross zones, and of those the one with the fewest
-/// requests in flight.
-const stage_engine *cheapestToChange(std::span<const stage_engine> engines, engine_stage stage,
-                                     const std::vector<stage_change> &planned)
+/// The engines of one zone and stage that may change, the one with the fewest requests in flight
+/// last.
+struct zone_engines
 {
-    std::map<zone_id, std::uint32_t> remaining;
-    const auto isCandidate = [&](const stage_engine &one) {
-        return one.stage == stage
-                && std::ranges::find(planned, one.id, &stage_change::engine) == planned.end();
-    };
+    std::uint32_t remaining = 0; ///< Of that stage, those that are changing included.
+    std::vector<const stage_engine *> changeable;
+};
+
+std::map<zone_id, zone_engines> enginesByZone(std::span<const stage_engine> engines,
+                                              engine_stage stage)
+{
+    std::map<zone_id, zone_engines> zones;
     for (const stage_engine &one : engines) {
-        if (isCandidate(one))
-            ++remaining[one.zone];
+        if (one.stage != stage)
+            continue;
+        zone_engines &zone = zones[one.zone];
+        ++zone.remaining;
+        if (!one.isChanging)
+            zone.changeable.push_back(&one);
     }
-    const stage_engine *best = nullptr;
-    for (const stage_engine &one : engines) {
-        if (!isCandidate(one) || one.isChanging)
+    for (auto &entry : zones)
+        std::ranges::stable_sort(entry.second.changeable, std::ranges::greater{},
+                                 &stage_engine::openRequests);
+    return zones;
+}
+
+/// Takes the engine whose change costs least: from the zone with the most engines of the stage, so
+/// that KV cache need not cross zones, and of those the one with the fewest requests in flight.
+/// @returns Null if none may change.
+const stage_engine *takeCheapest(std::map<zone_id, zone_engines> &zones)
+{
+    zone_engines *best = nullptr;
+    for (auto &entry : zones) {
+        zone_engines &zone = entry.second;
+        if (zone.changeable.empty())
             continue;
-        const bool isBetter = best == nullptr || remaining[one.zone] > remaining[best->zone]
-                || (remaining[one.zone] == remaining[best->zone]
-                    && one.openRequests < best->openRequests);
+        const bool isBetter = best == nullptr || zone.remaining > best->remaining
+                || (zone.remaining == best->remaining
+                    && zone.changeable.back()->openRequests
+                            < best->changeable.back()->openRequests);
         if (isBetter)
-            best = &one;
+            best = &zone;
     }
-    return best;
+    if (best == nullptr)
+        return nullptr;
+    const stage_engine *const cheapest = best->changeable.back();
+    best->changeable.pop_back();
+    --best->remaining;
+    return cheapest;
 }
 
 /// @returns The number of further engines that may start a change while requests are running.
@@ -75,28 +98,38 @@
     double running = 0;
     for (const stage_engine &one : engines)
         running += one.stage == engine_stage::Decode ? one.openRequests : 0;
-    if (state.updatedAt == mono_time{})
-        return {running, now, {}};
+    stage_plan_state next = state;
+    next.updatedAt = now;
+    if (state.updatedAt == mono_time{}) {
+        next.meanRunning = running;
+        return next;
+    }
     const double passed = std::chrono::duration<double>(now - state.updatedAt).count();
     const double newest = 1 - std::exp(-passed / config::runningMeanSeconds);
-    return {state.meanRunning + newest * (running - state.meanRunning), now, state.imbalancedSince};
+    next.meanRunning += newest * (running - state.meanRunning);
+    return next;
 }
 
 /// Prefill engines process prompts more than twice as fast as decode engines, and a prompt that is
 /// processed on a decode engine delays all requests running there. So the number of decode engines
-/// is kept to the minimum.
+/// is kept to the minimum. But each change has a price and takes an engine away for seconds: in a
+/// fleet with many more engines than its instances can send prompts to, it has no use.
 std::uint32_t wantedDecoders(std::size_t engines, std::uint32_t decodersNow,
-                             const engine_traits &traits, double meanRunning)
+                             const engine_traits &traits, const stage_plan_state &state)
 {
     const auto total = static_cast<std::uint32_t>(engines);
     const std::uint32_t minCount = minDecoders(engines, traits);
     const auto minPrefill = static_cast<std::uint32_t>(std::ceil(config::minPrefillShare * total));
     const std::uint32_t maxCount = std::max(total - std::min(total, minPrefill), minCount);
-    const double needed = meanRunning / maxUnqueuedRequests(traits);
+    const double needed = state.meanRunning / maxUnqueuedRequests(traits);
     if (needed > decodersNow)
         return std::clamp(static_cast<std::uint32_t>(std::ceil(needed)), minCount, maxCount);
     // An engine returns to prefill only if the others can take over its load with some headroom.
-    const auto kept = static_cast<std::uint32_t>(std::ceil(needed / config::decodeReturnShare));
+    const auto loaded = static_cast<std::uint32_t>(std::ceil(needed / config::decodeReturnShare));
+    const std::uint32_t prefillNow = total - std::min(total, decodersNow);
+    const std::uint32_t useful =
+            state.maxUsefulPrefill - std::min(state.maxUsefulPrefill, prefillNow);
+    const std::uint32_t kept = std::max(loaded, decodersNow - std::min(decodersNow, useful));
     return std::clamp(std::min(decodersNow, kept), minCount, maxCount);
 }
 
@@ -107,14 +140,14 @@
     if (engines.size() < config::minStagedEngines)
         return changes;
     const std::uint32_t decoders = countOf(engines, engine_stage::Decode);
-    const std::uint32_t wanted =
-            wantedDecoders(engines.size(), decoders, traits, state.meanRunning);
+    const std::uint32_t wanted = wantedDecoders(engines.size(), decoders, traits, state);
     const bool isMoreWanted = wanted > decoders;
     const engine_stage from = isMoreWanted ? engine_stage::Prefill : engine_stage::Decode;
     const engine_stage to = isMoreWanted ? engine_stage::Decode : engine_stage::Prefill;
     const std::uint32_t count = isMoreWanted ? wanted - decoders : decoders - wanted;
+    auto zones = enginesByZone(engines, from);
     while (changes.size() < count) {
-        const stage_engine *next = cheapestToChange(engines, from, changes);
+        const stage_engine *next = takeCheapest(zones);
         if (next == nullptr)
             break;
         changes.push_back({next->id, to});
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -18,12 +18,34 @@
     return std::max(interval, config::loadUpdateInterval);
 }
 
+load_intervals loadUpdateIntervals(std::size_t sameZone, std::size_t otherZones)
+{
+    const auto intervalOf = [&](std::size_t peers,
+                                std::size_t datagramsPerSecond) -> std::optional<milliseconds> {
+        const milliseconds interval =
+                loadUpdateInterval(peers, sameZone + otherZones, datagramsPerSecond);
+        if (interval > config::maxLoadUpdateInterval)
+            return std::nullopt;
+        return interval;
+    };
+    load_intervals intervals;
+    if (!usesDigests(sameZone))
+        intervals.otherZones = intervalOf(otherZones, config::otherZonesLoadUpdatesPerSecond);
+    intervals.sameZone = intervalOf(
+            sameZone,
+            config::sameZoneLoadUpdatesPerSecond
+                    + (intervals.otherZones ? 0 : config::otherZonesLoadUpdatesPerSecond));
+    return intervals;
+}
+
 struct load_exchange::state
 {
     state(datagram_settings settings, std::function<load_update(update_recipients)> collect,
+          std::function<std::vector<load_update>()> collectDigest,
           std::function<void(std::uint64_t, const load_update &)> onUpdate, clock_source clock,
           metrics_registry &metrics, journal &events)
-        : collect(std::move(collect)), onUpdate(std::move(onUpdate)), clock(std::move(clock)),
+        : collect(std::move(collect)), collectDigest(std::move(collectDigest)),
+          onUpdate(std::move(onUpdate)), clock(std::move(clock)),
           loop("load_news", std::move(settings), frame_kind::Load, "poplarspool_load_news_total",
                {[this] { return sendDue(); },
                 [this](std::uint64_t sender, std::string_view payload) {
@@ -33,16 +55,19 @@
     { }
 
     mono_time sendDue();
-    void sendDueUpdates(mono_time now);
+    void sendDueUpdates(const load_intervals &intervals, mono_time now);
     void sendTo(update_recipients recipients, const std::vector<endpoint> &to);
+    void sendDigest(const std::vector<endpoint> &to);
     bool receive(std::uint64_t sender, std::string_view payload);
 
     const std::function<load_update(update_recipients)> collect;
+    const std::function<std::vector<load_update>()> collectDigest;
     const std::function<void(std::uint64_t, const load_update &)> onUpdate;
     const clock_source clock;
     std::mutex guard;
     std::vector<endpoint> sameZone;
     std::vector<endpoint> otherZones;
+    std::vector<endpoint> digestRecipients;
 
     // Used by the thread of the loop only.
     mono_time nextOtherZonesAt{}; ///< Time of the next update to other zones.
@@ -52,10 +77,12 @@
 
 load_exchange::load_exchange(datagram_settings settings,
                              std::function<load_update(update_recipients)> collect,
+                             std::function<std::vector<load_update>()> collectDigest,
                              std::function<void(std::uint64_t, const load_update &)> onUpdate,
                              clock_source clock, metrics_registry &metrics, journal &events)
-    : inner(std::make_unique<state>(std::move(settings), std::move(collect), std::move(onUpdate),
-                                    std::move(clock), metrics, events))
+    : inner(std::make_unique<state>(std::move(settings), std::move(collect),
+                                    std::move(collectDigest), std::move(onUpdate), std::move(clock),
+                                    metrics, events))
 { }
 
 load_exchange::~load_exchange()
@@ -80,32 +107,53 @@
     inner->otherZones = std::move(otherZones);
 }
 
+void load_exchange::setDigestRecipients(std::vector<endpoint> recipients)
+{
+    const std::lock_guard lock(inner->guard);
+    inner->digestRecipients = std::move(recipients);
+}
+
 mono_time load_exchange::state::sendDue()
 {
     const mono_time now = clock.mono();
-    sendDueUpdates(now);
-    const std::lock_guard lock(guard);
-    return now
-            + loadUpdateInterval(sameZone.size(), sameZone.size() + otherZones.size(),
-                                 config::sameZoneLoadUpdatesPerSecond);
+    load_intervals intervals;
+    {
+        const std::lock_guard lock(guard);
+        intervals = loadUpdateIntervals(sameZone.size(), otherZones.size());
+    }
+    sendDueUpdates(intervals, now);
+    return now + intervals.sameZone.value_or(config::maxLoadUpdateInterval);
 }
 
-void load_exchange::state::sendDueUpdates(mono_time now)
+void load_exchange::state::sendDueUpdates(const load_intervals &intervals, mono_time now)
 {
     std::vector<endpoint> sameZonePeers;
     std::vector<endpoint> otherZonePeers;
+    std::vector<endpoint> digestTo;
     {
         const std::lock_guard lock(guard);
-        sameZonePeers = sameZone;
-        if (now >= nextOtherZonesAt) {
+        digestTo = digestRecipients;
+        if (intervals.sameZone)
+            sameZonePeers = sameZone;
+        if (intervals.otherZones && now >= nextOtherZonesAt) {
             otherZonePeers = otherZones;
-            nextOtherZonesAt = now
-                    + loadUpdateInterval(otherZones.size(), sameZone.size() + otherZones.size(),
-                                         config::otherZonesLoadUpdatesPerSecond);
+            nextOtherZonesAt = now + *intervals.otherZones;
         }
     }
     sendTo(update_recipients::SameZone, sameZonePeers);
     sendTo(update_recipients::OtherZones, otherZonePeers);
+    sendDigest(digestTo);
+}
+
+/// A digest is not sent again while the zone has no requests, like an update.
+void load_exchange::state::sendDigest(const std::vector<endpoint> &to)
+{
+    if (to.empty())
+        return;
+    for (load_update &part : collectDigest()) {
+        part.mustForward = true;
+        loop.send(to, encode(part));
+    }
 }
 
 void load_exchange::state::sendTo(update_recipients recipients, const std::vector<endpoint> &to)
@@ -122,10 +170,19 @@
 
 bool load_exchange::state::receive(std::uint64_t sender, std::string_view payload)
 {
-    const auto update = decodeLoadUpdate(payload);
-    if (!succeeded(update))
+    auto decoded = decodeLoadUpdate(payload);
+    if (!succeeded(decoded))
         return false;
-    onUpdate(sender, valueOf(update));
+    load_update &update = valueOf(decoded);
+    if (std::exchange(update.mustForward, false)) {
+        std::vector<endpoint> to;
+        {
+            const std::lock_guard lock(guard);
+            to = sameZone;
+        }
+        loop.send(to, encode(update));
+    }
+    onUpdate(sender, update);
     return true;
 }
 
--- a/src/peer/load_update.cpp
+++ b/src/peer/load_update.cpp
@@ -3,6 +3,8 @@
 #include "poplarspool/config.h"
 #include "poplarspool/peer/load_exchange.h"
 
+#include <algorithm>
+
 namespace poplarspool::peer {
 
 namespace {
@@ -29,10 +31,22 @@
                    each.fixed(item.prefixHash);
                    each.small(item.isPrefilled);
                });
+    codec.fixed(update.zone);
+    codec.small(update.digestParts);
+    if (update.digestParts == 0)
+        return;
+    codec.small(update.digestPart);
+    codec.fixed(update.origin);
+    codec.small(update.mustForward);
 }
 
 } // namespace
 
+std::uint32_t zoneKey(const zone_id &zone)
+{
+    return std::max(static_cast<std::uint32_t>(hashOf(zone.text)), 1U);
+}
+
 std::uint32_t runnerKey(const runner_id &id)
 {
     return static_cast<std::uint32_t>(hashOf(id.text));
--- a/tests/adapter/follower_fixture.h
+++ b/tests/adapter/follower_fixture.h
@@ -42,8 +42,7 @@
     std::shared_ptr<const gateway::runner> find(const std::string &runner) const
     {
         const auto now = publisher.current();
-        const auto found = now->runners.find({runner});
-        return found == now->runners.end() ? nullptr : found->second;
+        return now->runners->find({runner});
     }
 
     bool hasLogged(const std::string &kind) const { return !events.events({kind, {}, {}}).empty(); }
--- a/tests/peer/allocation_meter.cpp
+++ b/tests/allocation_meter.cpp
@@ -40,7 +40,7 @@
     std::free(memory);
 }
 
-namespace poplarspool::peer {
+namespace poplarspool::test {
 
 allocation_meter::allocation_meter() : before(allocatedBytes) { }
 
@@ -49,4 +49,4 @@
     return allocatedBytes - before;
 }
 
-} // namespace poplarspool::peer
+} // namespace poplarspool::test
--- a/tests/peer/allocation_meter.h
+++ b/tests/allocation_meter.h
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace poplarspool::peer {
+namespace poplarspool::test {
 
 /// Counts the bytes that the current thread has allocated since construction.
 class allocation_meter
@@ -15,4 +15,4 @@
     std::size_t before;
 };
 
-} // namespace poplarspool::peer
+} // namespace poplarspool::test
--- a/tests/gateway/catalogue_updater_test.cpp
+++ b/tests/gateway/catalogue_updater_test.cpp
@@ -51,8 +51,8 @@
     bool isUsed(const std::string &id) const
     {
         const auto known = publisher.current();
-        const auto found = known->runners.find({id});
-        return found != known->runners.end() && found->second->retainedUntil > now;
+        const runner_entry found = known->runners->find({id});
+        return found && found->retainedUntil > now;
     }
 };
 
@@ -87,7 +87,7 @@
         fixture test;
         test.updater.setRunners({runnerOf("a"), runnerOf("b")});
         CPPUNIT_ASSERT(test.isUsed("a") && test.isUsed("b"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.publisher.current()->runners.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.publisher.current()->runners->size());
         test.updater.applyChanges({{{"c"}, runnerOf("c")}});
         CPPUNIT_ASSERT(test.isUsed("c"));
         CPPUNIT_ASSERT(test.publisher.current()->areRunnersKnown);
@@ -116,7 +116,7 @@
         test.now += 2001ms;
         CPPUNIT_ASSERT(!test.isUsed("a")); // Even without a further answer of the store.
         test.updater.applyTimeouts();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.publisher.current()->runners.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.publisher.current()->runners->size());
     }
 
     void expiredRunnersThatReturnStay()
@@ -160,7 +160,7 @@
         test.now += settleTime - 1400ms - 150ms;
         CPPUNIT_ASSERT(!test.isUsed("a"));
         test.updater.applyTimeouts();
-        CPPUNIT_ASSERT(test.publisher.current()->runners.empty());
+        CPPUNIT_ASSERT(test.publisher.current()->runners->isEmpty());
     }
 
     void drainingRunnersGetNoGracePeriod()
@@ -234,8 +234,8 @@
                 test.updater.applyChanges({{{"a"}, std::nullopt}});
             test.updater.recordStoreRollback(test.now);
             test.updater.setRunners({first});
-            const auto known = test.publisher.current()->runners;
-            CPPUNIT_ASSERT(!known.contains({"a"}) || known.at({"a"})->isDraining);
+            const runner_entry known = test.publisher.current()->runners->find({"a"});
+            CPPUNIT_ASSERT(!known || known->isDraining);
         }
         // The end of the previous incarnation must not remove the new one either.
         second.isDraining = false;
@@ -244,7 +244,7 @@
         CPPUNIT_ASSERT(test.isUsed("a"));
         test.updater.recordStoreRollback(test.now);
         test.updater.setRunners({first});
-        CPPUNIT_ASSERT(test.publisher.current()->runners.at({"a"})->startedAtMs == 9);
+        CPPUNIT_ASSERT(test.publisher.current()->runners->find({"a"})->startedAtMs == 9);
     }
 
     /// Right after a store rollback a runner is removed; since its entry may have expired, it gets
--- a/tests/gateway/fleet_scaler_test.cpp
+++ b/tests/gateway/fleet_scaler_test.cpp
@@ -34,8 +34,10 @@
     {
         const std::string kind = isSpot ? "spot-" : "regular-";
         publisher.update([&](catalogue &next) {
-            std::erase_if(next.runners, [&](const auto &entry) {
-                return entry.second->zone.text == zone && entry.second->isSpot == isSpot;
+            runner_set runners;
+            next.runners->forEach([&](const runner_entry &entry) {
+                if (entry->zone.text != zone || entry->isSpot != isSpot)
+                    runners.put(entry);
             });
             for (int i = 0; i < count; ++i) {
                 runner made;
@@ -43,8 +45,9 @@
                 made.service.text = "s";
                 made.zone.text = zone;
                 made.isSpot = isSpot;
-                next.runners[made.id] = std::make_shared<const runner>(made);
+                runners.put(std::make_shared<const runner>(made));
             }
+            next.runners = std::make_shared<const runner_set>(std::move(runners));
             return true;
         });
     }
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -42,7 +42,6 @@
     query.engine = engine_traits{128, 800000, 18432, 350000};
     query.promptTokens = 17000;
     query.sharedTokens = 13300;
-    query.affinityKey = 7;
     query.objectiveLeftMs = 500;
     return query;
 }
@@ -153,13 +152,17 @@
         std::vector<placement_candidate> all;
         for (const char *id : {"a", "b", "c", "d", "e", "f"})
             all.push_back(candidateOf(id, engine_stage::Decode));
+        all[4].affinityRank = 0;
+        all[2].affinityRank = 1;
         std::set<std::string> used;
         for (std::uint64_t draw = 0; draw < 20; ++draw) {
             placement_query query = engineQuery();
             query.draw = draw;
             used.insert(servingOf(query, all));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
+        CPPUNIT_ASSERT(used == std::set<std::string>{"e"});
+        all[4].load.ejectedUntil = now + 1s;
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), servingOf(engineQuery(), all));
     }
 
     void cachedPartsAreCopiedInsteadOfPrefilled()
@@ -270,7 +273,6 @@
             placement_query query = engineQuery();
             query.promptTokens = 1000;
             query.sharedTokens = 0;
-            query.affinityKey = 0;
             query.draw = draw * 7919;
             ++counts[servingOf(query, all)];
         }
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalogue_fixture.h"
 #include "fixture.h"
 #include "gateway/request_proxy.h"
 #include "poplarspool/gateway/route_index.h"
@@ -99,7 +100,7 @@
             made.id.text = "r" + std::to_string(i);
             made.service.text = "s";
             made.address = runners[i]->address();
-            initial.runners[made.id] = std::make_shared<const runner>(made);
+            putRunner(initial, made);
         }
         initial.areRunnersKnown = true;
         initial.tableConfirmedAt = clock.mono();
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -1,3 +1,4 @@
+#include "catalogue_fixture.h"
 #include "fixture.h"
 #include "gateway/request_proxy.h"
 #include "poplarspool/gateway/route_index.h"
@@ -64,7 +65,7 @@
             made.id.text = "r";
             made.service.text = "s";
             made.address = {"127.0.0.1", 1};
-            next.runners[made.id] = std::make_shared<const runner>(made);
+            putRunner(next, made);
             return true;
         });
     }
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/envelope.h"
 
+#include "catalogue_fixture.h"
 #include "fixture.h"
 #include "poplarspool/gateway/limits.h"
 #include "proxy_fixture.h"
@@ -181,7 +182,7 @@
         fixture test({&first, &second});
         // Placement depends on the request's id; the load on the second runner makes it choose the
         // first one.
-        test.runnerTable.candidatesOf(*test.publisher.current(), {"s"}, nullptr, {}, {});
+        test.runnerTable.candidatesOf(*test.publisher.current(), {.service = {"s"}});
         {
             runner_table::open_send busy(test.runnerTable, {"r1"}, 0, send_class::Urgent);
             test.sendRequest("/stream/1");
@@ -291,9 +292,9 @@
         test.endedAddresses = {leaving.address()};
         beginsToLeave = [&test] {
             test.publisher.update([](catalogue &next) {
-                runner changed = *next.runners.begin()->second;
+                runner changed = *next.runners->find({"r0"});
                 changed.isDraining = true;
-                next.runners.begin()->second = std::make_shared<const runner>(changed);
+                putRunner(next, changed);
                 return true;
             });
         };
--- a/tests/gateway/runner_table_test.cpp
+++ b/tests/gateway/runner_table_test.cpp
@@ -1,9 +1,14 @@
 #include "gateway/runner_table.h"
 
+#include "allocation_meter.h"
+#include "catalogue_fixture.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <optional>
+#include <set>
 
 namespace poplarspool::gateway {
 
@@ -11,20 +16,40 @@
 
 using namespace std::chrono_literals;
 
+constexpr engine_traits engine{128, 800'000, 18'432, 350'000};
+
+/// Most of the prompt is shared with other requests.
+std::vector<prompt_part> sharedPrompt()
+{
+    return {{5, 6300}, {7, 7000}, {11, 3700}};
+}
+
+placement_query queryOf(std::uint64_t draw)
+{
+    placement_query query;
+    query.service.text = "s";
+    query.engine = engine;
+    query.promptTokens = 17'000;
+    query.sharedTokens = 13'300;
+    query.objectiveLeftMs = 800;
+    query.draw = draw;
+    return query;
+}
+
 struct fixture
 {
     mono_time now{std::chrono::hours(1)};
     clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
-    runner_table table{clock};
+    runner_table table;
     catalogue known;
 
-    fixture()
+    explicit fixture(std::uint32_t zone = 0) : table(clock, zone)
     {
         for (const char *id : {"a", "b"}) {
             runner made;
             made.id.text = id;
             made.service.text = "s";
-            known.runners[made.id] = std::make_shared<const runner>(made);
+            putRunner(known, made);
         }
     }
 
@@ -32,19 +57,31 @@
                                      const std::vector<prompt_part> &prompt = {})
     {
         const engine_traits traits{128, 1000, 1, 1};
-        for (placement_candidate &one : table.candidatesOf(known, {"s"}, &traits, prompt, {})) {
+        for (placement_candidate &one :
+             table.candidatesOf(known, {.service = {"s"}, .engine = &traits, .prompt = prompt})) {
             if (one.target->id.text == id)
                 return one;
         }
         return {};
     }
 
+    std::vector<placement_candidate> candidatesFor(std::uint64_t draw, std::uint64_t affinityKey)
+    {
+        const auto prompt = sharedPrompt();
+        return table.candidatesOf(known,
+                                  {.service = {"s"},
+                                   .engine = &engine,
+                                   .prompt = prompt,
+                                   .affinityKey = affinityKey,
+                                   .draw = draw});
+    }
+
     /// The runner restarts under its id.
     void restart(const std::string &id, std::uint64_t startedAtMs)
     {
-        runner next = *known.runners.at({id});
+        runner next = *known.runners->find({id});
         next.startedAtMs = startedAtMs;
-        known.runners[next.id] = std::make_shared<const runner>(next);
+        putRunner(known, next);
         candidateFor(id);
     }
 
@@ -78,6 +115,13 @@
     CPPUNIT_TEST(updatesReachAllZones);
     CPPUNIT_TEST(newIncarnationOfSenderCountsFromZero);
     CPPUNIT_TEST(uncollectedUpdatesAreDropped);
+    CPPUNIT_TEST(instancesAgreeOnTheEngineOfSharedParts);
+    CPPUNIT_TEST(holdersOfSharedPartsAreFoundInLargeFleets);
+    CPPUNIT_TEST(decisionsCostNoMoreInLargeFleets);
+    CPPUNIT_TEST(digestIsTheSumOfTheZone);
+    CPPUNIT_TEST(digestOfMorePartsReplacesTheFormer);
+    CPPUNIT_TEST(digestsPassOnCachedParts);
+    CPPUNIT_TEST(idleZoneSendsNoDigests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +138,131 @@
         CPPUNIT_ASSERT(test.candidateFor("b").load.ejectedUntil <= test.now);
     }
 
+    /// Six instances get requests with the same beginning at the same time and don't know of each
+    /// other's. Each looks at a sample of the engines; if the engine that all prefer were not
+    /// always in it, the shared part would be prefilled several times.
+    void instancesAgreeOnTheEngineOfSharedParts()
+    {
+        for (const std::size_t fleet : {9U, 3000U}) {
+            std::set<std::string> used;
+            for (std::uint64_t draw = 0; draw < 40; ++draw) {
+                fixture test;
+                test.known.runners = std::make_shared<const runner_set>(makeEngines(fleet));
+                const auto chosen = choosePlacement(queryOf(draw), test.candidatesFor(draw, 7));
+                used.insert(std::get<placement>(chosen).prefill->id.text);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
+        }
+    }
+
+    /// The engine that has the shared parts in its cache is one of thousands, and not sampled.
+    void holdersOfSharedPartsAreFoundInLargeFleets()
+    {
+        fixture test;
+        test.known.runners = std::make_shared<const runner_set>(makeEngines(3000));
+        test.table.recordPrefilled({"engine-1234"}, sharedPrompt());
+        const auto chosen = choosePlacement(queryOf(1), test.candidatesFor(1, 7));
+        CPPUNIT_ASSERT_EQUAL(std::string("engine-1234"),
+                             std::get<placement>(chosen).cacheSource->id.text);
+    }
+
+    /// If each request looked at all runners of its service, that alone would delay it by tens of
+    /// milliseconds on the smallest instances of a fleet of 10,000 runners.
+    void decisionsCostNoMoreInLargeFleets()
+    {
+        const auto bytesOfDecision = [](std::size_t fleet) {
+            fixture test;
+            test.known.runners = std::make_shared<const runner_set>(makeEngines(fleet));
+            test.candidatesFor(1, 7);
+            const test::allocation_meter meter;
+            const auto candidates = test.candidatesFor(1, 7);
+            return meter.bytes();
+        };
+        const std::size_t few = bytesOfDecision(140);
+        for (const std::size_t fleet : {1200U, 10'000U, 20'000U}) {
+            const std::size_t many = bytesOfDecision(fleet);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(few) + " and " + std::to_string(many),
+                                   many <= few * 13 / 10);
+        }
+    }
+
+    struct zone_pair
+    {
+        fixture near{1};
+        fixture neighbor{1};
+        fixture far{2};
+
+        void exchange()
+        {
+            near.table.applyUpdate(5,
+                                   neighbor.table.collectUpdate(peer::update_recipients::SameZone));
+            for (const peer::load_update &part : near.table.collectDigest())
+                far.table.applyUpdate(6, part);
+        }
+    };
+
+    void digestIsTheSumOfTheZone()
+    {
+        zone_pair zones;
+        std::optional<runner_table::open_send> mine;
+        mine.emplace(zones.near.table, runner_id{"a"}, 30, send_class::Urgent);
+        const runner_table::open_send theirs(zones.neighbor.table, {"a"}, 50, send_class::Late);
+        zones.exchange();
+        CPPUNIT_ASSERT_EQUAL(2U, zones.far.candidateFor("a").load.open);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(30.0, zones.far.candidateFor("a").load.urgentPrefillMs, 0.1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, zones.far.candidateFor("a").load.latePrefillMs, 0.1);
+        mine.reset();
+        zones.exchange();
+        CPPUNIT_ASSERT_EQUAL(1U, zones.far.candidateFor("a").load.open);
+        // The zone's own digest comes back to it, and what other zones sent is not in it.
+        for (const peer::load_update &part : zones.near.table.collectDigest())
+            zones.neighbor.table.applyUpdate(5, part);
+        CPPUNIT_ASSERT_EQUAL(1U, zones.neighbor.candidateFor("a").load.open);
+        const runner_table::open_send farther(zones.far.table, {"a"}, 0, send_class::Urgent);
+        for (const peer::load_update &part : zones.far.table.collectDigest())
+            zones.near.table.applyUpdate(7, part);
+        CPPUNIT_ASSERT_EQUAL(2U, zones.near.candidateFor("a").load.open);
+        zones.exchange();
+        CPPUNIT_ASSERT_EQUAL(2U, zones.far.candidateFor("a").load.open);
+    }
+
+    /// Under load a digest gets more parts. What the former parts said would be counted twice.
+    void digestOfMorePartsReplacesTheFormer()
+    {
+        zone_pair zones;
+        const runner_table::open_send first(zones.near.table, {"a"}, 0, send_class::Urgent);
+        zones.exchange();
+        std::vector<std::unique_ptr<runner_table::open_send>> more;
+        for (int i = 0; i < 200; ++i)
+            more.push_back(std::make_unique<runner_table::open_send>(
+                    zones.near.table, runner_id{"r" + std::to_string(i)}, 0, send_class::Urgent));
+        CPPUNIT_ASSERT(zones.near.table.collectDigest().size() > 4);
+        zones.exchange();
+        CPPUNIT_ASSERT_EQUAL(1U, zones.far.candidateFor("a").load.open);
+    }
+
+    void digestsPassOnCachedParts()
+    {
+        zone_pair zones;
+        zones.exchange();
+        zones.neighbor.table.recordPrefilled({"a"}, sharedPrompt());
+        zones.exchange();
+        CPPUNIT_ASSERT_EQUAL(13'300U, zones.far.candidateFor("a", sharedPrompt()).copyableTokens);
+    }
+
+    void idleZoneSendsNoDigests()
+    {
+        zone_pair zones;
+        CPPUNIT_ASSERT(zones.near.table.collectDigest().empty());
+        {
+            const runner_table::open_send sent(zones.near.table, {"a"}, 0, send_class::Urgent);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zones.near.table.collectDigest().size());
+        }
+        // The first empty one announces that no requests are left.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zones.near.table.collectDigest().size());
+        CPPUNIT_ASSERT(zones.near.table.collectDigest().empty());
+    }
+
     void usualFailureRateDoesNotEject()
     {
         fixture test;
@@ -224,17 +393,17 @@
     void deniedEntryIsIgnoredUntilItChanges()
     {
         fixture test;
-        test.table.recordMisdirected(test.known.runners.at({"a"}));
+        test.table.recordMisdirected(test.known.runners->find({"a"}));
         CPPUNIT_ASSERT(test.candidateFor("a").isMisdirected);
         CPPUNIT_ASSERT(!test.candidateFor("b").isMisdirected);
         // The same entry written again is no change.
-        runner again = *test.known.runners.at({"a"});
+        runner again = *test.known.runners->find({"a"});
         ++again.writes;
-        test.known.runners[again.id] = std::make_shared<const runner>(again);
+        putRunner(test.known, again);
         CPPUNIT_ASSERT(test.candidateFor("a").isMisdirected);
         test.restart("a", 2000);
         CPPUNIT_ASSERT(!test.candidateFor("a").isMisdirected);
-        test.table.recordMisdirected(test.known.runners.at({"a"}));
+        test.table.recordMisdirected(test.known.runners->find({"a"}));
         test.now += config::misdirectedTime;
         CPPUNIT_ASSERT(!test.candidateFor("a").isMisdirected);
     }
--- a/tests/gateway/stage_manager_test.cpp
+++ b/tests/gateway/stage_manager_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/stage_manager.h"
 
+#include "catalogue_fixture.h"
 #include "fixture.h"
 #include "poplarspool/gateway/limits.h"
 #include "scripted_runner.h"
@@ -41,7 +42,7 @@
                 // The other engines refuse connections.
                 made.address = i == 0 ? address : endpoint{"127.0.0.1", 1};
                 made.stage = i < 3 ? engine_stage::Decode : engine_stage::Prefill;
-                next.runners[made.id] = std::make_shared<const runner>(made);
+                putRunner(next, made);
             }
             return true;
         });
@@ -76,7 +77,7 @@
     {
         stage_manager manager({publisher, runnerTable, connections, names, clock, events,
                                metrics.counterOf("orders"), stepFailureReporterOf(events, metrics),
-                               [this] { return isOwner; }},
+                               [this] { return isOwner; }, [] { return std::size_t{4}; }},
                               store(), {"self"}, 3000ms);
         manager.runOnce();
         now += config::stageSettleTime;
@@ -161,11 +162,12 @@
         scripted_runner engine({{replyOf("200 OK", "free")}, {replyOf("202 Accepted", "")}});
         fixture test(engine.address());
         test.publisher.update([](catalogue &next) {
-            for (auto &[id, known] : next.runners) {
+            const auto staged = next.runners;
+            staged->forEach([&next](const runner_entry &known) {
                 runner plain = *known;
                 plain.stage = engine_stage::None;
-                known = std::make_shared<const runner>(plain);
-            }
+                putRunner(next, plain);
+            });
             return true;
         });
         test.runTwice();
@@ -189,7 +191,7 @@
         stage_manager manager({test.publisher, test.runnerTable, test.connections, test.names,
                                systemClock(), test.events, test.metrics.counterOf("orders"),
                                stepFailureReporterOf(test.events, test.metrics),
-                               [] { return true; }},
+                               [] { return true; }, [] { return std::size_t{4}; }},
                               slow, {"self"}, 3000ms);
         manager.start();
         readStarted.get_future().wait();
@@ -213,7 +215,8 @@
         };
         stage_manager manager({test.publisher, test.runnerTable, test.connections, test.names,
                                systemClock(), test.events, test.metrics.counterOf("orders"),
-                               stepFailureReporterOf(test.events, test.metrics), isOwner},
+                               stepFailureReporterOf(test.events, test.metrics), isOwner,
+                               [] { return std::size_t{4}; }},
                               test.store(), {"self"}, 3000ms);
         manager.start();
         CPPUNIT_ASSERT(secondIteration.get_future().wait_for(20s) == std::future_status::ready);
--- a/tests/gateway/stage_plan_test.cpp
+++ b/tests/gateway/stage_plan_test.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(enginesWithAPendingOrderGetNoOther);
     CPPUNIT_TEST(shortCrashCausesNoChange);
     CPPUNIT_TEST(changesAreLimitedUnderLoad);
+    CPPUNIT_TEST(enginesBeyondWhatInstancesCanUseKeepTheirStage);
+    CPPUNIT_TEST(planningTimeGrowsWithTheFleetOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,8 +57,8 @@
 
     void smallBatchesNeedMoreDecoders()
     {
-        CPPUNIT_ASSERT_EQUAL(28U, wantedDecoders(140, 91, largeBatch, 0));
-        CPPUNIT_ASSERT_EQUAL(56U, wantedDecoders(140, 91, smallBatch, 0));
+        CPPUNIT_ASSERT_EQUAL(28U, wantedDecoders(140, 91, largeBatch, {}));
+        CPPUNIT_ASSERT_EQUAL(56U, wantedDecoders(140, 91, smallBatch, {}));
     }
 
     void servicesWithFewEnginesAreNotChanged()
@@ -74,7 +76,7 @@
         for (const stage_change &one : changes)
             CPPUNIT_ASSERT(one.wanted == engine_stage::Decode);
         // Some engines stay in the prefill stage at any load.
-        CPPUNIT_ASSERT(wantedDecoders(12, 4, smallBatch, 1e6) < 12);
+        CPPUNIT_ASSERT(wantedDecoders(12, 4, smallBatch, {1e6, start, {}}) < 12);
     }
 
     void changesPreferIdleEnginesAndSpreadOverZones()
@@ -133,6 +135,34 @@
         state.imbalancedSince = start + 1s;
         CPPUNIT_ASSERT(dueChanges(engines, smallBatch, state).empty());
     }
+
+    /// A fleet has ten engines per instance, nearly all of them idle. Thousands of orders would
+    /// cost more than callers could ever gain from them.
+    void enginesBeyondWhatInstancesCanUseKeepTheirStage()
+    {
+        stage_plan_state state;
+        state.maxUsefulPrefill = 1970;
+        CPPUNIT_ASSERT(planStages(enginesOf(3213, 6427), largeBatch, state).empty());
+        state.maxUsefulPrefill = 3300;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{87},
+                             planStages(enginesOf(3213, 6427), largeBatch, state).size());
+        // With a burst that fills the decode engines, the number of instances is no reason.
+        state.meanRunning = 3000.0 * largeBatch.batch;
+        CPPUNIT_ASSERT(!planStages(enginesOf(7640, 2000), largeBatch, state).empty());
+    }
+
+    /// If each change were sought among all engines and compared with all earlier changes, the plan
+    /// of a fleet of 10,000 would take minutes, and its instance would serve no callers meanwhile.
+    /// In this test, that would be 10^12 comparisons.
+    void planningTimeGrowsWithTheFleetOnly()
+    {
+        const auto changes = planStages(enginesOf(4000, 16'000), largeBatch, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12'000}, changes.size());
+        std::set<std::string> changed;
+        for (const stage_change &one : changes)
+            changed.insert(one.engine.text);
+        CPPUNIT_ASSERT_EQUAL(changes.size(), changed.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stage_plan_test);
--- a/tests/peer/decoder_test.cpp
+++ b/tests/peer/decoder_test.cpp
@@ -97,7 +97,7 @@
 
 void assertDecodesWithinMemoryBound(const sample &origin, const std::string &payload)
 {
-    const allocation_meter meter;
+    const test::allocation_meter meter;
     origin.decodes(payload);
     const std::size_t allowed = payload.size() * memoryPerByte + baseMemory;
     CPPUNIT_ASSERT_MESSAGE(origin.name, meter.bytes() <= allowed);
--- a/tests/peer/load_update_test.cpp
+++ b/tests/peer/load_update_test.cpp
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
 #include <mutex>
+#include <set>
 
 namespace poplarspool::peer {
 
@@ -26,6 +27,7 @@
                     throwIfDue(throwingCollects);
                     return sampleUpdate();
                 },
+                [] { return std::vector<load_update>(); },
                 [this](std::uint64_t, const load_update &update) {
                     const std::lock_guard lock(guard);
                     throwIfDue(throwingUpdates);
@@ -70,6 +72,8 @@
     CPPUNIT_TEST(exceptionsDoNotEndTheExchange);
     CPPUNIT_TEST(oversizedUpdatesAreRejected);
     CPPUNIT_TEST(fleetDatagramRateIsBounded);
+    CPPUNIT_TEST(instancesThatCannotBeToldInTimeAreToldNothing);
+    CPPUNIT_TEST(eachZoneGetsOneDigestOfEachOther);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +156,51 @@
                        == config::loadUpdateInterval);
         CPPUNIT_ASSERT(loadUpdateInterval(50, 66, config::otherZonesLoadUpdatesPerSecond) == 166ms);
     }
+
+    /// In a fleet of a thousand, an instance can tell each other one what it has sent every half
+    /// minute, and its requests last for a second. What others know of its load would be wrong for
+    /// most of the time, and would come and go.
+    void instancesThatCannotBeToldInTimeAreToldNothing()
+    {
+        const load_intervals small = loadUpdateIntervals(2, 5);
+        CPPUNIT_ASSERT(small.sameZone && small.otherZones);
+        for (const std::size_t zone : {100U, 163U, 200U}) {
+            const load_intervals fleet = loadUpdateIntervals(zone, 5 * zone);
+            CPPUNIT_ASSERT(fleet.sameZone && *fleet.sameZone <= config::maxLoadUpdateInterval);
+            CPPUNIT_ASSERT(!fleet.otherZones);
+        }
+        CPPUNIT_ASSERT(loadUpdateIntervals(400, 2000) == load_intervals{});
+    }
+
+    /// If each instance told each instance of other zones what it has sent, that would be most of
+    /// the bytes between zones.
+    void eachZoneGetsOneDigestOfEachOther()
+    {
+        std::vector<policy::member> alive;
+        for (int i = 0; i < 80; ++i) {
+            policy::member one;
+            one.id.text = "edge-" + std::to_string(i);
+            one.zone.text = "zone-" + std::to_string(i % 4);
+            one.peerAddress = {"10.0.0." + std::to_string(i + 1), 7000};
+            alive.push_back(one);
+        }
+        // A member that is suspected may be dead.
+        alive[5].state = policy::member_state::Suspect;
+        std::size_t sent = 0;
+        std::set<endpoint> forwarders;
+        for (const policy::member &one : alive) {
+            for (const endpoint &to : digestRecipientsOf(alive, one.id, 7001)) {
+                CPPUNIT_ASSERT(to.port == 7001 && to.host != alive[5].peerAddress.host);
+                forwarders.insert(to);
+                ++sent;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, sent);
+        // The work is spread over several instances.
+        CPPUNIT_ASSERT(forwarders.size() > 6);
+        alive.resize(20);
+        CPPUNIT_ASSERT(digestRecipientsOf(alive, alive[0].id, 7001).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_update_test);
