Pack the addresses of a forward group, so that they fit beside the changes; account of the whole fleet

Cause: a relay's datagram for a forwarder had up to 15 addresses as text, 250 bytes, beside 1,150 bytes of changes: more than a datagram holds. Receivers dropped it, so in zones of more than 64 instances nothing was relayed while much changed, and each instance asked the store.

Test: addressesOfAForwardGroupFitBesideTheChanges.

--- a/src/peer/store_update.cpp
+++ b/src/peer/store_update.cpp
@@ -1,7 +1,8 @@
 #include "poplarspool/peer/store_update.h"
 
 #include "peer/codec.h"
-#include "poplarspool/config.h"
+#include "peer/packed_address.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,9 +14,24 @@
 /// Minimum bytes of an encoded item of each list.
 constexpr std::size_t minKindBytes = 10;
 constexpr std::size_t minChangeBytes = 1;
-constexpr std::size_t minAddressBytes = 2;
-/// Bytes of an address in text form.
-constexpr std::size_t maxHostBytes = 46;
+constexpr std::size_t minAddressBytes = 6;
+
+void serializeAddress(encoder &out, const endpoint &address)
+{
+    const auto packed = packedAddressOf(address);
+    if (!packed)
+        throw malformed_payload("only IPv4 addresses can be packed");
+    out.fixed(packed->host);
+    out.fixed(packed->port);
+}
+
+void serializeAddress(decoder &in, endpoint &address)
+{
+    packed_address packed;
+    in.fixed(packed.host);
+    in.fixed(packed.port);
+    address = endpointOf(packed);
+}
 
 template <class Codec, class Update>
 void storeUpdateFields(Codec &codec, Update &update)
@@ -35,10 +51,7 @@
     });
     codec.fixed(update.origin);
     codec.list(update.forwardTo, config::maxForwardGroup, minAddressBytes,
-               [](Codec &each, auto &address) {
-                   each.text(address.host, maxHostBytes);
-                   each.small(address.port);
-               });
+               [](Codec &each, auto &address) { serializeAddress(each, address); });
 }
 
 } // namespace
--- a/tests/peer/store_update_test.cpp
+++ b/tests/peer/store_update_test.cpp
@@ -1,5 +1,6 @@
 #include "peer/forward_groups.h"
-#include "poplarspool/config.h"
+#include "peer/frame.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/store_update.h"
 #include "poplarspool/peer/update_assembler.h"
 
@@ -33,6 +34,7 @@
     CPPUNIT_TEST(longBatchesAreJoined);
     CPPUNIT_TEST(incompleteBatchesAreNotApplied);
     CPPUNIT_TEST(eachRecipientIsInOneForwardGroup);
+    CPPUNIT_TEST(addressesOfAForwardGroupFitBesideTheChanges);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +195,28 @@
         CPPUNIT_ASSERT(!assembler.add(1, invalid, start));
     }
 
+    /// The addresses of a group made datagrams with many changes too long. The instances behind the
+    /// forwarders got none of them, and asked the store just when most had changed.
+    void addressesOfAForwardGroupFitBesideTheChanges()
+    {
+        store_update update;
+        for (const std::uint32_t kind : {1U, 2U}) {
+            kind_update one{kind, true, UINT64_MAX, {UINT64_MAX, UINT64_MAX}, UINT32_MAX, {}};
+            one.part = config::maxUpdateParts;
+            one.parts = config::maxUpdateParts;
+            update.kinds.push_back(one);
+        }
+        const std::size_t each = config::maxRelayedBytes / config::maxRelayedChanges - 1;
+        update.kinds[0].changes.resize(config::maxRelayedChanges, std::string(each, 'a'));
+        update.origin = UINT64_MAX;
+        for (std::size_t i = 0; i < config::maxForwardGroup; ++i)
+            update.forwardTo.push_back({"255.255.255.255", UINT16_MAX});
+        const std::string bytes = valueOf(encode(update));
+        CPPUNIT_ASSERT(valueOf(decodeStoreUpdate(bytes)) == update);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes.size()),
+                               frameHeaderBytes + bytes.size() <= config::maxDatagramBytes);
+    }
+
     void eachRecipientIsInOneForwardGroup()
     {
         for (const int count : {65, 163, 1000}) {
