One header of limits for each library

config.h held the numbers of all libraries, and gateway/limits.h those of the adapter too. Each constant now stands with the library that uses it; what several use is in base. storeWatchTimeout, which nothing used, is gone.

--- a/include/poplarspool/base/settings.h
+++ b/include/poplarspool/base/settings.h
@@ -4,7 +4,7 @@
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/http.h"
 #include "poplarspool/base/ids.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <string>
 #include <vector>
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -1,10 +1,15 @@
 #pragma once
 
-#include "poplarspool/config.h"
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 
-/// Limits and weights of the gateway and of the code that watches the platform's store for it.
+/// Limits and weights of the gateway.
 namespace poplarspool::config {
 
+using namespace std::chrono_literals;
+
+/// Limits and weights of the gateway and of the code that watches the platform's store for it.
 /// Prompt tokens that a prefill engine processes per millisecond, from the engines' data sheets.
 inline constexpr double prefillTokensPerMs = 112;
 /// Prefill speed of a decode engine as a share of that, from the data sheets.
@@ -158,7 +163,6 @@
 /// Maximum age of the last confirmation of the routes at which an unknown route is reported as not
 /// found. It is below the 2 s in which a change must be in force everywhere.
 inline constexpr std::chrono::milliseconds routesTrustTime = 1900ms;
-
 /// Minimum share of the engines that run requests (decode), for engines with large and with small
 /// batches; their minimum number; and the batch size from which a batch is large. Engines with
 /// small batches run out of slots before they run out of time for prompts.
@@ -204,13 +208,6 @@
 inline constexpr std::chrono::milliseconds stageOrderTimeout = 8s;
 /// Time-out of one report or order call; engines answer these at once.
 inline constexpr std::chrono::milliseconds stageCallTimeout = 400ms;
-
-/// Time-outs of calls to the platform's store: connect, read, write. A slow store takes 60 times
-/// its usual 4 ms.
-inline constexpr std::chrono::milliseconds storeConnectTimeout = 500ms;
-inline constexpr std::chrono::milliseconds storeReadTimeout = 1000ms;
-inline constexpr std::chrono::milliseconds storeWriteTimeout = 1500ms;
-inline constexpr std::size_t maxIdleStoreConnections = 2;
 /// Number of runner incarnations that must end under a request before it is quarantined; the first
 /// quarantine time; the factor by which each further incarnation extends it; and the maximum. The
 /// request is tried three times in the first day, and an innocent one is released soon.
@@ -253,49 +250,8 @@
 inline constexpr std::chrono::milliseconds maxCrashReadPause = 16s;
 /// The maximum if the store has not been read since the start or since a failed write.
 inline constexpr std::chrono::milliseconds maxFirstCrashReadPause = 2s;
-
-/// Pages of one list: with 500 objects or 1 MB each, more than a process's memory holds.
-inline constexpr std::size_t maxStoreListPages = 256;
-/// Bounds of the wait of one watch (watchTimeFor()): each call has a price.
-inline constexpr std::chrono::milliseconds minGatewayWatchTime = 500ms;
-inline constexpr std::chrono::milliseconds maxGatewayWatchTime = 10s;
-/// Time from a watch that is given up to the arrival of the last request that was placed without
-/// its changes: a pause of 100 ms, an answer of a slow store (360 ms), and 150 ms to connect to a
-/// runner.
-inline constexpr std::chrono::milliseconds watchLossLag = 700ms;
-/// Time from the expiry of a confirmation to the arrival of the last request that was placed
-/// without newer changes: an answer of a slow store (360 ms), 150 ms to connect to a runner, and
-/// up to 90 ms of processing.
-inline constexpr std::chrono::milliseconds confirmationLossLag = 600ms;
-/// Minimum time for which a confirmation of the store is valid (trustTimeFor()). With a shorter
-/// time, the relays would query the store more than twice per second.
-inline constexpr std::chrono::milliseconds minTrustTime = 1300ms;
-/// Number of other instances in a zone from which an instance relays store changes to these only.
-/// In smaller zones, most instances would become relays.
-inline constexpr std::size_t minZonePeersForRelay = 8;
-/// Silence after which a connection to the store counts as lost: the store's host acknowledges
-/// probes also while a watch waits.
-inline constexpr std::chrono::seconds storeSilenceTimeout = 1s;
-/// Wait of the first watch after a failure: changes made in the meantime are returned at once.
-inline constexpr std::chrono::milliseconds storeProbeWatchTime = 50ms;
-/// Minimum interval between watches. A runner that leaves must get no more requests after 2 s.
-inline constexpr std::chrono::milliseconds gatewayWatchGap = 900ms;
-/// The same for a relay: its calls are few, and all instances use their results.
-inline constexpr std::chrono::milliseconds relayWatchGap = 300ms;
-/// Pauses between tries to reach the store: initial and maximum. A change must be in force 2 s
-/// after the store accepted it.
-inline constexpr std::chrono::milliseconds initialGatewayStorePause = 50ms;
-inline constexpr std::chrono::milliseconds maxGatewayStorePause = 400ms;
 /// Longer times in the operators' configuration are reduced to this: longer than any request.
 inline constexpr std::chrono::milliseconds maxConfiguredTime = 24h;
-/// Maximum time by which an answer that the store held back may be older than its arrival.
-inline constexpr std::chrono::milliseconds storeConfirmDelay = 300ms;
-/// Connections to the auxiliary servers beside the callers' one, and bytes of a request there.
-inline constexpr std::uint32_t maxAuxiliaryConnections = 64;
-inline constexpr std::size_t maxAuxiliaryRequestBytes = 4096;
-/// Interval of reading the list of instances: after a read that showed a change, and the maximum.
-inline constexpr std::chrono::milliseconds instancesInterval = 2s;
-inline constexpr std::chrono::milliseconds maxInstancesInterval = 16s;
 /// After a store rollback: the time over which the instances spread the writes of their own
 /// objects, and the grace period of instances that the snapshot lacks. Stale lists are some
 /// seconds old.
@@ -336,12 +292,4 @@
 inline constexpr std::chrono::milliseconds leaveMargin = 900ms;
 inline constexpr std::chrono::milliseconds lateCallerTime = 500ms;
 
-/// Maximum time of a route or limit; longer ones are reduced to it and can be added to any clock's
-/// time.
-inline constexpr std::chrono::milliseconds maxRouteTime = std::chrono::hours(24);
-/// Largest weight of a route after scaling, where a weight is a fraction or exceeds 32 bits.
-inline constexpr double maxScaledWeight = 1'000'000;
-/// Maximum refused entries of one configuration that are logged with a line each.
-inline constexpr std::size_t maxRefusedLines = 16;
-
 } // namespace poplarspool::config
--- a/include/poplarspool/policy/retry.h
+++ b/include/poplarspool/policy/retry.h
@@ -2,7 +2,6 @@
 
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/result.h"
-#include "poplarspool/config.h"
 
 #include <atomic>
 #include <cstdint>
--- a/include/poplarspool/policy/rules.h
+++ b/include/poplarspool/policy/rules.h
@@ -2,8 +2,9 @@
 
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/ids.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/base/result.h"
-#include "poplarspool/config.h"
+#include "poplarspool/policy/limits.h"
 
 #include <cstdint>
 #include <string>
--- a/src/base/connection_pool.cpp
+++ b/src/base/connection_pool.cpp
@@ -1,6 +1,6 @@
 #include "base/connection_pool.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 
--- a/src/base/connection_threads.cpp
+++ b/src/base/connection_threads.cpp
@@ -1,6 +1,6 @@
 #include "base/connection_threads.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <condition_variable>
 #include <deque>
--- a/src/base/http_listener.cpp
+++ b/src/base/http_listener.cpp
@@ -1,7 +1,7 @@
 #include "base/http_listener.h"
 
+#include "poplarspool/base/limits.h"
 #include "poplarspool/base/named_thread.h"
-#include "poplarspool/config.h"
 
 #include <algorithm>
 #include <sys/socket.h>
--- a/src/base/http_pool.cpp
+++ b/src/base/http_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "base/connection_pool.h"
 #include "base/pooled_call.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -4,7 +4,7 @@
 #include "base/http_listener.h"
 #include "base/reply_writer.h"
 #include "base/request_reader.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <atomic>
 #include <utility>
--- a/src/base/http_text.cpp
+++ b/src/base/http_text.cpp
@@ -1,6 +1,6 @@
 #include "base/http_text.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/base/journal.cpp
+++ b/src/base/journal.cpp
@@ -1,7 +1,7 @@
 #include "poplarspool/base/journal.h"
 
 #include "base/log_rate_limiter.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
--- a/src/base/named_thread.cpp
+++ b/src/base/named_thread.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/base/named_thread.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <atomic>
 #include <chrono>
--- a/src/base/pooled_call.cpp
+++ b/src/base/pooled_call.cpp
@@ -1,6 +1,6 @@
 #include "base/pooled_call.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <array>
 #include <cstring>
--- a/src/bench/decisions.cpp
+++ b/src/bench/decisions.cpp
@@ -4,6 +4,7 @@
 #include "bench/sample_stats.h"
 #include "gateway/runner_table.h"
 #include "poplarspool/base/hash.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/policy/plan.h"
 #include "poplarspool/policy/routing.h"
 
--- a/src/bench/gossip_command.cpp
+++ b/src/bench/gossip_command.cpp
@@ -3,8 +3,9 @@
 #include "bench/command.h"
 #include "bench/process_usage.h"
 #include "bench/sample_stats.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/peer/gossip.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/bench/load_plan.cpp
+++ b/src/bench/load_plan.cpp
@@ -2,7 +2,7 @@
 
 #include "bench/command.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/caller/limits.h"
 #include "standin/tokens.h"
 
 namespace poplarspool::bench {
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -8,7 +8,7 @@
 #include "caller/request_observer.h"
 #include "caller/service_path.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <httplib.h>
 
--- a/src/caller/completion_json.cpp
+++ b/src/caller/completion_json.cpp
@@ -3,7 +3,8 @@
 #include "poplarspool/base/error_reply.h"
 
 #include "caller/json_text.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/caller/limits.h"
 
 #include <array>
 #include <set>
--- a/src/caller/request_head.cpp
+++ b/src/caller/request_head.cpp
@@ -1,6 +1,7 @@
 #include "caller/request_head.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/caller/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/caller/service_path.cpp
+++ b/src/caller/service_path.cpp
@@ -1,6 +1,6 @@
 #include "caller/service_path.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/duties/usage_update.cpp
+++ b/src/duties/usage_update.cpp
@@ -1,7 +1,7 @@
 #include "duties/usage_update.h"
 
 #include "peer/codec.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/duties/limits.h"
 
 namespace poplarspool::duties {
--- a/src/gateway/caller_limits.cpp
+++ b/src/gateway/caller_limits.cpp
@@ -1,6 +1,6 @@
 #include "gateway/caller_limits.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
--- a/src/gateway/crash_update.cpp
+++ b/src/gateway/crash_update.cpp
@@ -3,7 +3,6 @@
 #include "gateway/envelope.h"
 #include "peer/codec.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/peer/gossip.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 #include "poplarspool/policy/role_owner.h"
 
--- a/src/gateway/relayed_changes.cpp
+++ b/src/gateway/relayed_changes.cpp
@@ -1,6 +1,6 @@
 #include "peer/codec.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/catalogue_updater.h"
 
 #include <algorithm>
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -1,6 +1,6 @@
 #include "gateway/runner_call.h"
 
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -1,5 +1,6 @@
 #include "gateway/runner_table.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_proxy.h"
 
 #include "gateway/runner_control.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
--- a/src/node/claim_batcher.cpp
+++ b/src/node/claim_batcher.cpp
@@ -1,6 +1,6 @@
 #include "node/claim_batcher.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <algorithm>
 
--- a/src/node/claim_writer.cpp
+++ b/src/node/claim_writer.cpp
@@ -1,6 +1,7 @@
 #include "node/claim_writer.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/node/limits.h"
 
 #include <algorithm>
 
--- a/src/node/demand.cpp
+++ b/src/node/demand.cpp
@@ -1,7 +1,7 @@
 #include "node/demand.h"
 
 #include "poplarspool/base/bounded_json.h"
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/freshness.cpp
+++ b/src/node/freshness.cpp
@@ -1,6 +1,6 @@
 #include "node/freshness.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <algorithm>
 
--- a/src/node/load_monitor.cpp
+++ b/src/node/load_monitor.cpp
@@ -1,7 +1,7 @@
 #include "node/load_monitor.h"
 
 #include "poplarspool/base/bounded_json.h"
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 #include "poplarspool/policy/role_owner.h"
 
 #include <nlohmann/json.hpp>
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -1,7 +1,7 @@
 #include "node/membership.h"
 
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <algorithm>
 
--- a/src/node/order_guard.cpp
+++ b/src/node/order_guard.cpp
@@ -1,6 +1,6 @@
 #include "node/order_guard.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <cerrno>
 #include <mutex>
--- a/src/node/order_sender.cpp
+++ b/src/node/order_sender.cpp
@@ -3,7 +3,8 @@
 #include "base/pooled_call.h"
 #include "base/socket.h"
 #include "node/order_guard.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/runner/limits.h"
 #include "runner/engine_json.h"
 
 #include <algorithm>
--- a/src/node/order_writer.cpp
+++ b/src/node/order_writer.cpp
@@ -1,7 +1,8 @@
 #include "node/order_writer.h"
 
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/node/limits.h"
 #include "poplarspool/operators/config_store.h"
 
 #include <algorithm>
--- a/src/node/request_handler.cpp
+++ b/src/node/request_handler.cpp
@@ -1,6 +1,8 @@
 #include "node/request_handler.h"
 
 #include "poplarspool/base/hash.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/node/limits.h"
 
 #include <algorithm>
 #include <thread>
--- a/src/node/try_series.cpp
+++ b/src/node/try_series.cpp
@@ -1,6 +1,8 @@
 #include "node/try_series.h"
 
 #include "poplarspool/base/hash.h"
+#include "poplarspool/node/limits.h"
+#include "poplarspool/policy/limits.h"
 
 #include <thread>
 
--- a/src/node/watched_sync.cpp
+++ b/src/node/watched_sync.cpp
@@ -1,7 +1,8 @@
 #include "node/watched_sync.h"
 
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/node/limits.h"
 #include "poplarspool/node/orders.h"
 #include "poplarspool/operators/config_files.h"
 
--- a/src/operators/config_head.cpp
+++ b/src/operators/config_head.cpp
@@ -1,4 +1,3 @@
-#include "poplarspool/config.h"
 
 #include "poplarspool/base/bounded_json.h"
 #include "poplarspool/operators/config_store.h"
--- a/src/operators/config_store.cpp
+++ b/src/operators/config_store.cpp
@@ -2,8 +2,8 @@
 
 #include "operators/config_diff.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
 #include "poplarspool/operators/config_files.h"
+#include "poplarspool/operators/limits.h"
 
 #include <algorithm>
 #include <ctime>
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -1,5 +1,6 @@
 #include "operators/file_keys.h"
 #include "operators/value_rules.h"
+#include "poplarspool/base/limits.h"
 
 #include <utility>
 #include <vector>
--- a/src/operators/inventory_file.cpp
+++ b/src/operators/inventory_file.cpp
@@ -1,6 +1,7 @@
 #include "operators/cross_checks.h"
 #include "operators/file_keys.h"
 #include "operators/value_rules.h"
+#include "poplarspool/operators/limits.h"
 
 #include <algorithm>
 
--- a/src/operators/operator_client.cpp
+++ b/src/operators/operator_client.cpp
@@ -1,7 +1,8 @@
 #include "operators/operator_client.h"
 
 #include "operators/wire_json.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/operators/limits.h"
 
 #include <ostream>
 
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -3,8 +3,9 @@
 
 #include "operators/wire_json.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/operators/config_files.h"
+#include "poplarspool/operators/limits.h"
 
 #include <httplib.h>
 #include <openssl/crypto.h>
--- a/src/operators/rules_file.cpp
+++ b/src/operators/rules_file.cpp
@@ -1,6 +1,8 @@
 #include "operators/cross_checks.h"
 #include "operators/file_keys.h"
 #include "operators/value_rules.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/operators/limits.h"
 
 namespace poplarspool::operators {
 
--- a/src/operators/settings_file.cpp
+++ b/src/operators/settings_file.cpp
@@ -1,5 +1,6 @@
 #include "operators/file_keys.h"
 #include "operators/value_rules.h"
+#include "poplarspool/operators/limits.h"
 
 #include <limits>
 
--- a/src/operators/value_rules.cpp
+++ b/src/operators/value_rules.cpp
@@ -1,4 +1,5 @@
 #include "operators/value_rules.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <iomanip>
--- a/src/operators/value_rules.h
+++ b/src/operators/value_rules.h
@@ -3,7 +3,6 @@
 #include "operators/toml_reader.h"
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
-#include "poplarspool/config.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -3,7 +3,8 @@
 #include "base/socket.h"
 #include "peer/call_wire.h"
 #include "peer/drop_counters.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -5,7 +5,8 @@
 #include "peer/call_wire.h"
 #include "peer/drop_counters.h"
 #include "peer/numeric_address.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cerrno>
 #include <exception>
--- a/src/peer/call_wire.cpp
+++ b/src/peer/call_wire.cpp
@@ -1,7 +1,7 @@
 #include "peer/call_wire.h"
 
 #include "peer/codec.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <openssl/rand.h>
 
--- a/src/peer/call_wire.h
+++ b/src/peer/call_wire.h
@@ -3,7 +3,7 @@
 #include "base/socket.h"
 #include "peer/frame.h"
 #include "poplarspool/base/result.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/messages.h"
 
 #include <string>
--- a/src/peer/datagram_loop.cpp
+++ b/src/peer/datagram_loop.cpp
@@ -1,6 +1,6 @@
 #include "peer/datagram_loop.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <poll.h>
--- a/src/peer/datagram_socket.cpp
+++ b/src/peer/datagram_socket.cpp
@@ -1,7 +1,7 @@
 #include "peer/datagram_socket.h"
 
 #include "peer/numeric_address.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <array>
 #include <cerrno>
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -2,7 +2,7 @@
 
 #include "peer/codec.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -7,8 +7,9 @@
 #include "peer/gossip_protocol.h"
 #include "peer/numeric_address.h"
 #include "peer/replay_window.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/base/named_thread.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/peer/gossip_message.cpp
+++ b/src/peer/gossip_message.cpp
@@ -1,7 +1,8 @@
 #include "peer/gossip_message.h"
 
 #include "peer/codec.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/peer/gossip_protocol.cpp
+++ b/src/peer/gossip_protocol.cpp
@@ -2,7 +2,7 @@
 
 #include "peer/frame.h"
 #include "peer/update_picker.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/peer/gossip_table.cpp
+++ b/src/peer/gossip_table.cpp
@@ -1,7 +1,7 @@
 #include "peer/gossip_table.h"
 
 #include "peer/frame.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 
--- a/src/peer/load_digest.cpp
+++ b/src/peer/load_digest.cpp
@@ -1,5 +1,5 @@
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 
 #include <map>
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -1,7 +1,7 @@
 #include "poplarspool/peer/load_exchange.h"
 
 #include "peer/datagram_loop.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/peer/load_update.cpp
+++ b/src/peer/load_update.cpp
@@ -1,6 +1,6 @@
 #include "peer/codec.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 
 #include <algorithm>
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -1,7 +1,8 @@
 #include "poplarspool/peer/messages.h"
 
 #include "peer/codec.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 namespace poplarspool::peer {
 
--- a/src/peer/prober.cpp
+++ b/src/peer/prober.cpp
@@ -1,6 +1,6 @@
 #include "peer/prober.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 
--- a/src/peer/relay_election.cpp
+++ b/src/peer/relay_election.cpp
@@ -2,7 +2,7 @@
 
 #include "peer/frame.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/peer/replay_window.cpp
+++ b/src/peer/replay_window.cpp
@@ -1,4 +1,5 @@
 #include "peer/replay_window.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 
--- a/src/peer/replay_window.h
+++ b/src/peer/replay_window.h
@@ -2,7 +2,7 @@
 
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/ids.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <bitset>
 #include <cstdint>
--- a/src/peer/rumor_table.cpp
+++ b/src/peer/rumor_table.cpp
@@ -1,6 +1,7 @@
 #include "peer/rumor_table.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <tuple>
 
--- a/src/peer/store_update_exchange.cpp
+++ b/src/peer/store_update_exchange.cpp
@@ -2,8 +2,9 @@
 
 #include "peer/datagram_socket.h"
 #include "peer/forward_groups.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/base/named_thread.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/src/peer/update_assembler.cpp
+++ b/src/peer/update_assembler.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/peer/update_assembler.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/peer/update_picker.cpp
+++ b/src/peer/update_picker.cpp
@@ -1,6 +1,7 @@
 #include "peer/update_picker.h"
 
 #include "peer/frame.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 
--- a/src/peer/update_picker.h
+++ b/src/peer/update_picker.h
@@ -3,7 +3,6 @@
 #include "peer/gossip_message.h"
 #include "peer/gossip_table.h"
 #include "peer/rumor_table.h"
-#include "poplarspool/config.h"
 
 #include <cstdint>
 #include <random>
--- a/src/platform/object_store.cpp
+++ b/src/platform/object_store.cpp
@@ -2,7 +2,7 @@
 
 #include "platform/call_limiter.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/policy/addresses.cpp
+++ b/src/policy/addresses.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/policy/routing.h"
 
 #include "poplarspool/base/hash.h"
+#include "poplarspool/policy/limits.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/policy/engine_estimate.cpp
+++ b/src/policy/engine_estimate.cpp
@@ -1,4 +1,5 @@
 #include "engine_estimate.h"
+#include "poplarspool/policy/limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/policy/plan.cpp
+++ b/src/policy/plan.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/policy/plan.h"
 
+#include "poplarspool/base/limits.h"
+#include "poplarspool/policy/limits.h"
 #include "role_split.h"
 
 #include <algorithm>
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -1,4 +1,5 @@
 #include "poplarspool/policy/retry.h"
+#include "poplarspool/policy/limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -1,6 +1,7 @@
 #include "role_split.h"
 
 #include "engine_estimate.h"
+#include "poplarspool/policy/limits.h"
 
 #include <algorithm>
 #include <array>
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -2,6 +2,7 @@
 
 #include "engine_estimate.h"
 #include "poplarspool/base/hash.h"
+#include "poplarspool/policy/limits.h"
 #include "spread.h"
 
 #include <algorithm>
--- a/src/policy/view.cpp
+++ b/src/policy/view.cpp
@@ -1,4 +1,5 @@
 #include "poplarspool/policy/view.h"
+#include "poplarspool/policy/limits.h"
 
 namespace poplarspool::policy {
 
--- a/src/runner/http_engine.cpp
+++ b/src/runner/http_engine.cpp
@@ -1,5 +1,6 @@
 #include "poplarspool/runner/engine.h"
 
+#include "poplarspool/runner/limits.h"
 #include "runner/engine_json.h"
 #include "runner/stream_reader.h"
 
--- a/src/runner/http_service.cpp
+++ b/src/runner/http_service.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/runner/service.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/runner/limits.h"
 #include "runner/engine_json.h"
 
 #include <algorithm>
--- a/src/runner/line_splitter.cpp
+++ b/src/runner/line_splitter.cpp
@@ -1,4 +1,5 @@
 #include "runner/line_splitter.h"
+#include "poplarspool/runner/limits.h"
 
 namespace poplarspool::runner {
 
--- a/src/runner/line_splitter.h
+++ b/src/runner/line_splitter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "poplarspool/config.h"
+#include "poplarspool/runner/limits.h"
 
 #include <functional>
 #include <string>
--- a/tests/adapter/decode_bounds_test.cpp
+++ b/tests/adapter/decode_bounds_test.cpp
@@ -1,5 +1,5 @@
 #include "platform/decode.h"
-#include "poplarspool/gateway/limits.h"
+#include "platform/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -1,8 +1,8 @@
 #include "adapter/follower_fixture.h"
 #include "adapter/scripted_store.h"
 #include "platform/kind_watch.h"
+#include "platform/limits.h"
 #include "platform/names.h"
-#include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
 #include <atomic>
--- a/tests/adapter/short_staleness_bounds_test.cpp
+++ b/tests/adapter/short_staleness_bounds_test.cpp
@@ -1,6 +1,6 @@
 #include "adapter/follower_pair.h"
 #include "clean_exit.h"
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/adapter/store_follower_test.cpp
+++ b/tests/adapter/store_follower_test.cpp
@@ -1,8 +1,8 @@
 #include "adapter/follower_pair.h"
 #include "platform/kind_watch.h"
+#include "platform/limits.h"
 #include "platform/names.h"
-#include "poplarspool/config.h"
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/adapter/unanswered_watch_test.cpp
+++ b/tests/adapter/unanswered_watch_test.cpp
@@ -1,7 +1,7 @@
 #include "adapter/scripted_store.h"
 #include "platform/adapter.h"
+#include "platform/limits.h"
 #include "platform/names.h"
-#include "poplarspool/gateway/limits.h"
 
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/base/bounded_json_test.cpp
+++ b/tests/base/bounded_json_test.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/base/bounded_json.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -1,7 +1,5 @@
 #include "poplarspool/caller/caller_server.h"
 
-#include "poplarspool/config.h"
-
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
--- a/tests/caller/completion_json_test.cpp
+++ b/tests/caller/completion_json_test.cpp
@@ -2,7 +2,7 @@
 
 #include "caller/json_text.h"
 #include "clean_exit.h"
-#include "poplarspool/config.h"
+#include "poplarspool/caller/limits.h"
 #include "recording_sink.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/caller/request_head_test.cpp
+++ b/tests/caller/request_head_test.cpp
@@ -1,6 +1,6 @@
 #include "caller/request_head.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/duties/usage_exchange_test.cpp
+++ b/tests/duties/usage_exchange_test.cpp
@@ -1,7 +1,6 @@
 #include "poplarspool/duties/usage_exchange.h"
 
 #include "duties/usage_update.h"
-#include "poplarspool/config.h"
 #include "poplarspool/duties/limits.h"
 
 #include <arpa/inet.h>
--- a/tests/faults/drain_scenarios.cpp
+++ b/tests/faults/drain_scenarios.cpp
@@ -1,7 +1,7 @@
 #include "faults/load_generator.h"
 #include "faults/scenarios.h"
 #include "faults/waiting.h"
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <chrono>
 #include <future>
--- a/tests/gateway/address_subset_test.cpp
+++ b/tests/gateway/address_subset_test.cpp
@@ -1,7 +1,6 @@
 #include "gateway/address_subset.h"
 
 #include "poplarspool/base/hash.h"
-#include "poplarspool/gateway/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/gateway/quarantine_manager_test.cpp
+++ b/tests/gateway/quarantine_manager_test.cpp
@@ -1,7 +1,8 @@
 #include "gateway/quarantine_manager.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/gateway/relayed_changes_test.cpp
+++ b/tests/gateway/relayed_changes_test.cpp
@@ -1,4 +1,4 @@
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/catalogue_updater.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/gateway/relayed_routes_test.cpp
+++ b/tests/gateway/relayed_routes_test.cpp
@@ -1,6 +1,6 @@
 #include "peer/codec.h"
-#include "poplarspool/config.h"
 #include "poplarspool/gateway/catalogue_updater.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/node/answers_test.cpp
+++ b/tests/node/answers_test.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/node/answers.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
--- a/tests/node/claim_writer_test.cpp
+++ b/tests/node/claim_writer_test.cpp
@@ -1,7 +1,8 @@
 #include "node/claim_writer.h"
 
 #include "memory_store.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/policy/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/node/claims_test.cpp
+++ b/tests/node/claims_test.cpp
@@ -3,7 +3,8 @@
 #include "memory_store.h"
 #include "node/request_deduplicator.h"
 #include "poplarspool/base/hash.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/policy/limits.h"
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/node/freshness_test.cpp
+++ b/tests/node/freshness_test.cpp
@@ -1,5 +1,5 @@
 #include "node/freshness.h"
-#include "poplarspool/config.h"
+#include "poplarspool/node/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/node/order_fakes.h
+++ b/tests/node/order_fakes.h
@@ -3,7 +3,6 @@
 #include "memory_store.h"
 #include "node/planner_core.h"
 
-#include "poplarspool/config.h"
 #include "poplarspool/operators/config_store.h"
 
 #include <functional>
--- a/tests/node/orders_race_test.cpp
+++ b/tests/node/orders_race_test.cpp
@@ -1,4 +1,5 @@
 #include "order_fakes.h"
+#include "poplarspool/node/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/node/orders_test.cpp
+++ b/tests/node/orders_test.cpp
@@ -1,4 +1,6 @@
 #include "order_fakes.h"
+#include "poplarspool/node/limits.h"
+#include "poplarspool/policy/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/operators/config_files_test.cpp
+++ b/tests/operators/config_files_test.cpp
@@ -1,5 +1,6 @@
 #include "operators/key_table.h"
 #include "operators/sample_files.h"
+#include "poplarspool/base/limits.h"
 #include "poplarspool/operators/commands.h"
 #include "poplarspool/operators/config_files.h"
 
--- a/tests/peer/calls_test.cpp
+++ b/tests/peer/calls_test.cpp
@@ -1,8 +1,8 @@
 #include "base/socket.h"
 #include "peer/call_wire.h"
 #include "peer/numeric_address.h"
-#include "poplarspool/config.h"
 #include "poplarspool/peer/calls.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/peer/decoder_test.cpp
+++ b/tests/peer/decoder_test.cpp
@@ -3,6 +3,7 @@
 #include "peer/frame.h"
 #include "peer/gossip_message.h"
 #include "peer/replay_window.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/messages.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/peer/gossip_protocol_test.cpp
+++ b/tests/peer/gossip_protocol_test.cpp
@@ -1,6 +1,8 @@
 #include "memory_net.h"
 
+#include "poplarspool/base/limits.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
--- a/tests/peer/gossip_table_test.cpp
+++ b/tests/peer/gossip_table_test.cpp
@@ -1,4 +1,5 @@
 #include "peer/gossip_table.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/peer/gossip_test.cpp
+++ b/tests/peer/gossip_test.cpp
@@ -2,8 +2,8 @@
 #include "peer/frame.h"
 #include "peer/gossip_message.h"
 #include "peer/numeric_address.h"
-#include "poplarspool/config.h"
 #include "poplarspool/peer/gossip.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/peer/load_update_test.cpp
+++ b/tests/peer/load_update_test.cpp
@@ -1,4 +1,4 @@
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 
 #include <condition_variable>
--- a/tests/peer/memory_net.h
+++ b/tests/peer/memory_net.h
@@ -2,7 +2,8 @@
 
 #include "peer/frame.h"
 #include "peer/gossip_protocol.h"
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <functional>
--- a/tests/peer/relay_election_test.cpp
+++ b/tests/peer/relay_election_test.cpp
@@ -1,4 +1,4 @@
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/relay_election.h"
 
 #include <algorithm>
--- a/tests/peer/store_update_exchange_test.cpp
+++ b/tests/peer/store_update_exchange_test.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/peer/store_update_exchange.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/peer/limits.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/tests/platform/object_store_test.cpp
+++ b/tests/platform/object_store_test.cpp
@@ -1,7 +1,5 @@
 #include "poplarspool/platform/object_store.h"
 
-#include "poplarspool/config.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -4,7 +4,7 @@
 #include "standin/platform.h"
 #include "standin/platform_instance_list.h"
 
-#include "poplarspool/config.h"
+#include "poplarspool/base/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/policy/addresses_test.cpp
+++ b/tests/policy/addresses_test.cpp
@@ -1,4 +1,5 @@
 #include "fixture.h"
+#include "poplarspool/policy/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/policy/retry_test.cpp
+++ b/tests/policy/retry_test.cpp
@@ -1,3 +1,4 @@
+#include "poplarspool/policy/limits.h"
 #include "poplarspool/policy/retry.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/runner/engine_stream_test.cpp
+++ b/tests/runner/engine_stream_test.cpp
@@ -1,4 +1,5 @@
 #include "engine_fixture.h"
+#include "poplarspool/runner/limits.h"
 
 #include <future>
 
