Ask the store if announced changes do not arrive

Cause: partial updates showed that their relay was alive, but not that the receiver lacked changes. Where the last update of a series was lost each time, an instance relied on its old list until the last confirmation expired, 4.4 s with a bound of 5 s, and then had 0.6 s left for a call that all its neighbors made at the same time.

Test: announcedChangesThatDoNotArriveEndTheCover. Not measured on the fleet.

--- a/include/poplarspool/peer/relay_election.h
+++ b/include/poplarspool/peer/relay_election.h
@@ -57,6 +57,8 @@
         bool isAnswered = false;
         store_version version;
         mono_time confirmedAt{};
+        store_version announced; ///< Newest version of the partial updates since.
+        mono_time announcedAt{}; ///< Arrival of the first of them.
     };
 
     struct relay
--- a/src/peer/relay_election.cpp
+++ b/src/peer/relay_election.cpp
@@ -35,10 +35,18 @@
     const auto before = std::exchange(sending.kinds, {});
     for (const kind_update &one : update.kinds) {
         const auto known = before.find(one.kind);
-        if (!one.isPartial)
-            sending.kinds[one.kind] = {one.isAnswered, one.version, now - milliseconds(one.ageMs)};
-        else if (known != before.end())
-            sending.kinds.insert(*known);
+        if (!one.isPartial) {
+            sending.kinds[one.kind] = {one.isAnswered, one.version, now - milliseconds(one.ageMs),
+                                       one.version, now};
+            continue;
+        }
+        if (known == before.end())
+            continue;
+        received_kind announcing = known->second;
+        if (announcing.announced == announcing.version)
+            announcing.announcedAt = now;
+        announcing.announced = std::max(announcing.announced, one.version);
+        sending.kinds[one.kind] = announcing;
     }
 }
 
@@ -97,8 +105,11 @@
                 && received.confirmedAt > known.confirmedAt + config::relayRetention;
         if (!received.isAnswered || isOlderEpoch || isContradiction)
             continue;
-        const mono_time end = std::min(received.confirmedAt + maxAge,
-                                       sending.receivedAt + config::relaySilenceLimit);
+        mono_time end = std::min(received.confirmedAt + maxAge,
+                                 sending.receivedAt + config::relaySilenceLimit);
+        // The rest of the changes is expected at once. If it is lost, the instance has to ask.
+        if (received.announced > known.version)
+            end = std::min(end, received.announcedAt + config::relaySilenceLimit);
         if (end > now)
             until = std::max(until.value_or(end), end);
     }
--- a/tests/peer/relay_election_test.cpp
+++ b/tests/peer/relay_election_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(restartedRevisionsAreNotCovered);
     CPPUNIT_TEST(secondRelayCoversForFirst);
     CPPUNIT_TEST(epochsCompareBeforeRevisions);
+    CPPUNIT_TEST(announcedChangesThatDoNotArriveEndTheCover);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +188,26 @@
         CPPUNIT_ASSERT(election.coveredUntil({runners, {0, 5}, at(0ms)}, maxAge, at(10ms)));
     }
 
+    /// A relay sends many changes in several datagrams, and the last of them is lost each time. The
+    /// instance must not rely for long on what it knew before: runners may have left since.
+    void announcedChangesThatDoNotArriveEndTheCover()
+    {
+        constexpr milliseconds longAge = 4400ms;
+        relay_election election{instance_id{"edge-1"}};
+        election.receive(relayNumber, updateOf(5, 0), at(0ms));
+        store_update partial = updateOf(9, 0);
+        partial.kinds.front().isPartial = true;
+        for (milliseconds time = 100ms; time <= 2000ms; time += 100ms) {
+            election.receive(relayNumber, partial, at(time));
+            const auto until = election.coveredUntil({runners, {0, 5}, at(0ms)}, longAge, at(time));
+            CPPUNIT_ASSERT_EQUAL(time < 100ms + config::relaySilenceLimit, until.has_value());
+        }
+        // An instance that has got them relies on the relay until the last confirmation expires.
+        CPPUNIT_ASSERT(election.coveredUntil({runners, {0, 9}, at(0ms)}, longAge, at(2000ms)));
+        election.receive(relayNumber, updateOf(9, 0), at(2100ms));
+        CPPUNIT_ASSERT(election.coveredUntil({runners, {0, 9}, at(0ms)}, longAge, at(2200ms)));
+    }
+
     /// After a store rollback, one relay has the new epoch and another does not. Revisions of two
     /// epochs can't be compared: the relay with the older epoch must not be relied on, and the one
     /// with the newer epoch is ahead although its revision is lower.
