--- a/tests/gateway/address_subset_test.cpp
+++ b/tests/gateway/address_subset_test.cpp
@@ -14,6 +14,7 @@
 std::vector<endpoint> addressesOf(int count)
 {
     std::vector<endpoint> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         made.push_back({"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1), 80});
     return made;
--- a/tests/gateway/runner_table_test.cpp
+++ b/tests/gateway/runner_table_test.cpp
@@ -233,6 +233,7 @@
         const runner_table::open_send first(zones.near.table, {"a"}, 0, send_class::Urgent);
         zones.exchange();
         std::vector<std::unique_ptr<runner_table::open_send>> more;
+        more.reserve(200);
         for (int i = 0; i < 200; ++i)
             more.push_back(std::make_unique<runner_table::open_send>(
                     zones.near.table, runner_id{"r" + std::to_string(i)}, 0, send_class::Urgent));
--- a/tests/peer/store_update_test.cpp
+++ b/tests/peer/store_update_test.cpp
@@ -153,6 +153,7 @@
         recent_changes recent;
         recent.reset({0, 5});
         std::vector<std::string> changes;
+        changes.reserve(200);
         for (int i = 0; i < 200; ++i)
             changes.push_back("change " + std::to_string(i));
         recent.add(5, {0, 9}, changes, start);
@@ -221,6 +222,7 @@
     {
         for (const int count : {65, 163, 1000}) {
             std::vector<endpoint> recipients;
+            recipients.reserve(static_cast<std::size_t>(count));
             for (int i = 0; i < count; ++i)
                 recipients.push_back({"10.0.0.1", static_cast<std::uint16_t>(i + 1)});
             std::set<endpoint> reached;
