--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -9,7 +9,6 @@
 
 using namespace std::chrono_literals;
 
-/// Limits and weights of the gateway and of the code that watches the platform's store for it.
 /// Prompt tokens that a prefill engine processes per millisecond, from the engines' data sheets.
 inline constexpr double prefillTokensPerMs = 112;
 /// Prefill speed of a decode engine as a share of that, from the data sheets.
@@ -61,8 +60,8 @@
 inline constexpr std::size_t sampledRunners = 32;
 /// Engines that are considered in the place of the preferred one while that is ejected or full.
 inline constexpr std::size_t preferredRunners = 4;
-/// Probes of the ring by which the preferred engine is found. With 21, no engine is preferred for
-/// more than a twentieth more keys than the mean.
+/// Probes of the ring by which the preferred engine is found. The more there are, the more evenly
+/// the keys are spread over the engines.
 inline constexpr std::size_t affinityProbes = 21;
 /// Prompt parts whose holders are remembered, twice: those added last, and those before them. And
 /// the holders of a prompt's parts that are considered as sources of a copy.
