Choose copies and preferred engines in small fleets as before

Of several engines that hold a prompt's parts the first of the sample was copied from, so that no engine's copy stayed in use; a ring with few engines spreads the keys unevenly; and eight holders of a part are few where eighteen engines have it.

Change: equal holders are used in the order of their ids; groups that are not sampled are ranked by rendezvous hashing as before; sixteen holders of a part are remembered and considered. Test: equalHoldersAreUsedInOneOrder.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -66,7 +66,7 @@
 /// Prompt parts whose holders are remembered, twice: those added last, and those before them. And
 /// the holders of a prompt's parts that are considered as sources of a copy.
 inline constexpr std::size_t maxHeldParts = 8192;
-inline constexpr std::size_t maxCopySources = 4;
+inline constexpr std::size_t maxCopySources = 16;
 /// Interval at which the load of silent instances is removed.
 inline constexpr std::chrono::milliseconds silenceCheckInterval = 100ms;
 /// Engines of a stage that are sampled for one request, besides the preferred engine of its shared
--- a/src/gateway/cache_holders.h
+++ b/src/gateway/cache_holders.h
@@ -22,7 +22,7 @@
 private:
     struct holder_list
     {
-        static constexpr std::size_t maxHolders = 8;
+        static constexpr std::size_t maxHolders = 16;
 
         std::array<std::uint32_t, maxHolders> runners{};
         std::uint32_t count = 0;
--- a/src/gateway/candidate_sample.cpp
+++ b/src/gateway/candidate_sample.cpp
@@ -4,6 +4,8 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace poplarspool::gateway {
 
@@ -28,6 +30,22 @@
     return hashOf({reinterpret_cast<const char *>(&key), sizeof(key)}, probe);
 }
 
+/// All runners of a small group, ordered by rendezvous hashing, which spreads the keys evenly over
+/// a few runners as well.
+std::vector<runner_entry> rankedWhole(const runner_ring &group, std::uint64_t key)
+{
+    std::vector<std::pair<std::uint64_t, runner_entry>> ranked;
+    ranked.reserve(group.size());
+    group.forEach(
+            [&](const runner_entry &one) { ranked.emplace_back(hashOf(one->id.text, key), one); });
+    std::ranges::sort(ranked, std::ranges::greater{}, [](const auto &one) { return one.first; });
+    std::vector<runner_entry> preferred;
+    preferred.reserve(ranked.size());
+    for (auto &one : ranked)
+        preferred.push_back(std::move(one.second));
+    return preferred;
+}
+
 } // namespace
 
 std::vector<runner_entry> sampleOf(const runner_ring &group, std::uint64_t draw)
@@ -48,6 +66,8 @@
 {
     if (key == 0 || group.isEmpty())
         return {};
+    if (group.size() <= config::sampledRunners)
+        return rankedWhole(group, key);
     std::array<ring_probe, config::affinityProbes> probes;
     for (std::size_t i = 0; i < probes.size(); ++i)
         probes[i] = probeAt(group, pointOf(key, i));
--- a/src/gateway/candidate_sample.h
+++ b/src/gateway/candidate_sample.h
@@ -14,9 +14,9 @@
 /// @param draw Uniformly distributed random bits.
 std::vector<runner_entry> sampleOf(const runner_ring &group, std::uint64_t draw);
 
-/// @returns Up to config::preferredRunners runners of the group, in the order in which all
-/// instances prefer them for prompts with the same shared parts. A runner that joins or leaves
-/// changes the order only for its own share of the keys.
+/// @returns The runners of the group in the order in which all instances prefer them for prompts
+/// with the same shared parts; the first config::preferredRunners of a group that is sampled. A
+/// runner that joins or leaves changes the order only for its own share of the keys.
 /// @param key Identifies the shared parts; 0: none.
 std::vector<runner_entry> preferredOf(const runner_ring &group, std::uint64_t key);
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -101,9 +101,17 @@
     return engines;
 }
 
+bool isBetterHolder(const placement_candidate &one, const placement_candidate &other)
+{
+    if (one.copyableTokens != other.copyableTokens)
+        return one.copyableTokens > other.copyableTokens;
+    return one.target->id < other.target->id;
+}
+
 /// The engine that has prefilled most of this prompt's beginning; null if none has. An engine that
 /// has only queued the prompt has nothing to copy yet: the requesting engine would have to prefill
-/// it in full.
+/// it in full. Of equal holders all instances choose the same one: engines evict what is used
+/// least, and each copy counts as a use.
 const placement_candidate *cacheHolderOf(const placement_query &query,
                                          std::span<const placement_candidate> candidates)
 {
@@ -111,7 +119,7 @@
     for (const placement_candidate &one : candidates) {
         const bool isUsable = one.target->service == query.service && one.copyableTokens > 0
                 && !isEjected(one, query.now);
-        if (isUsable && (holder == nullptr || one.copyableTokens > holder->copyableTokens))
+        if (isUsable && (holder == nullptr || isBetterHolder(one, *holder)))
             holder = &one;
     }
     return holder;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -67,6 +68,7 @@
     CPPUNIT_TEST(noRunnerIsDistinguishedFromAllTried);
     CPPUNIT_TEST(uncachedSharedPartsArePrefilledOnOneEngine);
     CPPUNIT_TEST(cachedPartsAreCopiedInsteadOfPrefilled);
+    CPPUNIT_TEST(equalHoldersAreUsedInOneOrder);
     CPPUNIT_TEST(longPromptsArePrefilledByPrefillEngines);
     CPPUNIT_TEST(decodeEnginesDoNotPrefillLongPrompts);
     CPPUNIT_TEST(prefilledRequestGoesToLeastLoadedDecoder);
@@ -179,6 +181,26 @@
         CPPUNIT_ASSERT(place.prefillMs < prefillTimeMs(engine_stage::Decode, 17000, 0) / 2);
     }
 
+    /// Several engines hold the shared parts. If each request copied from another one, none would
+    /// use them often enough to keep them, and all would evict them.
+    void equalHoldersAreUsedInOneOrder()
+    {
+        std::vector<placement_candidate> all{
+                candidateOf("c", engine_stage::Decode), candidateOf("a", engine_stage::Decode),
+                candidateOf("b", engine_stage::Decode), candidateOf("free", engine_stage::Decode)};
+        for (placement_candidate &one : all) {
+            if (one.target->id.text == "free")
+                continue;
+            one.cachedTokens = one.copyableTokens = 13300;
+            one.load.urgentPrefillMs = 400;
+        }
+        for (int turn = 0; turn < 4; ++turn) {
+            std::ranges::rotate(all, all.begin() + 1);
+            const auto place = std::get<placement>(choosePlacement(engineQuery(), all));
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), place.cacheSource->id.text);
+        }
+    }
+
     void longPromptsArePrefilledByPrefillEngines()
     {
         const std::vector<placement_candidate> all{candidateOf("d", engine_stage::Decode),
