--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -195,7 +195,7 @@
             one.load.urgentPrefillMs = 400;
         }
         for (int turn = 0; turn < 4; ++turn) {
-            std::ranges::rotate(all, all.begin() + 1);
+            std::rotate(all.begin(), all.begin() + 1, all.end());
             const auto place = std::get<placement>(choosePlacement(engineQuery(), all));
             CPPUNIT_ASSERT_EQUAL(std::string("a"), place.cacheSource->id.text);
         }
