--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -11,10 +11,11 @@
     src/policy/inventory.cpp src/policy/rules.cpp
     src/peer/call_wire.cpp src/peer/codec.cpp src/peer/frame.cpp src/peer/gossip_message.cpp
     src/peer/load_update.cpp src/peer/member_record.cpp src/peer/messages.cpp
-    src/peer/store_update.cpp
+    src/peer/packed_address.cpp src/peer/store_update.cpp
     src/gateway/caller_key.cpp src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_updater.cpp
     src/gateway/rollback_filter.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
     src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
+    src/gateway/runner_set.cpp
     src/gateway/crash_table.cpp src/gateway/crash_update.cpp src/gateway/relayed_changes.cpp
     src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
