Say in the log when a runner names a limit, and which limit a send was chosen under

Change: the header is read from each answer that the runner wrote itself, the observation is kept for the runner's incarnation, and runner_limit says when one begins, changes or ends. Each send's line has the limit that was known. An answer counts as newer only if it was asked for after the other was heard; of two that overlap the stricter one holds. Values that are no decimal number change nothing; of several in one answer the lowest counts; 0 leaves one request in ten seconds, since a runner that gets nothing could never say that its limit has ended. No decision reads any of it yet.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -72,6 +72,12 @@
 /// Engines of a stage that are sampled for one request, besides the preferred engine of its shared
 /// parts.
 inline constexpr std::ptrdiff_t sampledEngines = 4;
+/// Bounds of the rate limit that a runner names, in requests per second, and the maximum length of
+/// its text. A runner that takes nothing at all could never say that its limit has ended: it gets
+/// one request in ten seconds.
+inline constexpr double minRateLimit = 0.1;
+inline constexpr double maxRateLimit = 1e6;
+inline constexpr std::size_t maxRateLimitDigits = 32;
 /// Random cost that breaks ties; too small to outweigh any other cost.
 inline constexpr double tieBreakCost = 0.05;
 /// Share of a service's runners that stay eligible however many have failed recently: a common
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -75,6 +75,7 @@
           metrics(registry),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
                             settings.instance, clock, registry, eventLog),
+          rateLimiter(names.rateLimit, clock, registry, eventLog),
           proxyContext{names,
                        publisher,
                        runnerTable,
@@ -86,6 +87,7 @@
                        settings.zone,
                        leavesAt,
                        quarantineManager,
+                       rateLimiter,
                        hashOf(peerKeyOf(settings)),
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
@@ -159,6 +161,7 @@
     proxy_metrics metrics;
     usage_count usage{clock, durationOf(settings.usageWindowSeconds)};
     quarantine_manager quarantineManager;
+    rate_limiter rateLimiter;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
@@ -234,6 +237,7 @@
         return;
     callerServer.setLimits(callerLimitsOf(current->table->callerLimits));
     runnerTable.removeUnlisted(*current->runners);
+    rateLimiter.removeUnlisted(*current->runners);
 }
 
 gateway::gateway(gateway_settings settings, dialect names, platform_links links, clock_source clock,
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view unreachableFault = "prefill_unreachable";
+constexpr int acceptedStatus = 200;
 
 } // namespace
 
@@ -25,6 +26,7 @@
         record.recordExpected(service, prefillEngine.stage, place.aheadMs + place.prefillMs);
     context.runnerTable.recordCached(prefillEngine.id, metadata.prompt);
     context.metrics.prefillHandoffs.add();
+    const std::string limitText = limitTextOf(prefillEngine);
     const auto reply = sendPrefill(place, record);
     auto handle = reply ? context.names.parseHandle(reply->body) : std::nullopt;
     if (handle) {
@@ -37,6 +39,7 @@
                  {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
                  {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
                  {"reading_ms", std::to_string(std::lround(place.prefillMs))},
+                 {"limit", limitText},
                  {"left_ms", std::to_string(timeLeft().count())}});
         return handle;
     }
@@ -95,12 +98,16 @@
     http_reply reply;
     if (const auto *arrived = std::get_if<reply_head>(&head)) {
         reply.status = arrived->status;
+        const bool isRefused = !headerOf(arrived->headers, context.names.notRun).empty();
+        if (isRefused ? arrived->status != misdirectedStatus : arrived->status == acceptedStatus)
+            context.rateLimiter.recordReply(prefillEngine, arrived->headers,
+                                            isRefused ? reply_kind::Refused : reply_kind::Accepted,
+                                            sentAt);
         body_piece rest = call.readRest(deadline, config::maxBufferedReplyBytes);
         reply.body = std::move(rest.bytes);
         fault = rest.fault;
         if (rest.isLast) {
             keepConnection(call, *arrived, prefillEngine.address);
-            const bool isRefused = !headerOf(arrived->headers, context.names.notRun).empty();
             record.recordEnd(isRefused ? send_outcome::Refused : send_outcome::Failed);
             return reply;
         }
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -4,6 +4,7 @@
 #include "gateway/envelope.h"
 #include "gateway/event_splitter.h"
 #include "gateway/quarantine_manager.h"
+#include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
 #include "gateway/runner_call.h"
 #include "gateway/runner_table.h"
@@ -55,6 +56,7 @@
     /// requests' time limits are cut to it.
     const std::atomic<std::int64_t> &leavesAtNs;
     quarantine_manager &quarantineManager;
+    rate_limiter &rateLimiter;
     /// Seed of requests' digests; the same on all instances of the fleet.
     const std::uint64_t digestSeed = 0;
     /// Counts the requests of workspaces as they start to run; null: usage is not counted.
@@ -141,6 +143,8 @@
     socket_deadline deadlineIn(milliseconds time) const;
     std::uint32_t priorityOf(send_class urgency) const;
     void recordFirstByte(sending &current);
+    /// @returns The limit under which a request is sent to the runner, for a log line.
+    std::string limitTextOf(const runner &target) const;
     void recordUsage() const;
 
     const proxy_context &context;
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -27,6 +27,7 @@
     names.reservedHeaders = {"Runner", "Priority", "Stage", "Source", "Fetch", "Space"};
     names.seal = "Seal";
     names.notRun = "Not-Run";
+    names.rateLimit = "Rate";
     names.parseHandle = [](std::string_view body) -> std::optional<std::string> {
         if (body.empty())
             return std::nullopt;
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -67,9 +67,10 @@
             clock,
             registry,
             events};
+    rate_limiter rateLimiter{names.rateLimit, clock, registry, events};
     const proxy_context context{
-            names,  publisher, runnerTable, retries,  connections,       metrics,
-            events, clock,     {"z"},       leavesAt, quarantineManager, 7};
+            names, publisher, runnerTable, retries,           connections, metrics, events,
+            clock, {"z"},     leavesAt,    quarantineManager, rateLimiter, 7};
     test_caller caller;
 
     /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -48,8 +48,10 @@
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     quarantine_manager quarantineManager{{}, {}, {"test"}, clock, registry, events};
-    const proxy_context context{names,  publisher, runnerTable, retries,  connections,      metrics,
-                                events, clock,     {"z"},       leavesAt, quarantineManager};
+    rate_limiter rateLimiter{names.rateLimit, clock, registry, events};
+    const proxy_context context{
+            names,  publisher, runnerTable, retries,  connections,       metrics,
+            events, clock,     {"z"},       leavesAt, quarantineManager, rateLimiter};
 
     explicit fixture(std::vector<route> routes)
     {
