--- /dev/null
+++ b/tests/adapter/gateway_fleet.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "adapter/fake_store.h"
+#include "adapter/follower_fixture.h"
+#include "platform/adapter.h"
+#include "poplarspool/base/http.h"
+
+#include <atomic>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarspool::adapter::test {
+
+/// Complete instances on free loopback ports.
+class gateway_fleet
+{
+public:
+    /// @param firstPort The first of their ports; busy ones are skipped.
+    /// @param zones The instances are spread over these.
+    gateway_fleet(fake_store &store, int count, std::uint16_t firstPort,
+                  std::vector<std::string> zones = {"a"})
+        : store(store), zones(std::move(zones)), port(firstPort)
+    {
+        for (int i = 0; i < count; ++i)
+            startOne();
+    }
+
+    ~gateway_fleet()
+    {
+        for (const auto &one : instances)
+            one->leave();
+    }
+
+    void startOne()
+    {
+        while (port < 30000) {
+            gateway::gateway_settings settings = settingsAt(port);
+            port = static_cast<std::uint16_t>(port + 10);
+            auto instance = std::make_unique<platform_gateway>(settings);
+            if (succeeded(instance->start())) {
+                instances.push_back(std::move(instance));
+                callers.push_back(settings.callerAddress);
+                return;
+            }
+        }
+        CPPUNIT_FAIL("no free ports");
+    }
+
+    std::size_t size() const { return callers.size(); }
+
+    /// Sends a request with a new id to `/p/1` of the host `h`.
+    /// @returns The HTTP status, or 0 without a reply.
+    int sendRequest(std::size_t instance, const std::string &body, const http_headers &more = {})
+    {
+        http_request request;
+        request.method = "POST";
+        request.path = "/p/1";
+        request.headers = {{"Host", "h"},
+                           {"X-Attempt-Id", "a" + std::to_string(++attempts)},
+                           {"X-Deadline-Ms", "2000"}};
+        request.headers.insert(request.headers.end(), more.begin(), more.end());
+        request.body = body;
+        request.contentType = "text/plain";
+        const auto reply = pool.send(callers[instance], request, std::chrono::seconds(3));
+        return succeeded(reply) ? valueOf(reply).status : 0;
+    }
+
+    void waitUntilAllServe(const std::string &body, const http_headers &more = {})
+    {
+        for (std::size_t i = 0; i < size(); ++i)
+            CPPUNIT_ASSERT(waitUntil([&] { return sendRequest(i, body, more) == 200; }));
+    }
+
+private:
+    gateway::gateway_settings settingsAt(std::uint16_t first) const
+    {
+        gateway::gateway_settings settings;
+        settings.instance.text = "edge-" + std::to_string(first);
+        settings.zone.text = zones[instances.size() % zones.size()];
+        settings.storeAddress = store.address();
+        std::uint16_t next = first;
+        for (endpoint *each :
+             {&settings.callerAddress, &settings.readinessAddress, &settings.directoryAddress,
+              &settings.loadAddress, &settings.metricsAddress, &settings.peerAddress})
+            *each = {"127.0.0.1", next++};
+        settings.leaveSeconds = 1;
+        return settings;
+    }
+
+    fake_store &store;
+    const std::vector<std::string> zones;
+    metrics_registry metrics;
+    http_pool pool{4, std::chrono::milliseconds(500), metrics, std::chrono::seconds(5)};
+    std::vector<std::unique_ptr<platform_gateway>> instances;
+    std::vector<endpoint> callers;
+    std::uint16_t port;
+    std::atomic<int> attempts = 0;
+};
+
+} // namespace poplarspool::adapter::test
