--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/fleet_sink.h"
 #include "poplarspool/gateway/gateway_settings.h"
+#include "poplarspool/gateway/listed_gateway.h"
 
 #include <memory>
 #include <string>
@@ -17,20 +18,6 @@
 
 namespace poplarspool::gateway {
 
-/// Another instance, as registered in the store.
-struct listed_gateway
-{
-    instance_id id;
-    endpoint peerAddress; ///< Gossip.
-    endpoint loadAddress; ///< Load updates.
-    zone_id zone;
-    endpoint updateAddress; ///< Store updates; invalid if the instance receives none.
-    /// Runners that it knew to have left at the time of a store rollback.
-    std::vector<outdated_entry_marker> outdated;
-
-    bool operator==(const listed_gateway &) const = default;
-};
-
 /// Services of the platform that a gateway uses.
 struct platform_links
 {
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -78,6 +78,38 @@
 inline constexpr double minRateLimit = 0.1;
 inline constexpr double maxRateLimit = 1e6;
 inline constexpr std::size_t maxRateLimitDigits = 32;
+/// Permits of a rate limit that may accumulate, as a share of a second's; at least one.
+inline constexpr double limitBurstSeconds = 0.25;
+/// Maximum number of permits that are withheld for the requests that a runner got before its limit
+/// was known, as a number of seconds.
+inline constexpr double maxLimitDebtSeconds = 3;
+/// Part of a rate limit that the second instance issues while the first one may still be issuing
+/// the whole. Both together stay within the limit's tolerance.
+inline constexpr double secondIssuerShare = 0.25;
+/// Time for which a permit may be used. With the permits of that time, a runner gets those of five
+/// seconds within four.
+inline constexpr std::chrono::milliseconds permitLifetime = 1s;
+/// Bounds of the time after which an instance that was denied a permit asks again.
+inline constexpr std::chrono::milliseconds minPermitRetryTime = 40ms;
+inline constexpr std::chrono::milliseconds maxPermitRetryTime = 4s;
+/// Permits that are asked for at once: what the asker sends in this time.
+inline constexpr double permitBatchSeconds = 0.1;
+/// Time-out for the reply of an issuer, about ten round trips, and time for which an issuer that
+/// did not reply is not asked.
+inline constexpr std::chrono::milliseconds permitReplyTimeout = 25ms;
+inline constexpr std::chrono::milliseconds silentIssuerTime = 500ms;
+/// Time for which a request that has begun waits for a permit.
+inline constexpr std::chrono::milliseconds maxPermitWait = 500ms;
+/// Time for which a runner's bucket is kept at least.
+inline constexpr std::chrono::milliseconds minBucketRetention = 10s;
+/// Limits of the notices about rate limits: in one datagram, and waiting to be sent; how often each
+/// is sent, against lost datagrams, and the time between; and the interval at which the sender
+/// looks for notices while no replies arrive.
+inline constexpr std::size_t maxLimitNotices = 32;
+inline constexpr std::size_t maxPendingNotices = 1024;
+inline constexpr int limitNoticeSends = 3;
+inline constexpr std::chrono::milliseconds limitNoticeInterval = 60ms;
+inline constexpr std::chrono::milliseconds idleLimitInterval = 1s;
 /// Random cost that breaks ties; too small to outweigh any other cost.
 inline constexpr double tieBreakCost = 0.05;
 /// Share of a service's runners that stay eligible however many have failed recently: a common
--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -58,6 +58,8 @@
     /// Rank in the order in which all instances prefer the engines of a stage for the prompt's
     /// shared parts; `notPreferred` behind the first few.
     std::uint32_t affinityRank = notPreferred;
+    /// Time until its rate limit permits another request; 0: it may get one now.
+    double limitedForMs = 0;
     bool isTried = false; ///< By this request, without success.
     bool isMisdirected = false; ///< It has denied its own entry.
 
@@ -114,9 +116,10 @@
 struct no_placement
 {
     bool areAllTried = false; ///< There are runners, but this request has tried them all.
-    /// More requests wait at all runners than can start in time; the caller should come back after
-    /// this many milliseconds. 0: another reason.
+    /// More requests wait at all runners than can start in time, or their rate limits are used up;
+    /// the caller should come back after this many milliseconds. 0: another reason.
     double retryInMs = 0;
+    bool isLimited = false; ///< The reason: the rate limits of all runners are used up.
 
     bool operator==(const no_placement &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/address_subset.h"
 #include "gateway/caller_limits.h"
 #include "gateway/fleet_scaler.h"
+#include "gateway/limit_exchange.h"
 #include "gateway/request_proxy.h"
 #include "gateway/stage_manager.h"
 #include "poplarspool/base/hash.h"
@@ -48,6 +49,15 @@
     return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
+listed_gateway selfEntryOf(const gateway_settings &settings)
+{
+    listed_gateway made;
+    made.id = settings.instance;
+    made.peerAddress = settings.peerAddress;
+    made.zone = settings.zone;
+    return made;
+}
+
 /// Counts of the requests started here, for one incarnation of this instance.
 struct usage_count
 {
@@ -75,7 +85,7 @@
           metrics(registry),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
                             settings.instance, clock, registry, eventLog),
-          rateLimiter(names.rateLimit, clock, registry, eventLog),
+          rateLimiter(rateLimiterDependencies(registry), selfEntryOf(settings)),
           proxyContext{names,
                        publisher,
                        runnerTable,
@@ -95,6 +105,7 @@
                   {[this](const std::vector<policy::member> &alive) {
                        loadExchange.setDigestRecipients(peer::digestRecipientsOf(
                                alive, settings.instance, settings.loadAddress.port));
+                       rateLimiter.setMembers(alive);
                    },
                    [this](const peer::rumor &rumor) { quarantineManager.onRumor(rumor); }},
                   clock, registry, eventLog),
@@ -109,6 +120,9 @@
                       runnerTable.applyUpdate(sender, update);
                   },
                   clock, registry, eventLog),
+          limitExchange({settings.instance, incarnationOf(clock),
+                         limitAddressOf(settings.peerAddress), peerKeyOf(settings)},
+                        rateLimiter, clock, registry, eventLog),
           callerServer(
                   "callers", settings.callerAddress, defaultHttpLimits(),
                   [this](const http_request &request, http_sink &caller) {
@@ -145,6 +159,7 @@
     bool owns(std::string_view role) const;
     void addUsage(duties::lease_store leases, duties::usage_sink sink, metrics_registry &registry);
     quarantine_dependencies quarantineDependencies();
+    rate_limiter_dependencies rateLimiterDependencies(metrics_registry &registry);
     std::optional<http_reply> forward(const http_request &request, http_sink &caller);
     void applyCallerLimits();
 
@@ -169,6 +184,7 @@
     const proxy_context proxyContext;
     peer::gossip members;
     peer::load_exchange loadExchange;
+    limit_exchange limitExchange;
     http_server callerServer;
     stage_manager stageManager;
     std::optional<duties::usage_exchange> usageExchange; ///< None: usage is not reported.
@@ -221,6 +237,22 @@
     return made;
 }
 
+rate_limiter_dependencies gateway::state::rateLimiterDependencies(metrics_registry &registry)
+{
+    return {names.rateLimit,
+            [this](const std::vector<endpoint> &to, const result<std::string> &payload) {
+                limitExchange.send(to, payload);
+            },
+            [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
+            [this](std::uint32_t runner) {
+                const runner_entry found = publisher.current()->runners->findByKey(runner);
+                return found ? found->id.text : std::string();
+            },
+            clock,
+            registry,
+            events};
+}
+
 std::optional<http_reply> gateway::state::forward(const http_request &request, http_sink &caller)
 {
     applyCallerLimits();
@@ -256,6 +288,9 @@
     const auto exchangeStarted = inner->loadExchange.start();
     if (!succeeded(exchangeStarted))
         return errorOf(exchangeStarted);
+    const auto limitsStarted = inner->limitExchange.start();
+    if (!succeeded(limitsStarted))
+        return errorOf(limitsStarted);
     const auto serverStarted = inner->callerServer.start();
     if (!succeeded(serverStarted))
         return errorOf(serverStarted);
@@ -288,6 +323,7 @@
         contacts.push_back(one.peerAddress);
         (one.zone == inner->settings.zone ? near : far).push_back(one.loadAddress);
     }
+    inner->rateLimiter.setListed(listed);
     inner->members.setContacts(std::move(contacts));
     inner->loadExchange.setPeers(std::move(near), std::move(far));
     inner->instanceCount = std::max(listed.size(), inner->members.members().size());
@@ -359,6 +395,7 @@
     inner->quarantineManager.stop();
     inner->connections.stop();
     inner->loadExchange.stop();
+    inner->limitExchange.stop();
     inner->members.stop();
 }
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -24,6 +24,14 @@
             || (stage == engine_stage::Decode && target.stage == engine_stage::None);
 }
 
+/// Whether the runner could take the request, if its rate limit permits another one.
+bool isCandidate(const placement_query &query, const placement_candidate &one, engine_stage stage)
+{
+    return one.target->service == query.service && !one.target->isDraining && !one.isTried
+            && !one.isMisdirected && one.target->retainedUntil > query.now
+            && serves(*one.target, stage);
+}
+
 /// Runners that may take the request. Ejected ones are included only if no other is left or if so
 /// many are ejected that the rest would be overloaded.
 candidate_list eligibleCandidates(const placement_query &query,
@@ -33,9 +41,7 @@
     candidate_list all;
     candidate_list good;
     for (const placement_candidate &one : candidates) {
-        if (one.target->service != query.service || one.target->isDraining || one.isTried
-            || one.isMisdirected || one.target->retainedUntil <= query.now
-            || !serves(*one.target, stage))
+        if (!isCandidate(query, one, stage) || one.limitedForMs > 0)
             continue;
         all.push_back(&one);
         if (!isEjected(one, query.now))
@@ -45,6 +51,22 @@
     return static_cast<double>(good.size()) >= minEligible && !good.empty() ? good : all;
 }
 
+/// The reason why no runner may take the request now. The rate limits of all runners together are
+/// what the service takes: if they are used up, the caller learns at once when to come back.
+no_placement noneEligible(const placement_query &query,
+                          std::span<const placement_candidate> candidates, engine_stage stage)
+{
+    no_placement none;
+    for (const placement_candidate &one : candidates) {
+        if (!isCandidate(query, one, stage) || one.limitedForMs <= 0)
+            continue;
+        none.retryInMs =
+                none.isLimited ? std::min(none.retryInMs, one.limitedForMs) : one.limitedForMs;
+        none.isLimited = true;
+    }
+    return none;
+}
+
 /// Uniformly distributed in [0, 1), and different for each pair of request and runner.
 double tieBreak(const placement_query &query, const runner &target)
 {
@@ -65,7 +87,7 @@
 {
     const candidate_list open = eligibleCandidates(query, candidates, engine_stage::None);
     if (open.empty())
-        return no_placement{};
+        return noneEligible(query, candidates, engine_stage::None);
     const auto best = std::ranges::min_element(
             open, {}, [&](const placement_candidate *one) { return serviceCost(query, *one); });
     placement chosen;
@@ -320,7 +342,7 @@
     engines.decoders =
             sampledCandidates(query, eligibleCandidates(query, candidates, engine_stage::Decode));
     if (engines.decoders.empty())
-        return no_placement{};
+        return noneEligible(query, candidates, engine_stage::Decode);
     if (query.isPrefilled) {
         placement chosen;
         chosen.serving = leastLoadedDecoder(query, engines.decoders, send_class::Urgent)->target;
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -20,6 +20,7 @@
 std::optional<std::string> request_proxy::runPrefill(const placement &place)
 {
     const runner &prefillEngine = *place.prefill;
+    usePermit(prefillEngine);
     runner_table::open_send record(context.runnerTable, prefillEngine.id, place.prefillMs,
                                    place.urgency);
     if (!place.cacheSource)
--- a/src/gateway/rate_limit_table.cpp
+++ b/src/gateway/rate_limit_table.cpp
@@ -41,6 +41,13 @@
     return isOtherIncarnation ? std::nullopt : std::optional(known);
 }
 
+std::optional<rate_limit_observation> rate_limit_table::find(std::uint32_t runner) const
+{
+    const std::lock_guard lock(guard);
+    const auto found = records.find(runner);
+    return found == records.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::size_t rate_limit_table::limitedCount() const
 {
     if (isEmpty())
--- a/src/gateway/rate_limit_table.h
+++ b/src/gateway/rate_limit_table.h
@@ -30,6 +30,9 @@
     /// @returns None if that incarnation has no limit.
     std::optional<rate_limit_observation> limitOf(std::uint32_t runner,
                                                   std::uint64_t startedAtMs) const;
+    /// @returns What was heard of the runner last, also if it has no limit; none if it had none
+    /// lately.
+    std::optional<rate_limit_observation> find(std::uint32_t runner) const;
     /// Whether any runner has or had a limit; without taking a lock.
     bool isEmpty() const { return recordCount.load(std::memory_order_relaxed) == 0; }
     std::size_t limitedCount() const;
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -1,12 +1,28 @@
 #include "gateway/rate_limiter.h"
 
+#include "peer/forward_groups.h"
+#include "peer/frame.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
 namespace poplarspool::gateway {
 
+namespace {
+
+std::uint32_t ageMsOf(mono_time at, mono_time now)
+{
+    const auto age = std::chrono::floor<milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
+} // namespace
+
 std::string textOfLimit(const std::optional<double> &perSecond)
 {
     if (!perSecond)
@@ -16,26 +32,104 @@
     return text.data();
 }
 
-rate_limiter::rate_limiter(std::string headerName, clock_source clock, metrics_registry &metrics,
-                           journal &events)
-    : headerName(std::move(headerName)), clock(std::move(clock)), events(events),
-      limitedRunners(metrics.gaugeOf("poplarspool_gateway_limited_runners"))
-{ }
+rate_limiter::rate_limiter(rate_limiter_dependencies given, listed_gateway self)
+    : dependencies(std::move(given)), self(std::move(self)),
+      selfNumber(peer::senderNumber(this->self.id)),
+      limitedRunners(dependencies.metrics.gaugeOf("poplarspool_gateway_limited_runners")),
+      granted(dependencies.metrics.counterOf("poplarspool_gateway_permits_total{end=\"granted\"}")),
+      denied(dependencies.metrics.counterOf("poplarspool_gateway_permits_total{end=\"denied\"}")),
+      unanswered(dependencies.metrics.counterOf(
+              "poplarspool_gateway_permits_total{end=\"unanswered\"}")),
+      issued(dependencies.metrics.counterOf("poplarspool_gateway_permits_issued_total"))
+{
+    rebuildFleet();
+}
 
 /// A refusal without a limit ends none: a runner that is full may answer before it looks at its
 /// limit.
 void rate_limiter::recordReply(const runner &target, const http_headers &headers, reply_kind kind,
                                mono_time askedAt)
 {
-    const rate_limit_reading reading = readRateLimit(headers, headerName);
+    const rate_limit_reading reading = readRateLimit(headers, dependencies.headerName);
     if (reading.kind == rate_limit_kind::Unreadable
         || (reading.kind == rate_limit_kind::None && kind == reply_kind::Refused))
         return;
-    rate_limit_observation observed{target.startedAtMs, std::nullopt, askedAt, clock.mono()};
+    rate_limit_observation observed{target.startedAtMs, std::nullopt, askedAt,
+                                    dependencies.clock.mono()};
     if (reading.kind == rate_limit_kind::Limited)
         observed.perSecond = reading.perSecond;
-    if (const auto change = table.record(peer::runnerKey(target.id), observed))
-        logChange(target, *change, observed);
+    recordChange(peer::runnerKey(target.id), observed, true);
+    if (areNoticesDue())
+        sendDue();
+}
+
+/// @param isOwn Heard from the runner itself, so that the other instances have to be told.
+void rate_limiter::recordChange(std::uint32_t runner, const rate_limit_observation &observed,
+                                bool isOwn)
+{
+    const auto change = table.record(runner, observed);
+    if (!change)
+        return;
+    logChange(runner, *change, observed, isOwn);
+    const std::uint32_t sentBefore = change->before ? 0 : dependencies.recentSends(runner);
+    if (!change->after)
+        issuer.forget(runner);
+    const std::lock_guard lock(guard);
+    if (!change->after)
+        permits.erase(runner);
+    else if (!change->before)
+        permits[runner].sentBefore = sentBefore;
+    if (isOwn)
+        queueNotice(runner, observed);
+}
+
+void rate_limiter::logChange(std::uint32_t runner, const rate_limit_change &change,
+                             const rate_limit_observation &observed, bool isOwn)
+{
+    limitedRunners.set(static_cast<std::int64_t>(table.limitedCount()));
+    const mono_time now = dependencies.clock.mono();
+    dependencies.events.emit("runner_limit",
+                             {{"runner", dependencies.nameOf(runner)},
+                              {"born", std::to_string(observed.startedAtMs)},
+                              {"before", textOfLimit(change.before)},
+                              {"per_second", textOfLimit(change.after)},
+                              {"from", isOwn ? "runner" : "instance"},
+                              {"asked_ms_ago", millisecondsText(now - observed.askedAt)},
+                              {"heard_ms_ago", millisecondsText(now - observed.heardAt)}});
+}
+
+/// @attention The caller must hold `guard`.
+void rate_limiter::queueNotice(std::uint32_t runner, const rate_limit_observation &observed)
+{
+    if (notices.size() < config::maxPendingNotices)
+        notices.push_back(
+                {noticeOf(runner, observed), dependencies.clock.mono(), config::limitNoticeSends});
+    noticesSentAt = {};
+}
+
+/// Requests follow each other more closely than the steps of the exchange's thread.
+bool rate_limiter::areNoticesDue()
+{
+    if (table.isEmpty())
+        return false;
+    const std::lock_guard lock(guard);
+    return !notices.empty()
+            && dependencies.clock.mono() - noticesSentAt >= config::limitNoticeInterval;
+}
+
+limit_notice rate_limiter::noticeOf(std::uint32_t runner,
+                                    const rate_limit_observation &observed) const
+{
+    const mono_time now = dependencies.clock.mono();
+    return {runner, observed.startedAtMs, observed.perSecond, ageMsOf(observed.askedAt, now),
+            ageMsOf(observed.heardAt, now)};
+}
+
+rate_limit_observation rate_limiter::observationOf(const limit_notice &notice) const
+{
+    const mono_time now = dependencies.clock.mono();
+    return {notice.startedAtMs, notice.perSecond, now - milliseconds(notice.askedAgoMs),
+            now - milliseconds(notice.heardAgoMs)};
 }
 
 std::optional<double> rate_limiter::limitOf(const runner &target) const
@@ -44,16 +138,316 @@
     return known ? known->perSecond : std::nullopt;
 }
 
-void rate_limiter::logChange(const runner &target, const rate_limit_change &change,
-                             const rate_limit_observation &observed)
+/// @attention The caller must hold `guard`.
+issuer_pair rate_limiter::issuersFor(std::uint32_t runner, const limit_fleet &current)
 {
-    limitedRunners.set(static_cast<std::int64_t>(table.limitedCount()));
-    events.emit("runner_limit",
-                {{"runner", target.id.text},
-                 {"born", std::to_string(target.startedAtMs)},
-                 {"before", textOfLimit(change.before)},
-                 {"per_second", textOfLimit(change.after)},
-                 {"asked_ms_ago", millisecondsText(observed.heardAt - observed.askedAt)}});
+    runner_permits &entry = permits[runner];
+    if (entry.issuersVersion != current.version) {
+        entry.issuers = issuersOf(current, runner);
+        entry.issuersVersion = current.version;
+    }
+    return entry.issuers;
+}
+
+/// The issuers that are worth asking, in their order.
+/// @attention The caller must hold `guard`.
+std::vector<std::size_t> rate_limiter::issuersToAsk(std::uint32_t runner,
+                                                    const limit_fleet &current, mono_time now)
+{
+    std::vector<std::size_t> found;
+    const issuer_pair pair = issuersFor(runner, current);
+    for (const std::size_t index : {pair.first, pair.second}) {
+        if (index == issuer_pair::none)
+            continue;
+        const auto silent = silentUntil.find(current.instances[index].number);
+        if (silent == silentUntil.end() || silent->second <= now)
+            found.push_back(index);
+    }
+    return found;
+}
+
+/// @returns A denial without a time if there is neither a permit nor a denial that still holds.
+/// @attention The caller must hold `guard`.
+std::variant<rate_permit, permit_denied> rate_limiter::takeFromStock(std::uint32_t runner,
+                                                                     mono_time now)
+{
+    runner_permits &entry = permits[runner];
+    while (!entry.stock.empty()) {
+        const mono_time expiresAt = entry.stock.front();
+        entry.stock.pop_front();
+        if (expiresAt > now)
+            return rate_permit{runner, expiresAt, true};
+    }
+    if (entry.deniedUntil <= now)
+        return permit_denied{};
+    return permit_denied{std::chrono::ceil<milliseconds>(entry.deniedUntil - now)};
+}
+
+std::variant<rate_permit, permit_denied> rate_limiter::acquire(const runner &target,
+                                                               send_class urgency)
+{
+    const std::uint32_t runner = peer::runnerKey(target.id);
+    const auto limit = table.limitOf(runner, target.startedAtMs);
+    if (!limit)
+        return rate_permit{runner};
+    const auto current = fleet.current();
+    const mono_time now = dependencies.clock.mono();
+    const std::uint32_t recent = dependencies.recentSends(runner);
+    permit_request request;
+    request.known = noticeOf(runner, *limit);
+    request.isUrgent = urgency == send_class::Urgent;
+    request.count = std::max(1U, static_cast<std::uint32_t>(recent * config::permitBatchSeconds));
+    std::vector<std::size_t> issuers;
+    {
+        const std::lock_guard lock(guard);
+        const auto known = takeFromStock(runner, now);
+        if (known != std::variant<rate_permit, permit_denied>(permit_denied{}))
+            return known;
+        request.sentBefore = permits[runner].sentBefore;
+        issuers = issuersToAsk(runner, *current, now);
+    }
+    for (const std::size_t index : issuers) {
+        const limit_instance &instance = current->instances[index];
+        if (instance.number == selfNumber)
+            return applyReply(target, issueHere(request, *current), now);
+        if (const auto reply = ask(instance, request))
+            return applyReply(target, *reply, now);
+    }
+    const std::lock_guard lock(guard);
+    permits[runner].deniedUntil = now + config::silentIssuerTime;
+    denied.add();
+    return permit_denied{config::silentIssuerTime};
+}
+
+std::optional<permit_reply> rate_limiter::ask(const limit_instance &instance,
+                                              permit_request request)
+{
+    {
+        const std::lock_guard lock(guard);
+        request.number = ++lastNumber;
+        waiting.emplace(request.number, std::nullopt);
+    }
+    dependencies.send({instance.address}, encode(limit_message(request)));
+    std::unique_lock lock(guard);
+    std::optional<permit_reply> &reply = waiting.at(request.number);
+    replied.wait_for(lock, config::permitReplyTimeout, [&reply] { return reply.has_value(); });
+    const std::optional<permit_reply> found = reply;
+    waiting.erase(request.number);
+    if (!found) {
+        unanswered.add();
+        silentUntil[instance.number] = dependencies.clock.mono() + config::silentIssuerTime;
+    }
+    return found;
+}
+
+std::variant<rate_permit, permit_denied>
+rate_limiter::applyReply(const runner &target, const permit_reply &reply, mono_time askedAt)
+{
+    const std::uint32_t runner = peer::runnerKey(target.id);
+    recordChange(runner, observationOf(reply.known), false);
+    // The issuer may know that the limit has ended.
+    if (!table.limitOf(runner, target.startedAtMs))
+        return rate_permit{runner};
+    const std::lock_guard lock(guard);
+    runner_permits &entry = permits[runner];
+    entry.sentBefore = 0;
+    if (reply.granted == 0) {
+        denied.add();
+        if (reply.retryInMs > 0)
+            entry.deniedUntil = askedAt + milliseconds(reply.retryInMs);
+        return permit_denied{milliseconds(reply.retryInMs)};
+    }
+    granted.add(reply.granted);
+    // Counted from when the permits were asked for: they were issued later.
+    const mono_time expiresAt = askedAt + config::permitLifetime;
+    entry.stock.insert(entry.stock.end(), reply.granted - 1, expiresAt);
+    return rate_permit{runner, expiresAt, true};
+}
+
+void rate_limiter::release(const rate_permit &permit)
+{
+    if (!permit.isLimited)
+        return;
+    const std::lock_guard lock(guard);
+    permits[permit.runner].stock.push_back(permit.expiresAt);
+}
+
+void rate_limiter::markLimited(std::vector<placement_candidate> &candidates) const
+{
+    if (table.isEmpty())
+        return;
+    const mono_time now = dependencies.clock.mono();
+    const std::lock_guard lock(guard);
+    for (placement_candidate &one : candidates) {
+        const auto found = permits.find(peer::runnerKey(one.target->id));
+        if (found == permits.end() || found->second.deniedUntil <= now
+            || !found->second.stock.empty())
+            continue;
+        one.limitedForMs =
+                std::chrono::duration<double, std::milli>(found->second.deniedUntil - now).count();
+    }
+}
+
+permit_reply rate_limiter::issueHere(const permit_request &request, const limit_fleet &current)
+{
+    const std::uint32_t runner = request.known.runner;
+    recordChange(runner, observationOf(request.known), false);
+    permit_reply reply;
+    reply.number = request.number;
+    const auto known = table.find(runner);
+    if (!known) {
+        reply.known = request.known;
+        reply.retryInMs = static_cast<std::uint32_t>(config::minPermitRetryTime.count());
+        return reply;
+    }
+    reply.known = noticeOf(runner, *known);
+    // The asker learns from the reply that there is no limit.
+    if (!known->perSecond)
+        return reply;
+    issuer_pair pair;
+    {
+        const std::lock_guard lock(guard);
+        pair = issuersFor(runner, current);
+    }
+    const auto isSelf = [&](std::size_t index) {
+        return index != issuer_pair::none && current.instances[index].number == selfNumber;
+    };
+    if (!isSelf(pair.first) && !isSelf(pair.second)) {
+        reply.retryInMs = static_cast<std::uint32_t>(config::silentIssuerTime.count());
+        return reply;
+    }
+    bucket_query query;
+    query.perSecond = *known->perSecond;
+    query.share = isSelf(pair.first) ? 1 : config::secondIssuerShare;
+    query.count = request.count;
+    query.isUrgent = request.isUrgent;
+    query.sentBefore = request.sentBefore;
+    query.now = dependencies.clock.mono();
+    query.draw = hashOf(std::to_string(request.number), runner);
+    const bucket_decision decision = issuer.issue(runner, known->startedAtMs, query);
+    issued.add(decision.granted);
+    reply.granted = decision.granted;
+    reply.retryInMs = static_cast<std::uint32_t>(decision.retryIn.count());
+    return reply;
+}
+
+bool rate_limiter::receive(std::uint64_t sender, std::string_view payload)
+{
+    auto decoded = decodeLimitMessage(payload);
+    if (!succeeded(decoded))
+        return false;
+    limit_message &message = valueOf(decoded);
+    if (auto *update = std::get_if<limit_update>(&message))
+        receiveUpdate(std::move(*update));
+    else if (const auto *request = std::get_if<permit_request>(&message))
+        receiveRequest(sender, *request);
+    else {
+        const auto &reply = std::get<permit_reply>(message);
+        const std::lock_guard lock(guard);
+        const auto found = waiting.find(reply.number);
+        if (found != waiting.end())
+            found->second = reply;
+        replied.notify_all();
+    }
+    return true;
+}
+
+void rate_limiter::receiveRequest(std::uint64_t sender, const permit_request &request)
+{
+    const auto current = fleet.current();
+    const auto asker = std::ranges::find(current->instances, sender, &limit_instance::number);
+    if (asker == current->instances.end())
+        return;
+    dependencies.send({asker->address}, encode(limit_message(issueHere(request, *current))));
+}
+
+void rate_limiter::receiveUpdate(limit_update update)
+{
+    for (const limit_notice &one : update.notices)
+        recordChange(one.runner, observationOf(one), false);
+    const auto to = std::exchange(update.forwardTo, {});
+    if (!to.empty())
+        dependencies.send(to, encode(limit_message(update)));
+}
+
+mono_time rate_limiter::sendDue()
+{
+    const mono_time now = dependencies.clock.mono();
+    std::vector<limit_notice> due;
+    mono_time next = now + config::idleLimitInterval;
+    {
+        const std::lock_guard lock(guard);
+        noticesSentAt = now;
+        const std::size_t count = std::min(notices.size(), config::maxLimitNotices);
+        for (std::size_t i = 0; i < count; ++i) {
+            pending_notice one = notices.front();
+            notices.pop_front();
+            limit_notice aged = one.notice;
+            aged.askedAgoMs += ageMsOf(one.writtenAt, now);
+            aged.heardAgoMs += ageMsOf(one.writtenAt, now);
+            due.push_back(aged);
+            if (--one.sendsLeft > 0)
+                notices.push_back(one);
+        }
+        if (!notices.empty())
+            next = now + config::limitNoticeInterval;
+    }
+    if (!due.empty())
+        sendNotices(due);
+    return next;
+}
+
+void rate_limiter::sendNotices(const std::vector<limit_notice> &due)
+{
+    const auto current = fleet.current();
+    std::vector<endpoint> others;
+    for (const limit_instance &one : current->instances) {
+        if (one.number != selfNumber && one.isAlive && one.address.isValid())
+            others.push_back(one.address);
+    }
+    if (others.size() <= config::maxDirectRecipients)
+        return dependencies.send(others, encode(limit_message(limit_update{due, {}})));
+    for (const peer::forward_group &group : peer::forwardGroupsOf(others, selfNumber))
+        dependencies.send({group.forwarder},
+                          encode(limit_message(limit_update{due, group.members})));
+}
+
+void rate_limiter::setListed(std::vector<listed_gateway> instances)
+{
+    {
+        const std::lock_guard lock(fleetGuard);
+        listed = std::move(instances);
+    }
+    rebuildFleet();
+}
+
+void rate_limiter::setMembers(std::vector<policy::member> alive)
+{
+    {
+        const std::lock_guard lock(fleetGuard);
+        members = std::move(alive);
+    }
+    rebuildFleet();
+}
+
+void rate_limiter::rebuildFleet()
+{
+    const std::lock_guard lock(fleetGuard);
+    limit_fleet next = fleetOf(listed, members, self, seen);
+    fleet.update([&next](limit_fleet &current) {
+        if (current.instances == next.instances)
+            return false;
+        next.version = current.version + 1;
+        current = next;
+        return true;
+    });
+}
+
+void rate_limiter::removeUnlisted(const runner_set &listedRunners)
+{
+    table.removeUnlisted(listedRunners);
+    const std::lock_guard lock(guard);
+    std::erase_if(permits, [&](const auto &one) { return !listedRunners.findByKey(one.first); });
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -75,6 +75,7 @@
 {
     context.metrics.requests.add();
     std::optional<http_reply> reply = serve();
+    releasePermits();
     log("request_end",
         {{"route", selectedRoute == nullptr ? "" : selectedRoute->name},
          {"workspace", owner == nullptr ? "" : owner->id.text},
@@ -98,7 +99,7 @@
     while (timeLeft() >= config::minSendTime && !isQuarantined()) {
         if (isCallerGone())
             return abandon();
-        auto place = findPlacement(nullptr);
+        auto place = findPermittedPlacement(nullptr);
         if (!place)
             break;
         std::string kvSource;
@@ -109,7 +110,7 @@
                 continue;
             // The prefill took a while: by now the engine that was to serve may be leaving, or
             // another may have less load.
-            place = findPlacement(prefillEngine.get());
+            place = findPermittedPlacement(prefillEngine.get());
             if (isCallerGone() || !place || isQuarantined()) {
                 freeHandle(*prefillEngine, *handle);
                 continue;
@@ -223,16 +224,18 @@
     query.draw = hashOf(metadata.id, sends);
     if (engine != nullptr)
         query.engine = *engine;
-    const auto candidates = context.runnerTable.candidatesOf(
+    auto candidates = context.runnerTable.candidatesOf(
             *latest,
             {service, engine, metadata.prompt, tried, affinityKeyOf(metadata.prompt), query.draw});
+    markLimited(candidates);
     const auto found = choosePlacement(query, candidates);
     if (const auto *place = std::get_if<placement>(&found))
         return *place;
     const no_placement &none = std::get<no_placement>(found);
     if (none.retryInMs > 0) {
         retryAfterTime = retryAfterFor(none.retryInMs, query.draw);
-        lastFault = lastFault.empty() ? "no_room" : "no_room:" + lastFault;
+        const std::string reason = none.isLimited ? "rate_limit" : "no_room";
+        lastFault = lastFault.empty() ? reason : reason + ":" + lastFault;
     } else {
         lastFault = none.areAllTried ? "all_tried:" + lastFault : "no_runner";
     }
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -103,6 +103,8 @@
     bool isQuarantined();
     /// @param prefillEngine The engine that has prefilled the prompt; null: none yet.
     std::optional<placement> findPlacement(const runner *prefillEngine);
+    /// Finds a placement whose runners' rate limits permit the request.
+    std::optional<placement> findPermittedPlacement(const runner *prefillEngine);
     bool mayTryAgain(try_end end) const;
     bool isCallerGone() const;
     std::optional<http_reply> abandon();
@@ -115,6 +117,13 @@
     /// from.
     void logSend(std::string_view kind, std::vector<event_field> fields) const;
 
+    // runner_permits.cpp: rate limits of runners.
+    bool acquirePermits(const placement &place);
+    bool holdsPermit(const runner &target);
+    void usePermit(const runner &target);
+    void releasePermits();
+    void markLimited(std::vector<placement_candidate> &candidates);
+
     // prefill_handoff.cpp: an engine that only prefills the prompt.
     std::optional<std::string> runPrefill(const placement &place);
     std::optional<http_reply> sendPrefill(const placement &place, runner_table::open_send &record);
@@ -171,6 +180,8 @@
     std::uint32_t arrivals = 0;
     std::uint32_t possibleRuns = 0; ///< Sends that may have run.
     std::vector<runner_id> tried;
+    std::vector<rate_permit> heldPermits; ///< Not used yet.
+    std::vector<runner_id> deniedRunners; ///< Those whose rate limit has not permitted the request.
     /// A handoff has failed: the prompt is prefilled where the request runs.
     bool hasHandoffFailed = false;
     std::optional<http_reply> bufferedReply; ///< A runner's complete answer.
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -78,6 +78,7 @@
     const std::lock_guard lock(guard);
     runner_record &entry = records[sent.target];
     ++entry.own.open;
+    entry.recentSends.record(sent.sentAt);
     entry.own.of(sent.urgency).add(1, sent.prefillMs);
     entry.sendsLeft.fill(config::updateRepeats);
 }
@@ -209,6 +210,13 @@
     entry.misdirectedUntil = clock.mono() + config::misdirectedTime;
 }
 
+std::uint32_t runner_table::recentSendsTo(std::uint32_t runner)
+{
+    const std::lock_guard lock(guard);
+    const auto found = records.find(runner);
+    return found == records.end() ? 0 : found->second.recentSends.countAt(clock.mono());
+}
+
 /// @attention The caller must hold `guard`.
 runner_table::runner_record &runner_table::useParts(const runner_id &target,
                                                     const std::vector<prompt_part> &prompt,
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -2,6 +2,7 @@
 
 #include "gateway/cache_holders.h"
 #include "gateway/envelope.h"
+#include "gateway/send_history.h"
 #include "poplarspool/gateway/placement.h"
 #include "poplarspool/peer/load_exchange.h"
 
@@ -95,6 +96,10 @@
     /// @returns The number of open requests at each of these runners.
     std::vector<std::uint32_t> openRequestsAt(std::span<const runner_entry> targets);
 
+    /// @param runner peer::runnerKey() of its id.
+    /// @returns The number of requests that this instance sent to the runner in the last second.
+    std::uint32_t recentSendsTo(std::uint32_t runner);
+
     /// Called when the runner says that it is not the one that its entry describes, or not of that
     /// stage.
     void recordMisdirected(const std::shared_ptr<const runner> &target);
@@ -152,6 +157,7 @@
         work_sum others; ///< Sum of the other instances' latest updates.
         work_sum zoneOthers; ///< Of these, of the instances of this zone.
         std::uint32_t failuresInRow = 0;
+        send_history recentSends;
         runner misdirected; ///< The entry that it has denied last.
         mono_time misdirectedUntil{};
         std::deque<bool> outcomes; ///< Of the last sends; true: failed.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -37,6 +37,7 @@
 request_proxy::try_end request_proxy::tryAt(const placement &place, const std::string &kvSource)
 {
     const runner &target = *place.serving;
+    usePermit(target);
     ++sends;
     tried.push_back(target.id);
     lastRunner = target.id.text;
--- a/src/peer/datagram_loop.h
+++ b/src/peer/datagram_loop.h
@@ -36,7 +36,7 @@
 
     result<unit> start();
     void stop();
-    /// @attention Call only from the handlers or after stop().
+    /// @attention Not by two threads at once.
     void send(const std::vector<endpoint> &to, const result<std::string> &payload);
 
 private:
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -21,6 +21,7 @@
     Load = 5, ///< Sent in a datagram.
     Store = 6, ///< Sent in a datagram.
     Usage = 7, ///< Sent in a datagram.
+    Limit = 8, ///< Sent in a datagram.
 };
 
 /// Header of every frame between instances.
--- a/tests/fuzz/datagrams.cpp
+++ b/tests/fuzz/datagrams.cpp
@@ -1,5 +1,6 @@
 #include "duties/usage_update.h"
 #include "fuzz.h"
+#include "gateway/limit_message.h"
 #include "peer/frame.h"
 #include "peer/gossip_message.h"
 #include "poplarspool/gateway/catalogue_updater.h"
@@ -87,7 +88,7 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    switch (fuzz::takeByte(bytes) % 8) {
+    switch (fuzz::takeByte(bytes) % 9) {
     case 0:
         checkFrame(bytes);
         break;
@@ -115,9 +116,15 @@
                 bytes, [](const duties::usage_update &update) { return duties::encode(update); },
                 duties::decodeUsageUpdate);
         break;
-    default:
+    case 7:
         checkCheckpoints(bytes);
         break;
+    default:
+        checkRoundTrip(
+                bytes,
+                [](const gateway::limit_message &message) { return gateway::encode(message); },
+                gateway::decodeLimitMessage);
+        break;
     }
     return 0;
 }
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -67,7 +67,11 @@
             clock,
             registry,
             events};
-    rate_limiter rateLimiter{names.rateLimit, clock, registry, events};
+    rate_limiter rateLimiter{
+            {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
+             [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
+             [](std::uint32_t) { return std::string(); }, clock, registry, events},
+            {}};
     const proxy_context context{
             names, publisher, runnerTable, retries,           connections, metrics, events,
             clock, {"z"},     leavesAt,    quarantineManager, rateLimiter, 7};
--- /dev/null
+++ b/tests/gateway/rate_limiter_test.cpp
@@ -0,0 +1,440 @@
+#include "gateway/rate_limiter.h"
+
+#include "peer/frame.h"
+#include "poplarspool/base/hash.h"
+#include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/load_exchange.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Instances that exchange limits without a network and on a clock of the test. Datagrams arrive at
+/// once unless they are dropped.
+class limiter_fleet
+{
+public:
+    limiter_fleet(int count, double perSecond) : perSecond(perSecond)
+    {
+        target.id.text = "r";
+        target.startedAtMs = 1;
+        for (int i = 0; i < count; ++i)
+            add();
+        shareList();
+    }
+
+    void add()
+    {
+        const std::size_t index = nodes.size();
+        auto made = std::make_unique<node>();
+        made->entry.id.text = "edge-" + std::to_string(index);
+        made->entry.peerAddress = {"10.0." + std::to_string(index / 250) + "."
+                                           + std::to_string(index % 250 + 1),
+                                   7000};
+        made->limiter = std::make_unique<rate_limiter>(dependenciesOf(index), made->entry);
+        indexes[limitAddressOf(made->entry.peerAddress)] = index;
+        nodes.push_back(std::move(made));
+    }
+
+    /// All instances read the list of the store.
+    void shareList()
+    {
+        std::vector<listed_gateway> listed;
+        for (const auto &each : nodes)
+            listed.push_back(each->entry);
+        for (const auto &each : nodes)
+            each->limiter->setListed(listed);
+    }
+
+    std::size_t size() const { return nodes.size(); }
+    rate_limiter &at(std::size_t index) { return *nodes[index]->limiter; }
+
+    /// The runner answers a request of the instance, and names its limit.
+    void answer(std::size_t index, std::optional<double> limit)
+    {
+        http_headers headers;
+        if (limit)
+            headers.emplace_back("Rate", std::to_string(*limit));
+        at(index).recordReply(target, headers, reply_kind::Accepted, now - 1ms);
+    }
+
+    /// The instance sends a request if it gets a permit. The runner answers at once.
+    bool trySend(std::size_t index, send_class urgency = send_class::Urgent)
+    {
+        const auto acquired = at(index).acquire(target, urgency);
+        if (!std::holds_alternative<rate_permit>(acquired))
+            return false;
+        send(index);
+        return true;
+    }
+
+    void send(std::size_t index)
+    {
+        nodes[index]->sentAt.push_back(now);
+        arrivals.push_back(now);
+        answer(index, limit());
+    }
+
+    /// Sends that many requests per second for a time, from instances that the draw selects.
+    void load(double requestsPerSecond, milliseconds time,
+              const std::function<std::size_t(std::uint64_t)> &select)
+    {
+        const auto step =
+                std::chrono::nanoseconds(static_cast<std::int64_t>(1e9 / requestsPerSecond));
+        const mono_time end = now + time;
+        while (now < end) {
+            now += step;
+            trySend(select(hashOf("load", ++draws)));
+        }
+    }
+
+    /// All instances send evenly.
+    void loadEvenly(double requestsPerSecond, milliseconds time)
+    {
+        load(requestsPerSecond, time, [this](std::uint64_t draw) { return draw % size(); });
+    }
+
+    /// @returns The highest number of requests that arrived within 4 s that ended after `from`.
+    std::size_t busiest(mono_time from) const
+    {
+        std::size_t most = 0;
+        for (std::size_t last = 0, first = 0; last < arrivals.size(); ++last) {
+            while (arrivals[last] - arrivals[first] > 4s)
+                ++first;
+            if (arrivals[last] >= from)
+                most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    std::size_t countSince(mono_time from) const
+    {
+        return static_cast<std::size_t>(
+                std::ranges::count_if(arrivals, [from](mono_time at) { return at >= from; }));
+    }
+
+    /// Index of the instance that issues the permits.
+    std::size_t issuer() const
+    {
+        std::set<instance_id> seen;
+        std::vector<listed_gateway> listed;
+        for (const auto &each : nodes)
+            listed.push_back(each->entry);
+        const limit_fleet fleet = fleetOf(listed, {}, nodes.front()->entry, seen);
+        const std::uint64_t number =
+                fleet.instances[issuersOf(fleet, peer::runnerKey(target.id)).first].number;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (peer::senderNumber(nodes[i]->entry.id) == number)
+                return i;
+        }
+        return nodes.size();
+    }
+
+    std::optional<double> limit() const
+    {
+        return hasLimit ? std::optional(perSecond) : std::nullopt;
+    }
+
+    const double perSecond;
+    bool hasLimit = true;
+    runner target;
+    mono_time now{std::chrono::hours(1)};
+    std::set<std::size_t> silent; ///< Instances that get no datagrams.
+    int datagramsToDrop = 0;
+    std::size_t datagrams = 0;
+    std::size_t bytes = 0;
+
+private:
+    struct node
+    {
+        listed_gateway entry;
+        std::unique_ptr<rate_limiter> limiter;
+        std::deque<mono_time> sentAt;
+    };
+
+    rate_limiter_dependencies dependenciesOf(std::size_t index)
+    {
+        return {"Rate",
+                [this, index](const std::vector<endpoint> &to, const result<std::string> &payload) {
+                    for (const endpoint &each : to)
+                        deliver(index, each, valueOf(payload));
+                },
+                [this, index](std::uint32_t) { return recentSends(index); },
+                [](std::uint32_t) { return std::string("r"); },
+                {[this] { return now; }, [] { return wall_time{}; }},
+                metrics,
+                events};
+    }
+
+    std::uint32_t recentSends(std::size_t index) const
+    {
+        return static_cast<std::uint32_t>(std::ranges::count_if(
+                nodes[index]->sentAt, [this](mono_time at) { return now - at <= 1s; }));
+    }
+
+    void deliver(std::size_t from, const endpoint &to, const std::string &payload)
+    {
+        ++datagrams;
+        bytes += payload.size() + peer::frameHeaderBytes;
+        const std::size_t receiver = indexes.at(to);
+        if (datagramsToDrop > 0 && datagramsToDrop-- > 0)
+            return;
+        if (!silent.contains(receiver))
+            CPPUNIT_ASSERT(nodes[receiver]->limiter->receive(
+                    peer::senderNumber(nodes[from]->entry.id), payload));
+    }
+
+    metrics_registry metrics;
+    journal events{{"test"}, systemClock(), 64};
+    std::vector<std::unique_ptr<node>> nodes;
+    std::map<endpoint, std::size_t> indexes;
+    std::vector<mono_time> arrivals;
+    std::uint64_t draws = 0;
+};
+
+/// What a limit allows in 4 s, with the tolerance that runners grant.
+std::size_t allowedIn4s(double perSecond)
+{
+    return static_cast<std::size_t>(1.5 * perSecond * 4 + 5);
+}
+
+} // namespace
+
+class rate_limiter_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(rate_limiter_test);
+    CPPUNIT_TEST(instancesTogetherKeepTheLimit);
+    CPPUNIT_TEST(permitsGoToTheInstanceThatNeedsThem);
+    CPPUNIT_TEST(thousandInstancesKeepTheLimit);
+    CPPUNIT_TEST(thousandInstancesKeepAFractionalLimit);
+    CPPUNIT_TEST(requestsBeforeTheLimitCount);
+    CPPUNIT_TEST(limitIsToldToAllInstances);
+    CPPUNIT_TEST(lostNoticesAreRepeated);
+    CPPUNIT_TEST(noticesAreForwardedInALargeFleet);
+    CPPUNIT_TEST(endedLimitFreesAllInstances);
+    CPPUNIT_TEST(changedLimitHolds);
+    CPPUNIT_TEST(silentIssuerIsReplaced);
+    CPPUNIT_TEST(joiningIssuerKeepsTheLimit);
+    CPPUNIT_TEST(lateRequestsLeavePermitsToUrgentOnes);
+    CPPUNIT_TEST(unusedPermitIsReturned);
+    CPPUNIT_TEST(expiredPermitIsNotUsed);
+    CPPUNIT_TEST(otherIncarnationNeedsNoPermit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against instances that each send as many requests as the runner takes from all.
+    void instancesTogetherKeepTheLimit()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.send(0);
+        const mono_time begin = fleet.now;
+        fleet.loadEvenly(60, 20s);
+        CPPUNIT_ASSERT(fleet.busiest(begin) <= allowedIn4s(8));
+        // Nearly all that the runner takes is used.
+        CPPUNIT_ASSERT(fleet.countSince(begin) >= 20 * 8 * 0.9);
+    }
+
+    /// Guards against equal shares, of which idle instances keep theirs unused.
+    void permitsGoToTheInstanceThatNeedsThem()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.send(0);
+        const mono_time begin = fleet.now;
+        fleet.load(30, 20s, [](std::uint64_t draw) { return draw % 20 == 0 ? 1 + draw % 5 : 0; });
+        CPPUNIT_ASSERT(fleet.busiest(begin) <= allowedIn4s(8));
+        CPPUNIT_ASSERT(fleet.countSince(begin) >= 20 * 8 * 0.9);
+    }
+
+    void thousandInstancesKeepTheLimit()
+    {
+        limiter_fleet fleet(985, 8);
+        fleet.send(0);
+        const mono_time begin = fleet.now;
+        const std::size_t datagrams = fleet.datagrams;
+        fleet.loadEvenly(1000, 20s);
+        CPPUNIT_ASSERT(fleet.busiest(begin) <= allowedIn4s(8));
+        CPPUNIT_ASSERT(fleet.countSince(begin) >= 20 * 8 * 0.9);
+        // The instances that are denied don't ask again at once: far fewer datagrams than requests.
+        CPPUNIT_ASSERT(fleet.datagrams - datagrams < 20 * 1000);
+    }
+
+    void thousandInstancesKeepAFractionalLimit()
+    {
+        limiter_fleet fleet(985, 0.5);
+        fleet.send(0);
+        const mono_time begin = fleet.now;
+        fleet.loadEvenly(100, 60s);
+        CPPUNIT_ASSERT(fleet.busiest(begin + 3s) <= allowedIn4s(0.5));
+        CPPUNIT_ASSERT(fleet.countSince(begin) >= 60 * 0.5 * 0.8);
+    }
+
+    /// Guards against a burst in the first seconds: the requests before the limit was known, and
+    /// then at once as many as the limit allows.
+    void requestsBeforeTheLimitCount()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        fleet.loadEvenly(45, 2s);
+        fleet.hasLimit = true;
+        const mono_time named = fleet.now;
+        fleet.loadEvenly(45, 10s);
+        CPPUNIT_ASSERT(fleet.busiest(named + 3s) <= allowedIn4s(8));
+        // The runner gets requests again once it has had time for those before.
+        CPPUNIT_ASSERT(fleet.countSince(named + 4s) >= 6 * 8 * 0.8);
+    }
+
+    /// Guards against an instance that sends beyond the limit until it hears of it itself.
+    void limitIsToldToAllInstances()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.answer(0, 8);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            CPPUNIT_ASSERT(fleet.at(i).limitOf(fleet.target) == 8);
+    }
+
+    void lostNoticesAreRepeated()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.datagramsToDrop = 10;
+        fleet.answer(0, 8);
+        CPPUNIT_ASSERT(!fleet.at(1).limitOf(fleet.target));
+        for (int i = 0; i < 2; ++i) {
+            fleet.now += config::limitNoticeInterval;
+            fleet.answer(0, 8);
+        }
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            CPPUNIT_ASSERT(fleet.at(i).limitOf(fleet.target) == 8);
+    }
+
+    void noticesAreForwardedInALargeFleet()
+    {
+        limiter_fleet fleet(300, 8);
+        fleet.answer(0, 8);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            CPPUNIT_ASSERT(fleet.at(i).limitOf(fleet.target) == 8);
+    }
+
+    void endedLimitFreesAllInstances()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.send(0);
+        fleet.loadEvenly(60, 5s);
+        fleet.hasLimit = false;
+        fleet.loadEvenly(60, 1s);
+        const mono_time free = fleet.now;
+        fleet.loadEvenly(60, 1s);
+        CPPUNIT_ASSERT(fleet.countSince(free) >= 59);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            CPPUNIT_ASSERT(!fleet.at(i).limitOf(fleet.target));
+    }
+
+    void changedLimitHolds()
+    {
+        limiter_fleet fleet(6, 2);
+        fleet.answer(0, 40);
+        fleet.now += 10ms;
+        fleet.loadEvenly(60, 1s);
+        const mono_time begin = fleet.now;
+        fleet.loadEvenly(60, 10s);
+        CPPUNIT_ASSERT(fleet.busiest(begin + 5s) <= allowedIn4s(2));
+    }
+
+    /// Guards against a runner that gets nothing, or everything, while the instance that issues its
+    /// permits is gone and the others don't know yet.
+    void silentIssuerIsReplaced()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.send(0);
+        fleet.loadEvenly(40, 3s);
+        const std::size_t gone = fleet.issuer();
+        fleet.silent.insert(gone);
+        const mono_time begin = fleet.now;
+        fleet.load(40, 5s, [gone](std::uint64_t draw) { return (gone + 1 + draw % 5) % 6; });
+        CPPUNIT_ASSERT(fleet.busiest(begin) <= allowedIn4s(8));
+        CPPUNIT_ASSERT(fleet.countSince(begin) >= 5 * 8 * 0.25 * 0.7);
+    }
+
+    void joiningIssuerKeepsTheLimit()
+    {
+        limiter_fleet fleet(3, 8);
+        fleet.send(0);
+        const mono_time begin = fleet.now;
+        const std::size_t before = fleet.issuer();
+        while (fleet.issuer() == before) {
+            fleet.loadEvenly(40, 2s);
+            fleet.add();
+            // The instances learn of it one after the other.
+            fleet.load(40, 500ms,
+                       [&fleet](std::uint64_t draw) { return draw % (fleet.size() - 1); });
+            fleet.shareList();
+        }
+        fleet.loadEvenly(40, 5s);
+        CPPUNIT_ASSERT(fleet.busiest(begin) <= allowedIn4s(8));
+    }
+
+    void lateRequestsLeavePermitsToUrgentOnes()
+    {
+        limiter_fleet fleet(2, 8);
+        fleet.send(0);
+        fleet.trySend(0);
+        fleet.now += 2s;
+        int late = 0;
+        while (fleet.trySend(0, send_class::Late))
+            ++late;
+        CPPUNIT_ASSERT_EQUAL(1, late);
+        CPPUNIT_ASSERT(fleet.trySend(1, send_class::Urgent));
+        CPPUNIT_ASSERT(!fleet.trySend(1, send_class::Urgent));
+    }
+
+    void unusedPermitIsReturned()
+    {
+        limiter_fleet fleet(2, 1);
+        fleet.send(0);
+        fleet.trySend(0);
+        fleet.now += 3s;
+        const auto first = fleet.at(0).acquire(fleet.target, send_class::Urgent);
+        CPPUNIT_ASSERT(std::holds_alternative<rate_permit>(first));
+        CPPUNIT_ASSERT(!fleet.trySend(0));
+        fleet.at(0).release(std::get<rate_permit>(first));
+        CPPUNIT_ASSERT(fleet.trySend(0));
+        CPPUNIT_ASSERT(!fleet.trySend(0));
+    }
+
+    /// Guards against permits that are kept and used later, together with those of that time.
+    void expiredPermitIsNotUsed()
+    {
+        limiter_fleet fleet(2, 0.2);
+        fleet.send(0);
+        fleet.trySend(0);
+        fleet.now += 10s;
+        const auto first = fleet.at(0).acquire(fleet.target, send_class::Urgent);
+        CPPUNIT_ASSERT(std::holds_alternative<rate_permit>(first));
+        fleet.at(0).release(std::get<rate_permit>(first));
+        fleet.now += config::permitLifetime;
+        CPPUNIT_ASSERT(!fleet.trySend(0));
+    }
+
+    void otherIncarnationNeedsNoPermit()
+    {
+        limiter_fleet fleet(2, 1);
+        fleet.send(0);
+        fleet.target.startedAtMs = 2;
+        fleet.hasLimit = false;
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(fleet.trySend(1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rate_limiter_test);
+
+} // namespace poplarspool::gateway
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -48,7 +48,11 @@
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     quarantine_manager quarantineManager{{}, {}, {"test"}, clock, registry, events};
-    rate_limiter rateLimiter{names.rateLimit, clock, registry, events};
+    rate_limiter rateLimiter{
+            {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
+             [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
+             [](std::uint32_t) { return std::string(); }, clock, registry, events},
+            {}};
     const proxy_context context{
             names,  publisher, runnerTable, retries,  connections,       metrics,
             events, clock,     {"z"},       leavesAt, quarantineManager, rateLimiter};
