Infer a rate limit for runners that refuse, and plan and prefill without them

A refused prefill ended handoffs for that request, so that long prompts were read at half the pace where they run. Class: what a runner says of its own room is not heeded by all instances together.

Change: after three refusals in a row a limit is inferred, told and kept by permits like a named one; it falls with refusals and rises with accepted requests. The planner leaves engines with a low limit out. A refused prefill is tried at another engine, three at most.

Tests: five plays of the limiter, one of the planner, one with whole instances.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -60,6 +60,8 @@
 inline constexpr std::size_t sampledRunners = 32;
 /// Engines that are considered in the place of the preferred one while that is ejected or full.
 inline constexpr std::size_t preferredRunners = 4;
+/// Engines that one request asks to prefill its prompt, as long as they refuse.
+inline constexpr std::uint32_t maxHandoffs = 3;
 /// Probes of the ring by which the preferred engine is found. The more there are, the more evenly
 /// the keys are spread over the engines.
 inline constexpr std::size_t affinityProbes = 21;
@@ -78,6 +80,24 @@
 inline constexpr double minRateLimit = 0.1;
 inline constexpr double maxRateLimit = 1e6;
 inline constexpr std::size_t maxRateLimitDigits = 32;
+/// Number of refusals in a row, each of a request that was sent after the one before, from which a
+/// rate limit is inferred for the runner, and time after which a refusal is forgotten.
+inline constexpr std::uint32_t minRefusalsInRow = 3;
+inline constexpr std::chrono::milliseconds refusalRetention = 10s;
+/// Bounds of an inferred limit in requests per second, and its change with each refused and each
+/// accepted request. A runner is kept at a rate at which it refuses four requests in ten; one that
+/// has recovered is free of its limit after 16 requests, in less than three seconds.
+inline constexpr double minInferredLimit = 2;
+inline constexpr double minFirstInferredLimit = 8;
+inline constexpr double maxInferredLimit = 64;
+inline constexpr double inferredLimitDecrease = 0.75;
+inline constexpr double inferredLimitIncrease = 1.25;
+/// Share of an engine's capacity that its rate limit must leave for it to count in the plan of
+/// stages, and the number of prompts that a prefill engine processes per second.
+inline constexpr double minPlannedShare = 0.5;
+inline constexpr double promptsPerSecond = 10;
+/// Assumed time of a request on an engine that has not run any.
+inline constexpr double unknownRunMs = 1000;
 /// Permits of a rate limit that may accumulate, as a share of a second's; at least one.
 inline constexpr double limitBurstSeconds = 0.25;
 /// Maximum number of permits that are withheld for the requests that a runner got before its limit
--- a/include/poplarspool/gateway/rate_limit.h
+++ b/include/poplarspool/gateway/rate_limit.h
@@ -2,6 +2,7 @@
 
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/http.h"
+#include "poplarspool/gateway/runner.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,7 +35,10 @@
 struct rate_limit_observation
 {
     std::uint64_t startedAtMs = 0; ///< Of the incarnation; 0 if not reported.
-    std::optional<double> perSecond; ///< Empty: it names no limit.
+    std::optional<double> perSecond; ///< Empty: it has no limit.
+    /// The runner has not named the limit: it follows from its refusals.
+    bool isInferred = false;
+    engine_stage stage = engine_stage::None; ///< An inferred limit holds in this stage only.
     /// The runner wrote the reply between these two times: after the request was sent, and before
     /// the reply arrived.
     mono_time askedAt{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -133,7 +133,8 @@
                         registry.counterOf("poplarspool_gateway_stage_orders_total"),
                         stepFailureReporterOf(eventLog, registry),
                         [this] { return owns(stagesRole); },
-                        [this] { return instanceCount.load(); }},
+                        [this] { return instanceCount.load(); },
+                        [this](const runner &target) { return rateLimiter.limitOf(target); }},
                        std::move(links.stageLeases), settings.instance, settings.leaseBound)
     {
         if (hasDuty(settings, usageDuty))
@@ -244,6 +245,7 @@
                 limitExchange.send(to, payload);
             },
             [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
+            [this](std::uint32_t runner) { return runnerTable.recentStartsAt(runner); },
             [this](std::uint32_t runner) {
                 const runner_entry found = publisher.current()->runners->findByKey(runner);
                 return found ? found->id.text : std::string();
--- a/src/gateway/limit_message.cpp
+++ b/src/gateway/limit_message.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t minNoticeBytes = 15;
+constexpr std::size_t minNoticeBytes = 17;
 constexpr std::size_t addressBytes = 6;
 /// Resolution of a limit on the wire, in requests per second.
 constexpr double limitUnit = 0.001;
@@ -33,6 +33,19 @@
     return static_cast<double>(units) * limitUnit;
 }
 
+void stageField(peer::encoder &out, engine_stage stage)
+{
+    out.varint(static_cast<std::uint64_t>(stage));
+}
+
+void stageField(peer::decoder &in, engine_stage &stage)
+{
+    const std::uint64_t value = in.varint();
+    if (value > static_cast<std::uint64_t>(engine_stage::Decode))
+        throw peer::malformed_payload("unknown engine stage");
+    stage = static_cast<engine_stage>(value);
+}
+
 template <class Codec, class Notice>
 void noticeFields(Codec &codec, Notice &notice)
 {
@@ -42,6 +55,8 @@
         notice.perSecond = limitOfWire(codec.varint());
     else
         codec.varint(wireLimitOf(notice.perSecond));
+    codec.small(notice.isInferred);
+    stageField(codec, notice.stage);
     codec.small(notice.askedAgoMs);
     codec.small(notice.heardAgoMs);
 }
--- a/src/gateway/limit_message.h
+++ b/src/gateway/limit_message.h
@@ -2,6 +2,7 @@
 
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/result.h"
+#include "poplarspool/gateway/runner.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,7 +20,9 @@
 {
     std::uint32_t runner = 0; ///< peer::runnerKey() of its id.
     std::uint64_t startedAtMs = 0; ///< Of its incarnation.
-    std::optional<double> perSecond; ///< Empty: it names no limit any more.
+    std::optional<double> perSecond; ///< Empty: it has no limit any more.
+    bool isInferred = false; ///< See rate_limit_observation, as for `stage`.
+    engine_stage stage = engine_stage::None;
     /// When the reply that says so was asked for and heard, before the sending of this datagram.
     std::uint32_t askedAgoMs = 0;
     std::uint32_t heardAgoMs = 0;
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -53,8 +53,10 @@
     if (!isUnreachable)
         context.retries.takeUnconditionally(service);
     // The prompt is then prefilled where the request runs, which costs time but not the answer. An
-    // unreachable engine has cost little, so that another handoff may be tried.
-    hasHandoffFailed = !isUnreachable;
+    // engine that was unreachable or has refused has cost little, so that another handoff may be
+    // tried.
+    const bool isRefused = record.outcome() == send_outcome::Refused;
+    hasHandoffFailed = !isUnreachable && !(isRefused && ++refusedHandoffs < config::maxHandoffs);
     tried.push_back(prefillEngine.id);
     logSend("prefill_lost",
             {{"runner", prefillEngine.id.text},
--- a/src/gateway/rate_limit_table.cpp
+++ b/src/gateway/rate_limit_table.cpp
@@ -1,5 +1,7 @@
 #include "gateway/rate_limit_table.h"
 
+#include "poplarspool/peer/load_exchange.h"
+
 #include <algorithm>
 
 namespace poplarspool::gateway {
@@ -26,19 +28,18 @@
     return rate_limit_change{before, after};
 }
 
-std::optional<rate_limit_observation> rate_limit_table::limitOf(std::uint32_t runner,
-                                                                std::uint64_t startedAtMs) const
+std::optional<rate_limit_observation> rate_limit_table::limitOf(const runner &target) const
 {
     if (isEmpty())
         return std::nullopt;
-    const std::lock_guard lock(guard);
-    const auto found = records.find(runner);
-    if (found == records.end() || !found->second.perSecond)
+    const auto known = find(peer::runnerKey(target.id));
+    if (!known || !known->perSecond)
         return std::nullopt;
-    const rate_limit_observation &known = found->second;
-    const bool isOtherIncarnation =
-            known.startedAtMs != 0 && startedAtMs != 0 && known.startedAtMs != startedAtMs;
-    return isOtherIncarnation ? std::nullopt : std::optional(known);
+    const bool isOtherIncarnation = known->startedAtMs != 0 && target.startedAtMs != 0
+            && known->startedAtMs != target.startedAtMs;
+    // An engine that changes its stage refuses all requests, and none after that.
+    const bool isOtherStage = known->isInferred && known->stage != target.stage;
+    return isOtherIncarnation || isOtherStage ? std::nullopt : known;
 }
 
 std::optional<rate_limit_observation> rate_limit_table::find(std::uint32_t runner) const
--- a/src/gateway/rate_limit_table.h
+++ b/src/gateway/rate_limit_table.h
@@ -26,10 +26,9 @@
     /// @returns What has changed by it; none if it is outdated or nothing new.
     std::optional<rate_limit_change> record(std::uint32_t runner,
                                             const rate_limit_observation &observed);
-    /// @param startedAtMs Of the incarnation that is to be sent to.
+    /// @param target The incarnation that is to be sent to.
     /// @returns None if that incarnation has no limit.
-    std::optional<rate_limit_observation> limitOf(std::uint32_t runner,
-                                                  std::uint64_t startedAtMs) const;
+    std::optional<rate_limit_observation> limitOf(const runner &target) const;
     /// @returns What was heard of the runner last, also if it has no limit; none if it had none
     /// lately.
     std::optional<rate_limit_observation> find(std::uint32_t runner) const;
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -1,5 +1,6 @@
 #include "gateway/rate_limiter.h"
 
+#include "gateway/refusal_limit.h"
 #include "peer/forward_groups.h"
 #include "peer/frame.h"
 #include "poplarspool/base/hash.h"
@@ -45,24 +46,77 @@
     rebuildFleet();
 }
 
-/// A refusal without a limit ends none: a runner that is full may answer before it looks at its
-/// limit.
 void rate_limiter::recordReply(const runner &target, const http_headers &headers, reply_kind kind,
                                mono_time askedAt)
 {
     const rate_limit_reading reading = readRateLimit(headers, dependencies.headerName);
-    if (reading.kind == rate_limit_kind::Unreadable
-        || (reading.kind == rate_limit_kind::None && kind == reply_kind::Refused))
-        return;
-    rate_limit_observation observed{target.startedAtMs, std::nullopt, askedAt,
-                                    dependencies.clock.mono()};
-    if (reading.kind == rate_limit_kind::Limited)
-        observed.perSecond = reading.perSecond;
-    recordChange(peer::runnerKey(target.id), observed, true);
+    if (const auto observed = observationOf(target, kind, reading, askedAt))
+        recordChange(peer::runnerKey(target.id), *observed, true);
     if (areNoticesDue())
         sendDue();
 }
 
+/// A refusal without a limit doesn't end a limit that was named: a runner that is full may answer
+/// before it looks at its limit.
+/// @returns What the reply says about the runner's limit; none if it says nothing.
+std::optional<rate_limit_observation> rate_limiter::observationOf(const runner &target,
+                                                                  reply_kind kind,
+                                                                  const rate_limit_reading &reading,
+                                                                  mono_time askedAt)
+{
+    const std::uint32_t runner = peer::runnerKey(target.id);
+    rate_limit_observation observed;
+    observed.startedAtMs = target.startedAtMs;
+    observed.stage = target.stage;
+    observed.askedAt = askedAt;
+    observed.heardAt = dependencies.clock.mono();
+    if (reading.kind == rate_limit_kind::Limited)
+        observed.perSecond = reading.perSecond;
+    if (reading.kind != rate_limit_kind::None)
+        return observed.perSecond ? std::optional(observed) : std::nullopt;
+    const auto known = table.limitOf(target);
+    const bool isNamed = known && !known->isInferred;
+    if (kind == reply_kind::Refused) {
+        if (isNamed)
+            return std::nullopt;
+        observed.isInferred = true;
+        observed.perSecond =
+                known ? limitAfterRefusal(*known->perSecond) : inferLimit(runner, askedAt);
+        return observed.perSecond ? std::optional(observed) : std::nullopt;
+    }
+    if (known && known->isInferred) {
+        observed.isInferred = true;
+        observed.perSecond = limitAfterAcceptance(*known->perSecond);
+        return observed;
+    }
+    const std::lock_guard lock(guard);
+    refusals.erase(runner);
+    return observed;
+}
+
+/// @returns The limit of a runner that has just refused a request; none if that may be chance.
+std::optional<double> rate_limiter::inferLimit(std::uint32_t runner, mono_time askedAt)
+{
+    const mono_time now = dependencies.clock.mono();
+    {
+        const std::lock_guard lock(guard);
+        refusal_streak &streak = refusals[runner];
+        if (now - streak.lastAt > config::refusalRetention)
+            streak = {};
+        if (askedAt < streak.lastAt)
+            return std::nullopt;
+        streak.lastAt = now;
+        if (++streak.count < config::minRefusalsInRow)
+            return std::nullopt;
+        refusals.erase(runner);
+    }
+    const auto last = table.find(runner);
+    const bool hadLimit =
+            last && last->isInferred && now - last->heardAt < config::refusalRetention;
+    const auto instances = static_cast<double>(fleet.current()->instances.size());
+    return limitAfterRefusals(dependencies.recentStarts(runner) * instances, hadLimit);
+}
+
 /// @param isOwn Heard from the runner itself, so that the other instances have to be told.
 void rate_limiter::recordChange(std::uint32_t runner, const rate_limit_observation &observed,
                                 bool isOwn)
@@ -70,8 +124,13 @@
     const auto change = table.record(runner, observed);
     if (!change)
         return;
+    // The steps of an inferred limit are told with the requests for permits.
+    const bool isStep = observed.isInferred && change->before && change->after;
+    if (isStep)
+        return;
     logChange(runner, *change, observed, isOwn);
-    const std::uint32_t sentBefore = change->before ? 0 : dependencies.recentSends(runner);
+    const bool isNew = !change->before && !observed.isInferred;
+    const std::uint32_t sentBefore = isNew ? dependencies.recentSends(runner) : 0;
     if (!change->after)
         issuer.forget(runner);
     const std::lock_guard lock(guard);
@@ -94,6 +153,7 @@
                               {"before", textOfLimit(change.before)},
                               {"per_second", textOfLimit(change.after)},
                               {"from", isOwn ? "runner" : "instance"},
+                              {"inferred", observed.isInferred ? "yes" : "no"},
                               {"asked_ms_ago", millisecondsText(now - observed.askedAt)},
                               {"heard_ms_ago", millisecondsText(now - observed.heardAt)}});
 }
@@ -121,20 +181,29 @@
                                     const rate_limit_observation &observed) const
 {
     const mono_time now = dependencies.clock.mono();
-    return {runner, observed.startedAtMs, observed.perSecond, ageMsOf(observed.askedAt, now),
+    return {runner,
+            observed.startedAtMs,
+            observed.perSecond,
+            observed.isInferred,
+            observed.stage,
+            ageMsOf(observed.askedAt, now),
             ageMsOf(observed.heardAt, now)};
 }
 
 rate_limit_observation rate_limiter::observationOf(const limit_notice &notice) const
 {
     const mono_time now = dependencies.clock.mono();
-    return {notice.startedAtMs, notice.perSecond, now - milliseconds(notice.askedAgoMs),
+    return {notice.startedAtMs,
+            notice.perSecond,
+            notice.isInferred,
+            notice.stage,
+            now - milliseconds(notice.askedAgoMs),
             now - milliseconds(notice.heardAgoMs)};
 }
 
 std::optional<double> rate_limiter::limitOf(const runner &target) const
 {
-    const auto known = table.limitOf(peer::runnerKey(target.id), target.startedAtMs);
+    const auto known = table.limitOf(target);
     return known ? known->perSecond : std::nullopt;
 }
 
@@ -187,7 +256,7 @@
                                                                send_class urgency)
 {
     const std::uint32_t runner = peer::runnerKey(target.id);
-    const auto limit = table.limitOf(runner, target.startedAtMs);
+    const auto limit = table.limitOf(target);
     if (!limit)
         return rate_permit{runner};
     const auto current = fleet.current();
@@ -246,7 +315,7 @@
     const std::uint32_t runner = peer::runnerKey(target.id);
     recordChange(runner, observationOf(reply.known), false);
     // The issuer may know that the limit has ended.
-    if (!table.limitOf(runner, target.startedAtMs))
+    if (!table.limitOf(target))
         return rate_permit{runner};
     const std::lock_guard lock(guard);
     runner_permits &entry = permits[runner];
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -57,6 +57,8 @@
     std::function<void(const std::vector<endpoint> &to, const result<std::string> &payload)> send;
     /// @returns The number of requests sent to the runner within the last second.
     std::function<std::uint32_t(std::uint32_t runner)> recentSends;
+    /// @returns The number of requests that the runner has begun within the last second.
+    std::function<std::uint32_t(std::uint32_t runner)> recentStarts;
     /// @returns The runner's id, for log lines; empty if it isn't listed.
     std::function<std::string(std::uint32_t runner)> nameOf;
     clock_source clock;
@@ -64,10 +66,10 @@
     journal &events;
 };
 
-/// Keeps the rate limits that runners name, together with all other instances: each request to a
-/// runner with a limit needs a permit, and for each runner one instance issues the permits of all.
-/// That instance is asked when a request is to be sent, so that the permits go where the requests
-/// are, however unevenly they come.
+/// Keeps the rate limits that runners name, and those that follow from their refusals, together
+/// with all other instances: each request to a runner with a limit needs a permit, and for each
+/// runner one instance issues the permits of all. That instance is asked when a request is to be
+/// sent, so that the permits go where the requests are, however unevenly they come.
 class rate_limiter
 {
 public:
@@ -114,6 +116,13 @@
         issuer_pair issuers;
     };
 
+    /// Refusals of a runner that has no limit.
+    struct refusal_streak
+    {
+        std::uint32_t count = 0;
+        mono_time lastAt{};
+    };
+
     struct pending_notice
     {
         limit_notice notice;
@@ -121,6 +130,10 @@
         int sendsLeft = 0;
     };
 
+    std::optional<rate_limit_observation> observationOf(const runner &target, reply_kind kind,
+                                                        const rate_limit_reading &reading,
+                                                        mono_time askedAt);
+    std::optional<double> inferLimit(std::uint32_t runner, mono_time askedAt);
     void recordChange(std::uint32_t runner, const rate_limit_observation &observed, bool isOwn);
     void logChange(std::uint32_t runner, const rate_limit_change &change,
                    const rate_limit_observation &observed, bool isOwn);
@@ -157,6 +170,7 @@
     mutable std::mutex guard;
     std::condition_variable replied;
     std::unordered_map<std::uint32_t, runner_permits> permits;
+    std::unordered_map<std::uint32_t, refusal_streak> refusals;
     /// By number: requests that wait for a reply, and the reply once it is there.
     std::map<std::uint64_t, std::optional<permit_reply>> waiting;
     std::uint64_t lastNumber = 0;
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -184,6 +184,7 @@
     std::vector<runner_id> deniedRunners; ///< Those whose rate limit has not permitted the request.
     /// A handoff has failed: the prompt is prefilled where the request runs.
     bool hasHandoffFailed = false;
+    std::uint32_t refusedHandoffs = 0;
     std::optional<http_reply> bufferedReply; ///< A runner's complete answer.
     bool hasBegun = false; ///< Bytes of an answer were passed on to the caller.
     std::optional<std::uint64_t> lastEventId; ///< Last event passed on.
--- a/src/gateway/runner_candidates.cpp
+++ b/src/gateway/runner_candidates.cpp
@@ -125,18 +125,20 @@
     return candidates;
 }
 
-std::vector<std::uint32_t> runner_table::openRequestsAt(std::span<const runner_entry> targets)
+std::vector<runner_use> runner_table::usesOf(std::span<const runner_entry> targets)
 {
-    std::vector<std::uint32_t> counts;
-    counts.reserve(targets.size());
+    std::vector<runner_use> uses;
+    uses.reserve(targets.size());
     const std::lock_guard lock(guard);
     expireSilentPeers(clock.mono());
     for (const runner_entry &target : targets) {
         const auto found = records.find(peer::runnerKey(target->id));
-        counts.push_back(
-                found == records.end() ? 0 : found->second.own.open + found->second.others.open);
+        uses.push_back(found == records.end()
+                               ? runner_use{}
+                               : runner_use{found->second.own.open + found->second.others.open,
+                                            found->second.runMs});
     }
-    return counts;
+    return uses;
 }
 
 /// Compares slow runners with their siblings, since the duration of a request depends on the load
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -88,6 +88,7 @@
     const std::lock_guard lock(guard);
     runner_record &entry = records[sent.target];
     entry.own.of(sent.urgency).subtract(1, sent.prefillMs);
+    entry.recentStarts.record(sent.startedAt);
     const mono_time now = sent.startedAt;
     const double tookMs = millisecondsOf(now - sent.sentAt);
     if (sent.expectedMs > 0) {
@@ -217,6 +218,13 @@
     return found == records.end() ? 0 : found->second.recentSends.countAt(clock.mono());
 }
 
+std::uint32_t runner_table::recentStartsAt(std::uint32_t runner)
+{
+    const std::lock_guard lock(guard);
+    const auto found = records.find(runner);
+    return found == records.end() ? 0 : found->second.recentStarts.countAt(clock.mono());
+}
+
 /// @attention The caller must hold `guard`.
 runner_table::runner_record &runner_table::useParts(const runner_id &target,
                                                     const std::vector<prompt_part> &prompt,
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -27,6 +27,15 @@
     Unknown, ///< The caller left, or the time limit was reached.
 };
 
+/// How much a runner does, as far as this instance knows.
+struct runner_use
+{
+    std::uint32_t open = 0; ///< Requests in flight, from all instances.
+    double runMs = 0; ///< Recent mean from a request's first event to its end; 0: unknown.
+
+    bool operator==(const runner_use &) const = default;
+};
+
 /// What selects the runners that a request considers.
 struct candidate_query
 {
@@ -65,6 +74,7 @@
         bool recordStart();
         bool hasStarted() const { return startedAt != mono_time{}; }
         void recordEnd(send_outcome how) { end = how; }
+        send_outcome outcome() const { return end; }
         /// Sets the expected duration of a send that includes a prefill and finds a free slot: the
         /// pace of engines is learnt from it.
         /// @param workMs Prefill time of its prompt and those before it.
@@ -93,12 +103,14 @@
     /// shared parts, holders of these parts, and the runners that were tried.
     std::vector<placement_candidate> candidatesOf(const catalogue &known,
                                                   const candidate_query &query);
-    /// @returns The number of open requests at each of these runners.
-    std::vector<std::uint32_t> openRequestsAt(std::span<const runner_entry> targets);
+    /// @returns The use of each of these runners.
+    std::vector<runner_use> usesOf(std::span<const runner_entry> targets);
 
     /// @param runner peer::runnerKey() of its id.
     /// @returns The number of requests that this instance sent to the runner in the last second.
     std::uint32_t recentSendsTo(std::uint32_t runner);
+    /// @returns The number of this instance's requests that the runner began in the last second.
+    std::uint32_t recentStartsAt(std::uint32_t runner);
 
     /// Called when the runner says that it is not the one that its entry describes, or not of that
     /// stage.
@@ -158,6 +170,7 @@
         work_sum zoneOthers; ///< Of these, of the instances of this zone.
         std::uint32_t failuresInRow = 0;
         send_history recentSends;
+        send_history recentStarts;
         runner misdirected; ///< The entry that it has denied last.
         mono_time misdirectedUntil{};
         std::deque<bool> outcomes; ///< Of the last sends; true: failed.
--- a/src/gateway/stage_manager.cpp
+++ b/src/gateway/stage_manager.cpp
@@ -61,6 +61,20 @@
     });
 }
 
+/// An engine that takes few requests can't stand in for a whole one: planned as one, it leaves the
+/// others with more than they can serve.
+bool stage_manager::isLimited(const runner &target, const runner_use &use,
+                              const engine_traits &traits) const
+{
+    const auto limit = dependencies.limitOf ? dependencies.limitOf(target) : std::nullopt;
+    if (!limit)
+        return false;
+    if (target.stage == engine_stage::Prefill)
+        return *limit < config::minPlannedShare * config::promptsPerSecond;
+    const double runMs = use.runMs > 0 ? use.runMs : config::unknownRunMs;
+    return *limit * runMs / 1000 < config::minPlannedShare * traits.batch;
+}
+
 std::vector<stage_engine> stage_manager::enginesOf(const catalogue &known, const service &engines)
 {
     std::vector<runner_entry> staged;
@@ -72,13 +86,16 @@
                 staged.push_back(one);
         });
     }
-    const std::vector<std::uint32_t> open = dependencies.runnerTable.openRequestsAt(staged);
+    const std::vector<runner_use> uses = dependencies.runnerTable.usesOf(staged);
     std::vector<stage_engine> found;
     found.reserve(staged.size());
     for (std::size_t i = 0; i < staged.size(); ++i) {
         const runner &target = *staged[i];
-        stage_engine seen{target.id, target.zone, target.stage, open[i], false};
+        stage_engine seen{target.id, target.zone, target.stage, uses[i].open, false};
         const auto order = pendingOrders.find(target.id);
+        // It refuses requests also while it changes its stage.
+        if (order == pendingOrders.end() && isLimited(target, uses[i], *engines.engine))
+            continue;
         if (order != pendingOrders.end()) {
             seen.stage = order->second.wanted;
             seen.isChanging = true;
--- a/src/gateway/stage_manager.h
+++ b/src/gateway/stage_manager.h
@@ -28,6 +28,8 @@
     std::function<bool()> isOwner;
     /// Number of instances that send requests to the engines.
     std::function<std::size_t()> instanceCount;
+    /// @returns The rate limit of an engine, in requests per second; none if it has none.
+    std::function<std::optional<double>(const runner &)> limitOf = {};
 };
 
 /// Periodically plans the stages of all engines and orders engines to change stage, on a thread of
@@ -58,6 +60,7 @@
     bool isFleetSettled(const catalogue &known);
     void planService(const catalogue &known, const service &engines);
     std::vector<stage_engine> enginesOf(const catalogue &known, const service &engines);
+    bool isLimited(const runner &target, const runner_use &use, const engine_traits &traits) const;
     void forgetSettledOrders(const catalogue &known);
     void placeOrder(const catalogue &known, const stage_change &change,
                     const duties::lease_term &term);
--- a/tests/adapter/limited_runner.h
+++ b/tests/adapter/limited_runner.h
@@ -43,12 +43,26 @@
         changedAt = std::chrono::steady_clock::now();
     }
 
+    /// From now on it refuses all requests.
+    void refuseAll()
+    {
+        const std::lock_guard lock(guard);
+        isRefusing = true;
+    }
+
     std::size_t arrivalCount() const
     {
         const std::lock_guard lock(guard);
         return arrivals.size();
     }
 
+    /// Number of requests that it had to prefill and to run.
+    std::size_t unpreparedCount() const
+    {
+        const std::lock_guard lock(guard);
+        return unprepared;
+    }
+
     /// @param after Only spans that end this long after the last change of the limit count.
     /// @returns The highest number of requests that arrived within such a span.
     std::size_t busiest(std::chrono::milliseconds span, std::chrono::milliseconds after) const
@@ -75,12 +89,18 @@
             return reply;
         const std::lock_guard lock(guard);
         arrivals.push_back(std::chrono::steady_clock::now());
+        if (isRefusing) {
+            reply.status = 503;
+            reply.headers.emplace_back(wire::notRun, "1");
+            return reply;
+        }
         if (!limit.empty())
             reply.headers.emplace_back(wire::rateLimit, limit);
         if (headerOf(request.headers, wire::stageHeader) == wire::stagePrefill) {
             reply.body = R"({"kvHandle":"k","tokens":1000,"version":1})";
             return reply;
         }
+        unprepared += headerOf(request.headers, wire::kvSource).empty() ? 1 : 0;
         reply.headers.emplace_back(wire::seal, "s");
         reply.body = "id: 1\ndata: x\n\n";
         return reply;
@@ -90,6 +110,8 @@
     std::string limit;
     time_point changedAt{};
     std::vector<time_point> arrivals;
+    std::size_t unprepared = 0;
+    bool isRefusing = false;
     metrics_registry metrics;
     http_server server;
 };
--- a/tests/adapter/limited_runners_test.cpp
+++ b/tests/adapter/limited_runners_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(allInstancesTogetherKeepALimitOfAService);
     CPPUNIT_TEST(allInstancesTogetherKeepALimitOfADecodeEngine);
     CPPUNIT_TEST(allInstancesTogetherKeepALimitOfAPrefillEngine);
+    CPPUNIT_TEST(promptGoesToAnotherEngineIfOneRefusesIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +126,24 @@
         assertLimitIsKept(fleet, limited);
     }
 
+    /// Guards against prompts that the engines of the other stage have to prefill, slowly, because
+    /// one engine refuses.
+    void promptGoesToAnotherEngineIfOneRefusesIt()
+    {
+        fake_store store;
+        store.put(wire::configKind, wire::configName, engineRoutes());
+        limited_runner refusing(store, "i-0", wire::stagePrefill);
+        limited_runner other(store, "i-1", wire::stagePrefill);
+        limited_runner running(store, "i-2", wire::stageDecode);
+        refusing.refuseAll();
+        gateway_fleet fleet(store, 1, 26300);
+        fleet.waitUntilAllServe("x", nextPrompt());
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, fleet.sendRequest(0, "x", nextPrompt()));
+        CPPUNIT_ASSERT(refusing.arrivalCount() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, running.unpreparedCount());
+    }
+
 private:
     static std::string engineRoutes()
     {
--- a/tests/gateway/limit_message_test.cpp
+++ b/tests/gateway/limit_message_test.cpp
@@ -10,13 +10,14 @@
 
 namespace {
 
-const limit_notice notice{7, 1'700'000'000'000, 8.1, 40, 30};
+const limit_notice notice{7, 1'700'000'000'000, 8.1, true, engine_stage::Decode, 40, 30};
 
 limit_update longestUpdate()
 {
     limit_update update;
     update.notices.assign(config::maxLimitNotices,
-                          {UINT32_MAX, UINT64_MAX, config::maxRateLimit, UINT32_MAX, UINT32_MAX});
+                          {UINT32_MAX, UINT64_MAX, config::maxRateLimit, true, engine_stage::Decode,
+                           UINT32_MAX, UINT32_MAX});
     for (std::size_t i = 0; i < config::maxForwardGroup; ++i)
         update.forwardTo.push_back({"10.1.2." + std::to_string(i), 7383});
     return update;
@@ -36,7 +37,8 @@
     void messagesAreUnchangedByTheWire()
     {
         const limit_message messages[] = {
-                limit_update{{notice, {8, 0, std::nullopt, 0, 0}}, {{"10.1.2.3", 7383}}},
+                limit_update{{notice, {8, 0, std::nullopt, false, engine_stage::None, 0, 0}},
+                             {{"10.1.2.3", 7383}}},
                 permit_request{3, notice, 2, false, 5},
                 permit_reply{3, 1, 250, notice},
         };
--- a/tests/gateway/rate_limit_test.cpp
+++ b/tests/gateway/rate_limit_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/rate_limit_table.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/load_exchange.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -22,7 +23,12 @@
 rate_limit_observation observed(std::optional<double> perSecond, milliseconds askedAt,
                                 milliseconds heardAt, std::uint64_t startedAtMs = 1)
 {
-    return {startedAtMs, perSecond, start + askedAt, start + heardAt};
+    rate_limit_observation made;
+    made.startedAtMs = startedAtMs;
+    made.perSecond = perSecond;
+    made.askedAt = start + askedAt;
+    made.heardAt = start + heardAt;
+    return made;
 }
 
 } // namespace
@@ -110,9 +116,13 @@
     void newIncarnationHasNoLimit()
     {
         rate_limit_table table;
-        table.record(5, observed(8, 0ms, 10ms, 100));
-        CPPUNIT_ASSERT(table.limitOf(5, 100).has_value());
-        CPPUNIT_ASSERT(!table.limitOf(5, 200).has_value());
+        runner target;
+        target.id.text = "r";
+        target.startedAtMs = 100;
+        table.record(peer::runnerKey(target.id), observed(8, 0ms, 10ms, 100));
+        CPPUNIT_ASSERT(table.limitOf(target).has_value());
+        target.startedAtMs = 200;
+        CPPUNIT_ASSERT(!table.limitOf(target).has_value());
         const auto ofNext = observed(3, 0ms, 5ms, 200);
         CPPUNIT_ASSERT(validOf(observed(8, 50ms, 60ms, 100), ofNext) == ofNext);
         CPPUNIT_ASSERT(validOf(ofNext, observed(8, 50ms, 60ms, 100)) == ofNext);
--- a/tests/gateway/rate_limiter_test.cpp
+++ b/tests/gateway/rate_limiter_test.cpp
@@ -82,6 +82,10 @@
     {
         nodes[index]->sentAt.push_back(now);
         arrivals.push_back(now);
+        if (refuses && refuses())
+            return at(index).recordReply(target, {}, reply_kind::Refused, now - 1ms);
+        nodes[index]->startedAt.push_back(now);
+        ++accepted;
         answer(index, limit());
     }
 
@@ -147,6 +151,8 @@
 
     const double perSecond;
     bool hasLimit = true;
+    std::function<bool()> refuses; ///< Whether the runner refuses the next request.
+    std::size_t accepted = 0;
     runner target;
     mono_time now{std::chrono::hours(1)};
     std::set<std::size_t> silent; ///< Instances that get no datagrams.
@@ -160,6 +166,7 @@
         listed_gateway entry;
         std::unique_ptr<rate_limiter> limiter;
         std::deque<mono_time> sentAt;
+        std::deque<mono_time> startedAt;
     };
 
     rate_limiter_dependencies dependenciesOf(std::size_t index)
@@ -169,17 +176,18 @@
                     for (const endpoint &each : to)
                         deliver(index, each, valueOf(payload));
                 },
-                [this, index](std::uint32_t) { return recentSends(index); },
+                [this, index](std::uint32_t) { return countRecent(nodes[index]->sentAt); },
+                [this, index](std::uint32_t) { return countRecent(nodes[index]->startedAt); },
                 [](std::uint32_t) { return std::string("r"); },
                 {[this] { return now; }, [] { return wall_time{}; }},
                 metrics,
                 events};
     }
 
-    std::uint32_t recentSends(std::size_t index) const
+    std::uint32_t countRecent(const std::deque<mono_time> &times) const
     {
-        return static_cast<std::uint32_t>(std::ranges::count_if(
-                nodes[index]->sentAt, [this](mono_time at) { return now - at <= 1s; }));
+        return static_cast<std::uint32_t>(
+                std::ranges::count_if(times, [this](mono_time at) { return now - at <= 1s; }));
     }
 
     void deliver(std::size_t from, const endpoint &to, const std::string &payload)
@@ -229,6 +237,11 @@
     CPPUNIT_TEST(unusedPermitIsReturned);
     CPPUNIT_TEST(expiredPermitIsNotUsed);
     CPPUNIT_TEST(otherIncarnationNeedsNoPermit);
+    CPPUNIT_TEST(refusingRunnerIsTriedSeldomByAllTogether);
+    CPPUNIT_TEST(recoveredRunnerHasItsShareSoon);
+    CPPUNIT_TEST(fullRunnerGetsWhatItAccepts);
+    CPPUNIT_TEST(fewRefusalsLimitNothing);
+    CPPUNIT_TEST(refusalsDuringAStageChangeDontCountAfterIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -433,6 +446,77 @@
         for (int i = 0; i < 20; ++i)
             CPPUNIT_ASSERT(fleet.trySend(1));
     }
+
+    /// Guards against a runner that refuses nearly all requests and gets the more of them since it
+    /// looks idle.
+    void refusingRunnerIsTriedSeldomByAllTogether()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        fleet.loadEvenly(60, 2s);
+        const mono_time begin = fleet.now;
+        int asked = 0;
+        fleet.refuses = [&asked] { return ++asked % 10 != 0; };
+        fleet.loadEvenly(60, 20s);
+        CPPUNIT_ASSERT(fleet.countSince(begin + 2s) <= 18 * 3);
+        // It is tried all the same.
+        CPPUNIT_ASSERT(fleet.countSince(begin + 2s) >= 18 / 2);
+    }
+
+    void recoveredRunnerHasItsShareSoon()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        fleet.refuses = [] { return true; };
+        fleet.loadEvenly(60, 10s);
+        fleet.refuses = {};
+        fleet.loadEvenly(60, 5s);
+        const mono_time begin = fleet.now;
+        fleet.loadEvenly(60, 2s);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.countSince(begin)), fleet.countSince(begin) >= 2 * 60 * 0.95);
+    }
+
+    /// Guards against a runner at its capacity that is limited to less than it serves.
+    void fullRunnerGetsWhatItAccepts()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        std::deque<mono_time> running;
+        fleet.refuses = [&] {
+            while (!running.empty() && fleet.now - running.front() >= 500ms)
+                running.pop_front();
+            if (running.size() >= 10)
+                return true;
+            running.push_back(fleet.now);
+            return false;
+        };
+        fleet.loadEvenly(60, 20s);
+        // It serves 20 a second.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.accepted), fleet.accepted >= 20 * 20 * 0.85);
+    }
+
+    void fewRefusalsLimitNothing()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        int asked = 0;
+        fleet.refuses = [&asked] { return ++asked % 10 == 0; };
+        fleet.loadEvenly(60, 20s);
+        CPPUNIT_ASSERT(fleet.countSince({}) >= 20 * 60 * 0.98);
+    }
+
+    void refusalsDuringAStageChangeDontCountAfterIt()
+    {
+        limiter_fleet fleet(6, 8);
+        fleet.hasLimit = false;
+        fleet.target.stage = engine_stage::Prefill;
+        fleet.refuses = [] { return true; };
+        fleet.loadEvenly(60, 3s);
+        CPPUNIT_ASSERT(fleet.at(0).limitOf(fleet.target));
+        fleet.target.stage = engine_stage::Decode;
+        CPPUNIT_ASSERT(!fleet.at(0).limitOf(fleet.target));
+        CPPUNIT_ASSERT(fleet.trySend(0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rate_limiter_test);
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -51,7 +51,8 @@
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
              [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
-             [](std::uint32_t) { return std::string(); }, clock, registry, events},
+             [](std::uint32_t) { return 0U; }, [](std::uint32_t) { return std::string(); }, clock,
+             registry, events},
             {}};
     const proxy_context context{
             names,  publisher, runnerTable, retries,  connections,       metrics,
--- a/tests/gateway/stage_manager_test.cpp
+++ b/tests/gateway/stage_manager_test.cpp
@@ -77,7 +77,10 @@
     {
         stage_manager manager({publisher, runnerTable, connections, names, clock, events,
                                metrics.counterOf("orders"), stepFailureReporterOf(events, metrics),
-                               [this] { return isOwner; }, [] { return std::size_t{4}; }},
+                               [this] { return isOwner; }, [] { return std::size_t{4}; },
+                               [this](const runner &target) -> std::optional<double> {
+                                   return target.id.text == "e0" ? limit : std::nullopt;
+                               }},
                               store(), {"self"}, 3000ms);
         manager.runOnce();
         now += config::stageSettleTime;
@@ -94,6 +97,7 @@
     journal events{{"test"}, systemClock(), 64};
     milliseconds writeTime{1};
     bool isOwner = true;
+    std::optional<double> limit; ///< Of the first engine.
 };
 
 } // namespace
@@ -103,6 +107,7 @@
     CPPUNIT_TEST_SUITE(stage_manager_test);
     CPPUNIT_TEST(ordersContainTheNumberOfOrdersTaken);
     CPPUNIT_TEST(changingEnginesGetNoOrders);
+    CPPUNIT_TEST(engineWithALowLimitDoesNotCount);
     CPPUNIT_TEST(nothingIsSentAfterTheLeaseTerm);
     CPPUNIT_TEST(onlyTheOwnerSendsOrders);
     CPPUNIT_TEST(enginesWithoutStagesGetNoOrders);
@@ -127,6 +132,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events.events({"stage_order", {}, {}}).size());
     }
 
+    /// Guards against a plan that counts on an engine that takes hardly any requests: the others
+    /// get more than they can serve, and no engine is ordered to help them.
+    void engineWithALowLimitDoesNotCount()
+    {
+        for (const double limit : {2.0, 1000.0}) {
+            scripted_runner engine({{replyOf("200 OK", "free")}, {replyOf("202 Accepted", "")}});
+            fixture test(engine.address());
+            test.limit = limit;
+            test.runTwice();
+            // Without it, there are too few engines for a plan.
+            CPPUNIT_ASSERT_EQUAL(limit < 10 ? std::size_t{0} : std::size_t{2},
+                                 engine.requests().size());
+        }
+    }
+
     void changingEnginesGetNoOrders()
     {
         scripted_runner engine({{replyOf("200 OK", "busy")}, {replyOf("202 Accepted", "")}});
