Spread the parts of a digest over the instances that forward them, at a bounded rate

Cause: one instance of each zone got the digests of another zone and forwarded all their parts to all of its zone, every 40 ms: 1,600 full datagrams a second, 18 Mbit/s on a link of 10. Class: work that grows with the fleet on one instance.

Mean times of requests by instance: three far above the others.

Change: each part goes to another instance of the zone, and the interval of digests follows from the number of parts and zones, so that an instance gets and forwards 100 datagrams a second, or every 4 s.

Test: digestsLeaveRoomOnALink; digestRecipientsOf's own extended.

--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -87,30 +87,36 @@
 milliseconds loadUpdateInterval(std::size_t peers, std::size_t others,
                                 std::size_t datagramsPerSecond);
 
-/// Instances that get an instance's updates.
-struct load_peers
-{
-    std::vector<endpoint> sameZone;
-    std::vector<endpoint> otherZones;
-    /// Instances in other zones that get this zone's digest from this instance, and forward it to
-    /// the others of their zone.
-    std::vector<endpoint> digestRecipients;
-
-    bool operator==(const load_peers &) const = default;
-};
-
 /// Whether an instance sends the sum of its zone to other zones, instead of its own update to each
 /// instance there. Small zones save nothing by that.
 /// @param sameZone Number of other instances in the zone.
 bool usesDigests(std::size_t sameZone);
 
-/// For each ordered pair of zones, one instance of the first sends the digest and one of the second
-/// forwards it.
+/// Instances of one zone, in the order in which they take the parts of another zone's digest and
+/// forward them.
+using digest_forwarders = std::vector<endpoint>;
+
+/// Where an instance sends the digest of its zone.
+struct digest_recipients
+{
+    std::vector<digest_forwarders> zones; ///< Those that get it from this instance.
+    std::size_t otherZones = 0; ///< Number of all other zones.
+
+    bool operator==(const digest_recipients &) const = default;
+};
+
+/// For each ordered pair of zones, one instance of the first sends the digest, and the instances of
+/// the second forward a part each: one that forwarded all parts to all of its zone would fill its
+/// link.
 /// @param alive All members that are in service, with this one.
 /// @param port Port of load updates, the same on all instances.
-/// @returns The addresses to which this instance sends its zone's digest.
-std::vector<endpoint> digestRecipientsOf(const std::vector<policy::member> &alive,
-                                         const instance_id &self, std::uint16_t port);
+digest_recipients digestRecipientsOf(const std::vector<policy::member> &alive,
+                                     const instance_id &self, std::uint16_t port);
+
+/// @param datagrams Parts of a digest, times the zones from which an instance gets one.
+/// @param sameZone Interval of the updates within the zone.
+/// @returns Time between two digests.
+milliseconds digestInterval(std::size_t datagrams, milliseconds sameZone);
 
 /// Times between two updates to the instances of the own zone and to all others; nullopt: they get
 /// none.
@@ -151,7 +157,7 @@
     /// @param otherZones All other instances.
     void setPeers(std::vector<endpoint> sameZone, std::vector<endpoint> otherZones);
     /// Sets the instances in other zones that get the zone's digest from this one.
-    void setDigestRecipients(std::vector<endpoint> recipients);
+    void setDigestRecipients(digest_recipients recipients);
 
 private:
     struct state;
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -57,7 +57,7 @@
     mono_time sendDue();
     void sendDueUpdates(const load_intervals &intervals, mono_time now);
     void sendTo(update_recipients recipients, const std::vector<endpoint> &to);
-    void sendDigest(const std::vector<endpoint> &to);
+    std::size_t sendDigest(const std::vector<digest_forwarders> &zones);
     bool receive(std::uint64_t sender, std::string_view payload);
 
     const std::function<load_update(update_recipients)> collect;
@@ -67,10 +67,11 @@
     std::mutex guard;
     std::vector<endpoint> sameZone;
     std::vector<endpoint> otherZones;
-    std::vector<endpoint> digestRecipients;
+    digest_recipients digestRecipients;
 
     // Used by the thread of the loop only.
     mono_time nextOtherZonesAt{}; ///< Time of the next update to other zones.
+    mono_time nextDigestAt{};
     std::array<bool, updateRecipientGroups> wasEmpty{};
     datagram_loop loop;
 };
@@ -107,7 +108,7 @@
     inner->otherZones = std::move(otherZones);
 }
 
-void load_exchange::setDigestRecipients(std::vector<endpoint> recipients)
+void load_exchange::setDigestRecipients(digest_recipients recipients)
 {
     const std::lock_guard lock(inner->guard);
     inner->digestRecipients = std::move(recipients);
@@ -129,10 +130,11 @@
 {
     std::vector<endpoint> sameZonePeers;
     std::vector<endpoint> otherZonePeers;
-    std::vector<endpoint> digestTo;
+    digest_recipients digestTo;
     {
         const std::lock_guard lock(guard);
-        digestTo = digestRecipients;
+        if (now >= nextDigestAt)
+            digestTo = digestRecipients;
         if (intervals.sameZone)
             sameZonePeers = sameZone;
         if (intervals.otherZones && now >= nextOtherZonesAt) {
@@ -142,18 +144,29 @@
     }
     sendTo(update_recipients::SameZone, sameZonePeers);
     sendTo(update_recipients::OtherZones, otherZonePeers);
-    sendDigest(digestTo);
+    const std::size_t parts = sendDigest(digestTo.zones);
+    if (!digestTo.zones.empty())
+        nextDigestAt = now
+                + digestInterval(parts * digestTo.otherZones,
+                                 intervals.sameZone.value_or(config::maxLoadUpdateInterval));
 }
 
 /// A digest is not sent again while the zone has no requests, like an update.
-void load_exchange::state::sendDigest(const std::vector<endpoint> &to)
+/// @returns The number of its parts.
+std::size_t load_exchange::state::sendDigest(const std::vector<digest_forwarders> &zones)
 {
-    if (to.empty())
-        return;
-    for (load_update &part : collectDigest()) {
-        part.mustForward = true;
-        loop.send(to, encode(part));
+    if (zones.empty())
+        return 0;
+    std::vector<load_update> parts = collectDigest();
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        parts[part].mustForward = true;
+        std::vector<endpoint> to;
+        to.reserve(zones.size());
+        for (const digest_forwarders &forwarders : zones)
+            to.push_back(forwarders[part % forwarders.size()]);
+        loop.send(to, encode(parts[part]));
     }
+    return parts.size();
 }
 
 void load_exchange::state::sendTo(update_recipients recipients, const std::vector<endpoint> &to)
--- a/tests/peer/load_update_test.cpp
+++ b/tests/peer/load_update_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(fleetDatagramRateIsBounded);
     CPPUNIT_TEST(instancesThatCannotBeToldInTimeAreToldNothing);
     CPPUNIT_TEST(eachZoneGetsOneDigestOfEachOther);
+    CPPUNIT_TEST(digestsLeaveRoomOnALink);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,17 +190,38 @@
         std::size_t sent = 0;
         std::set<endpoint> forwarders;
         for (const policy::member &one : alive) {
-            for (const endpoint &to : digestRecipientsOf(alive, one.id, 7001)) {
-                CPPUNIT_ASSERT(to.port == 7001 && to.host != alive[5].peerAddress.host);
-                forwarders.insert(to);
+            const digest_recipients recipients = digestRecipientsOf(alive, one.id, 7001);
+            for (const digest_forwarders &zone : recipients.zones) {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{3}, recipients.otherZones);
                 ++sent;
+                for (const endpoint &to : zone)
+                    CPPUNIT_ASSERT(to.port == 7001 && to.host != alive[5].peerAddress.host);
+                forwarders.insert(zone.front());
+                // The parts of a digest are spread over all instances of the zone.
+                CPPUNIT_ASSERT(zone.size() >= 19);
+                CPPUNIT_ASSERT_EQUAL(zone.size(), std::set(zone.begin(), zone.end()).size());
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{12}, sent);
         // The work is spread over several instances.
         CPPUNIT_ASSERT(forwarders.size() > 6);
         alive.resize(20);
-        CPPUNIT_ASSERT(digestRecipientsOf(alive, alive[0].id, 7001).empty());
+        CPPUNIT_ASSERT(digestRecipientsOf(alive, alive[0].id, 7001).zones.empty());
+    }
+
+    /// Guards against digests that fill the link of an instance: its callers then get no answer.
+    void digestsLeaveRoomOnALink()
+    {
+        for (const std::size_t parts : {1, 4, 16, 64}) {
+            for (const std::size_t zones : {1, 3, 5}) {
+                const milliseconds interval = digestInterval(parts * zones, 40ms);
+                const double perSecond = 1000.0 * static_cast<double>(parts * zones)
+                        / static_cast<double>(interval.count());
+                const bool isRarest = interval == config::maxLoadUpdateInterval;
+                CPPUNIT_ASSERT(isRarest || perSecond <= 1.02 * config::digestDatagramsPerSecond);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(40ms, digestInterval(0, 40ms));
     }
 };
 
