Queue an update about a cached part once, however often it is heard

Cause: the instance that makes its zone's digest queued each update that it heard, and its repeats, at 67 instances up to 3,800 a second by arithmetic; the queue holds 1,000, and what is dropped is never told to other zones.

Change: an update that still waits is not queued again; one that says that a part is prefilled replaces one that doesn't. The queue is a class of its own.

Test: cached_update_queue_test.

--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/cache_holders.h"
+#include "gateway/cached_update_queue.h"
 #include "gateway/envelope.h"
 #include "gateway/send_history.h"
 #include "poplarspool/gateway/placement.h"
@@ -206,12 +207,6 @@
         std::unordered_map<std::uint32_t, peer::runner_work> work; ///< By runner.
     };
 
-    struct cached_update
-    {
-        peer::cached_prefix chain;
-        std::uint32_t repeatsLeft = 0;
-    };
-
     void opened(const open_send &sent);
     void started(const open_send &sent);
     void ended(const open_send &sent);
@@ -226,8 +221,6 @@
                             bool isPrefilled);
     static peer::runner_work workOf(std::uint32_t runner, const work_sum &sum,
                                     std::uint64_t tokensIn);
-    static std::vector<peer::cached_prefix> takeCached(std::deque<cached_update> &waiting);
-    static void queueCached(std::deque<cached_update> &waiting, const peer::cached_prefix &one);
     void queueCachedUpdate(std::uint32_t runner, const std::vector<prompt_part> &prompt,
                            bool isPrefilled);
     void subtract(const peer_record &update);
@@ -249,7 +242,7 @@
     std::uint32_t digestParts = 1;
     bool wasDigestEmpty = true;
     cache_holders holders;
-    std::array<std::deque<cached_update>, peer::updateRecipientGroups> pendingUpdates;
+    std::array<cached_update_queue, peer::updateRecipientGroups> pendingUpdates;
 };
 
 } // namespace poplarspool::gateway
--- a/tests/gateway/rate_limiter_test.cpp
+++ b/tests/gateway/rate_limiter_test.cpp
@@ -473,7 +473,8 @@
         fleet.loadEvenly(60, 5s);
         const mono_time begin = fleet.now;
         fleet.loadEvenly(60, 2s);
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.countSince(begin)), fleet.countSince(begin) >= 2 * 60 * 0.95);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.countSince(begin)),
+                               fleet.countSince(begin) >= 2 * 60 * 0.95);
     }
 
     /// Guards against a runner at its capacity that is limited to less than it serves.
