--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -92,6 +92,20 @@
             sum.late.count};
 }
 
+std::vector<peer::cached_prefix> runner_table::takeCached(std::deque<cached_update> &waiting)
+{
+    std::vector<peer::cached_prefix> taken;
+    const std::size_t count = std::min(waiting.size(), config::maxCachedPrefixes);
+    for (std::size_t i = 0; i < count; ++i) {
+        cached_update one = waiting.front();
+        waiting.pop_front();
+        taken.push_back(one.chain);
+        if (--one.repeatsLeft > 0)
+            waiting.push_back(one);
+    }
+    return taken;
+}
+
 peer::load_update runner_table::collectUpdate(peer::update_recipients recipients)
 {
     const auto index = static_cast<std::size_t>(recipients);
@@ -106,7 +120,7 @@
         update.work.push_back(workOf(key, own, entry.ownTokensIn));
     }
     update.zone = zone;
-    update.cached = pendingUpdates[index].take(config::maxCachedPrefixes);
+    update.cached = takeCached(pendingUpdates[index]);
     return update;
 }
 
@@ -189,7 +203,7 @@
         part.isPrefilled = one.isPrefilled || (wasHeld && part.isPrefilled);
         holders.add(one.prefixHash, one.runner);
         if (passesOn)
-            pendingUpdates[otherZonesIndex].add(one);
+            queueCached(pendingUpdates[otherZonesIndex], one);
     }
 }
 
@@ -208,8 +222,8 @@
         entry.digestTokensIn = entry.zoneTokensIn;
         work.push_back(workOf(key, sum, entry.zoneTokensIn));
     }
-    cached_update_queue &waiting = pendingUpdates[otherZonesIndex];
-    if (std::exchange(wasDigestEmpty, work.empty() && waiting.isEmpty()) && wasDigestEmpty)
+    std::deque<cached_update> &waiting = pendingUpdates[otherZonesIndex];
+    if (std::exchange(wasDigestEmpty, work.empty() && waiting.empty()) && wasDigestEmpty)
         return parts;
     const auto wanted = static_cast<std::uint32_t>(work.size() / config::digestPartItems + 1);
     digestParts = std::min(std::max(digestParts, std::bit_ceil(wanted)), config::maxDigestParts);
@@ -219,7 +233,7 @@
         parts[part].digestParts = digestParts;
         parts[part].digestPart = part;
         parts[part].origin = self;
-        parts[part].cached = waiting.take(config::maxCachedPrefixes);
+        parts[part].cached = takeCached(waiting);
     }
     for (const peer::runner_work &one : work) {
         auto &items = parts[one.runner % digestParts].work;
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -263,11 +263,21 @@
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
         const auto chain = static_cast<std::uint32_t>(prompt[i].chain);
         holders.add(chain, runner);
-        for (cached_update_queue &waiting : pendingUpdates)
-            waiting.add({runner, chain, isPrefilled});
+        for (std::deque<cached_update> &waiting : pendingUpdates)
+            queueCached(waiting, {runner, chain, isPrefilled});
     }
 }
 
+/// If a zone has no other members, its queue is never drained: without a bound, an instance alone
+/// in its zone would queue updates until it runs out of memory. The oldest updates are the least
+/// useful.
+void runner_table::queueCached(std::deque<cached_update> &waiting, const peer::cached_prefix &one)
+{
+    waiting.push_back({one, config::updateRepeats});
+    if (waiting.size() > config::maxPendingUpdates)
+        waiting.pop_front();
+}
+
 void runner_table::removeUnlisted(const runner_set &listed)
 {
     const std::lock_guard lock(guard);
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "gateway/cache_holders.h"
-#include "gateway/cached_update_queue.h"
 #include "gateway/envelope.h"
 #include "gateway/send_history.h"
 #include "poplarspool/gateway/placement.h"
@@ -207,6 +206,12 @@
         std::unordered_map<std::uint32_t, peer::runner_work> work; ///< By runner.
     };
 
+    struct cached_update
+    {
+        peer::cached_prefix chain;
+        std::uint32_t repeatsLeft = 0;
+    };
+
     void opened(const open_send &sent);
     void started(const open_send &sent);
     void ended(const open_send &sent);
@@ -221,6 +226,8 @@
                             bool isPrefilled);
     static peer::runner_work workOf(std::uint32_t runner, const work_sum &sum,
                                     std::uint64_t tokensIn);
+    static std::vector<peer::cached_prefix> takeCached(std::deque<cached_update> &waiting);
+    static void queueCached(std::deque<cached_update> &waiting, const peer::cached_prefix &one);
     void queueCachedUpdate(std::uint32_t runner, const std::vector<prompt_part> &prompt,
                            bool isPrefilled);
     void subtract(const peer_record &update);
@@ -242,7 +249,7 @@
     std::uint32_t digestParts = 1;
     bool wasDigestEmpty = true;
     cache_holders holders;
-    std::array<cached_update_queue, peer::updateRecipientGroups> pendingUpdates;
+    std::array<std::deque<cached_update>, peer::updateRecipientGroups> pendingUpdates;
 };
 
 } // namespace poplarspool::gateway
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -40,7 +40,8 @@
                            timeRule<seconds>(seconds(1), seconds(60)),
                            "Time for which callers may cache that list."),
             requiredKey<s>("peer.address", "", &s::peerAddress, endpointRule(),
-                           "Address for messages between instances (UDP)."),
+                           "Address for messages between instances (UDP). The third port after it "
+                           "carries rate limits."),
             requiredKey<s>("peer.load_address", "", &s::loadAddress, endpointRule(),
                            "Address for load updates between instances (UDP)."),
             optionalKey<s>("peer.share_store_news", "", &s::sharesStoreUpdates, flagRule(),
