--- a/include/poplarspool/peer/limits.h
+++ b/include/poplarspool/peer/limits.h
@@ -36,8 +36,8 @@
 inline constexpr std::chrono::milliseconds maxLoadUpdateInterval = 4s;
 /// Number of other instances in a zone from which they send one digest to each other zone.
 inline constexpr std::size_t minZonePeersForDigest = 8;
-/// Datagrams of other zones' digests that an instance gets per second, and forwards in the mean. They
-/// are full, and take a tenth of a link of 10 Mbit/s each way.
+/// Datagrams of other zones' digests that an instance gets per second, and forwards in the mean.
+/// They are full, and take a tenth of a link of 10 Mbit/s each way.
 inline constexpr std::size_t digestDatagramsPerSecond = 100;
 /// Runners in one part of a digest, on the average: parts are of different sizes.
 inline constexpr std::size_t digestPartItems = 40;
