Wait for a permit also where a denial is known, and forget refusals of unlisted runners

A request that has begun was refused at once, not after up to 0.5 s, if the denial was known before its search began: found by reading. Records of runners that refused and are no longer listed were kept. The reason rate_limit stands once in the line of a request that waits. A refused request beyond the limits of all runners has a test: 503 at once, Retry-After, nothing sent.

--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -356,17 +356,22 @@
         receiveUpdate(std::move(*update));
     else if (const auto *request = std::get_if<permit_request>(&message))
         receiveRequest(sender, *request);
-    else {
-        const auto &reply = std::get<permit_reply>(message);
-        const std::lock_guard lock(guard);
-        const auto found = waiting.find(reply.number);
-        if (found != waiting.end())
-            found->second = reply;
-        replied.notify_all();
-    }
+    else
+        receiveReply(std::get<permit_reply>(message));
     return true;
 }
 
+/// A reply that comes after its time-out is dropped: the permits in it expire unused.
+void rate_limiter::receiveReply(const permit_reply &reply)
+{
+    const std::lock_guard lock(guard);
+    const auto found = waiting.find(reply.number);
+    if (found == waiting.end())
+        return;
+    found->second = reply;
+    replied.notify_all();
+}
+
 void rate_limiter::receiveRequest(std::uint64_t sender, const permit_request &request)
 {
     const auto current = fleet.current();
@@ -411,7 +416,9 @@
 {
     table.removeUnlisted(listedRunners);
     const std::lock_guard lock(guard);
-    std::erase_if(permits, [&](const auto &one) { return !listedRunners.findByKey(one.first); });
+    const auto isUnlisted = [&](const auto &one) { return !listedRunners.findByKey(one.first); };
+    std::erase_if(permits, isUnlisted);
+    std::erase_if(refusals, isUnlisted);
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -151,6 +151,7 @@
     std::vector<std::size_t> issuersToAsk(std::uint32_t runner, const limit_fleet &fleet,
                                           mono_time now);
     void receiveRequest(std::uint64_t sender, const permit_request &request);
+    void receiveReply(const permit_reply &reply);
     void receiveUpdate(limit_update update);
     void sendNotices(const std::vector<limit_notice> &notices);
     void rebuildFleet();
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -229,9 +229,11 @@
             {service, engine, metadata.prompt, tried, affinityKeyOf(metadata.prompt), query.draw});
     markLimited(candidates);
     const auto found = choosePlacement(query, candidates);
+    isRateLimited = false;
     if (const auto *place = std::get_if<placement>(&found))
         return *place;
     const no_placement &none = std::get<no_placement>(found);
+    isRateLimited = none.isLimited;
     if (none.retryInMs > 0) {
         retryAfterTime = retryAfterFor(none.retryInMs, query.draw);
         const std::string reason = none.isLimited ? "rate_limit" : "no_room";
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -182,6 +182,7 @@
     std::vector<runner_id> tried;
     std::vector<rate_permit> heldPermits; ///< Not used yet.
     std::vector<runner_id> deniedRunners; ///< Those whose rate limit has not permitted the request.
+    bool isRateLimited = false; ///< The last search has found no other runners than such.
     /// A handoff has failed: the prompt is prefilled where the request runs.
     bool hasHandoffFailed = false;
     std::uint32_t refusedHandoffs = 0;
--- a/src/gateway/runner_permits.cpp
+++ b/src/gateway/runner_permits.cpp
@@ -14,14 +14,16 @@
     const bool mayWait = hasBegun || prefillEngine != nullptr;
     const mono_time waitEndsAt = std::min(
             endsAt, context.clock.mono() + (mayWait ? config::maxPermitWait : milliseconds(0)));
+    const std::string faultBefore = lastFault;
     while (true) {
+        lastFault = faultBefore;
         auto place = findPlacement(prefillEngine);
         if (place && acquirePermits(*place))
             return place;
         // Denied: the runners that are left are tried.
         if (place)
             continue;
-        if (deniedRunners.empty() || isCallerGone()
+        if (!isRateLimited || isCallerGone()
             || context.clock.mono() + config::minPermitRetryTime >= waitEndsAt)
             return std::nullopt;
         std::this_thread::sleep_for(config::minPermitRetryTime);
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -146,6 +146,19 @@
         });
     }
 
+    /// @returns The field of the last event of that kind; empty if there is none.
+    std::string lastFieldOf(const std::string &kind, const std::string &key) const
+    {
+        const auto found = events.events({kind, {}, {}});
+        if (found.empty())
+            return {};
+        for (const event_field &field : found.back().fields) {
+            if (field.key == key)
+                return field.value;
+        }
+        return {};
+    }
+
     std::optional<http_reply> sendRequest(const std::string &path,
                                           const std::string &limit = "5000",
                                           const http_headers &more = {})
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(requestThatMayHaveRunIsNotRetried);
     CPPUNIT_TEST(requestThatHasNotRunIsRetried);
     CPPUNIT_TEST(refusalByAllRunnersHasRetryAfter);
+    CPPUNIT_TEST(requestBeyondTheRateLimitsIsRefusedAtOnce);
     CPPUNIT_TEST(unreachableRunnersDoNotUseRetryBudget);
     CPPUNIT_TEST(idempotentRequestIsRetriedElsewhere);
     CPPUNIT_TEST(truncatedAnswerIsNotForwarded);
@@ -91,6 +92,22 @@
         CPPUNIT_ASSERT_EQUAL(200, test.sendRequest("/once/1")->status);
     }
 
+    /// Guards against requests that wait at a gateway, or go on to the runner, though its rate
+    /// limit is used up: the caller learns at once when to come back.
+    void requestBeyondTheRateLimitsIsRefusedAtOnce()
+    {
+        const std::string limited =
+                "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nRate: 0.5\r\nContent-Length: 1\r\n\r\na";
+        scripted_runner runner({{limited}, {limited}});
+        fixture test({&runner});
+        CPPUNIT_ASSERT_EQUAL(200, test.sendRequest("/again/1")->status);
+        const auto refused = test.sendRequest("/again/2");
+        CPPUNIT_ASSERT_EQUAL(503, refused->status);
+        CPPUNIT_ASSERT(!headerOf(refused->headers, "Retry-After").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("rate_limit"), test.lastFieldOf("request_end", "fault"));
+    }
+
     void refusalByAllRunnersHasRetryAfter()
     {
         scripted_runner runner({{refusalText}});
