Say in the log why a connection to a runner failed and when it last answered

Cause: the lines of the incident of instances cut off from the runners can't tell a refused connection from one without an answer, nor whether the runner had answered this instance a moment before, nor what a refused caller was told.

Change: send_end and prefill_lost carry connect= and answered_ms= after a failed connection; request_end carries retry_after_s=. No decision changes.

--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -3,7 +3,9 @@
 #include "gateway/runner_control.h"
 #include "poplarspool/gateway/limits.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace poplarspool::gateway {
 
@@ -28,6 +30,7 @@
     context.runnerTable.recordCached(prefillEngine.id, metadata.prompt);
     context.metrics.prefillHandoffs.add();
     const std::string limitText = limitTextOf(prefillEngine);
+    lastConnectError.clear();
     const auto reply = sendPrefill(place, record);
     auto handle = reply ? context.names.parseHandle(reply->body) : std::nullopt;
     if (handle) {
@@ -58,11 +61,12 @@
     const bool isRefused = record.outcome() == send_outcome::Refused;
     hasHandoffFailed = !isUnreachable && !(isRefused && ++refusedHandoffs < config::maxHandoffs);
     tried.push_back(prefillEngine.id);
-    logSend("prefill_lost",
-            {{"runner", prefillEngine.id.text},
-             {"status", reply ? std::to_string(reply->status) : "none"},
-             {"fault", lastFault},
-             {"left_ms", std::to_string(timeLeft().count())}});
+    std::vector<event_field> fields{{"runner", prefillEngine.id.text},
+                                    {"status", reply ? std::to_string(reply->status) : "none"},
+                                    {"fault", lastFault},
+                                    {"left_ms", std::to_string(timeLeft().count())}};
+    std::ranges::move(connectFieldsOf(prefillEngine), std::back_inserter(fields));
+    logSend("prefill_lost", std::move(fields));
     return std::nullopt;
 }
 
@@ -74,6 +78,7 @@
     auto connection = context.connections.acquire(prefillEngine.address, deadline, -1);
     if (!succeeded(connection)) {
         lastFault = unreachableFault;
+        lastConnectError = errorOf(connection).message;
         record.recordEnd(send_outcome::Unreachable);
         return std::nullopt;
     }
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -86,6 +86,7 @@
          {"runner", lastRunner},
          {"sends", std::to_string(sends)},
          {"fault", lastFault},
+         {"retry_after_s", reply ? std::string(headerOf(reply->headers, "retry-after")) : ""},
          {"first_ms", firstByteAt == mono_time{} ? "" : millisecondsText(firstByteAt - arrivedAt)},
          {"took_ms", millisecondsText(context.clock.mono() - arrivedAt)}});
     return reply;
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -154,6 +154,9 @@
     void recordFirstByte(sending &current);
     /// @returns The limit under which a request is sent to the runner, for a log line.
     std::string limitTextOf(const runner &target) const;
+    /// @returns Why the last connection to the runner failed and the age of the runner's last
+    ///          answer, for a log line; empty if it did not fail.
+    std::vector<event_field> connectFieldsOf(const runner &target) const;
     void recordUsage() const;
 
     const proxy_context &context;
@@ -193,6 +196,7 @@
     milliseconds retryAfterTime; ///< Retry-After of a refusal.
     std::string lastRunner;
     std::string lastFault;
+    std::string lastConnectError; ///< Of the last send; empty if it was connected.
     mono_time firstByteAt{};
 };
 
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -89,6 +89,7 @@
     runner_record &entry = records[sent.target];
     entry.own.of(sent.urgency).subtract(1, sent.prefillMs);
     entry.recentStarts.record(sent.startedAt);
+    entry.answeredAt = sent.startedAt;
     const mono_time now = sent.startedAt;
     const double tookMs = millisecondsOf(now - sent.sentAt);
     if (sent.expectedMs > 0) {
@@ -133,6 +134,7 @@
     case send_outcome::Unknown:
         return;
     case send_outcome::Refused:
+        entry.answeredAt = now;
         entry.ejectedUntil = std::max(entry.ejectedUntil, now + config::refusalBackoff);
         return;
     case send_outcome::Misdirected:
@@ -225,6 +227,14 @@
     return found == records.end() ? 0 : found->second.recentStarts.countAt(clock.mono());
 }
 
+std::optional<mono_time> runner_table::lastAnswerOf(const runner_id &target)
+{
+    const std::lock_guard lock(guard);
+    const auto found = records.find(peer::runnerKey(target));
+    const bool isKnown = found != records.end() && found->second.answeredAt != mono_time{};
+    return isKnown ? std::optional(found->second.answeredAt) : std::nullopt;
+}
+
 /// @attention The caller must hold `guard`.
 runner_table::runner_record &runner_table::useParts(const runner_id &target,
                                                     const std::vector<prompt_part> &prompt,
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -112,6 +113,9 @@
     /// @returns The number of this instance's requests that the runner began in the last second.
     std::uint32_t recentStartsAt(std::uint32_t runner);
 
+    /// @returns When the runner last answered this instance; none if it never did.
+    std::optional<mono_time> lastAnswerOf(const runner_id &target);
+
     /// Called when the runner says that it is not the one that its entry describes, or not of that
     /// stage.
     void recordMisdirected(const std::shared_ptr<const runner> &target);
@@ -179,6 +183,7 @@
         double meanStartMs = 0; ///< Moving mean of the time to the first byte.
         std::uint32_t starts = 0;
         mono_time lastStartAt{}; ///< Time of the last recorded start.
+        mono_time answeredAt{}; ///< Of its last reply to this instance; 0: none.
         /// Tokens added to its cache so far, by all instances as far as known.
         std::uint64_t tokensIn = 0;
         std::uint64_t ownTokensIn = 0; ///< Of these, by this instance.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace poplarspool::gateway {
 
@@ -42,6 +43,7 @@
     tried.push_back(target.id);
     lastRunner = target.id.text;
     lastFault.clear();
+    lastConnectError.clear();
     context.runnerTable.recordCached(target.id, metadata.prompt);
     const std::string limitText = limitTextOf(target);
     try_end end = try_end::Lost;
@@ -56,17 +58,19 @@
                         deadlineIn(timeLeft() + config::finalReplyGraceTime)};
         end = sendTo(current);
     }
-    logSend("send_end",
-            {{"runner", target.id.text},
-             {"address", textOf(target.address)},
-             {"prefill", place.prefill ? place.prefill->id.text : ""},
-             {"urgency", std::string(nameOf(place.urgency))},
-             {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
-             {"reading_ms", std::to_string(std::lround(place.prefillMs))},
-             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
-             {"limit", limitText},
-             {"fault", lastFault},
-             {"left_ms", std::to_string(timeLeft().count())}});
+    std::vector<event_field> fields{
+            {"runner", target.id.text},
+            {"address", textOf(target.address)},
+            {"prefill", place.prefill ? place.prefill->id.text : ""},
+            {"urgency", std::string(nameOf(place.urgency))},
+            {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
+            {"reading_ms", std::to_string(std::lround(place.prefillMs))},
+            {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+            {"limit", limitText},
+            {"fault", lastFault},
+            {"left_ms", std::to_string(timeLeft().count())}};
+    std::ranges::move(connectFieldsOf(target), std::back_inserter(fields));
+    logSend("send_end", std::move(fields));
     const bool isTaken = end == try_end::Answered || end == try_end::Lost || hasBegun;
     if (place.prefill && !isTaken)
         freeHandle(*place.prefill, kvSource.substr(kvSource.find('/') + 1));
@@ -78,6 +82,16 @@
     return textOfLimit(context.rateLimiter.limitOf(target));
 }
 
+std::vector<event_field> request_proxy::connectFieldsOf(const runner &target) const
+{
+    if (lastConnectError.empty())
+        return {};
+    const auto answeredAt = context.runnerTable.lastAnswerOf(target.id);
+    return {{"connect", lastConnectError},
+            {"answered_ms",
+             answeredAt ? millisecondsText(context.clock.mono() - *answeredAt) : "never"}};
+}
+
 /// A request that may not be repeated is never sent on a reused connection: the runner may be
 /// closing it at that moment, and it would be unknown whether the request has run. A new
 /// connection costs a round trip, but a failure to connect proves that the request has not run.
@@ -122,6 +136,7 @@
     auto connection = connectionTo(target.address, current.deadline);
     if (!succeeded(connection)) {
         lastFault = "unreachable";
+        lastConnectError = errorOf(connection).message;
         current.record.recordEnd(send_outcome::Unreachable);
         return caller.isGone() ? try_end::CallerGone : try_end::NotRun;
     }
