--- a/tests/adapter/gateway_fleet.h
+++ b/tests/adapter/gateway_fleet.h
@@ -19,9 +19,11 @@
 public:
     /// @param firstPort The first of their ports; busy ones are skipped.
     /// @param zones The instances are spread over these.
+    /// @param views Addresses at which the first instances reach the store; the others call it
+    ///              directly.
     gateway_fleet(fake_store &store, int count, std::uint16_t firstPort,
-                  std::vector<std::string> zones = {"a"})
-        : store(store), zones(std::move(zones)), port(firstPort)
+                  std::vector<std::string> zones = {"a"}, std::vector<endpoint> views = {})
+        : store(store), zones(std::move(zones)), views(std::move(views)), port(firstPort)
     {
         for (int i = 0; i < count; ++i)
             startOne();
@@ -79,7 +81,8 @@
         gateway::gateway_settings settings;
         settings.instance.text = "edge-" + std::to_string(first);
         settings.zone.text = zones[instances.size() % zones.size()];
-        settings.storeAddress = store.address();
+        const std::size_t index = instances.size();
+        settings.storeAddress = index < views.size() ? views[index] : store.address();
         std::uint16_t next = first;
         for (endpoint *each :
              {&settings.callerAddress, &settings.readinessAddress, &settings.directoryAddress,
@@ -91,6 +94,7 @@
 
     fake_store &store;
     const std::vector<std::string> zones;
+    const std::vector<endpoint> views;
     metrics_registry metrics;
     http_pool pool{4, std::chrono::milliseconds(500), metrics, std::chrono::seconds(5)};
     std::vector<std::unique_ptr<platform_gateway>> instances;
--- a/tests/adapter/limited_runner.h
+++ b/tests/adapter/limited_runner.h
@@ -23,10 +23,10 @@
         : server(
                 "runner", {"127.0.0.1", 0}, defaultHttpLimits(),
                 [this](const http_request &request, http_sink &) { return answer(request); },
-                metrics)
+                metrics),
+          listenAddress(valueOf(server.start()))
     {
-        const endpoint at = valueOf(server.start());
-        std::string entry = R"({"service":"s","address":")" + textOf(at)
+        std::string entry = R"({"service":"s","address":")" + textOf(listenAddress)
                 + R"(","state":"in_service","slots":64,"seq":1,"zone":"a")";
         if (!stage.empty())
             entry += R"(,"stage":")" + stage + '"';
@@ -35,6 +35,8 @@
 
     ~limited_runner() { server.stop(); }
 
+    const endpoint &address() const { return listenAddress; }
+
     /// @param text Value of the header; empty: no limit.
     void setLimit(const std::string &text)
     {
@@ -114,6 +116,7 @@
     bool isRefusing = false;
     metrics_registry metrics;
     http_server server;
+    const endpoint listenAddress;
 };
 
 } // namespace poplarspool::adapter::test
