Let instances authenticate each other by a key of the settings, and cut links only once all know each other

Cause: the test of instances without links gave the cut instance its own address of the store, from which the key for messages between instances is derived, so that the others never knew it. It cut the links before they could. It failed for the right reason all the same, but no repair through other instances could pass it.

Change: the key may be set (peer.key); without it, it is derived as before. The test sets it, and waits until each instance returns all three addresses before it cuts.

--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -21,7 +21,10 @@
     endpoint readinessAddress; ///< `readiness.address`
     endpoint directoryAddress; ///< `directory.address`: where callers query instances' addresses.
     std::chrono::seconds addressKeepTime{2}; ///< `directory.keep_seconds`
-    endpoint peerAddress; ///< `peer.address`: gossip between instances.
+    /// `peer.address`: gossip between instances (UDP), and tunnels to runners (TCP).
+    endpoint peerAddress;
+    /// `peer.key`: secret that authenticates instances; empty: derived from `store.address`.
+    std::string peerKey;
     endpoint loadAddress; ///< `peer.load_address`: load updates between instances.
     /// `peer.share_store_news`: instances relay store changes to each other; if false, each
     /// instance watches the store itself.
@@ -89,9 +92,9 @@
     return made;
 }
 
-/// @returns The key with which instances authenticate each other's datagrams. The platform
-///          provides no secret; its network belongs to the users. The key rejects stray datagrams
-///          of other deployments and does not protect against attackers.
+/// @returns The key with which instances authenticate each other's messages. Without a secret in
+///          the settings, it rejects stray messages of other deployments and does not protect
+///          against attackers.
 std::string peerKeyOf(const gateway_settings &settings);
 
 /// @returns The incarnation of an instance started now. It grows with each start, unless the wall
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -4,6 +4,8 @@
 
 std::string peerKeyOf(const gateway_settings &settings)
 {
+    if (!settings.peerKey.empty())
+        return settings.peerKey;
     return "poplarspool-gateway:" + textOf(settings.storeAddress);
 }
 
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -1,6 +1,7 @@
 #include "operators/file_keys.h"
 #include "operators/value_rules.h"
 #include "poplarspool/base/limits.h"
+#include "poplarspool/operators/limits.h"
 
 #include <utility>
 #include <vector>
@@ -40,8 +41,13 @@
                            timeRule<seconds>(seconds(1), seconds(60)),
                            "Time for which callers may cache that list."),
             requiredKey<s>("peer.address", "", &s::peerAddress, endpointRule(),
-                           "Address for messages between instances (UDP). The third port after it "
-                           "carries rate limits."),
+                           "Address for messages between instances (UDP), and for the connections "
+                           "to runners that they carry for each other (TCP). The third port after "
+                           "it carries rate limits."),
+            optionalKey<s>("peer.key", "", &s::peerKey,
+                           secretRule(config::minPeerKeyBytes, config::maxPeerKeyBytes),
+                           "Secret with which instances authenticate each other; without it, it is "
+                           "derived from store.address, which only keeps out stray messages."),
             requiredKey<s>("peer.load_address", "", &s::loadAddress, endpointRule(),
                            "Address for load updates between instances (UDP)."),
             optionalKey<s>("peer.share_store_news", "", &s::sharesStoreUpdates, flagRule(),
--- a/tests/adapter/cut_off_instances_test.cpp
+++ b/tests/adapter/cut_off_instances_test.cpp
@@ -55,6 +55,7 @@
                                                 std::vector<std::string>{"a", "b"},
                                                 std::vector<endpoint>{view->address()});
         fleet->waitUntilAllServe("x");
+        fleet->waitUntilAllKnowEachOther();
     }
 
     void cut(cut_kind kind)
--- a/tests/adapter/gateway_fleet.h
+++ b/tests/adapter/gateway_fleet.h
@@ -44,6 +44,7 @@
             if (succeeded(instance->start())) {
                 instances.push_back(std::move(instance));
                 callers.push_back(settings.callerAddress);
+                directories.push_back(settings.directoryAddress);
                 return;
             }
         }
@@ -69,6 +70,27 @@
         return succeeded(reply) ? valueOf(reply).status : 0;
     }
 
+    /// Waits until each instance knows all others.
+    void waitUntilAllKnowEachOther()
+    {
+        for (std::size_t i = 0; i < size(); ++i)
+            CPPUNIT_ASSERT(waitUntil([&] { return addressesKnownTo(i).size() == size(); }));
+    }
+
+    /// @returns The instances' addresses that the instance returns to callers.
+    std::vector<std::string> addressesKnownTo(std::size_t instance)
+    {
+        http_request request;
+        request.method = "GET";
+        request.path = wire::directoryPath;
+        const auto reply = pool.send(directories[instance], request, std::chrono::seconds(3));
+        if (!succeeded(reply) || valueOf(reply).status != 200)
+            return {};
+        return nlohmann::json::parse(valueOf(reply).body).at(wire::addresses);
+    }
+
+    const endpoint &callerAddressOf(std::size_t instance) const { return callers[instance]; }
+
     void waitUntilAllServe(const std::string &body, const http_headers &more = {})
     {
         for (std::size_t i = 0; i < size(); ++i)
@@ -88,6 +110,7 @@
              {&settings.callerAddress, &settings.readinessAddress, &settings.directoryAddress,
               &settings.loadAddress, &settings.metricsAddress, &settings.peerAddress})
             *each = {"127.0.0.1", next++};
+        settings.peerKey = "key of the fleet";
         settings.leaveSeconds = 1;
         return settings;
     }
@@ -99,6 +122,7 @@
     http_pool pool{4, std::chrono::milliseconds(500), metrics, std::chrono::seconds(5)};
     std::vector<std::unique_ptr<platform_gateway>> instances;
     std::vector<endpoint> callers;
+    std::vector<endpoint> directories;
     std::uint16_t port;
     std::atomic<int> attempts = 0;
 };
