Connect to runners through another instance where only that one reaches them

Cause: a failed connection counted against the runner, in the table of the instance that had failed, and nothing led around a broken link. No code asked whether others reached the runner at that moment. Class: an instance takes what it can't reach for what is not there.

Change: a connection that fails is checked with one other instance, which connects to the runner and carries the bytes (a tunnel). If it can, the link is broken: until a background probe reaches the runner, no request waits for a direct connection. Two broken links in a row, with no runner reached in between, stand for all. Calls whose runners have fallen silent have their links checked after 300 ms. An instance that is cut off says so to the others, which return its address to callers after their own, and gives up the roles whose orders need links. What it can't reach it doesn't record against runners. Orders and the reports before them stay on direct connections.

Why it works: the evidence is a connection made at that moment, so a runner that is gone or silent for all breaks no link; a tunnel that is not confirmed has carried no byte, so not-run stays true; all tries, budgets, permits and resumption stay in the one place where they were.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -197,6 +197,38 @@
 inline constexpr std::chrono::milliseconds runnerConnectTimeout = 150ms;
 /// Silence after which a connection to a runner counts as lost.
 inline constexpr std::chrono::seconds runnerSilenceTimeout = 1s;
+/// Number of runners in a row that only other instances reach from which an instance counts as cut
+/// off from all runners. One may be a coincidence: a runner that restarts at that moment.
+inline constexpr std::size_t minBrokenLinks = 2;
+/// Broken links that are remembered.
+inline constexpr std::size_t maxBrokenLinks = 1024;
+/// Time for which a request whose runner can't be reached waits for another instance to reach it.
+/// A runner that is gone silently costs the request this time in addition.
+inline constexpr std::chrono::milliseconds linkCheckTimeout = 50ms;
+/// Time-out for opening a tunnel over a broken link: runnerConnectTimeout at the carrier, and the
+/// round trip to it.
+inline constexpr std::chrono::milliseconds tunnelOpenTimeout = 200ms;
+/// Carriers that are asked for one tunnel, and time for which one that could not help is not asked.
+inline constexpr std::size_t maxCarriersAsked = 2;
+inline constexpr std::chrono::milliseconds unusableCarrierTime = 1s;
+/// Interval at which broken links are probed, and the number of links in one round.
+inline constexpr std::chrono::milliseconds linkProbeInterval = 250ms;
+inline constexpr std::size_t maxLinkProbes = 8;
+/// Interval at which a call without news from its runner checks whether the link is broken.
+inline constexpr std::chrono::milliseconds silentCallInterval = 300ms;
+/// Tunnels that one instance carries for others; each takes one thread and two descriptors.
+inline constexpr std::uint32_t maxCarriedTunnels = 256;
+/// Bytes of a tunnel that are buffered in one direction.
+inline constexpr std::size_t tunnelBufferBytes = 16 * 1024;
+/// Time for which a tunnel stays open after one side has closed it.
+inline constexpr std::chrono::milliseconds tunnelCloseTime = 2s;
+/// Interval at which an instance that is cut off from the runners announces that again, and time
+/// after which others forget it.
+inline constexpr std::chrono::milliseconds cutOffAnnounceInterval = 10s;
+inline constexpr std::chrono::milliseconds cutOffExpiry = 25s;
+/// Share of the instances that must reach the runners for the others to be left out of a caller's
+/// addresses: fewer could not take the callers of all.
+inline constexpr double minConnectedShare = 0.5;
 /// Idle connections kept per runner and instance, and the maximum time for which one is kept.
 inline constexpr std::size_t maxIdleRunnerConnections = 8;
 inline constexpr std::chrono::milliseconds runnerIdleTime = 2500ms;
--- a/src/base/connection_pool.cpp
+++ b/src/base/connection_pool.cpp
@@ -30,10 +30,19 @@
 
 result<descriptor> connection_pool::connect(const endpoint &to, socket_deadline deadline,
                                             int interruptFd)
+{
+    connect_result made = tryConnect(to, deadline, interruptFd);
+    if (made.end == connect_end::Connected)
+        return std::move(made.connection);
+    return connectErrorOf(to, made);
+}
+
+connect_result connection_pool::tryConnect(const endpoint &to, socket_deadline deadline,
+                                           int interruptFd)
 {
     connects.add();
     const socket_deadline connectEnd = socket_clock::now() + connectTime;
-    return connectTo(to, std::min(deadline, connectEnd), interruptFd);
+    return poplarspool::tryConnect(to, std::min(deadline, connectEnd), interruptFd);
 }
 
 /// Takes the most recently used connection, so that the surplus connections of a load peak expire
--- a/src/base/connection_pool.h
+++ b/src/base/connection_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/socket.h"
+#include "base/connect.h"
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/metrics.h"
 
@@ -22,6 +22,8 @@
     result<descriptor> acquire(const endpoint &to, socket_deadline deadline, int interruptFd);
     /// @returns A new connection.
     result<descriptor> connect(const endpoint &to, socket_deadline deadline, int interruptFd);
+    /// As connect(), with the way in which it failed.
+    connect_result tryConnect(const endpoint &to, socket_deadline deadline, int interruptFd);
     /// @returns The most recently used idle connection; a closed descriptor if none is usable.
     descriptor acquireIdle(const endpoint &to);
 
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -31,37 +31,6 @@
     return errno == EAGAIN || errno == EWOULDBLOCK;
 }
 
-struct socket_address
-{
-    sockaddr_storage bytes{};
-    socklen_t size = 0;
-};
-
-socket_address addressOf(const endpoint &to)
-{
-    socket_address address;
-    auto *v4 = reinterpret_cast<sockaddr_in *>(&address.bytes);
-    if (inet_pton(AF_INET, to.host.c_str(), &v4->sin_addr) == 1) {
-        v4->sin_family = AF_INET;
-        v4->sin_port = htons(to.port);
-        address.size = sizeof(sockaddr_in);
-        return address;
-    }
-    auto *v6 = reinterpret_cast<sockaddr_in6 *>(&address.bytes);
-    if (inet_pton(AF_INET6, to.host.c_str(), &v6->sin6_addr) == 1) {
-        v6->sin6_family = AF_INET6;
-        v6->sin6_port = htons(to.port);
-        address.size = sizeof(sockaddr_in6);
-    }
-    return address;
-}
-
-error connectFailure(const endpoint &to, std::string_view reason)
-{
-    return notRun(error_code::Unavailable,
-                  "can't connect to " + textOf(to) + ": " + std::string(reason));
-}
-
 } // namespace
 
 descriptor &descriptor::operator=(descriptor &&other) noexcept
@@ -154,54 +123,6 @@
     return {done};
 }
 
-namespace {
-
-/// @param failure Set to the errno of a failed connect(); 0 otherwise.
-result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd,
-                             int &failure)
-{
-    failure = 0;
-    const socket_address address = addressOf(to);
-    if (address.size == 0 || to.port == 0)
-        return notRun(error_code::BadRequest, "not an IP address and port: " + textOf(to));
-    descriptor connection(
-            socket(address.bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!connection.isOpen())
-        return connectFailure(to, "can't create a socket");
-    setNoDelay(connection.get());
-    const auto *raw = reinterpret_cast<const sockaddr *>(&address.bytes);
-    if (connect(connection.get(), raw, address.size) == 0)
-        return connection;
-    failure = errno;
-    if (failure != EINPROGRESS)
-        return connectFailure(to, "refused");
-    const socket_fault fault = waitForSocket(connection.get(), POLLOUT, deadline, interruptFd);
-    if (fault == socket_fault::Interrupted)
-        return connectFailure(to, "stopped");
-    if (fault != socket_fault::None)
-        return connectFailure(to, "timed out");
-    socklen_t size = sizeof failure;
-    getsockopt(connection.get(), SOL_SOCKET, SO_ERROR, &failure, &size);
-    if (failure != 0)
-        return connectFailure(to, "refused");
-    return connection;
-}
-
-} // namespace
-
-result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd)
-{
-    int failure = 0;
-    return connectTo(to, deadline, interruptFd, failure);
-}
-
-bool isConnectionRefused(const endpoint &to, socket_deadline deadline)
-{
-    int failure = 0;
-    const auto connection = connectTo(to, deadline, -1, failure);
-    return !succeeded(connection) && failure == ECONNREFUSED;
-}
-
 bool isIdleAndOpen(int fd)
 {
     pollfd state{fd, POLLIN | POLLRDHUP, 0};
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -80,12 +80,6 @@
 /// SIGPIPE.
 send_result sendAll(int fd, std::string_view bytes, socket_deadline deadline, int interruptFd);
 
-/// Connects a socket with TCP_NODELAY.
-result<descriptor> connectTo(const endpoint &to, socket_deadline deadline, int interruptFd);
-/// @returns Whether the host refuses the connection (ECONNREFUSED); false if it doesn't answer
-///          before the deadline.
-bool isConnectionRefused(const endpoint &to, socket_deadline deadline);
-
 /// @returns Whether an idle connection is still usable: open and without data to read.
 bool isIdleAndOpen(int fd);
 
--- a/src/gateway/address_subset.cpp
+++ b/src/gateway/address_subset.cpp
@@ -21,4 +21,24 @@
     return addresses;
 }
 
+std::vector<policy::member> withoutCutOff(std::vector<policy::member> open,
+                                          const cut_off_instances &cutOff)
+{
+    std::vector<policy::member> connected = cutOff.without(open);
+    const double minConnected = config::minConnectedShare * static_cast<double>(open.size());
+    return static_cast<double>(connected.size()) >= minConnected ? connected : open;
+}
+
+std::vector<endpoint> addressesNear(const std::vector<policy::member> &open, const zone_id &zone)
+{
+    std::vector<endpoint> near;
+    std::vector<endpoint> all;
+    for (const policy::member &one : open) {
+        all.push_back(one.callerAddress);
+        if (one.zone == zone)
+            near.push_back(one.callerAddress);
+    }
+    return near.size() >= config::minZoneAddresses ? near : all;
+}
+
 } // namespace poplarspool::gateway
--- a/src/gateway/address_subset.h
+++ b/src/gateway/address_subset.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "gateway/cut_off_instances.h"
 #include "poplarspool/base/endpoint.h"
+#include "poplarspool/policy/view.h"
 
 #include <cstdint>
 #include <vector>
@@ -14,4 +16,13 @@
 /// @returns At most config::maxDirectoryAddresses.
 std::vector<endpoint> addressSubset(std::vector<endpoint> addresses, std::uint64_t position);
 
+/// @param open Instances that take callers.
+/// @returns Those that are not cut off from the runners, if they can take the callers of all; else
+///          all: an instance that is cut off still serves through others.
+std::vector<policy::member> withoutCutOff(std::vector<policy::member> open,
+                                          const cut_off_instances &cutOff);
+
+/// @returns The addresses of the caller's zone if it has enough instances, else of all.
+std::vector<endpoint> addressesNear(const std::vector<policy::member> &open, const zone_id &zone);
+
 } // namespace poplarspool::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,13 +1,14 @@
 #include "poplarspool/gateway/gateway.h"
 
 #include "base/connection_pool.h"
-#include "base/socket.h"
 #include "gateway/address_subset.h"
 #include "gateway/caller_limits.h"
 #include "gateway/fleet_scaler.h"
 #include "gateway/limit_exchange.h"
+#include "gateway/link_prober.h"
 #include "gateway/request_proxy.h"
 #include "gateway/stage_manager.h"
+#include "gateway/tunnel_server.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/peer/gossip.h"
@@ -82,7 +83,13 @@
           runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock)),
           retries({settings.retryShare, settings.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
-          metrics(registry),
+          metrics(registry), linkTable(clock), cutOff(clock),
+          connector(connectorDependencies(registry)),
+          tunnelServer({settings.peerAddress, settings.instance, incarnationOf(clock),
+                        peer::deriveFrameKey(peerKeyOf(settings)), publisher, linkTable, registry,
+                        eventLog}),
+          linkProber({publisher, connector, [this](bool isCutOff) { announceCutOff(isCutOff); },
+                      clock, stepFailureReporterOf(eventLog, registry)}),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
                             settings.instance, clock, registry, eventLog),
           rateLimiter(rateLimiterDependencies(registry), selfEntryOf(settings)),
@@ -90,7 +97,7 @@
                        publisher,
                        runnerTable,
                        retries,
-                       connections,
+                       connector,
                        metrics,
                        events,
                        clock,
@@ -107,7 +114,7 @@
                                alive, settings.instance, settings.loadAddress.port));
                        rateLimiter.setMembers(alive);
                    },
-                   [this](const peer::rumor &rumor) { quarantineManager.onRumor(rumor); }},
+                   [this](const peer::rumor &rumor) { onRumor(rumor); }},
                   clock, registry, eventLog),
           loadExchange(
                   {settings.instance, incarnationOf(clock), settings.loadAddress,
@@ -132,7 +139,7 @@
           stageManager({publisher, runnerTable, connections, names, clock, eventLog,
                         registry.counterOf("poplarspool_gateway_stage_orders_total"),
                         stepFailureReporterOf(eventLog, registry),
-                        [this] { return owns(stagesRole); },
+                        [this] { return ownsRunnerRole(stagesRole); },
                         [this] { return instanceCount.load(); },
                         [this](const runner &target) { return rateLimiter.limitOf(target); }},
                        std::move(links.stageLeases), settings.instance, settings.leaseBound)
@@ -140,17 +147,19 @@
         if (hasDuty(settings, usageDuty))
             addUsage(std::move(links.usageLeases), std::move(links.usageSink), registry);
         if (hasDuty(settings, fleetDuty) && settings.usesSpotRunners)
-            fleetScaler.emplace(fleet_scaler_dependencies{publisher, std::move(links.fleetSink),
-                                                          clock, eventLog, registry,
-                                                          [this] { return owns(fleetRole); }},
-                                std::move(links.fleetLeases), settings.instance,
-                                settings.leaseBound);
+            fleetScaler.emplace(
+                    fleet_scaler_dependencies{publisher, std::move(links.fleetSink), clock,
+                                              eventLog, registry,
+                                              [this] { return ownsRunnerRole(fleetRole); }},
+                    std::move(links.fleetLeases), settings.instance, settings.leaseBound);
     }
 
     /// The manager's thread sends to other members through `members`, which is destroyed before
     /// it, and the thread of `members` uses `loadExchange`, which is destroyed even earlier.
     ~state()
     {
+        linkProber.stop();
+        tunnelServer.stop();
         quarantineManager.stop();
         members.stop();
     }
@@ -158,6 +167,11 @@
     state &operator=(const state &) = delete;
 
     bool owns(std::string_view role) const;
+    bool ownsRunnerRole(std::string_view role) const;
+    bool isOwner(std::span<const policy::member> candidates, std::string_view role) const;
+    runner_connector_dependencies connectorDependencies(metrics_registry &registry);
+    void onRumor(const peer::rumor &rumor);
+    void announceCutOff(bool isCutOff);
     void addUsage(duties::lease_store leases, duties::usage_sink sink, metrics_registry &registry);
     quarantine_dependencies quarantineDependencies();
     rate_limiter_dependencies rateLimiterDependencies(metrics_registry &registry);
@@ -176,6 +190,12 @@
     connection_pool connections;
     proxy_metrics metrics;
     usage_count usage{clock, durationOf(settings.usageWindowSeconds)};
+    link_table linkTable;
+    cut_off_instances cutOff;
+    std::uint64_t announcementVersion = 0; ///< Used by the prober's thread only.
+    runner_connector connector;
+    tunnel_server tunnelServer;
+    link_prober linkProber;
     quarantine_manager quarantineManager;
     rate_limiter rateLimiter;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
@@ -194,13 +214,61 @@
     mono_time leftAt{};
 };
 
-bool gateway::state::owns(std::string_view role) const
+bool gateway::state::isOwner(std::span<const policy::member> candidates,
+                             std::string_view role) const
 {
-    const auto alive = members.members();
-    const policy::member *owner = policy::ownerOf(alive, role);
+    const policy::member *owner = policy::ownerOf(candidates, role);
     return owner != nullptr && owner->id == settings.instance && !isLeaving.load();
 }
 
+bool gateway::state::owns(std::string_view role) const
+{
+    return isOwner(members.members(), role);
+}
+
+/// As owns(), for a role whose orders and decisions need links to the runners.
+bool gateway::state::ownsRunnerRole(std::string_view role) const
+{
+    return !linkTable.isCutOff() && isOwner(cutOff.without(members.members()), role);
+}
+
+runner_connector_dependencies gateway::state::connectorDependencies(metrics_registry &registry)
+{
+    return {settings.instance,
+            settings.zone,
+            incarnationOf(clock),
+            peer::deriveFrameKey(peerKeyOf(settings)),
+            connections,
+            linkTable,
+            cutOff,
+            [this] { return members.members(); },
+            [this] { linkProber.wake(); },
+            clock,
+            registry,
+            events};
+}
+
+void gateway::state::onRumor(const peer::rumor &rumor)
+{
+    if (const auto announced = cutOffAnnouncementOf(rumor))
+        cutOff.record(*announced);
+    else
+        quarantineManager.onRumor(rumor);
+}
+
+/// Called on the prober's thread.
+void gateway::state::announceCutOff(bool isCutOff)
+{
+    const auto wallMs = static_cast<std::uint64_t>(clock.wall().time_since_epoch().count());
+    // The wall clock may be set back; the versions of one process increase all the same.
+    announcementVersion = std::max(announcementVersion + 1, wallMs);
+    const cut_off_announcement announced{settings.instance, isCutOff};
+    cutOff.record(announced);
+    members.spread(rumorOf(announced, announcementVersion));
+    events.emit(isCutOff ? "cut_off" : "cut_off_ended",
+                {{"broken_links", std::to_string(linkTable.brokenCount())}});
+}
+
 void gateway::state::addUsage(duties::lease_store leases, duties::usage_sink sink,
                               metrics_registry &registry)
 {
@@ -293,6 +361,9 @@
     const auto limitsStarted = inner->limitExchange.start();
     if (!succeeded(limitsStarted))
         return errorOf(limitsStarted);
+    const auto tunnelsStarted = inner->tunnelServer.start();
+    if (!succeeded(tunnelsStarted))
+        return errorOf(tunnelsStarted);
     const auto serverStarted = inner->callerServer.start();
     if (!succeeded(serverStarted))
         return errorOf(serverStarted);
@@ -306,6 +377,7 @@
         inner->fleetScaler->start();
     inner->stageManager.start();
     inner->quarantineManager.start();
+    inner->linkProber.start();
     return unit{};
 }
 
@@ -345,18 +417,13 @@
 
 std::vector<endpoint> gateway::addressesFor(const zone_id &callerZone) const
 {
-    std::vector<endpoint> near;
-    std::vector<endpoint> all;
-    for (const policy::member &one : inner->members.members()) {
+    std::vector<policy::member> open = inner->members.members();
+    std::erase_if(open, [this](const policy::member &one) {
         const bool isSelf = one.id == inner->settings.instance;
         const bool isOpen = isSelf ? isReady() : one.state == policy::member_state::Alive;
-        if (!isOpen || !one.callerAddress.isValid())
-            continue;
-        all.push_back(one.callerAddress);
-        if (one.zone == callerZone)
-            near.push_back(one.callerAddress);
-    }
-    return addressSubset(near.size() >= config::minZoneAddresses ? std::move(near) : std::move(all),
+        return !isOpen || !one.callerAddress.isValid();
+    });
+    return addressSubset(addressesNear(withoutCutOff(std::move(open), inner->cutOff), callerZone),
                          hashOf(inner->settings.instance.text));
 }
 
@@ -367,6 +434,7 @@
     const mono_time end = inner->leftAt + inner->leaveTime - config::leaveMargin;
     inner->leavesAt = end.time_since_epoch().count();
     inner->members.setLeaving();
+    inner->tunnelServer.announceShutdown();
     // The threads are joined only in finish(): with a slow store, waiting here would delay the
     // announcement to callers.
     inner->stageManager.requestStop();
@@ -396,6 +464,9 @@
     }
     inner->quarantineManager.stop();
     inner->connections.stop();
+    inner->linkProber.stop();
+    inner->connector.stop();
+    inner->tunnelServer.stop();
     inner->loadExchange.stop();
     inner->limitExchange.stop();
     inner->members.stop();
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -75,14 +75,15 @@
 {
     const runner &prefillEngine = *place.prefill;
     const socket_deadline deadline = deadlineIn(timeLeft());
-    auto connection = context.connections.acquire(prefillEngine.address, deadline, -1);
-    if (!succeeded(connection)) {
+    auto connected = context.connections.acquire(prefillEngine, deadline, -1);
+    if (!succeeded(connected)) {
         lastFault = unreachableFault;
-        lastConnectError = errorOf(connection).message;
-        record.recordEnd(send_outcome::Unreachable);
+        lastConnectError = errorOf(connected).message;
+        record.recordEnd(unreachableOutcome());
         return std::nullopt;
     }
-    enableDeadPeerDetection(valueOf(connection).get(), config::runnerSilenceTimeout);
+    runner_connection connection = std::move(valueOf(connected));
+    enableDeadPeerDetection(connection.connection.get(), config::runnerSilenceTimeout);
     send_extras extras = extrasTo(prefillEngine);
     extras.priority = priorityOf(place.urgency);
     extras.isPrefillOnly = true;
@@ -90,7 +91,8 @@
         extras.kvFetch = textOf(place.cacheSource->address);
         context.metrics.kvCopies.add();
     }
-    runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
+    runner_call call(std::move(connection.connection), caller.descriptorNumber(),
+                     silenceCheckOf(prefillEngine, connection, true));
     const std::string text =
             runnerRequestText(request, prefillEngine.address, context.names, extras);
     sentAt = context.clock.mono();
@@ -115,7 +117,7 @@
         reply.body = std::move(rest.bytes);
         fault = rest.fault;
         if (rest.isLast) {
-            keepConnection(call, *arrived, prefillEngine.address);
+            keepConnection(call, *arrived, prefillEngine, std::move(connection));
             record.recordEnd(isRefused ? send_outcome::Refused : send_outcome::Failed);
             return reply;
         }
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "base/connection_pool.h"
 #include "gateway/envelope.h"
 #include "gateway/event_splitter.h"
 #include "gateway/quarantine_manager.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
 #include "gateway/runner_call.h"
+#include "gateway/runner_connector.h"
 #include "gateway/runner_table.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
@@ -47,7 +47,7 @@
     const catalogue_publisher &publisher;
     runner_table &runnerTable;
     retry_budgets &retries;
-    connection_pool &connections;
+    runner_connector &connections;
     proxy_metrics &metrics;
     journal &events;
     const clock_source clock;
@@ -94,6 +94,8 @@
         const std::string &kvSource; ///< Where the prompt's KV cache is kept; empty: nowhere.
         runner_table::open_send &record;
         socket_deadline deadline;
+        /// What is left of the connection once a call has taken its descriptor.
+        runner_connection connection = {};
     };
 
     // request_proxy.cpp: decisions.
@@ -132,7 +134,10 @@
     // runner_try.cpp: one send and its answer.
     try_end tryAt(const placement &place, const std::string &kvSource);
     try_end sendTo(sending &current);
-    result<descriptor> connectionTo(const endpoint &to, socket_deadline deadline) const;
+    result<runner_connection> connectionTo(const runner &target, socket_deadline deadline) const;
+    silence_check silenceCheckOf(const runner &target, const runner_connection &connection,
+                                 bool mayFail) const;
+    send_outcome unreachableOutcome() const;
     std::variant<reply_head, call_fault> readOwnHead(runner_call &call, socket_deadline deadline);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
@@ -145,7 +150,8 @@
     try_end handleFault(runner_call &call, call_fault fault, sending &current);
     void recordBrokenReply(const runner &target, call_fault fault);
     try_end recordServed(sending &current, try_end end);
-    void keepConnection(runner_call &call, const reply_head &head, const endpoint &to);
+    void keepConnection(runner_call &call, const reply_head &head, const runner &target,
+                        runner_connection connection);
     /// The headers that every send of the request adds.
     send_extras extrasTo(const runner &target) const;
     send_extras extrasFor(const sending &current) const;
@@ -197,6 +203,7 @@
     std::string lastRunner;
     std::string lastFault;
     std::string lastConnectError; ///< Of the last send; empty if it was connected.
+    std::string lastWay; ///< Of the last send: "direct", or the instance that carried it.
     mono_time firstByteAt{};
 };
 
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -43,25 +43,33 @@
     return "none";
 }
 
-runner_call::runner_call(descriptor connection, int callerFd)
-    : connection(std::move(connection)), callerFd(callerFd)
+runner_call::runner_call(descriptor connection, int callerFd, silence_check check)
+    : connection(std::move(connection)), callerFd(callerFd), check(std::move(check))
 { }
 
 /// Watches the caller's connection for a half-close only, not for bytes: those of a pipelined
 /// request may be pending all the time.
 call_fault runner_call::await(short events, socket_deadline deadline) const
 {
-    switch (waitForSocket(connection.get(), events, deadline, callerFd, POLLRDHUP)) {
-    case socket_fault::None:
-        return call_fault::None;
-    case socket_fault::Interrupted:
-        return call_fault::CallerGone;
-    case socket_fault::TimedOut:
-        return call_fault::TimedOut;
-    case socket_fault::Closed:
-        break;
+    while (true) {
+        const bool isChecked = check.interval > milliseconds::zero();
+        const socket_deadline checkAt = isChecked ? socket_clock::now() + check.interval : deadline;
+        switch (waitForSocket(connection.get(), events, std::min(deadline, checkAt), callerFd,
+                              POLLRDHUP)) {
+        case socket_fault::None:
+            return call_fault::None;
+        case socket_fault::Interrupted:
+            return call_fault::CallerGone;
+        case socket_fault::TimedOut:
+            if (socket_clock::now() >= deadline)
+                return call_fault::TimedOut;
+            if (check.isLost())
+                return call_fault::Closed;
+            break;
+        case socket_fault::Closed:
+            return call_fault::Closed;
+        }
     }
-    return call_fault::Closed;
 }
 
 bool runner_call::hasWholeHead() const
@@ -108,6 +116,8 @@
         const ssize_t count = recv(connection.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (count > 0) {
             buffer.append(bytes.data(), static_cast<std::size_t>(count));
+            if (check.onBytes)
+                check.onBytes();
             return call_fault::None;
         }
         if (count == 0) {
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -2,7 +2,9 @@
 
 #include "base/http_text.h"
 #include "base/socket.h"
+#include "poplarspool/base/clock.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -28,6 +30,16 @@
     call_fault fault = call_fault::None;
 };
 
+/// What a call does while the runner is silent.
+struct silence_check
+{
+    milliseconds interval{0}; ///< 0: nothing.
+    /// Called after each interval without a byte from the runner.
+    /// @returns Whether the call fails as if the connection had been closed.
+    std::function<bool()> isLost;
+    std::function<void()> onBytes; ///< Called when the runner has sent something.
+};
+
 /// One request to a runner on one connection. It also watches the caller's connection: if the
 /// caller disconnects, each step ends at once. Otherwise the runner would go on computing an
 /// unwanted answer until its first byte can't be delivered.
@@ -35,7 +47,7 @@
 {
 public:
     /// @param callerFd Descriptor of the caller's connection; -1: none to watch.
-    runner_call(descriptor connection, int callerFd);
+    runner_call(descriptor connection, int callerFd, silence_check check = {});
 
     /// Sends the whole request. Returns early with success if the runner has already answered.
     call_fault send(std::string_view request, socket_deadline deadline);
@@ -74,6 +86,7 @@
 
     descriptor connection;
     const int callerFd;
+    const silence_check check;
     std::string buffer; ///< Received and not yet consumed.
     std::size_t bytesSent = 0;
     bool isSentWhole = false;
--- a/src/gateway/runner_control.cpp
+++ b/src/gateway/runner_control.cpp
@@ -73,6 +73,22 @@
     return whole;
 }
 
+namespace {
+
+result<whole_reply> callOverConnection(descriptor connection, const dialect &names,
+                                       const runner &target, const http_request &request,
+                                       milliseconds timeout, socket_deadline deadline,
+                                       const std::function<bool()> &check)
+{
+    send_extras extras;
+    extras.runner = target.id.text;
+    extras.timeLeft = timeout;
+    return callOn(std::move(connection), "runner " + target.id.text,
+                  runnerRequestText(request, target.address, names, extras), deadline, check);
+}
+
+} // namespace
+
 result<http_reply> callRunner(connection_pool &connections, const dialect &names,
                               const runner &target, const http_request &request,
                               milliseconds timeout, const std::function<bool()> &check)
@@ -81,12 +97,8 @@
     auto connection = connections.acquire(target.address, deadline, -1);
     if (!succeeded(connection))
         return errorOf(connection);
-    send_extras extras;
-    extras.runner = target.id.text;
-    extras.timeLeft = timeout;
-    auto answered =
-            callOn(std::move(valueOf(connection)), "runner " + target.id.text,
-                   runnerRequestText(request, target.address, names, extras), deadline, check);
+    auto answered = callOverConnection(std::move(valueOf(connection)), names, target, request,
+                                       timeout, deadline, check);
     if (!succeeded(answered))
         return errorOf(answered);
     whole_reply &whole = valueOf(answered);
@@ -96,4 +108,25 @@
     return std::move(whole.reply);
 }
 
+result<http_reply> callRunner(runner_connector &connections, const dialect &names,
+                              const runner &target, const http_request &request,
+                              milliseconds timeout)
+{
+    const socket_deadline deadline = socket_clock::now() + timeout;
+    auto connected = connections.acquire(target, deadline, -1);
+    if (!succeeded(connected))
+        return errorOf(connected);
+    runner_connection &used = valueOf(connected);
+    auto answered = callOverConnection(std::move(used.connection), names, target, request, timeout,
+                                       deadline, {});
+    if (!succeeded(answered))
+        return errorOf(answered);
+    whole_reply &whole = valueOf(answered);
+    const milliseconds idleTime = idleTimeOf(whole.reply.headers);
+    used.connection = std::move(whole.connection);
+    if (used.connection.isOpen() && idleTime > milliseconds::zero())
+        connections.release(target, std::move(used), idleTime);
+    return std::move(whole.reply);
+}
+
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_control.h
+++ b/src/gateway/runner_control.h
@@ -2,12 +2,14 @@
 
 #include "base/connection_pool.h"
 #include "gateway/runner_call.h"
+#include "gateway/runner_connector.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/dialect.h"
 
 namespace poplarspool::gateway {
 
-/// Sends a request of the gateway itself to a runner.
+/// Sends a request of the gateway itself to a runner, over a direct connection only: an order must
+/// come from the instance that holds the right to it.
 /// @param check Called once the connection is established, right before the first byte is sent; if
 ///              it returns false, nothing is sent.
 /// @returns The whole reply. The verdict of an error is NotRun if no byte was sent.
@@ -16,6 +18,11 @@
                               const runner &target, const http_request &request,
                               milliseconds timeout, const std::function<bool()> &check = {});
 
+/// As above, over a tunnel if the runner's link is broken.
+result<http_reply> callRunner(runner_connector &connections, const dialect &names,
+                              const runner &target, const http_request &request,
+                              milliseconds timeout);
+
 struct whole_reply
 {
     http_reply reply;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -17,6 +17,13 @@
     return status >= 200 && status < 300;
 }
 
+std::string wayOf(const runner_connection &connection)
+{
+    if (!connection.isTunnel)
+        return "direct";
+    return connection.carrier.isValid() ? connection.carrier.text : "kept_tunnel";
+}
+
 } // namespace
 
 socket_deadline request_proxy::deadlineIn(milliseconds time) const
@@ -44,6 +51,7 @@
     lastRunner = target.id.text;
     lastFault.clear();
     lastConnectError.clear();
+    lastWay.clear();
     context.runnerTable.recordCached(target.id, metadata.prompt);
     const std::string limitText = limitTextOf(target);
     try_end end = try_end::Lost;
@@ -67,6 +75,7 @@
             {"reading_ms", std::to_string(std::lround(place.prefillMs))},
             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
             {"limit", limitText},
+            {"way", lastWay},
             {"fault", lastFault},
             {"left_ms", std::to_string(timeLeft().count())}};
     std::ranges::move(connectFieldsOf(target), std::back_inserter(fields));
@@ -95,14 +104,41 @@
 /// A request that may not be repeated is never sent on a reused connection: the runner may be
 /// closing it at that moment, and it would be unknown whether the request has run. A new
 /// connection costs a round trip, but a failure to connect proves that the request has not run.
-result<descriptor> request_proxy::connectionTo(const endpoint &to, socket_deadline deadline) const
+result<runner_connection> request_proxy::connectionTo(const runner &target,
+                                                      socket_deadline deadline) const
+{
+    auto connected = selectedRoute->retryPolicy == retry_policy::Idempotent
+            ? context.connections.acquire(target, deadline, caller.descriptorNumber())
+            : context.connections.connect(target, deadline, -1);
+    if (succeeded(connected))
+        enableDeadPeerDetection(valueOf(connected).connection.get(), config::runnerSilenceTimeout);
+    return connected;
+}
+
+/// A cut link shows only in that nothing arrives, and TCP needs seconds to give up. Several silent
+/// runners at once have their links checked; if other instances reach them, a call that may be
+/// repeated elsewhere doesn't wait for TCP.
+/// @param mayFail Whether the request can go on elsewhere.
+silence_check request_proxy::silenceCheckOf(const runner &target,
+                                            const runner_connection &connection, bool mayFail) const
+{
+    if (connection.isTunnel)
+        return {};
+    return {config::silentCallInterval,
+            [this, id = target.id, mayFail] {
+                if (context.connections.links().isSilent(id))
+                    return mayFail;
+                context.connections.recordSilentCall(id);
+                return false;
+            },
+            [this] { context.connections.links().recordHeard(); }};
+}
+
+/// What an instance that is cut off fails to reach says nothing about the runner.
+send_outcome request_proxy::unreachableOutcome() const
 {
-    auto connection = selectedRoute->retryPolicy == retry_policy::Idempotent
-            ? context.connections.acquire(to, deadline, caller.descriptorNumber())
-            : context.connections.connect(to, deadline, -1);
-    if (succeeded(connection))
-        enableDeadPeerDetection(valueOf(connection).get(), config::runnerSilenceTimeout);
-    return connection;
+    return context.connections.links().isCutOff() ? send_outcome::Unknown
+                                                  : send_outcome::Unreachable;
 }
 
 send_extras request_proxy::extrasTo(const runner &target) const
@@ -133,18 +169,23 @@
 request_proxy::try_end request_proxy::sendTo(sending &current)
 {
     const runner &target = *current.place.serving;
-    auto connection = connectionTo(target.address, current.deadline);
-    if (!succeeded(connection)) {
+    auto connected = connectionTo(target, current.deadline);
+    if (!succeeded(connected)) {
         lastFault = "unreachable";
-        lastConnectError = errorOf(connection).message;
-        current.record.recordEnd(send_outcome::Unreachable);
+        lastConnectError = errorOf(connected).message;
+        current.record.recordEnd(unreachableOutcome());
         return caller.isGone() ? try_end::CallerGone : try_end::NotRun;
     }
     if (current.place.cacheSource)
         context.metrics.kvCopies.add();
     if (hasBegun)
         context.metrics.resumes.add();
-    runner_call call(std::move(valueOf(connection)), caller.descriptorNumber());
+    current.connection = std::move(valueOf(connected));
+    lastWay = wayOf(current.connection);
+    const bool mayFail =
+            selectedRoute->retryPolicy == retry_policy::Idempotent || selectedRoute->isResumable;
+    runner_call call(std::move(current.connection.connection), caller.descriptorNumber(),
+                     silenceCheckOf(target, current.connection, mayFail));
     const std::string text =
             runnerRequestText(request, target.address, context.names, extrasFor(current));
     sentAt = context.clock.mono();
@@ -258,7 +299,7 @@
                                                               : send_outcome::Refused);
     const body_piece rest = call.readRest(current.deadline, config::maxBufferedReplyBytes);
     if (rest.isLast)
-        keepConnection(call, head, current.place.serving->address);
+        keepConnection(call, head, *current.place.serving, std::move(current.connection));
     return rest.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
 }
 
@@ -331,7 +372,7 @@
     if (!events.isAtBoundary())
         return handleFault(call, call_fault::Malformed, current);
     ++possibleRuns;
-    keepConnection(call, head, current.place.serving->address);
+    keepConnection(call, head, *current.place.serving, std::move(current.connection));
     if (!beginReply(head))
         return recordServed(current, try_end::CallerGone);
     caller.end();
@@ -355,7 +396,7 @@
     }
     ++possibleRuns;
     recordFirstByte(current);
-    keepConnection(call, head, current.place.serving->address);
+    keepConnection(call, head, *current.place.serving, std::move(current.connection));
     http_reply reply;
     reply.status = head.status;
     reply.headers = forwardedReplyHeaders(head.headers);
@@ -387,17 +428,18 @@
             return handleFault(call, piece.fault, current);
     }
     ++possibleRuns;
-    keepConnection(call, head, current.place.serving->address);
+    keepConnection(call, head, *current.place.serving, std::move(current.connection));
     caller.end();
     return recordServed(current, try_end::Answered);
 }
 
-void request_proxy::keepConnection(runner_call &call, const reply_head &head, const endpoint &to)
+void request_proxy::keepConnection(runner_call &call, const reply_head &head, const runner &target,
+                                   runner_connection connection)
 {
     const milliseconds time = idleTimeOf(head.headers);
-    descriptor reusable = call.takeConnection();
-    if (reusable.isOpen() && time > milliseconds::zero())
-        context.connections.release(to, std::move(reusable), time);
+    connection.connection = call.takeConnection();
+    if (connection.connection.isOpen() && time > milliseconds::zero())
+        context.connections.release(target, std::move(connection), time);
 }
 
 } // namespace poplarspool::gateway
--- /dev/null
+++ b/src/gateway/tunnel_server.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/connection_threads.h"
+#include "base/socket.h"
+#include "gateway/link_table.h"
+#include "gateway/tunnel_message.h"
+#include "poplarspool/base/journal.h"
+#include "poplarspool/base/metrics.h"
+#include "poplarspool/gateway/catalogue.h"
+
+#include <atomic>
+#include <thread>
+
+namespace poplarspool::gateway {
+
+struct tunnel_server_dependencies
+{
+    endpoint address; ///< TCP address at which tunnels are requested.
+    instance_id self;
+    std::uint64_t incarnation = 0;
+    peer::frame_key key;
+    const catalogue_publisher &publisher;
+    link_table &links;
+    metrics_registry &metrics;
+    journal &events;
+};
+
+/// Carries connections of other instances to runners that they can't reach themselves. A tunnel is
+/// carried to listed runners only and over this instance's own link only, so that no tunnel leads
+/// through two carriers.
+class tunnel_server
+{
+public:
+    explicit tunnel_server(tunnel_server_dependencies given);
+    ~tunnel_server();
+
+    result<unit> start();
+    /// Rejects new tunnels; those that exist go on.
+    void announceShutdown() { isLeaving = true; }
+    /// Resets the tunnels that are left.
+    void stop();
+
+private:
+    void acceptUntilStopped();
+    void serve(descriptor near);
+    tunnel_outcome connectFor(const tunnel_request &request, descriptor &far);
+    runner_entry targetOf(const tunnel_request &request) const;
+
+    const tunnel_server_dependencies dependencies;
+    counter &served;
+    counter &rejected;
+    counter &bytesCarried;
+    gauge &open;
+    std::atomic<bool> isLeaving{false};
+    descriptor listener;
+    pollable_flag stopping;
+    connection_threads threads;
+    std::thread acceptor;
+};
+
+} // namespace poplarspool::gateway
--- a/src/node/order_sender.cpp
+++ b/src/node/order_sender.cpp
@@ -1,7 +1,7 @@
 #include "node/order_sender.h"
 
+#include "base/connect.h"
 #include "base/pooled_call.h"
-#include "base/socket.h"
 #include "node/order_guard.h"
 #include "poplarspool/base/limits.h"
 #include "poplarspool/runner/limits.h"
--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -1,6 +1,6 @@
 #include "poplarspool/peer/calls.h"
 
-#include "base/socket.h"
+#include "base/connect.h"
 #include "peer/call_wire.h"
 #include "peer/drop_counters.h"
 #include "poplarspool/base/limits.h"
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -22,6 +22,7 @@
     Store = 6, ///< Sent in a datagram.
     Usage = 7, ///< Sent in a datagram.
     Limit = 8, ///< Sent in a datagram.
+    Tunnel = 9, ///< First frame of each side of a tunnel; plain bytes follow.
 };
 
 /// Header of every frame between instances.
--- a/tests/adapter/cuttable_link.h
+++ b/tests/adapter/cuttable_link.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/socket.h"
+#include "base/connect.h"
 
 #include <array>
 #include <atomic>
--- a/tests/base/http_fixture.h
+++ b/tests/base/http_fixture.h
@@ -2,7 +2,7 @@
 
 #include "poplarspool/base/http.h"
 
-#include "base/socket.h"
+#include "base/connect.h"
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/fuzz/calls.cpp
+++ b/tests/fuzz/calls.cpp
@@ -1,4 +1,5 @@
 #include "fuzz.h"
+#include "gateway/tunnel_message.h"
 #include "peer/call_wire.h"
 #include "poplarspool/peer/messages.h"
 
@@ -49,6 +50,26 @@
                 "a failure changes when encoded and decoded again");
 }
 
+void checkTunnelRequest(std::string_view bytes)
+{
+    const auto decoded = gateway::decodeTunnelRequest(bytes);
+    if (!succeeded(decoded))
+        return;
+    const auto redecoded = gateway::decodeTunnelRequest(gateway::encode(valueOf(decoded)));
+    require(succeeded(redecoded) && valueOf(redecoded) == valueOf(decoded),
+            "a request for a tunnel changes when encoded and decoded again");
+}
+
+void checkTunnelOutcome(std::string_view bytes)
+{
+    const auto decoded = gateway::decodeTunnelOutcome(bytes);
+    if (!succeeded(decoded))
+        return;
+    const auto redecoded = gateway::decodeTunnelOutcome(gateway::encode(valueOf(decoded)));
+    require(succeeded(redecoded) && valueOf(redecoded) == valueOf(decoded),
+            "the outcome of a tunnel changes when encoded and decoded again");
+}
+
 } // namespace
 
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -64,7 +85,9 @@
                                 checkMessage<events_request>,
                                 checkMessage<events_reply>,
                                 checkCall,
-                                checkReply};
+                                checkReply,
+                                checkTunnelRequest,
+                                checkTunnelOutcome};
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
     checks.at(fuzz::takeByte(bytes) % checks.size())(bytes);
     return 0;
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -17,7 +17,7 @@
     src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
     src/gateway/runner_set.cpp
     src/gateway/crash_table.cpp src/gateway/crash_update.cpp src/gateway/limit_message.cpp
-    src/gateway/relayed_changes.cpp
+    src/gateway/relayed_changes.cpp src/gateway/tunnel_message.cpp
     src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalogue_fixture.h"
+#include "connector_fixture.h"
 #include "fixture.h"
 #include "gateway/request_proxy.h"
 #include "poplarspool/gateway/route_index.h"
@@ -56,7 +57,7 @@
     catalogue_publisher publisher{catalogue{}};
     runner_table runnerTable{clock};
     retry_budgets retries{{1, 100}};
-    connection_pool connections{4, 500ms, registry};
+    connector_fixture connections{clock, registry, events};
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::set<endpoint> endedAddresses; ///< Addresses at which no process listens any more.
@@ -74,8 +75,9 @@
              registry, events},
             {}};
     const proxy_context context{
-            names, publisher, runnerTable, retries,           connections, metrics, events,
-            clock, {"z"},     leavesAt,    quarantineManager, rateLimiter, 7};
+            names,  publisher, runnerTable, retries,  connections.connector, metrics,
+            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
+            7};
     test_caller caller;
 
     /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -1,4 +1,5 @@
 #include "catalogue_fixture.h"
+#include "connector_fixture.h"
 #include "fixture.h"
 #include "gateway/request_proxy.h"
 #include "poplarspool/gateway/route_index.h"
@@ -44,7 +45,7 @@
     catalogue_publisher publisher{catalogue{}};
     runner_table runnerTable{clock};
     retry_budgets retries{{1, 100}};
-    connection_pool connections{4, 500ms, registry};
+    test::connector_fixture connections{clock, registry, events};
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     quarantine_manager quarantineManager{{}, {}, {"test"}, clock, registry, events};
@@ -55,8 +56,8 @@
              registry, events},
             {}};
     const proxy_context context{
-            names,  publisher, runnerTable, retries,  connections,       metrics,
-            events, clock,     {"z"},       leavesAt, quarantineManager, rateLimiter};
+            names,  publisher, runnerTable, retries,  connections.connector, metrics,
+            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter};
 
     explicit fixture(std::vector<route> routes)
     {
--- a/tests/gateway/silent_peer_test.cpp
+++ b/tests/gateway/silent_peer_test.cpp
@@ -1,4 +1,4 @@
-#include "base/socket.h"
+#include "base/connect.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <array>
--- a/tests/peer/calls_test.cpp
+++ b/tests/peer/calls_test.cpp
@@ -1,4 +1,4 @@
-#include "base/socket.h"
+#include "base/connect.h"
 #include "peer/call_wire.h"
 #include "peer/numeric_address.h"
 #include "poplarspool/peer/calls.h"
