Take a runner for ended only if another instance is refused as well

Callers would see 503 for ten minutes (quarantined) at all instances.

Cause: a connection that broke, and a refused connection after it, counted as the end of the runner under that request. An instance whose links are reset and refuse sees exactly that of sound runners, and tells it to all by rumors and through the store.

Change: the check asks another instance to connect as well. Without other instances it stays as it was; an instance that is cut off and finds no carrier says nothing. Runners that the other doesn't list any more count as refused.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -287,9 +287,7 @@
 quarantine_dependencies gateway::state::quarantineDependencies()
 {
     quarantine_dependencies made;
-    made.isConnectionRefused = [](const endpoint &to) {
-        return isConnectionRefused(to, socket_clock::now() + config::endedCheckTimeout);
-    };
+    made.hasEnded = [this](const runner &target) { return connector.hasEnded(target); };
     made.spreadRumor = [this](peer::rumor rumor) { members.spread(std::move(rumor)); };
     made.setFingerprint = [this](std::uint64_t fingerprint) {
         members.setApplied(fingerprint, clock.mono());
--- a/src/gateway/quarantine_manager.cpp
+++ b/src/gateway/quarantine_manager.cpp
@@ -60,8 +60,7 @@
 /// runners may abort responses. Refused connections do show it.
 void quarantine_manager::recordConnectionLost(std::uint64_t digest, const runner &target)
 {
-    if (table.hasEnded(incarnationKeyOf(target))
-        || dependencies.isConnectionRefused(target.address))
+    if (table.hasEnded(incarnationKeyOf(target)) || dependencies.hasEnded(target))
         countEnd(digest, target);
     else
         recordUnconfirmed(digest, target);
@@ -89,8 +88,7 @@
         const std::uint64_t key = incarnationKeyOf(each.target);
         const auto [known, isNew] = hasEnded.try_emplace(key, false);
         if (isNew)
-            known->second =
-                    table.hasEnded(key) || dependencies.isConnectionRefused(each.target.address);
+            known->second = table.hasEnded(key) || dependencies.hasEnded(each.target);
         if (known->second)
             countEnd(each.digest, each.target);
         else if (clock.mono() - each.seenAt < config::unconfirmedEndTime)
--- a/src/gateway/quarantine_manager.h
+++ b/src/gateway/quarantine_manager.h
@@ -17,9 +17,8 @@
 /// What the quarantine manager needs from its instance.
 struct quarantine_dependencies
 {
-    /// @returns Whether the host of the address refuses connections: no process listens there any
-    /// more.
-    std::function<bool(const endpoint &)> isConnectionRefused;
+    /// @returns Whether the runner's host refuses connections: no process listens there any more.
+    std::function<bool(const runner &)> hasEnded;
     /// Sends a rumor to the other instances by gossip.
     std::function<void(peer::rumor)> spreadRumor;
     /// Sets the fingerprint of this instance's quarantine that its heartbeats carry.
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -93,6 +93,18 @@
     release(target, std::move(tunnel.connection), config::runnerIdleTime);
 }
 
+bool runner_connector::hasEnded(const runner &target)
+{
+    const auto deadline = socket_clock::now() + config::endedCheckTimeout;
+    if (!isBroken(target.id) && !isConnectionRefused(target.address, deadline))
+        return false;
+    if (carriersFor(target).empty())
+        return !dependencies.links.isCutOff();
+    const tunnel_outcome outcome =
+            openTunnel(target, socket_clock::now() + config::endedCheckTimeout, -1).outcome;
+    return outcome == tunnel_outcome::Refused || outcome == tunnel_outcome::Unlisted;
+}
+
 void runner_connector::recordReached(const runner_id &target)
 {
     const bool wasCutOff = dependencies.links.isCutOff();
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -62,6 +62,8 @@
     /// Checks with another instance whether the link of a runner is broken.
     /// @param end How a direct connection failed.
     void checkLink(const runner &target, connect_end end);
+    /// @returns Whether the runner's host refuses connections, from another instance as well.
+    bool hasEnded(const runner &target);
 
     /// Marks the link as sound.
     void recordReached(const runner_id &target);
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -62,7 +62,11 @@
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::set<endpoint> endedAddresses; ///< Addresses at which no process listens any more.
     quarantine_manager quarantineManager{
-            {[this](const endpoint &at) { return endedAddresses.contains(at); }, {}, {}, {}, {}},
+            {[this](const runner &target) { return endedAddresses.contains(target.address); },
+             {},
+             {},
+             {},
+             {}},
             {},
             {"test"},
             clock,
--- a/tests/gateway/quarantine_manager_test.cpp
+++ b/tests/gateway/quarantine_manager_test.cpp
@@ -53,7 +53,7 @@
 struct instance
 {
     explicit instance(shared_list &list, const std::string &name = "edge-1")
-        : manager({[this](const endpoint &) { return isRunnerGone.load(); },
+        : manager({[this](const runner &) { return isRunnerGone.load(); },
                    [this](peer::rumor rumor) {
                        const std::lock_guard lock(guard);
                        sent.push_back(std::move(rumor));
