Wait two seconds for a silent runner before its connection counts as lost

Callers saw a stream cut, or 502 for a request that may not repeat, when a sound runner was silent for little more than a second.

Cause: TCP_USER_TIMEOUT was 1 s, and it decides for bytes under way as well as for keep-alive probes. Class: one silence is taken for a loss.

Evidence: silent_peer_test, on packets that are held back for 1.5 s: the connection with a byte under way was given up (listed in KNOWN-RED.txt); the idle one was not.

Change: runnerSilenceTimeout is 2 s.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -195,8 +195,9 @@
 /// Time-out for connecting to a runner: 40 round trips, but less than the delay of TCP's first
 /// retransmission, from which on another runner is the better choice.
 inline constexpr std::chrono::milliseconds runnerConnectTimeout = 150ms;
-/// Silence after which a connection to a runner counts as lost.
-inline constexpr std::chrono::seconds runnerSilenceTimeout = 1s;
+/// Silence after which a connection to a runner counts as lost. A sound runner may be silent for a
+/// second or so and go on.
+inline constexpr std::chrono::seconds runnerSilenceTimeout = 2s;
 /// Number of runners in a row that only other instances reach from which an instance counts as cut
 /// off from all runners. One may be a coincidence: a runner that restarts at that moment.
 inline constexpr std::size_t minBrokenLinks = 2;
