Share what instances' TCP servers have in common, and end silent calls only where another try is left

Cause: the listener of tunnels repeated that of calls between instances, both sides of a tunnel built the same header, and two tests the same pair of sockets. A call whose link is silent was given up also if its route, attempts or the retry budget left no other try, where the answer may still come once the link is back.

Change: peer/listen.h, tunnelFrame() and connectedPair() serve both; a silent call ends only while another runner may be tried.

--- a/src/base/connect.cpp
+++ b/src/base/connect.cpp
@@ -116,6 +116,7 @@
     const auto isPending = [](const connect_result &one) { return one.end == connect_end::Silent; };
     while (std::ranges::any_of(attempts, isPending) && socket_clock::now() < deadline) {
         std::vector<pollfd> watched;
+        watched.reserve(attempts.size());
         for (const connect_result &each : attempts)
             watched.push_back({isPending(each) ? each.connection.get() : -1, POLLOUT, 0});
         const auto left =
--- a/src/gateway/address_subset.cpp
+++ b/src/gateway/address_subset.cpp
@@ -21,7 +21,7 @@
     return addresses;
 }
 
-std::vector<policy::member> withoutCutOff(std::vector<policy::member> open,
+std::vector<policy::member> withoutCutOff(const std::vector<policy::member> &open,
                                           const cut_off_instances &cutOff)
 {
     std::vector<policy::member> connected = cutOff.without(open);
--- a/src/gateway/address_subset.h
+++ b/src/gateway/address_subset.h
@@ -19,7 +19,7 @@
 /// @param open Instances that take callers.
 /// @returns Those that are not cut off from the runners, if they can take the callers of all; else
 ///          all: an instance that is cut off still serves through others.
-std::vector<policy::member> withoutCutOff(std::vector<policy::member> open,
+std::vector<policy::member> withoutCutOff(const std::vector<policy::member> &open,
                                           const cut_off_instances &cutOff);
 
 /// @returns The addresses of the caller's zone if it has enough instances, else of all.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,6 +59,11 @@
     return made;
 }
 
+tunnel_sender tunnelSenderOf(const gateway_settings &settings, const clock_source &clock)
+{
+    return {settings.instance, incarnationOf(clock), peer::deriveFrameKey(peerKeyOf(settings))};
+}
+
 /// Counts of the requests started here, for one incarnation of this instance.
 struct usage_count
 {
@@ -85,9 +90,8 @@
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
           metrics(registry), linkTable(clock), cutOff(clock),
           connector(connectorDependencies(registry)),
-          tunnelServer({settings.peerAddress, settings.instance, incarnationOf(clock),
-                        peer::deriveFrameKey(peerKeyOf(settings)), publisher, linkTable, registry,
-                        eventLog}),
+          tunnelServer({settings.peerAddress, tunnelSenderOf(settings, clock), publisher, linkTable,
+                        registry, eventLog}),
           linkProber({publisher, connector, [this](bool isCutOff) { announceCutOff(isCutOff); },
                       clock, stepFailureReporterOf(eventLog, registry)}),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
@@ -234,10 +238,8 @@
 
 runner_connector_dependencies gateway::state::connectorDependencies(metrics_registry &registry)
 {
-    return {settings.instance,
+    return {tunnelSenderOf(settings, clock),
             settings.zone,
-            incarnationOf(clock),
-            peer::deriveFrameKey(peerKeyOf(settings)),
             connections,
             linkTable,
             cutOff,
@@ -421,7 +423,7 @@
         const bool isOpen = isSelf ? isReady() : one.state == policy::member_state::Alive;
         return !isOpen || !one.callerAddress.isValid();
     });
-    return addressSubset(addressesNear(withoutCutOff(std::move(open), inner->cutOff), callerZone),
+    return addressSubset(addressesNear(withoutCutOff(open, inner->cutOff), callerZone),
                          hashOf(inner->settings.instance.text));
 }
 
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -92,7 +92,7 @@
         context.metrics.kvCopies.add();
     }
     runner_call call(std::move(connection.connection), caller.descriptorNumber(),
-                     silenceCheckOf(prefillEngine, connection, true));
+                     silenceCheckOf(prefillEngine, connection, [] { return true; }));
     const std::string text =
             runnerRequestText(request, prefillEngine.address, context.names, extras);
     sentAt = context.clock.mono();
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -136,7 +136,8 @@
     try_end sendTo(sending &current);
     result<runner_connection> connectionTo(const runner &target, socket_deadline deadline) const;
     silence_check silenceCheckOf(const runner &target, const runner_connection &connection,
-                                 bool mayFail) const;
+                                 std::function<bool()> mayFail) const;
+    bool mayGoOnElsewhere() const;
     send_outcome unreachableOutcome() const;
     std::variant<reply_head, call_fault> readOwnHead(runner_call &call, socket_deadline deadline);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -134,10 +134,10 @@
 
 std::vector<policy::member> runner_connector::carriersFor(const runner &target)
 {
-    const std::uint64_t draw = hashOf(dependencies.self.text + target.id.text, ++draws);
+    const std::uint64_t draw = hashOf(dependencies.self.instance.text + target.id.text, ++draws);
     const auto candidates = dependencies.cutOff.without(dependencies.members());
     return chooseCarriers(candidates, failures.current(),
-                          {dependencies.self, dependencies.zone, draw});
+                          {dependencies.self.instance, dependencies.zone, draw});
 }
 
 runner_connector::opened_tunnel
@@ -169,24 +169,19 @@
     connect_result made = tryConnect(carrier.peerAddress, deadline, interruptFd);
     if (made.end != connect_end::Connected)
         return {};
-    peer::frame_header header;
-    header.kind = peer::frame_kind::Tunnel;
-    header.sender = peer::senderNumber(dependencies.self);
-    header.senderIncarnation = dependencies.incarnation;
-    header.callId = peer::randomNumber();
-    header.sentAt = dependencies.events.stamp();
+    const std::uint64_t callId = peer::randomNumber();
     const std::string request =
-            peer::sealFrame(dependencies.key, header,
-                            encode(tunnel_request{carrier.id, target.id, target.startedAtMs}));
+            tunnelFrame(dependencies.self, callId, dependencies.events.stamp(),
+                        encode(tunnel_request{carrier.id, target.id, target.startedAtMs}));
     const int fd = made.connection.get();
     const auto askedAt = socket_clock::now();
     if (sendAll(fd, request, deadline, -1).fault != socket_fault::None)
         return {};
     const auto received =
-            peer::readFrame(fd, dependencies.key, maxTunnelPayloadBytes, deadline, -1);
+            peer::readFrame(fd, dependencies.self.key, maxTunnelPayloadBytes, deadline, -1);
     const auto *frame = std::get_if<peer::stream_frame>(&received);
     const bool isAnswer = frame != nullptr && frame->header.kind == peer::frame_kind::Tunnel
-            && frame->header.callId == header.callId;
+            && frame->header.callId == callId;
     if (!isAnswer) {
         const bool mayBeWaiting = socket_clock::now() - askedAt < config::runnerConnectTimeout;
         return {{}, mayBeWaiting ? tunnel_outcome::Silent : tunnel_outcome::Rejected};
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -23,10 +23,8 @@
 
 struct runner_connector_dependencies
 {
-    instance_id self;
+    tunnel_sender self;
     zone_id zone;
-    std::uint64_t incarnation = 0;
-    peer::frame_key key;
     connection_pool &direct;
     link_table &links;
     const cut_off_instances &cutOff;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -118,22 +118,33 @@
 /// A cut link shows only in that nothing arrives, and TCP needs seconds to give up. Several silent
 /// runners at once have their links checked; if other instances reach them, a call that may be
 /// repeated elsewhere doesn't wait for TCP.
+/// @param target Must outlive the check.
 /// @param mayFail Whether the request can go on elsewhere.
 silence_check request_proxy::silenceCheckOf(const runner &target,
-                                            const runner_connection &connection, bool mayFail) const
+                                            const runner_connection &connection,
+                                            std::function<bool()> mayFail) const
 {
     if (connection.isTunnel)
         return {};
     return {config::silentCallInterval,
-            [this, id = target.id, mayFail] {
-                if (context.connections.links().isSilent(id))
-                    return mayFail;
-                context.connections.recordSilentCall(id);
+            [this, &target, mayFail = std::move(mayFail)] {
+                if (context.connections.links().isSilent(target.id))
+                    return mayFail();
+                context.connections.recordSilentCall(target.id);
                 return false;
             },
             [this] { context.connections.links().recordHeard(); }};
 }
 
+/// @returns Whether the request can be sent once more if its current send is lost.
+bool request_proxy::mayGoOnElsewhere() const
+{
+    const bool mayRepeat =
+            selectedRoute->retryPolicy == retry_policy::Idempotent || selectedRoute->isResumable;
+    return mayRepeat && possibleRuns + 1 < selectedRoute->maxRunners
+            && context.retries.hasRoom(service);
+}
+
 /// What an instance that is cut off fails to reach says nothing about the runner.
 send_outcome request_proxy::unreachableOutcome() const
 {
@@ -182,10 +193,9 @@
         context.metrics.resumes.add();
     current.connection = std::move(valueOf(connected));
     lastWay = wayOf(current.connection);
-    const bool mayFail =
-            selectedRoute->retryPolicy == retry_policy::Idempotent || selectedRoute->isResumable;
-    runner_call call(std::move(current.connection.connection), caller.descriptorNumber(),
-                     silenceCheckOf(target, current.connection, mayFail));
+    runner_call call(
+            std::move(current.connection.connection), caller.descriptorNumber(),
+            silenceCheckOf(target, current.connection, [this] { return mayGoOnElsewhere(); }));
     const std::string text =
             runnerRequestText(request, target.address, context.names, extrasFor(current));
     sentAt = context.clock.mono();
--- a/src/gateway/tunnel_message.cpp
+++ b/src/gateway/tunnel_message.cpp
@@ -36,6 +36,18 @@
     return "rejected";
 }
 
+std::string tunnelFrame(const tunnel_sender &from, std::uint64_t callId, hybrid_time sentAt,
+                        std::string_view payload)
+{
+    peer::frame_header header;
+    header.kind = peer::frame_kind::Tunnel;
+    header.sender = peer::senderNumber(from.instance);
+    header.senderIncarnation = from.incarnation;
+    header.callId = callId;
+    header.sentAt = sentAt;
+    return peer::sealFrame(from.key, header, payload);
+}
+
 std::string encode(const tunnel_request &request)
 {
     auto encoded = peer::tryEncode([&](peer::encoder &out) { serialize(out, request); });
--- a/src/gateway/tunnel_message.h
+++ b/src/gateway/tunnel_message.h
@@ -36,6 +36,19 @@
 /// Maximum bytes of the payload of either frame.
 inline constexpr std::size_t maxTunnelPayloadBytes = 1024;
 
+/// The instance that sends a frame.
+struct tunnel_sender
+{
+    instance_id instance;
+    incarnation_number incarnation = 0;
+    peer::frame_key key;
+};
+
+/// @param callId The same in a request and its answer.
+/// @returns The sealed frame.
+std::string tunnelFrame(const tunnel_sender &from, std::uint64_t callId, hybrid_time sentAt,
+                        std::string_view payload);
+
 std::string encode(const tunnel_request &request);
 result<tunnel_request> decodeTunnelRequest(std::string_view payload);
 std::string encode(tunnel_outcome outcome);
--- a/src/gateway/tunnel_server.cpp
+++ b/src/gateway/tunnel_server.cpp
@@ -3,7 +3,7 @@
 #include "base/connect.h"
 #include "gateway/byte_carrier.h"
 #include "peer/call_wire.h"
-#include "peer/numeric_address.h"
+#include "peer/listen.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <cerrno>
@@ -13,30 +13,10 @@
 
 namespace {
 
-constexpr int listenBacklog = 512;
 /// Pause after a failed accept: while the process is out of descriptors, the listener stays
 /// readable.
 constexpr milliseconds acceptPause{100};
 
-result<descriptor> listenOn(const endpoint &bindAddress)
-{
-    const auto address = peer::numericAddressOf(bindAddress);
-    const auto failed = [&](std::string_view step) {
-        return notRun(error_code::Unavailable,
-                      "can't " + std::string(step) + " TCP " + textOf(bindAddress));
-    };
-    if (!address)
-        return failed("parse");
-    descriptor made(socket(address->family(), SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-    const int yes = 1;
-    setsockopt(made.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    if (bind(made.get(), address->get(), address->size) != 0)
-        return failed("bind");
-    if (listen(made.get(), listenBacklog) != 0)
-        return failed("listen on");
-    return made;
-}
-
 tunnel_outcome outcomeOf(connect_end end)
 {
     switch (end) {
@@ -68,7 +48,7 @@
 
 result<unit> tunnel_server::start()
 {
-    auto bound = listenOn(dependencies.address);
+    auto bound = peer::listenOn(dependencies.address);
     if (!succeeded(bound))
         return errorOf(bound);
     listener = std::move(valueOf(bound));
@@ -109,7 +89,7 @@
 {
     setNoDelay(near.get());
     const auto deadline = socket_clock::now() + config::tunnelOpenTimeout;
-    const auto received = peer::readFrame(near.get(), dependencies.key, maxTunnelPayloadBytes,
+    const auto received = peer::readFrame(near.get(), dependencies.self.key, maxTunnelPayloadBytes,
                                           deadline, stopping.descriptorNumber());
     const auto *frame = std::get_if<peer::stream_frame>(&received);
     if (frame == nullptr || frame->header.kind != peer::frame_kind::Tunnel)
@@ -118,13 +98,8 @@
     descriptor far;
     const tunnel_outcome outcome =
             succeeded(request) ? connectFor(valueOf(request), far) : tunnel_outcome::Rejected;
-    peer::frame_header header;
-    header.kind = peer::frame_kind::Tunnel;
-    header.sender = peer::senderNumber(dependencies.self);
-    header.senderIncarnation = dependencies.incarnation;
-    header.callId = frame->header.callId;
-    header.sentAt = dependencies.events.stamp();
-    const std::string answer = peer::sealFrame(dependencies.key, header, encode(outcome));
+    const std::string answer = tunnelFrame(dependencies.self, frame->header.callId,
+                                           dependencies.events.stamp(), encode(outcome));
     const auto answerEnd = socket_clock::now() + config::tunnelOpenTimeout;
     const bool isAnswered =
             sendAll(near.get(), answer, answerEnd, stopping.descriptorNumber()).fault
@@ -149,7 +124,7 @@
 
 tunnel_outcome tunnel_server::connectFor(const tunnel_request &request, descriptor &far)
 {
-    if (isLeaving || request.carrier != dependencies.self)
+    if (isLeaving || request.carrier != dependencies.self.instance)
         return tunnel_outcome::Rejected;
     const runner_entry target = targetOf(request);
     if (!target)
--- a/src/gateway/tunnel_server.h
+++ b/src/gateway/tunnel_server.h
@@ -16,9 +16,7 @@
 struct tunnel_server_dependencies
 {
     endpoint address; ///< TCP address at which tunnels are requested.
-    instance_id self;
-    std::uint64_t incarnation = 0;
-    peer::frame_key key;
+    tunnel_sender self;
     const catalogue_publisher &publisher;
     link_table &links;
     metrics_registry &metrics;
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -4,6 +4,7 @@
 #include "base/socket.h"
 #include "peer/call_wire.h"
 #include "peer/drop_counters.h"
+#include "peer/listen.h"
 #include "peer/numeric_address.h"
 #include "poplarspool/base/limits.h"
 #include "poplarspool/peer/limits.h"
@@ -19,28 +20,6 @@
 
 namespace {
 
-constexpr int listenBacklog = 512;
-
-error bindFailure(const endpoint &bind, std::string_view step)
-{
-    return notRun(error_code::Unavailable, "can't " + std::string(step) + " TCP " + textOf(bind));
-}
-
-result<descriptor> listenOn(const endpoint &bind)
-{
-    const auto address = numericAddressOf(bind);
-    if (!address)
-        return bindFailure(bind, "parse");
-    descriptor listener(socket(address->family(), SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-    const int yes = 1;
-    setsockopt(listener.get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    if (::bind(listener.get(), address->get(), address->size) != 0)
-        return bindFailure(bind, "bind");
-    if (listen(listener.get(), listenBacklog) != 0)
-        return bindFailure(bind, "listen on");
-    return listener;
-}
-
 socket_deadline after(milliseconds time)
 {
     return socket_clock::now() + time;
--- a/tests/gateway/byte_carrier_test.cpp
+++ b/tests/gateway/byte_carrier_test.cpp
@@ -1,11 +1,9 @@
 #include "gateway/byte_carrier.h"
 
+#include "connected_pair.h"
 #include "poplarspool/gateway/limits.h"
 
-#include <array>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
 
 namespace poplarspool::gateway {
@@ -13,29 +11,13 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::connectedPair;
 
 socket_deadline soon()
 {
     return socket_clock::now() + 5s;
 }
 
-/// @returns Both ends of a TCP connection.
-std::array<descriptor, 2> connectedPair()
-{
-    descriptor listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto *raw = reinterpret_cast<sockaddr *>(&at);
-    socklen_t size = sizeof at;
-    CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
-    CPPUNIT_ASSERT(listen(listener.get(), 1) == 0);
-    getsockname(listener.get(), raw, &size);
-    descriptor near(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    CPPUNIT_ASSERT(connect(near.get(), raw, size) == 0);
-    return {std::move(near), descriptor(accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC))};
-}
-
 /// A tunnel between a caller and a runner.
 class tunnel
 {
--- a/tests/gateway/carrier_choice_test.cpp
+++ b/tests/gateway/carrier_choice_test.cpp
@@ -30,6 +30,7 @@
 std::vector<policy::member> fleetOf(int count)
 {
     std::vector<policy::member> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         made.push_back(memberAt(i, i % zoneCount));
     return made;
--- a/tests/gateway/connector_fixture.h
+++ b/tests/gateway/connector_fixture.h
@@ -9,10 +9,8 @@
 {
     connector_fixture(clock_source clock, metrics_registry &registry, journal &events)
         : direct(4, std::chrono::milliseconds(500), registry), links(clock), cutOff(clock),
-          connector({{"test"},
+          connector({{{"test"}, 1, peer::deriveFrameKey("key")},
                      {"z"},
-                     1,
-                     peer::deriveFrameKey("key"),
                      direct,
                      links,
                      cutOff,
--- a/tests/gateway/silent_peer_test.cpp
+++ b/tests/gateway/silent_peer_test.cpp
@@ -1,10 +1,9 @@
-#include "base/connect.h"
+#include "connected_pair.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <linux/filter.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
 
@@ -21,19 +20,9 @@
 public:
     connection_ends()
     {
-        descriptor listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *raw = reinterpret_cast<sockaddr *>(&at);
-        socklen_t size = sizeof at;
-        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
-        CPPUNIT_ASSERT(listen(listener.get(), 1) == 0);
-        getsockname(listener.get(), raw, &size);
-        auto connected = connectTo({"127.0.0.1", ntohs(at.sin_port)}, socket_clock::now() + 1s, -1);
-        CPPUNIT_ASSERT(succeeded(connected));
-        near = std::move(valueOf(connected));
-        far = descriptor(accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        auto ends = test::connectedPair();
+        near = std::move(ends[0]);
+        far = std::move(ends[1]);
         enableDeadPeerDetection(near.get(), config::runnerSilenceTimeout);
     }
 
