Let calls over a silent link wait 1.5 s before they go on elsewhere

Callers saw more streams cut and more refusals (no_room, retry_budget) in cuts of less than a second than without the repair.

Cause: a call that was silent for 300 ms over a link that another instance did not have broken was given up at once. In a cut of 0.9 s all calls of the instance were sent again, their prompts prefilled again, and the retry budget was used up, while the first runners went on working. Class: one silence is taken for a loss.

Change: links are checked after 300 ms as before, so that new requests take the way round; a call that is under way goes on elsewhere after 1.5 s.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -217,6 +217,10 @@
 inline constexpr std::size_t maxLinkProbes = 8;
 /// Interval at which a call without news from its runner checks whether the link is broken.
 inline constexpr std::chrono::milliseconds silentCallInterval = 300ms;
+/// Silence after which such a call goes on elsewhere. Shorter cuts cost less if it waits: the
+/// runner goes on working, and the prompt is not prefilled again. Callers give a stream up after 2
+/// s.
+inline constexpr std::chrono::milliseconds silentCallTimeout = 1500ms;
 /// Tunnels that one instance carries for others; each takes one thread and two descriptors.
 inline constexpr std::uint32_t maxCarriedTunnels = 256;
 /// Bytes of a tunnel that are buffered in one direction.
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -51,6 +51,7 @@
 /// request may be pending all the time.
 call_fault runner_call::await(short events, socket_deadline deadline) const
 {
+    const socket_deadline startedAt = socket_clock::now();
     while (true) {
         const bool isChecked = check.interval > milliseconds::zero();
         const socket_deadline checkAt = isChecked ? socket_clock::now() + check.interval : deadline;
@@ -63,7 +64,8 @@
         case socket_fault::TimedOut:
             if (socket_clock::now() >= deadline)
                 return call_fault::TimedOut;
-            if (check.isLost())
+            if (check.isLost(
+                        std::chrono::duration_cast<milliseconds>(socket_clock::now() - startedAt)))
                 return call_fault::Closed;
             break;
         case socket_fault::Closed:
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -34,9 +34,9 @@
 struct silence_check
 {
     milliseconds interval{0}; ///< 0: nothing.
-    /// Called after each interval without a byte from the runner.
+    /// Called after each interval without a byte from the runner, with the time since the last one.
     /// @returns Whether the call fails as if the connection had been closed.
-    std::function<bool()> isLost;
+    std::function<bool(milliseconds)> isLost;
     std::function<void()> onBytes; ///< Called when the runner has sent something.
 };
 
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -127,9 +127,9 @@
     if (connection.isTunnel)
         return {};
     return {config::silentCallInterval,
-            [this, &target, mayFail = std::move(mayFail)] {
+            [this, &target, mayFail = std::move(mayFail)](milliseconds silence) {
                 if (context.connections.links().isSilent(target.id))
-                    return mayFail();
+                    return silence >= config::silentCallTimeout && mayFail();
                 context.connections.recordSilentCall(target.id);
                 return false;
             },
