Say in the log which software version a runner has, and which attempt began a stream that is taken up

Cause: no line told the three hypotheses on streams of two versions apart; the version of a runner's entry was not decoded, and the header that names the attempt that began a stream was known nowhere.

Change: a runner's entry has its version (at most 64 bytes; a longer one is kept as its digest, one of another type as its text, so that it makes no runner unusable). send_end, prefill_end and runner_entry name it; request_end names the attempt and the last event of a take-up. The version is relayed between instances: the encoding of a runner's entry has a new kind number, so that instances of the former release skip it and query the store, as with routes. No decision uses it.

--- a/include/poplarspool/base/limits.h
+++ b/include/poplarspool/base/limits.h
@@ -43,6 +43,8 @@
 inline constexpr std::chrono::milliseconds maxTimeLimit = 10min;
 /// Maximum length of an idempotency key, request id, workspace or caller name, in bytes.
 inline constexpr std::size_t maxNameBytes = 128;
+/// Maximum length of the version of a runner's software; of a longer one, its SHA-256 is kept.
+inline constexpr std::size_t maxSoftwareVersionBytes = 64;
 /// Time limit for connecting to a target or peer.
 inline constexpr std::chrono::milliseconds connectTimeout = 500ms;
 /// Idle time after which a pooled connection is closed. Shorter than keepAliveTimeout and than the
--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -41,6 +41,8 @@
     std::string tokenCount; ///< "PROMPT,OUTPUT"; OUTPUT is a maximum.
     std::string promptParts; ///< "ID:TOKENS,…", in the order of the prompt.
     std::string lastEventId; ///< Last event received; the stream resumes after it.
+    /// Id of the caller's attempt that brought the first event of a stream that is taken up.
+    std::string resumes;
 
     // The header in which callers send a workspace's key, and the scheme before the key. Neither
     // is passed on to runners.
--- a/include/poplarspool/gateway/runner.h
+++ b/include/poplarspool/gateway/runner.h
@@ -11,6 +11,10 @@
 
 using service_id = name_of<struct service_tag>; ///< A group of interchangeable runners.
 
+/// Version of a runner's software. Versions have no order: they are equal or different. A runner
+/// that reports none has the empty one.
+using software_version = name_of<struct software_version_tag>;
+
 enum class engine_stage {
     None, ///< Not a staged engine: a plain service, or an engine that does all work.
     Prefill, ///< Processes prompts only.
@@ -32,6 +36,7 @@
     service_id service;
     endpoint address;
     zone_id zone;
+    software_version version;
     std::uint32_t slots = 1; ///< Requests that it runs concurrently.
     bool isDraining = false;
     engine_stage stage = engine_stage::None;
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -216,6 +216,7 @@
     events.emit("runner_entry",
                 {{"runner", entry.id.text},
                  {"address", textOf(entry.address)},
+                 {"version", entry.version.text},
                  {"stage", std::string(nameOf(entry.stage))},
                  {"draining", entry.isDraining ? "yes" : "no"},
                  {"born", std::to_string(entry.startedAtMs)},
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -104,6 +104,7 @@
     envelope read;
     read.id = headerOf(request.headers, names.requestId);
     read.lastEventId = headerOf(request.headers, names.lastEventId);
+    read.resumes = headerOf(request.headers, names.resumes);
     const auto limit = numberOf<std::int64_t>(headerOf(request.headers, names.timeLimitMs));
     if (limit && *limit >= 0)
         read.timeLimit = milliseconds(*limit);
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -27,6 +27,7 @@
     std::uint32_t outputTokens = 0; ///< Maximum.
     std::vector<prompt_part> prompt;
     std::string lastEventId;
+    std::string resumes; ///< Id of the attempt that began the stream that is taken up.
 
     bool operator==(const envelope &) const = default;
 };
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -39,6 +39,7 @@
         context.runnerTable.recordPrefilled(prefillEngine.id, metadata.prompt);
         logSend("prefill_end",
                 {{"runner", prefillEngine.id.text},
+                 {"version", prefillEngine.version.text},
                  {"urgency", std::string(nameOf(place.urgency))},
                  {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
                  {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
--- a/src/gateway/relayed_changes.cpp
+++ b/src/gateway/relayed_changes.cpp
@@ -49,6 +49,7 @@
     codec.text(entry.service.text, config::maxNameBytes);
     codec.text(address, maxAddressBytes);
     codec.text(entry.zone.text, config::maxNameBytes);
+    codec.text(entry.version.text, config::maxSoftwareVersionBytes);
     codec.small(entry.slots);
     codec.small(entry.isDraining);
     codec.small(entry.stage);
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -85,6 +85,8 @@
                              : "none"},
          {"runner", lastRunner},
          {"sends", std::to_string(sends)},
+         {"resumes", metadata.resumes},
+         {"after_event", metadata.lastEventId},
          {"fault", lastFault},
          {"retry_after_s", reply ? std::string(headerOf(reply->headers, "retry-after")) : ""},
          {"first_ms", firstByteAt == mono_time{} ? "" : millisecondsText(firstByteAt - arrivedAt)},
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -68,6 +68,7 @@
     }
     std::vector<event_field> fields{
             {"runner", target.id.text},
+            {"version", target.version.text},
             {"address", textOf(target.address)},
             {"prefill", place.prefill ? place.prefill->id.text : ""},
             {"urgency", std::string(nameOf(place.urgency))},
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/decode.h"
 #include "platform/dialect.h"
+#include "poplarspool/base/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -34,6 +35,7 @@
     CPPUNIT_TEST(routesAreDecoded);
     CPPUNIT_TEST(errorOfInvalidRoutesNamesTheKey);
     CPPUNIT_TEST(runnersAreDecoded);
+    CPPUNIT_TEST(invalidVersionsDontMakeARunnerUnusable);
     CPPUNIT_TEST(invalidRunnerEntriesAreRejected);
     CPPUNIT_TEST(instancesRoundTrip);
     CPPUNIT_TEST(leasesRoundTrip);
@@ -94,6 +96,19 @@
             CPPUNIT_ASSERT(!succeeded(decodeRunner("i-1", bad)));
     }
 
+    void invalidVersionsDontMakeARunnerUnusable()
+    {
+        const auto versionOf = [](const json &version) {
+            const json entry{{"service", "x"}, {"address", "10.0.0.1:80"}, {"version", version}};
+            return valueOf(decodeRunner("i-1", entry)).version.text;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("v1.2"), versionOf("v1.2"));
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), versionOf(7));
+        CPPUNIT_ASSERT_EQUAL(std::string(), versionOf(nullptr));
+        CPPUNIT_ASSERT(versionOf(std::string(1000, 'a')) != versionOf(std::string(1000, 'b')));
+        CPPUNIT_ASSERT(versionOf(std::string(1000, 'a')).size() <= config::maxSoftwareVersionBytes);
+    }
+
     void runnersAreDecoded()
     {
         const json entry = json::parse(R"({"service":"llm","address":"10.128.0.9:8080",
--- a/tests/adapter/mixed_versions_test.cpp
+++ b/tests/adapter/mixed_versions_test.cpp
@@ -15,9 +15,10 @@
 using test::settingsFor;
 using test::waitUntil;
 
-/// Number of a kind for which no instance of this version sends updates.
+/// Numbers of kinds for which no instance of this version sends updates.
 constexpr std::uint32_t otherRoutesFormat = 0;
-constexpr std::uint32_t runners = 1;
+constexpr std::uint32_t otherRunnersFormat = 1;
+constexpr std::uint32_t runners = 3;
 
 bool hasRoutes(const follower_fixture &one, std::uint64_t version)
 {
@@ -25,7 +26,7 @@
     return table && table->version == version;
 }
 
-/// Routes of version 99 and a runner i-9, which the store never had.
+/// Routes of version 99 and runners i-8 and i-9, which the store never had.
 peer::store_update updateFor(const follower_fixture &one)
 {
     const auto before = one.publisher.current()->table;
@@ -37,6 +38,7 @@
     entry.address = {"10.0.0.9", 80};
     const store_version later{0, 1'000};
     return {{{otherRoutesFormat, true, 0, later, 0, {valueOf(gateway::encode(after, *before))}},
+             {otherRunnersFormat, true, 0, later, 0, {valueOf(gateway::encode({{"i-8"}, entry}))}},
              {runners, true, 0, later, 0, {valueOf(gateway::encode({entry.id, entry}))}}}};
 }
 
@@ -45,13 +47,14 @@
 class mixed_versions_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(mixed_versions_test);
-    CPPUNIT_TEST(routesInAnotherFormatAreIgnored);
+    CPPUNIT_TEST(changesInAnotherFormatAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     /// During a rolling upgrade, instances of two versions send each other updates. One must
-    /// neither misread the other's routes, which are in another format, nor rely on them.
-    void routesInAnotherFormatAreIgnored()
+    /// neither misread the other's routes and runners, which are in another format, nor rely on
+    /// them.
+    void changesInAnotherFormatAreIgnored()
     {
         fake_store store;
         store.put(wire::configKind, wire::configName, configSpec(4, 3));
@@ -77,7 +80,7 @@
         CPPUNIT_ASSERT(succeeded(exchange.start()));
         exchange.setPeers({gateway::updateAddressOf(one->ownSettings)});
         CPPUNIT_ASSERT(waitUntil([&] { return one->find("i-9") != nullptr; }));
-        CPPUNIT_ASSERT(hasRoutes(*one, 4));
+        CPPUNIT_ASSERT(hasRoutes(*one, 4) && !one->find("i-8"));
         store.put(wire::configKind, wire::configName, configSpec(6, 3));
         CPPUNIT_ASSERT(waitUntil([&] { return hasRoutes(*one, 6); }));
         exchange.stop();
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -15,6 +15,7 @@
     names.tokenCount = "Tokens";
     names.promptParts = "Parts";
     names.lastEventId = "Last";
+    names.resumes = "Resumes";
     names.expectedRunner = "Runner";
     names.priority = "Priority";
     names.stage = "Stage";
--- a/tests/gateway/relayed_changes_test.cpp
+++ b/tests/gateway/relayed_changes_test.cpp
@@ -16,6 +16,7 @@
     made.service.text = "s";
     made.address = {"10.0.0.1", 8080};
     made.zone.text = "a";
+    made.version.text = "v1.2";
     made.slots = 128;
     made.isDraining = true;
     made.stage = engine_stage::Decode;
