--- a/include/poplarspool/gateway/catalogue.h
+++ b/include/poplarspool/gateway/catalogue.h
@@ -9,6 +9,7 @@
 #include "poplarspool/workspaces/workspaces.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -106,6 +107,22 @@
 
 struct route_index;
 
+/// The only software version that a service's runners have, and since when this instance has seen
+/// no other.
+struct sole_version
+{
+    version_key version = 0;
+    mono_time since{};
+
+    bool operator==(const sole_version &) const = default;
+};
+
+/// The services whose runners have one version. A service without runners keeps its last one.
+using sole_version_map = std::map<service_id, sole_version>;
+
+sole_version_map updateSoleVersions(const sole_version_map &before, const runner_set &runners,
+                                    mono_time now);
+
 /// The state that request handling reads, as one consistent snapshot.
 struct catalogue
 {
@@ -113,6 +130,9 @@
     std::shared_ptr<const route_index> index; ///< Index of `table`; null if that is null.
     /// Never null. Shared, so that a new confirmation copies no runners.
     std::shared_ptr<const runner_set> runners = std::make_shared<const runner_set>();
+    /// Never null. Of `runners`.
+    std::shared_ptr<const sole_version_map> soleVersions =
+            std::make_shared<const sole_version_map>();
     bool areRunnersKnown = false; ///< The list of runners has been received at least once.
     mono_time tableConfirmedAt{}; ///< When the store last confirmed `table` as the latest.
     mono_time runnersConfirmedAt{}; ///< The same for `runners`.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -254,6 +254,13 @@
 inline constexpr std::chrono::milliseconds maxRefusedRetryAfter = 2s;
 /// Retry-After of an instance that has no configuration yet: it requests it at this interval.
 inline constexpr std::chrono::milliseconds startingRetryAfter = 300ms;
+/// Retry-After of a stream whose software version is not known here: another instance may know it.
+inline constexpr std::chrono::milliseconds unknownVersionRetryAfter = 100ms;
+/// The same if no runner of its version serves: a crashed one is back after some seconds.
+inline constexpr std::chrono::milliseconds goneVersionRetryAfter = 1s;
+/// Maximum age of the last confirmation of the runners at which no other version is assumed to
+/// serve than those that are known.
+inline constexpr std::chrono::milliseconds runnersTrustTime = 1900ms;
 /// Maximum age of the last confirmation of the routes at which an unknown route is reported as not
 /// found. It is below the 2 s in which a change must be in force everywhere.
 inline constexpr std::chrono::milliseconds routesTrustTime = 1900ms;
--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -75,6 +75,8 @@
     std::uint32_t sharedTokens = 0; ///< Tokens of the prompt's parts that other requests share.
     bool mayHandOff = true; ///< The prompt may be prefilled on another engine.
     bool hasBegun = false; ///< The caller has a part of the answer: too late to refuse.
+    /// Software version that has to serve it; none: any.
+    std::optional<version_key> version;
     /// Prefilled on another engine: only its KV cache has to be taken over.
     bool isPrefilled = false;
     zone_id prefillZone; ///< Of that engine.
--- a/include/poplarspool/gateway/runner.h
+++ b/include/poplarspool/gateway/runner.h
@@ -15,6 +15,11 @@
 /// that reports none has the empty one.
 using software_version = name_of<struct software_version_tag>;
 
+/// Hash of a software version.
+using version_key = std::uint64_t;
+
+version_key versionKeyOf(const software_version &version);
+
 enum class engine_stage {
     None, ///< Not a staged engine: a plain service, or an engine that does all work.
     Prefill, ///< Processes prompts only.
--- a/include/poplarspool/gateway/runner_set.h
+++ b/include/poplarspool/gateway/runner_set.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -91,6 +92,22 @@
 
     /// @returns The runners of the service in that stage that are not draining.
     const runner_ring &groupOf(const service_id &service, engine_stage stage) const;
+    /// @returns Of these, the runners of that software version.
+    const runner_ring &groupOf(const service_id &service, engine_stage stage,
+                               version_key version) const;
+    /// @returns The versions of the service's runners that are not draining.
+    std::set<version_key> versionsOf(const service_id &service) const;
+    /// Calls `visit(service)` for each service that has had a runner.
+    template <class Visitor>
+    void forEachService(const Visitor &visit) const
+    {
+        for (auto group = groups.begin(); group != groups.end();) {
+            const service_id &service = group->first.first;
+            visit(service);
+            while (group != groups.end() && group->first.first == service)
+                ++group;
+        }
+    }
     /// Number of runners that are not draining.
     std::size_t servingCount() const;
 
@@ -103,8 +120,17 @@
 private:
     using group_key = std::pair<service_id, engine_stage>;
 
+    /// Runners of one service and stage.
+    struct runner_group
+    {
+        runner_ring whole;
+        std::map<version_key, runner_ring> byVersion; ///< None of them is empty.
+    };
+
+    void eraseFromGroup(const runner &entry);
+
     runner_ring all;
-    std::map<group_key, runner_ring> groups;
+    std::map<group_key, runner_group> groups;
 };
 
 } // namespace poplarspool::gateway
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/gateway/catalogue.h"
 
+#include "poplarspool/base/hash.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -18,12 +20,33 @@
     return "none";
 }
 
+version_key versionKeyOf(const software_version &version)
+{
+    return hashOf(version.text);
+}
+
 bool equalExceptWrites(const runner &one, runner other)
 {
     other.writes = one.writes;
     return one == other;
 }
 
+sole_version_map updateSoleVersions(const sole_version_map &before, const runner_set &runners,
+                                    mono_time now)
+{
+    sole_version_map next;
+    runners.forEachService([&](const service_id &service) {
+        const std::set<version_key> versions = runners.versionsOf(service);
+        const auto known = before.find(service);
+        const bool isKnown = known != before.end();
+        if (isKnown && (versions.empty() || versions == std::set{known->second.version}))
+            next.insert(*known);
+        else if (versions.size() == 1)
+            next[service] = {*versions.begin(), now};
+    });
+    return next;
+}
+
 service_id pickServiceByWeight(const route &chosen, std::uint64_t draw)
 {
     const std::uint64_t total = std::accumulate(
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -143,6 +143,9 @@
     publisher.update([&](catalogue &next) {
         auto runners = std::make_shared<runner_set>(*next.runners);
         change(*runners);
+        const auto versions = updateSoleVersions(*next.soleVersions, *runners, clock.mono());
+        if (versions != *next.soleVersions)
+            next.soleVersions = std::make_shared<const sole_version_map>(versions);
         next.runners = std::move(runners);
         return true;
     });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "poplarspool/peer/limits.h"
 #include "poplarspool/peer/load_exchange.h"
 #include "poplarspool/policy/role_owner.h"
+#include "poplarspool/streams/origin_exchange.h"
 
 #include <algorithm>
 #include <optional>
@@ -50,13 +51,10 @@
     return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-listed_gateway selfEntryOf(const gateway_settings &settings)
+peer::datagram_settings datagramSettingsOf(const gateway_settings &settings,
+                                           const endpoint &address, const clock_source &clock)
 {
-    listed_gateway made;
-    made.id = settings.instance;
-    made.peerAddress = settings.peerAddress;
-    made.zone = settings.zone;
-    return made;
+    return {settings.instance, incarnationOf(clock), address, peerKeyOf(settings)};
 }
 
 tunnel_sender tunnelSenderOf(const gateway_settings &settings, const clock_source &clock)
@@ -96,7 +94,11 @@
                       clock, stepFailureReporterOf(eventLog, registry)}),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
                             settings.instance, clock, registry, eventLog),
-          rateLimiter(rateLimiterDependencies(registry), selfEntryOf(settings)),
+          fleet({settings.instance, settings.peerAddress}),
+          rateLimiter(rateLimiterDependencies(registry), settings.instance),
+          originExchange(datagramSettingsOf(settings,
+                                            streams::originAddressOf(settings.peerAddress), clock),
+                         fleet, clock, registry, eventLog),
           proxyContext{names,
                        publisher,
                        runnerTable,
@@ -109,6 +111,7 @@
                        leavesAt,
                        quarantineManager,
                        rateLimiter,
+                       originExchange.registry(),
                        hashOf(peerKeyOf(settings)),
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
@@ -116,13 +119,12 @@
                   {[this](const std::vector<policy::member> &alive) {
                        loadExchange.setDigestRecipients(peer::digestRecipientsOf(
                                alive, settings.instance, settings.loadAddress.port));
-                       rateLimiter.setMembers(alive);
+                       fleet.setMembers(alive);
                    },
                    [this](const peer::rumor &rumor) { onRumor(rumor); }},
                   clock, registry, eventLog),
           loadExchange(
-                  {settings.instance, incarnationOf(clock), settings.loadAddress,
-                   peerKeyOf(settings)},
+                  datagramSettingsOf(settings, settings.loadAddress, clock),
                   [this](peer::update_recipients recipients) {
                       return runnerTable.collectUpdate(recipients);
                   },
@@ -131,8 +133,7 @@
                       runnerTable.applyUpdate(sender, update);
                   },
                   clock, registry, eventLog),
-          limitExchange({settings.instance, incarnationOf(clock),
-                         limitAddressOf(settings.peerAddress), peerKeyOf(settings)},
+          limitExchange(datagramSettingsOf(settings, limitAddressOf(settings.peerAddress), clock),
                         rateLimiter, clock, registry, eventLog),
           callerServer(
                   "callers", settings.callerAddress, defaultHttpLimits(),
@@ -201,7 +202,9 @@
     tunnel_server tunnelServer;
     link_prober linkProber;
     quarantine_manager quarantineManager;
+    peer::fleet_view fleet;
     rate_limiter rateLimiter;
+    streams::origin_exchange originExchange;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
@@ -275,10 +278,8 @@
                               metrics_registry &registry)
 {
     usageExchange.emplace(
-            peer::datagram_settings{settings.instance, incarnationOf(clock),
-                                    usageAddressOf(settings), peerKeyOf(settings)},
-            usage.incarnationId, usage.parts, [this] { return members.members(); }, clock, registry,
-            events);
+            datagramSettingsOf(settings, usageAddressOf(settings), clock), usage.incarnationId,
+            usage.parts, [this] { return members.members(); }, clock, registry, events);
     usageReporter.emplace(
             duties::usage_reporter_dependencies{usage.parts, durationOf(settings.usageLateSeconds),
                                                 std::move(sink), clock, events, registry,
@@ -318,6 +319,7 @@
                 const runner_entry found = publisher.current()->runners->findByKey(runner);
                 return found ? found->id.text : std::string();
             },
+            fleet,
             clock,
             registry,
             events};
@@ -361,6 +363,9 @@
     const auto limitsStarted = inner->limitExchange.start();
     if (!succeeded(limitsStarted))
         return errorOf(limitsStarted);
+    const auto originsStarted = inner->originExchange.start();
+    if (!succeeded(originsStarted))
+        return errorOf(originsStarted);
     const auto tunnelsStarted = inner->tunnelServer.start();
     if (!succeeded(tunnelsStarted))
         return errorOf(tunnelsStarted);
@@ -389,15 +394,17 @@
 void gateway::setInstances(const std::vector<listed_gateway> &listed)
 {
     std::vector<endpoint> contacts;
+    std::vector<peer::listed_instance> instances;
     std::vector<endpoint> near;
     std::vector<endpoint> far;
     for (const listed_gateway &one : listed) {
+        instances.push_back({one.id, one.peerAddress});
         if (one.id == inner->settings.instance)
             continue;
         contacts.push_back(one.peerAddress);
         (one.zone == inner->settings.zone ? near : far).push_back(one.loadAddress);
     }
-    inner->rateLimiter.setListed(listed);
+    inner->fleet.setListed(std::move(instances));
     inner->members.setContacts(std::move(contacts));
     inner->loadExchange.setPeers(std::move(near), std::move(far));
     inner->instanceCount = std::max(listed.size(), inner->members.members().size());
@@ -469,6 +476,7 @@
     inner->tunnelServer.stop();
     inner->loadExchange.stop();
     inner->limitExchange.stop();
+    inner->originExchange.stop();
     inner->members.stop();
 }
 
--- a/src/gateway/limit_exchange.cpp
+++ b/src/gateway/limit_exchange.cpp
@@ -15,7 +15,6 @@
 
 void limit_exchange::send(const std::vector<endpoint> &to, const result<std::string> &payload)
 {
-    const std::lock_guard lock(sendGuard);
     loop.send(to, payload);
 }
 
--- a/src/gateway/limit_exchange.h
+++ b/src/gateway/limit_exchange.h
@@ -3,8 +3,6 @@
 #include "gateway/rate_limiter.h"
 #include "peer/datagram_loop.h"
 
-#include <mutex>
-
 namespace poplarspool::gateway {
 
 /// Carries the datagrams of the rate limiter between instances.
@@ -20,7 +18,6 @@
     void send(const std::vector<endpoint> &to, const result<std::string> &payload);
 
 private:
-    std::mutex sendGuard;
     peer::datagram_loop loop;
 };
 
--- a/src/gateway/limit_notices.cpp
+++ b/src/gateway/limit_notices.cpp
@@ -98,11 +98,11 @@
 
 void rate_limiter::sendNotices(const std::vector<limit_notice> &due)
 {
-    const auto current = fleet.current();
+    const auto current = dependencies.fleet.current();
     std::vector<endpoint> others;
-    for (const limit_instance &one : current->instances) {
-        if (one.number != selfNumber && one.isAlive && one.address.isValid())
-            others.push_back(one.address);
+    for (const peer::fleet_instance &one : current->instances) {
+        if (one.number != selfNumber && one.isAlive && one.peerAddress.isValid())
+            others.push_back(limitAddressOf(one.peerAddress));
     }
     if (others.size() <= config::maxDirectRecipients)
         return dependencies.send(others, encode(limit_message(limit_update{due, {}})));
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -24,12 +24,19 @@
             || (stage == engine_stage::Decode && target.stage == engine_stage::None);
 }
 
+/// A request may be prefilled by any version; only the version that runs it writes events.
+bool hasWantedVersion(const placement_query &query, const runner &target, engine_stage stage)
+{
+    return !query.version || stage == engine_stage::Prefill
+            || versionKeyOf(target.version) == *query.version;
+}
+
 /// Whether the runner could take the request, if its rate limit permits another one.
 bool isCandidate(const placement_query &query, const placement_candidate &one, engine_stage stage)
 {
     return one.target->service == query.service && !one.target->isDraining && !one.isTried
             && !one.isMisdirected && one.target->retainedUntil > query.now
-            && serves(*one.target, stage);
+            && serves(*one.target, stage) && hasWantedVersion(query, *one.target, stage);
 }
 
 /// Runners that may take the request. Ejected ones are included only if no other is left or if so
@@ -364,7 +371,8 @@
 bool hasTriedAny(const placement_query &query, std::span<const placement_candidate> candidates)
 {
     return std::ranges::any_of(candidates, [&](const placement_candidate &one) {
-        return one.isTried && one.target->service == query.service && !one.target->isDraining;
+        return one.isTried && one.target->service == query.service && !one.target->isDraining
+                && hasWantedVersion(query, *one.target, one.target->stage);
     });
 }
 
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -22,18 +22,15 @@
     return text.data();
 }
 
-rate_limiter::rate_limiter(rate_limiter_dependencies given, listed_gateway self)
-    : dependencies(std::move(given)), self(std::move(self)),
-      selfNumber(peer::senderNumber(this->self.id)),
+rate_limiter::rate_limiter(rate_limiter_dependencies given, const instance_id &self)
+    : dependencies(std::move(given)), selfNumber(peer::senderNumber(self)),
       limitedRunners(dependencies.metrics.gaugeOf("poplarspool_gateway_limited_runners")),
       granted(dependencies.metrics.counterOf("poplarspool_gateway_permits_total{end=\"granted\"}")),
       denied(dependencies.metrics.counterOf("poplarspool_gateway_permits_total{end=\"denied\"}")),
       unanswered(dependencies.metrics.counterOf(
               "poplarspool_gateway_permits_total{end=\"unanswered\"}")),
       issued(dependencies.metrics.counterOf("poplarspool_gateway_permits_issued_total"))
-{
-    rebuildFleet();
-}
+{ }
 
 void rate_limiter::recordReply(const runner &target, const http_headers &headers, reply_kind kind,
                                mono_time askedAt)
@@ -102,7 +99,7 @@
     const auto last = table.find(runner);
     const bool hadLimit =
             last && last->isInferred && now - last->heardAt < config::refusalRetention;
-    const auto instances = static_cast<double>(fleet.current()->instances.size());
+    const auto instances = static_cast<double>(dependencies.fleet.current()->instances.size());
     return limitAfterRefusals(dependencies.recentStarts(runner) * instances, hadLimit);
 }
 
@@ -154,7 +151,7 @@
 }
 
 /// @attention The caller must hold `guard`.
-issuer_pair rate_limiter::issuersFor(std::uint32_t runner, const limit_fleet &current)
+issuer_pair rate_limiter::issuersFor(std::uint32_t runner, const peer::fleet &current)
 {
     runner_permits &entry = permits[runner];
     if (entry.issuersVersion != current.version) {
@@ -167,7 +164,7 @@
 /// The issuers that are worth asking, in their order.
 /// @attention The caller must hold `guard`.
 std::vector<std::size_t> rate_limiter::issuersToAsk(std::uint32_t runner,
-                                                    const limit_fleet &current, mono_time now)
+                                                    const peer::fleet &current, mono_time now)
 {
     std::vector<std::size_t> found;
     const issuer_pair pair = issuersFor(runner, current);
@@ -205,7 +202,7 @@
     const auto limit = table.limitOf(target);
     if (!limit)
         return rate_permit{runner};
-    const auto current = fleet.current();
+    const auto current = dependencies.fleet.current();
     const mono_time now = dependencies.clock.mono();
     const std::uint32_t recent = dependencies.recentSends(runner);
     permit_request request;
@@ -222,7 +219,7 @@
         issuers = issuersToAsk(runner, *current, now);
     }
     for (const std::size_t index : issuers) {
-        const limit_instance &instance = current->instances[index];
+        const peer::fleet_instance &instance = current->instances[index];
         if (instance.number == selfNumber)
             return applyReply(target, issueHere(request, *current), now);
         if (const auto reply = ask(instance, request))
@@ -234,7 +231,7 @@
     return permit_denied{config::silentIssuerTime};
 }
 
-std::optional<permit_reply> rate_limiter::ask(const limit_instance &instance,
+std::optional<permit_reply> rate_limiter::ask(const peer::fleet_instance &instance,
                                               permit_request request)
 {
     {
@@ -242,7 +239,7 @@
         request.number = ++lastNumber;
         waiting.emplace(request.number, std::nullopt);
     }
-    dependencies.send({instance.address}, encode(limit_message(request)));
+    dependencies.send({limitAddressOf(instance.peerAddress)}, encode(limit_message(request)));
     std::unique_lock lock(guard);
     std::optional<permit_reply> &reply = waiting.at(request.number);
     replied.wait_for(lock, config::permitReplyTimeout, [&reply] { return reply.has_value(); });
@@ -303,7 +300,7 @@
     }
 }
 
-permit_reply rate_limiter::issueHere(const permit_request &request, const limit_fleet &current)
+permit_reply rate_limiter::issueHere(const permit_request &request, const peer::fleet &current)
 {
     const std::uint32_t runner = request.known.runner;
     recordChange(runner, observationOf(request.known), false);
@@ -374,42 +371,12 @@
 
 void rate_limiter::receiveRequest(std::uint64_t sender, const permit_request &request)
 {
-    const auto current = fleet.current();
-    const auto asker = std::ranges::find(current->instances, sender, &limit_instance::number);
+    const auto current = dependencies.fleet.current();
+    const auto asker = std::ranges::find(current->instances, sender, &peer::fleet_instance::number);
     if (asker == current->instances.end())
         return;
-    dependencies.send({asker->address}, encode(limit_message(issueHere(request, *current))));
-}
-
-void rate_limiter::setListed(std::vector<listed_gateway> instances)
-{
-    {
-        const std::lock_guard lock(fleetGuard);
-        listed = std::move(instances);
-    }
-    rebuildFleet();
-}
-
-void rate_limiter::setMembers(std::vector<policy::member> alive)
-{
-    {
-        const std::lock_guard lock(fleetGuard);
-        members = std::move(alive);
-    }
-    rebuildFleet();
-}
-
-void rate_limiter::rebuildFleet()
-{
-    const std::lock_guard lock(fleetGuard);
-    limit_fleet next = fleetOf(listed, members, self, seen);
-    fleet.update([&next](limit_fleet &current) {
-        if (current.instances == next.instances)
-            return false;
-        next.version = current.version + 1;
-        current = next;
-        return true;
-    });
+    dependencies.send({limitAddressOf(asker->peerAddress)},
+                      encode(limit_message(issueHere(request, *current))));
 }
 
 void rate_limiter::removeUnlisted(const runner_set &listedRunners)
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -6,7 +6,6 @@
 #include "gateway/rate_limit_table.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
-#include "poplarspool/base/published.h"
 #include "poplarspool/gateway/placement.h"
 
 #include <condition_variable>
@@ -61,6 +60,7 @@
     std::function<std::uint32_t(std::uint32_t runner)> recentStarts;
     /// @returns The runner's id, for log lines; empty if it isn't listed.
     std::function<std::string(std::uint32_t runner)> nameOf;
+    const peer::fleet_view &fleet; ///< The instances that share the limits.
     clock_source clock;
     metrics_registry &metrics;
     journal &events;
@@ -73,7 +73,7 @@
 class rate_limiter
 {
 public:
-    rate_limiter(rate_limiter_dependencies given, listed_gateway self);
+    rate_limiter(rate_limiter_dependencies given, const instance_id &self);
 
     // Called while handling requests.
 
@@ -98,10 +98,7 @@
     /// @returns When to call it again.
     mono_time sendDue();
 
-    // Called when the fleet changes.
-
-    void setListed(std::vector<listed_gateway> instances);
-    void setMembers(std::vector<policy::member> members);
+    /// Called when the runners change.
     void removeUnlisted(const runner_set &listed);
 
 private:
@@ -141,23 +138,21 @@
     bool areNoticesDue();
     limit_notice noticeOf(std::uint32_t runner, const rate_limit_observation &observed) const;
     rate_limit_observation observationOf(const limit_notice &notice) const;
-    issuer_pair issuersFor(std::uint32_t runner, const limit_fleet &fleet);
+    issuer_pair issuersFor(std::uint32_t runner, const peer::fleet &fleet);
     /// @returns None without a reply.
-    std::optional<permit_reply> ask(const limit_instance &issuer, permit_request request);
-    permit_reply issueHere(const permit_request &request, const limit_fleet &fleet);
+    std::optional<permit_reply> ask(const peer::fleet_instance &issuer, permit_request request);
+    permit_reply issueHere(const permit_request &request, const peer::fleet &fleet);
     std::variant<rate_permit, permit_denied> takeFromStock(std::uint32_t runner, mono_time now);
     std::variant<rate_permit, permit_denied>
     applyReply(const runner &target, const permit_reply &reply, mono_time askedAt);
-    std::vector<std::size_t> issuersToAsk(std::uint32_t runner, const limit_fleet &fleet,
+    std::vector<std::size_t> issuersToAsk(std::uint32_t runner, const peer::fleet &fleet,
                                           mono_time now);
     void receiveRequest(std::uint64_t sender, const permit_request &request);
     void receiveReply(const permit_reply &reply);
     void receiveUpdate(limit_update update);
     void sendNotices(const std::vector<limit_notice> &notices);
-    void rebuildFleet();
 
     const rate_limiter_dependencies dependencies;
-    const listed_gateway self;
     const std::uint64_t selfNumber;
     gauge &limitedRunners;
     counter &granted;
@@ -166,7 +161,6 @@
     counter &issued;
     rate_limit_table table;
     permit_issuer issuer;
-    published<limit_fleet> fleet{limit_fleet{}};
 
     mutable std::mutex guard;
     std::condition_variable replied;
@@ -179,11 +173,6 @@
     std::map<std::uint64_t, mono_time> silentUntil;
     std::deque<pending_notice> notices;
     mono_time noticesSentAt{};
-
-    std::mutex fleetGuard;
-    std::vector<listed_gateway> listed;
-    std::vector<policy::member> members;
-    std::set<instance_id> seen;
 };
 
 } // namespace poplarspool::gateway
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -60,6 +60,13 @@
       foreignReplies(registry.counterOf("poplarspool_gateway_foreign_replies_total")),
       prefillHandoffs(registry.counterOf("poplarspool_gateway_hand_overs_total")),
       kvCopies(registry.counterOf("poplarspool_gateway_kv_copies_total")),
+      takenUpHere(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"known_here\"}")),
+      takenUpFromHolder(registry.counterOf(
+              "poplarspool_gateway_take_ups_total{version=\"known_to_holder\"}")),
+      takenUpAtSoleVersion(
+              registry.counterOf("poplarspool_gateway_take_ups_total{version=\"sole\"}")),
+      versionUnknown(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"unknown\"}")),
+      versionGone(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"gone\"}")),
       firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds"))
 { }
 
@@ -99,10 +106,12 @@
     if (auto refused = selectRoute())
         return refused;
     context.retries.onRequest(service);
+    if (auto refused = selectVersion())
+        return refused;
     while (timeLeft() >= config::minSendTime && !isQuarantined()) {
         if (isCallerGone())
             return abandon();
-        auto place = findPermittedPlacement(nullptr);
+        auto place = findNextPlacement();
         if (!place)
             break;
         std::string kvSource;
@@ -175,8 +184,11 @@
                                         selectedRoute->timeLimit);
     endsAt = std::min(arrivedAt + limit,
                       mono_time(std::chrono::nanoseconds(context.leavesAtNs.load())));
-    // One draw for all tries of a request, so that a resumed stream stays with its service.
-    service = pickServiceByWeight(*selectedRoute, hashOf(metadata.id));
+    // One draw for all tries of a request and all attempts at a stream, so that a resumed stream
+    // stays with its service.
+    const std::string &drawnBy =
+            isTakeUp() && !metadata.resumes.empty() ? metadata.resumes : metadata.id;
+    service = pickServiceByWeight(*selectedRoute, hashOf(drawnBy));
     const gateway::service *foundService = findService(*view->table, service);
     engine = foundService != nullptr && foundService->engine ? &*foundService->engine : nullptr;
     return std::nullopt;
@@ -201,6 +213,20 @@
     return errorReply(401, error_code::Unauthorized, verdict::NotRun, "no such key");
 }
 
+/// Where a stream's run breaks off at the only runner of its version that serves, it goes on there:
+/// once, since other versions can't go on with it.
+std::optional<placement> request_proxy::findNextPlacement()
+{
+    auto place = findPermittedPlacement(nullptr);
+    const bool mayReturn = !place && hasBegun && streamVersion && !hasReturned && !isRateLimited
+            && !tried.empty() && lastConnectError.empty();
+    if (!mayReturn)
+        return place;
+    hasReturned = true;
+    tried.pop_back();
+    return findPermittedPlacement(nullptr);
+}
+
 std::optional<placement> request_proxy::findPlacement(const runner *prefillEngine)
 {
     // Runners may change during a request, so the latest view is used; the route stays the one
@@ -212,7 +238,8 @@
     query.promptTokens = metadata.promptTokens;
     query.sharedTokens = std::min(sharedTokensOf(metadata.prompt), metadata.promptTokens);
     query.mayHandOff = !hasHandoffFailed && sends == 0 && context.retries.hasRoom(service);
-    query.hasBegun = hasBegun;
+    query.hasBegun = hasBegun || isTakeUp();
+    query.version = streamVersion;
     query.isPrefilled = prefillEngine != nullptr;
     if (prefillEngine != nullptr)
         query.prefillZone = prefillEngine->zone;
@@ -227,9 +254,10 @@
     query.draw = hashOf(metadata.id, sends);
     if (engine != nullptr)
         query.engine = *engine;
-    auto candidates = context.runnerTable.candidatesOf(
-            *latest,
-            {service, engine, metadata.prompt, tried, affinityKeyOf(metadata.prompt), query.draw});
+    auto candidates = context.runnerTable.candidatesOf(*latest,
+                                                       {service, engine, metadata.prompt, tried,
+                                                        affinityKeyOf(metadata.prompt), query.draw,
+                                                        streamVersion});
     markLimited(candidates);
     const auto found = choosePlacement(query, candidates);
     isRateLimited = false;
@@ -243,6 +271,8 @@
         lastFault = lastFault.empty() ? reason : reason + ":" + lastFault;
     } else {
         lastFault = none.areAllTried ? "all_tried:" + lastFault : "no_runner";
+        if (streamVersion && !isServed(*streamVersion))
+            lastFault = "version_gone:" + lastFault;
     }
     return std::nullopt;
 }
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -11,6 +11,7 @@
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/duties/usage_exchange.h"
+#include "poplarspool/streams/origin_registry.h"
 
 #include <atomic>
 #include <optional>
@@ -34,6 +35,12 @@
     counter &foreignReplies;
     counter &prefillHandoffs;
     counter &kvCopies;
+    /// Streams that callers took up, by how their software version was found.
+    counter &takenUpHere; ///< This instance has the record of who began it.
+    counter &takenUpFromHolder; ///< Another instance has it.
+    counter &takenUpAtSoleVersion; ///< Nobody has it, but only one version can have begun it.
+    counter &versionUnknown; ///< Refused: it may have been begun by any of several versions.
+    counter &versionGone; ///< Refused: no runner of its version serves.
     latency_histogram &firstByte;
 };
 
@@ -57,6 +64,7 @@
     const std::atomic<std::int64_t> &leavesAtNs;
     quarantine_manager &quarantineManager;
     rate_limiter &rateLimiter;
+    streams::origin_registry &origins;
     /// Seed of requests' digests; the same on all instances of the fleet.
     const std::uint64_t digestSeed = 0;
     /// Counts the requests of workspaces as they start to run; null: usage is not counted.
@@ -102,6 +110,7 @@
     std::optional<http_reply> serve();
     std::optional<http_reply> selectRoute();
     std::optional<http_reply> selectWorkspace();
+    std::optional<placement> findNextPlacement();
     bool isQuarantined();
     /// @param prefillEngine The engine that has prefilled the prompt; null: none yet.
     std::optional<placement> findPlacement(const runner *prefillEngine);
@@ -126,6 +135,15 @@
     void releasePermits();
     void markLimited(std::vector<placement_candidate> &candidates);
 
+    // stream_take_up.cpp: the software version that began a stream.
+    bool isTakeUp() const;
+    std::optional<http_reply> selectVersion();
+    http_reply versionRefusal(std::string_view fault, milliseconds retryAfter);
+    std::optional<version_key> soleVersion() const;
+    bool isServed(version_key version) const;
+    bool hasOtherVersionNow(const runner &target) const;
+    void recordOrigin(const runner &target);
+
     // prefill_handoff.cpp: an engine that only prefills the prompt.
     std::optional<std::string> runPrefill(const placement &place);
     std::optional<http_reply> sendPrefill(const placement &place, runner_table::open_send &record);
@@ -143,7 +161,7 @@
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
     try_end passStream(runner_call &call, const reply_head &head, sending &current);
-    bool passEvents(event_splitter &events, const reply_head &head);
+    bool passEvents(event_splitter &events, const reply_head &head, const runner &target);
     try_end passPlain(runner_call &call, const reply_head &head, sending &current);
     try_end passLarge(runner_call &call, const reply_head &head, std::string buffered,
                       sending &current);
@@ -199,6 +217,11 @@
     std::optional<http_reply> bufferedReply; ///< A runner's complete answer.
     bool hasBegun = false; ///< Bytes of an answer were passed on to the caller.
     std::optional<std::uint64_t> lastEventId; ///< Last event passed on.
+    streams::stream_key streamKey = 0; ///< Only of streams that may be resumed.
+    /// Software version that has begun the stream, here or for an earlier attempt of the caller:
+    /// what two versions write doesn't fit together.
+    std::optional<version_key> streamVersion;
+    bool hasReturned = false; ///< It was sent to a runner again after its answer was lost there.
     std::optional<quarantine> activeQuarantine; ///< Set once the request is quarantined.
     milliseconds retryAfterTime; ///< Retry-After of a refusal.
     std::string lastRunner;
--- a/src/gateway/runner_candidates.cpp
+++ b/src/gateway/runner_candidates.cpp
@@ -19,6 +19,15 @@
     return *middle;
 }
 
+/// A sample of all runners might miss those of a version that few have.
+const runner_ring &groupFor(const runner_set &runners, const candidate_query &query,
+                            engine_stage stage)
+{
+    return query.version && stage != engine_stage::Prefill
+            ? runners.groupOf(query.service, stage, *query.version)
+            : runners.groupOf(query.service, stage);
+}
+
 /// Adds the candidate unless its runner is among the candidates.
 /// @returns The runner's candidate.
 placement_candidate &addOnce(std::vector<placement_candidate> &candidates, placement_candidate one)
@@ -107,7 +116,7 @@
     const mono_time now = clock.mono();
     expireSilentPeers(now);
     for (const engine_stage stage : allStages) {
-        const runner_ring &group = known.runners->groupOf(query.service, stage);
+        const runner_ring &group = groupFor(*known.runners, query, stage);
         for (const runner_entry &target : sampleOf(group, query.draw))
             candidates.push_back(candidateAt(query, target, now));
         std::uint32_t rank = 0;
--- a/src/gateway/runner_permits.cpp
+++ b/src/gateway/runner_permits.cpp
@@ -11,7 +11,7 @@
 /// work would be lost. Others are refused at once.
 std::optional<placement> request_proxy::findPermittedPlacement(const runner *prefillEngine)
 {
-    const bool mayWait = hasBegun || prefillEngine != nullptr;
+    const bool mayWait = hasBegun || isTakeUp() || prefillEngine != nullptr;
     const mono_time waitEndsAt = std::min(
             endsAt, context.clock.mono() + (mayWait ? config::maxPermitWait : milliseconds(0)));
     const std::string faultBefore = lastFault;
--- a/src/gateway/runner_set.cpp
+++ b/src/gateway/runner_set.cpp
@@ -103,16 +103,31 @@
     return runner_ring::positionOf(found->id) >> keyBits == key ? found : nullptr;
 }
 
+void runner_set::eraseFromGroup(const runner &entry)
+{
+    runner_group &group = groups[{entry.service, entry.stage}];
+    group.whole.erase(entry.id);
+    const auto ofVersion = group.byVersion.find(versionKeyOf(entry.version));
+    if (ofVersion == group.byVersion.end())
+        return;
+    ofVersion->second.erase(entry.id);
+    if (ofVersion->second.isEmpty())
+        group.byVersion.erase(ofVersion);
+}
+
 void runner_set::put(const runner_entry &entry)
 {
     const runner_entry before = all.find(entry->id);
-    const group_key group{entry->service, entry->stage};
     const bool leavesGroup = before && !before->isDraining
-            && (entry->isDraining || group_key{before->service, before->stage} != group);
+            && (entry->isDraining || before->service != entry->service
+                || before->stage != entry->stage || before->version != entry->version);
     if (leavesGroup)
-        groups[{before->service, before->stage}].erase(entry->id);
-    if (!entry->isDraining)
-        groups[group].put(entry);
+        eraseFromGroup(*before);
+    if (!entry->isDraining) {
+        runner_group &group = groups[{entry->service, entry->stage}];
+        group.whole.put(entry);
+        group.byVersion[versionKeyOf(entry->version)].put(entry);
+    }
     all.put(entry);
 }
 
@@ -122,7 +137,7 @@
     if (!before)
         return;
     if (!before->isDraining)
-        groups[{before->service, before->stage}].erase(id);
+        eraseFromGroup(*before);
     all.erase(id);
 }
 
@@ -130,14 +145,36 @@
 {
     static const runner_ring none;
     const auto found = groups.find({service, stage});
-    return found == groups.end() ? none : found->second;
+    return found == groups.end() ? none : found->second.whole;
+}
+
+const runner_ring &runner_set::groupOf(const service_id &service, engine_stage stage,
+                                       version_key version) const
+{
+    static const runner_ring none;
+    const auto group = groups.find({service, stage});
+    if (group == groups.end())
+        return none;
+    const auto found = group->second.byVersion.find(version);
+    return found == group->second.byVersion.end() ? none : found->second;
+}
+
+std::set<version_key> runner_set::versionsOf(const service_id &service) const
+{
+    std::set<version_key> versions;
+    for (auto group = groups.lower_bound({service, engine_stage::None});
+         group != groups.end() && group->first.first == service; ++group) {
+        for (const auto &ofVersion : group->second.byVersion)
+            versions.insert(ofVersion.first);
+    }
+    return versions;
 }
 
 std::size_t runner_set::servingCount() const
 {
     std::size_t count = 0;
     for (const auto &group : groups)
-        count += group.second.size();
+        count += group.second.whole.size();
     return count;
 }
 
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -48,6 +48,8 @@
     std::span<const runner_id> tried = {};
     std::uint64_t affinityKey = 0; ///< Of the prompt's shared parts; 0: none.
     std::uint64_t draw = 0; ///< Uniformly distributed random bits.
+    /// Software version of the runners that may serve the request; none: any.
+    std::optional<version_key> version = {};
 };
 
 /// This instance's open requests at each runner, and the recent outcomes there.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -347,11 +347,13 @@
 /// Passes on the complete events. Events up to the last one passed on are skipped: a runner may
 /// resume the stream a little too early.
 /// @returns False if the caller is gone.
-bool request_proxy::passEvents(event_splitter &events, const reply_head &head)
+bool request_proxy::passEvents(event_splitter &events, const reply_head &head, const runner &target)
 {
     while (auto event = events.next()) {
         if (event->id && lastEventId && *event->id <= *lastEventId)
             continue;
+        if (!hasBegun)
+            recordOrigin(target);
         if (!beginReply(head) || !caller.write(event->text))
             return false;
         if (event->id)
@@ -367,9 +369,12 @@
     while (true) {
         const body_piece piece = call.readBody(current.deadline);
         events.add(piece.bytes);
-        if (!piece.bytes.empty())
+        const bool isFirst = !piece.bytes.empty() && !current.record.hasStarted();
+        if (isFirst && hasOtherVersionNow(*current.place.serving))
+            return handleFault(call, call_fault::Malformed, current);
+        if (isFirst)
             recordFirstByte(current);
-        if (!passEvents(events, head)) {
+        if (!passEvents(events, head, *current.place.serving)) {
             call.abort();
             ++possibleRuns;
             return try_end::CallerGone;
--- /dev/null
+++ b/src/gateway/stream_take_up.cpp
@@ -0,0 +1,118 @@
+#include "gateway/request_proxy.h"
+#include "poplarspool/gateway/limits.h"
+#include "poplarspool/streams/limits.h"
+
+namespace poplarspool::gateway {
+
+/// Whether the caller has the beginning of the stream from an earlier attempt.
+bool request_proxy::isTakeUp() const
+{
+    return selectedRoute != nullptr && selectedRoute->isResumable && !metadata.lastEventId.empty();
+}
+
+/// Finds the software version that has begun a stream which the caller takes up. If it isn't known
+/// and several versions can have begun it, the stream doesn't go on: no guess is made.
+/// @returns The answer if the stream can't go on.
+std::optional<http_reply> request_proxy::selectVersion()
+{
+    if (!selectedRoute->isResumable)
+        return std::nullopt;
+    const bool isNamed = isTakeUp() && !metadata.resumes.empty();
+    streamKey = streams::streamKeyOf({owner == nullptr ? std::string_view() : owner->id.text,
+                                      service.text, isNamed ? metadata.resumes : metadata.id},
+                                     context.digestSeed);
+    if (!isTakeUp())
+        return std::nullopt;
+    const mono_time askedAt = context.clock.mono();
+    const auto found = isNamed ? context.origins.find(streamKey) : std::nullopt;
+    streamVersion = found ? std::optional(found->origin.version) : soleVersion();
+    const bool isKnownHere = found && found->isOwn;
+    const bool isGone = streamVersion && !isServed(*streamVersion);
+    log("take_up",
+        {{"resumes", metadata.resumes},
+         {"after_event", metadata.lastEventId},
+         {"version",
+          !streamVersion        ? "unknown"
+                  : isGone      ? "gone"
+                  : isKnownHere ? "known_here"
+                  : found       ? "known_to_holder"
+                                : "sole"},
+         {"holder", found ? found->holder.text : ""},
+         {"recorded_ms_ago", found ? millisecondsText(askedAt - found->origin.recordedAt) : ""},
+         {"asked_ms", millisecondsText(context.clock.mono() - askedAt)}});
+    if (!streamVersion) {
+        context.metrics.versionUnknown.add();
+        return versionRefusal("version_unknown", config::unknownVersionRetryAfter);
+    }
+    if (isGone) {
+        context.metrics.versionGone.add();
+        return versionRefusal("version_gone", config::goneVersionRetryAfter);
+    }
+    (isKnownHere     ? context.metrics.takenUpHere
+             : found ? context.metrics.takenUpFromHolder
+                     : context.metrics.takenUpAtSoleVersion)
+            .add();
+    return std::nullopt;
+}
+
+http_reply request_proxy::versionRefusal(std::string_view fault, milliseconds retryAfter)
+{
+    lastFault = fault;
+    return refusal(503, error_code::Unavailable,
+                   "no runner can go on with the stream: " + std::string(fault), retryAfter);
+}
+
+/// The version that must have begun the stream, if nobody knows which one did. Where the caller
+/// names the attempt that began it, the view of the runners has to be fresh and to reach back to
+/// the earliest time at which that can have been. A caller that names none follows the protocol
+/// from before versions were told apart: the runners that are known now decide.
+/// @returns None if it may have been one of several.
+std::optional<version_key> request_proxy::soleVersion() const
+{
+    const auto known = context.publisher.current();
+    const auto found = known->soleVersions->find(service);
+    if (found == known->soleVersions->end())
+        return std::nullopt;
+    const mono_time now = context.clock.mono();
+    // Callers set time limits of their own, which may exceed the route's.
+    const milliseconds takeUpTime = 2 * selectedRoute->timeLimit + config::originMargin;
+    const bool isCertain = now - found->second.since >= takeUpTime
+            && now - known->runnersConfirmedAt <= config::runnersTrustTime;
+    if (!metadata.resumes.empty() && !isCertain)
+        return std::nullopt;
+    return found->second.version;
+}
+
+/// Whether a runner of that version runs requests of the service.
+bool request_proxy::isServed(version_key version) const
+{
+    const auto known = context.publisher.current();
+    return !known->runners->groupOf(service, engine_stage::Decode, version).isEmpty()
+            || !known->runners->groupOf(service, engine_stage::None, version).isEmpty();
+}
+
+/// A runner that has restarted under its id may run another version than the entry said from which
+/// it was chosen: then it isn't known which of them writes.
+bool request_proxy::hasOtherVersionNow(const runner &target) const
+{
+    if (!selectedRoute->isResumable)
+        return false;
+    const runner_entry listed = context.publisher.current()->runners->find(target.id);
+    return listed && listed->version != target.version;
+}
+
+/// Called before the first event is passed on: once the caller has it, it may take the stream up at
+/// any instance.
+void request_proxy::recordOrigin(const runner &target)
+{
+    if (!selectedRoute->isResumable)
+        return;
+    const mono_time now = context.clock.mono();
+    streamVersion = versionKeyOf(target.version);
+    const milliseconds limit = metadata.timeLimit.value_or(selectedRoute->timeLimit);
+    const milliseconds kept =
+            std::min(limit + config::originMargin, milliseconds(config::maxOriginRetention));
+    context.origins.record(streamKey, {*streamVersion, now, now + kept});
+}
+
+} // namespace poplarspool::gateway
--- a/src/peer/datagram_loop.cpp
+++ b/src/peer/datagram_loop.cpp
@@ -38,6 +38,7 @@
 
 void datagram_loop::send(const std::vector<endpoint> &to, const result<std::string> &payload)
 {
+    const std::lock_guard lock(sendGuard);
     socket.send(to, payload);
 }
 
--- a/src/peer/datagram_loop.h
+++ b/src/peer/datagram_loop.h
@@ -6,6 +6,7 @@
 #include "poplarspool/base/named_thread.h"
 
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,7 +37,7 @@
 
     result<unit> start();
     void stop();
-    /// @attention Not by two threads at once.
+    /// Thread-safe.
     void send(const std::vector<endpoint> &to, const result<std::string> &payload);
 
 private:
@@ -47,6 +48,7 @@
     const datagram_handlers handlers;
     const clock_source clock;
     const step_failure_reporter faults;
+    std::mutex sendGuard;
     datagram_socket socket;
     pollable_flag stopping;
     std::thread thread;
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -23,6 +23,7 @@
     Usage = 7, ///< Sent in a datagram.
     Limit = 8, ///< Sent in a datagram.
     Tunnel = 9, ///< First frame of each side of a tunnel; plain bytes follow.
+    StreamOrigin = 10, ///< Sent in a datagram.
 };
 
 /// Header of every frame between instances.
--- a/tests/adapter/stream_caller.h
+++ b/tests/adapter/stream_caller.h
@@ -2,6 +2,7 @@
 
 #include "base/http_fixture.h"
 
+#include <functional>
 #include <set>
 #include <string>
 
@@ -35,16 +36,21 @@
     void readEvent(int event)
     {
         const std::string mark = "id: " + std::to_string(event) + "\n";
-        while (received.find("\n\n", received.find(mark)) == std::string::npos) {
-            const std::string more = connection.readTo("\n\n");
-            if (more.empty())
-                return;
-            received += more;
-        }
+        readWhile([&] { return received.find("\n\n", received.find(mark)) == std::string::npos; });
     }
 
-    /// Reads the whole answer, or until it breaks off.
-    void readToEnd() { received += connection.readTo(lastChunk); }
+    void readHead()
+    {
+        readWhile([this] { return received.find("\r\n\r\n") == std::string::npos; });
+    }
+
+    /// Reads the whole stream, or until it breaks off or turns out to be refused.
+    void readToEnd()
+    {
+        readHead();
+        if (status() == 200)
+            readWhile([this] { return !isWhole(); });
+    }
 
     int status() const { return received.size() < 12 ? 0 : std::stoi(received.substr(9, 3)); }
     bool isWhole() const { return received.ends_with(lastChunk); }
@@ -63,6 +69,17 @@
     }
 
 private:
+    /// Ends with the connection at the latest.
+    void readWhile(const std::function<bool()> &isUnfinished)
+    {
+        while (isUnfinished()) {
+            const std::string more = connection.readTo("\n");
+            if (more.empty())
+                return;
+            received += more;
+        }
+    }
+
     static constexpr std::string_view lastChunk = "\r\n0\r\n\r\n";
 
     poplarspool::test::raw_caller connection;
--- a/tests/adapter/two_versions_test.cpp
+++ b/tests/adapter/two_versions_test.cpp
@@ -83,8 +83,14 @@
 {
     int whole = 0;
     int mixed = 0; ///< Streams with events of two versions.
+    int refused = 0; ///< Their last take-up was.
 };
 
+std::string longId()
+{
+    return std::string(8000, 'i');
+}
+
 void assertContinued(const stream_counts &counts)
 {
     const std::string text = std::to_string(counts.mixed) + " of " + std::to_string(streamCount)
@@ -94,6 +100,20 @@
     CPPUNIT_ASSERT_MESSAGE(text, counts.whole >= minContinued);
 }
 
+/// Sends one request after the other, to all instances in turn.
+stream_counts callStreams(const mixed_fleet &fleet)
+{
+    stream_counts counts;
+    for (int i = 0; i < streamCount; ++i) {
+        stream_caller caller =
+                fleet.call(static_cast<std::size_t>(i), {"q-" + std::to_string(i), {}, 0});
+        caller.readToEnd();
+        counts.whole += caller.isWhole() ? 1 : 0;
+        counts.mixed += caller.versions().size() > 1 ? 1 : 0;
+    }
+    return counts;
+}
+
 /// Begins streams at the first instance, and takes them up at the others after each event.
 /// @param takeUps Number of times that each stream is taken up, at one instance after the other.
 /// @param beforeTakeUps Called when all streams have begun.
@@ -124,6 +144,7 @@
             else
                 taken.readEvent(n + 1);
             seen.merge(taken.versions());
+            counts.refused += isLast && taken.status() == 503 ? 1 : 0;
             counts.whole += isLast && taken.isWhole() && taken.status() == 200 ? 1 : 0;
         }
         counts.mixed += seen.size() > 1 ? 1 : 0;
@@ -140,6 +161,10 @@
     CPPUNIT_TEST(streamTakenUpElsewhereGoesOnAtItsVersion);
     CPPUNIT_TEST(streamTakenUpThreeTimesGoesOnAtItsVersion);
     CPPUNIT_TEST(streamOfAStoppedInstanceGoesOnAtItsVersion);
+    CPPUNIT_TEST(streamOfUnknownOriginIsRefused);
+    CPPUNIT_TEST(streamOfAVersionThatIsGoneIsRefusedAtOnce);
+    CPPUNIT_TEST(streamGoesOnAtTheOnlyRunnerOfItsVersion);
+    CPPUNIT_TEST(streamsOfOneVersionGoOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,15 +173,7 @@
     {
         mixed_fleet fleet(24100);
         fleet.breakNewStreamsAfter(2);
-        stream_counts counts;
-        for (int i = 0; i < streamCount; ++i) {
-            stream_caller caller =
-                    fleet.call(static_cast<std::size_t>(i), {"q-" + std::to_string(i), {}, 0});
-            caller.readToEnd();
-            counts.whole += caller.isWhole() ? 1 : 0;
-            counts.mixed += caller.versions().size() > 1 ? 1 : 0;
-        }
-        assertContinued(counts);
+        assertContinued(callStreams(fleet));
     }
 
     /// Guards against streams that go on at another software version when callers take them up at
@@ -180,6 +197,66 @@
         mixed_fleet fleet(24400);
         assertContinued(takeUpStreams(fleet, 1, [&fleet] { fleet.instances->stop(0); }));
     }
+
+    /// Guards against a guess where any of two versions may have begun the stream.
+    void streamOfUnknownOriginIsRefused()
+    {
+        mixed_fleet fleet(24500);
+        for (const std::string &named : {std::string("nobody"), std::string(), longId()}) {
+            stream_caller taken = fleet.call(1, {"take-" + named, named, 3});
+            taken.readHead();
+            CPPUNIT_ASSERT_EQUAL(503, taken.status());
+            CPPUNIT_ASSERT(taken.text().find("Retry-After: 0.1") != std::string::npos);
+        }
+        for (const versioned_runner &each : fleet.runners)
+            CPPUNIT_ASSERT(each.takenUpCount() == 0);
+    }
+
+    /// Guards against callers that wait until their time limit although no runner can go on.
+    void streamOfAVersionThatIsGoneIsRefusedAtOnce()
+    {
+        mixed_fleet fleet(24600);
+        const auto counts = takeUpStreams(fleet, 1, [&fleet] {
+            for (versioned_runner &each : fleet.runners) {
+                if (each.softwareVersion() == "v1")
+                    each.list("draining");
+            }
+            std::this_thread::sleep_for(1s);
+        });
+        CPPUNIT_ASSERT_EQUAL(0, counts.mixed);
+        CPPUNIT_ASSERT(counts.refused > 0);
+        CPPUNIT_ASSERT_EQUAL(streamCount, counts.whole + counts.refused);
+    }
+
+    /// Guards against streams that break off for good though the runner that began them serves.
+    void streamGoesOnAtTheOnlyRunnerOfItsVersion()
+    {
+        mixed_fleet fleet(24700, {"v1"});
+        fleet.add("i-v2-0", "v2");
+        CPPUNIT_ASSERT(test::waitUntil([&fleet] {
+            stream_caller caller = fleet.call(0, {"wait", {}, 0});
+            caller.readToEnd();
+            return fleet.runners.back().startedCount() > 0;
+        }));
+        fleet.breakNewStreamsAfter(2);
+        assertContinued(callStreams(fleet));
+    }
+
+    /// Guards against refused take-ups where all runners have one version: with a record and
+    /// without, and by callers that don't name who began the stream.
+    void streamsOfOneVersionGoOn()
+    {
+        mixed_fleet fleet(24800, {"v1"});
+        assertContinued(takeUpStreams(fleet, 2));
+        const auto statusOf = [&fleet](const std::string &id, const std::string &named) {
+            stream_caller taken = fleet.call(1, {id, named, 3});
+            taken.readHead();
+            return taken.status();
+        };
+        CPPUNIT_ASSERT_EQUAL(200, statusOf("t1", ""));
+        // The instances have not known the runners for as long as a stream may last.
+        CPPUNIT_ASSERT_EQUAL(503, statusOf("t2", "nobody"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(two_versions_test);
--- a/tests/adapter/versioned_runner.h
+++ b/tests/adapter/versioned_runner.h
@@ -49,7 +49,10 @@
     /// Each stream waits after its first event until this is called with false.
     void holdStreams(bool areHeld) { isHolding = areHeld; }
 
+    const std::string &softwareVersion() const { return version; }
     int startedCount() const { return started; }
+    /// Number of streams that did not start with their first event.
+    int takenUpCount() const { return takenUp; }
 
 private:
     std::optional<http_reply> answer(const http_request &request, http_sink &caller)
@@ -61,6 +64,7 @@
         }
         ++started;
         const std::string after(headerOf(request.headers, wire::lastEventId));
+        takenUp += after.empty() ? 0 : 1;
         const int first = after.empty() ? 1 : std::stoi(after) + 1;
         const int broken = after.empty() ? newStreamEvents.load() : 0;
         caller.begin(200, {{wire::seal, "s"}}, "text/event-stream");
@@ -82,6 +86,7 @@
     std::atomic<int> newStreamEvents = 0;
     std::atomic<bool> isHolding = false;
     std::atomic<int> started = 0;
+    std::atomic<int> takenUp = 0;
     metrics_registry metrics;
     http_server server;
     const endpoint listenAddress;
--- a/tests/gateway/limiter_fleet.h
+++ b/tests/gateway/limiter_fleet.h
@@ -39,7 +39,9 @@
         made->entry.peerAddress = {"10.0." + std::to_string(index / 250) + "."
                                            + std::to_string(index % 250 + 1),
                                    7000};
-        made->limiter = std::make_unique<rate_limiter>(dependenciesOf(index), made->entry);
+        made->view = std::make_unique<peer::fleet_view>(made->entry);
+        made->limiter =
+                std::make_unique<rate_limiter>(dependenciesOf(index, *made->view), made->entry.id);
         indexes[limitAddressOf(made->entry.peerAddress)] = index;
         nodes.push_back(std::move(made));
     }
@@ -47,11 +49,11 @@
     /// All instances read the list of the store.
     void shareList()
     {
-        std::vector<listed_gateway> listed;
+        std::vector<peer::listed_instance> listed;
         for (const auto &each : nodes)
             listed.push_back(each->entry);
         for (const auto &each : nodes)
-            each->limiter->setListed(listed);
+            each->view->setListed(listed);
     }
 
     std::size_t size() const { return nodes.size(); }
@@ -128,13 +130,9 @@
     /// Index of the instance that issues the permits.
     std::size_t issuer() const
     {
-        std::set<instance_id> seen;
-        std::vector<listed_gateway> listed;
-        for (const auto &each : nodes)
-            listed.push_back(each->entry);
-        const limit_fleet fleet = fleetOf(listed, {}, nodes.front()->entry, seen);
+        const auto fleet = nodes.front()->view->current();
         const std::uint64_t number =
-                fleet.instances[issuersOf(fleet, peer::runnerKey(target.id)).first].number;
+                fleet->instances[issuersOf(*fleet, peer::runnerKey(target.id)).first].number;
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             if (peer::senderNumber(nodes[i]->entry.id) == number)
                 return i;
@@ -161,13 +159,14 @@
 private:
     struct node
     {
-        listed_gateway entry;
+        peer::listed_instance entry;
+        std::unique_ptr<peer::fleet_view> view;
         std::unique_ptr<rate_limiter> limiter;
         std::deque<mono_time> sentAt;
         std::deque<mono_time> startedAt;
     };
 
-    rate_limiter_dependencies dependenciesOf(std::size_t index)
+    rate_limiter_dependencies dependenciesOf(std::size_t index, const peer::fleet_view &view)
     {
         return {"Rate",
                 [this, index](const std::vector<endpoint> &to, const result<std::string> &payload) {
@@ -177,6 +176,7 @@
                 [this, index](std::uint32_t) { return countRecent(nodes[index]->sentAt); },
                 [this, index](std::uint32_t) { return countRecent(nodes[index]->startedAt); },
                 [](std::uint32_t) { return std::string("r"); },
+                view,
                 {[this] { return now; }, [] { return wall_time{}; }},
                 metrics,
                 events};
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -72,16 +72,23 @@
             clock,
             registry,
             events};
+    peer::fleet_view fleet{{{"test"}, {}}};
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
              [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
-             [](std::uint32_t) { return 0U; }, [](std::uint32_t) { return std::string(); }, clock,
-             registry, events},
-            {}};
+             [](std::uint32_t) { return 0U; }, [](std::uint32_t) { return std::string(); }, fleet,
+             clock, registry, events},
+            {"test"}};
+    streams::origin_registry origins{
+            {{"test"},
+             [](const std::vector<endpoint> &, const result<std::string> &) {},
+             fleet,
+             clock,
+             registry}};
     const proxy_context context{
-            names,  publisher, runnerTable, retries,  connections.connector, metrics,
-            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
-            7};
+            names,   publisher, runnerTable, retries,  connections.connector, metrics,
+            events,  clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
+            origins, 7};
     test_caller caller;
 
     /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -49,15 +49,23 @@
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     quarantine_manager quarantineManager{{}, {}, {"test"}, clock, registry, events};
+    peer::fleet_view fleet{{{"test"}, {}}};
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
              [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
-             [](std::uint32_t) { return 0U; }, [](std::uint32_t) { return std::string(); }, clock,
-             registry, events},
-            {}};
+             [](std::uint32_t) { return 0U; }, [](std::uint32_t) { return std::string(); }, fleet,
+             clock, registry, events},
+            {"test"}};
+    streams::origin_registry origins{
+            {{"test"},
+             [](const std::vector<endpoint> &, const result<std::string> &) {},
+             fleet,
+             clock,
+             registry}};
     const proxy_context context{
             names,  publisher, runnerTable, retries,  connections.connector, metrics,
-            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter};
+            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
+            origins};
 
     explicit fixture(std::vector<route> routes)
     {
