--- a/tests/fuzz/datagrams.cpp
+++ b/tests/fuzz/datagrams.cpp
@@ -7,6 +7,7 @@
 #include "poplarspool/peer/load_exchange.h"
 #include "poplarspool/peer/store_update.h"
 #include "poplarspool/scaling/fleet_plan.h"
+#include "streams/origin_message.h"
 
 #include <algorithm>
 
@@ -88,7 +89,7 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    switch (fuzz::takeByte(bytes) % 9) {
+    switch (fuzz::takeByte(bytes) % 10) {
     case 0:
         checkFrame(bytes);
         break;
@@ -119,12 +120,18 @@
     case 7:
         checkCheckpoints(bytes);
         break;
-    default:
+    case 8:
         checkRoundTrip(
                 bytes,
                 [](const gateway::limit_message &message) { return gateway::encode(message); },
                 gateway::decodeLimitMessage);
         break;
+    default:
+        checkRoundTrip(
+                bytes,
+                [](const streams::origin_message &message) { return streams::encode(message); },
+                streams::decodeOriginMessage);
+        break;
     }
     return 0;
 }
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -22,7 +22,7 @@
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
     src/workspaces/workspaces.cpp src/duties/fleet_clock.cpp src/duties/usage.cpp
-    src/duties/usage_update.cpp src/scaling/fleet_plan.cpp
+    src/duties/usage_update.cpp src/scaling/fleet_plan.cpp src/streams/origin_message.cpp
     platform/decode.cpp platform/decode_workspaces.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
 
 add_library(poplarspool_fuzzed STATIC EXCLUDE_FROM_ALL ${fuzzed})
