One enumeration of how take-ups end, and name the port of stream origins in the settings' help

selectVersion chose metric, log word and refusal by nested conditions on three flags; the end of a take-up is one value now, with its name and its counter. No decision changes.

--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -44,6 +44,17 @@
     return prompt.size() < 2 ? 0 : prompt[prompt.size() - 2].chain;
 }
 
+std::array<counter *, takeUpEnds> takeUpCountersOf(metrics_registry &registry)
+{
+    std::array<counter *, takeUpEnds> counters{};
+    for (std::size_t i = 0; i < counters.size(); ++i) {
+        const std::string name(nameOf(static_cast<take_up_end>(i)));
+        counters[i] =
+                &registry.counterOf("poplarspool_gateway_take_ups_total{version=\"" + name + "\"}");
+    }
+    return counters;
+}
+
 } // namespace
 
 proxy_metrics::proxy_metrics(metrics_registry &registry)
@@ -60,13 +71,7 @@
       foreignReplies(registry.counterOf("poplarspool_gateway_foreign_replies_total")),
       prefillHandoffs(registry.counterOf("poplarspool_gateway_hand_overs_total")),
       kvCopies(registry.counterOf("poplarspool_gateway_kv_copies_total")),
-      takenUpHere(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"known_here\"}")),
-      takenUpFromHolder(registry.counterOf(
-              "poplarspool_gateway_take_ups_total{version=\"known_to_holder\"}")),
-      takenUpAtSoleVersion(
-              registry.counterOf("poplarspool_gateway_take_ups_total{version=\"sole\"}")),
-      versionUnknown(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"unknown\"}")),
-      versionGone(registry.counterOf("poplarspool_gateway_take_ups_total{version=\"gone\"}")),
+      takeUps(takeUpCountersOf(registry)),
       firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds"))
 { }
 
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -13,15 +13,31 @@
 #include "poplarspool/duties/usage_exchange.h"
 #include "poplarspool/streams/origin_registry.h"
 
+#include <array>
 #include <atomic>
 #include <optional>
 
 namespace poplarspool::gateway {
 
+/// What is known of the software version of a stream that a caller takes up.
+enum class take_up_end {
+    KnownHere, ///< This instance has the record of who began it.
+    KnownToHolder, ///< Another instance has it.
+    SoleVersion, ///< Nobody has it, but only one version can have begun it.
+    VersionUnknown, ///< Refused: any of several versions may have begun it.
+    VersionGone, ///< Refused: no runner of its version serves.
+};
+
+inline constexpr std::size_t takeUpEnds = 5;
+
+std::string_view nameOf(take_up_end end);
+
 struct proxy_metrics
 {
     explicit proxy_metrics(metrics_registry &registry);
 
+    counter &takeUpsOf(take_up_end end) { return *takeUps[static_cast<std::size_t>(end)]; }
+
     counter &requests;
     counter &whole; ///< The caller got a runner's complete answer.
     counter &refused; ///< Ended with the guarantee that the request has not run.
@@ -35,12 +51,7 @@
     counter &foreignReplies;
     counter &prefillHandoffs;
     counter &kvCopies;
-    /// Streams that callers took up, by how their software version was found.
-    counter &takenUpHere; ///< This instance has the record of who began it.
-    counter &takenUpFromHolder; ///< Another instance has it.
-    counter &takenUpAtSoleVersion; ///< Nobody has it, but only one version can have begun it.
-    counter &versionUnknown; ///< Refused: it may have been begun by any of several versions.
-    counter &versionGone; ///< Refused: no runner of its version serves.
+    std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
 };
 
--- a/src/gateway/stream_take_up.cpp
+++ b/src/gateway/stream_take_up.cpp
@@ -4,6 +4,23 @@
 
 namespace poplarspool::gateway {
 
+std::string_view nameOf(take_up_end end)
+{
+    switch (end) {
+    case take_up_end::KnownHere:
+        return "known_here";
+    case take_up_end::KnownToHolder:
+        return "known_to_holder";
+    case take_up_end::SoleVersion:
+        return "sole";
+    case take_up_end::VersionUnknown:
+        return "unknown";
+    case take_up_end::VersionGone:
+        break;
+    }
+    return "gone";
+}
+
 /// Whether the caller has the beginning of the stream from an earlier attempt.
 bool request_proxy::isTakeUp() const
 {
@@ -26,32 +43,25 @@
     const mono_time askedAt = context.clock.mono();
     const auto found = isNamed ? context.origins.find(streamKey) : std::nullopt;
     streamVersion = found ? std::optional(found->origin.version) : soleVersion();
-    const bool isKnownHere = found && found->isOwn;
-    const bool isGone = streamVersion && !isServed(*streamVersion);
+    take_up_end end = take_up_end::SoleVersion;
+    if (!streamVersion)
+        end = take_up_end::VersionUnknown;
+    else if (!isServed(*streamVersion))
+        end = take_up_end::VersionGone;
+    else if (found)
+        end = found->isOwn ? take_up_end::KnownHere : take_up_end::KnownToHolder;
+    context.metrics.takeUpsOf(end).add();
     log("take_up",
         {{"resumes", metadata.resumes},
          {"after_event", metadata.lastEventId},
-         {"version",
-          !streamVersion        ? "unknown"
-                  : isGone      ? "gone"
-                  : isKnownHere ? "known_here"
-                  : found       ? "known_to_holder"
-                                : "sole"},
+         {"version", std::string(nameOf(end))},
          {"holder", found ? found->holder.text : ""},
          {"recorded_ms_ago", found ? millisecondsText(askedAt - found->origin.recordedAt) : ""},
          {"asked_ms", millisecondsText(context.clock.mono() - askedAt)}});
-    if (!streamVersion) {
-        context.metrics.versionUnknown.add();
+    if (end == take_up_end::VersionUnknown)
         return versionRefusal("version_unknown", config::unknownVersionRetryAfter);
-    }
-    if (isGone) {
-        context.metrics.versionGone.add();
+    if (end == take_up_end::VersionGone)
         return versionRefusal("version_gone", config::goneVersionRetryAfter);
-    }
-    (isKnownHere     ? context.metrics.takenUpHere
-             : found ? context.metrics.takenUpFromHolder
-                     : context.metrics.takenUpAtSoleVersion)
-            .add();
     return std::nullopt;
 }
 
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -43,7 +43,8 @@
             requiredKey<s>("peer.address", "", &s::peerAddress, endpointRule(),
                            "Address for messages between instances (UDP), and for the connections "
                            "to runners that they carry for each other (TCP). The third port after "
-                           "it carries rate limits."),
+                           "it carries rate limits, the fourth which software version began which "
+                           "stream."),
             optionalKey<s>("peer.key", "", &s::peerKey,
                            secretRule(config::minPeerKeyBytes, config::maxPeerKeyBytes),
                            "Secret with which instances authenticate each other; without it, it is "
