Begin streams where they can go on if their runner ends

Cause: a stream that the only engine of its version begins ends with it.

Change: such an engine costs a new stream on a route that may be resumed 100 ms in the choice, unless the stream would start late elsewhere. A service whose runners have one version is not looked at, and where each version has one runner all cost the same.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -48,6 +48,9 @@
 inline constexpr double engineCrossZoneMs = 3;
 inline constexpr double kvCopyCostMs = 20;
 inline constexpr double prefillHandoffCostMs = 15;
+/// Cost of beginning a stream at the only runner of its software version, in milliseconds of the
+/// caller's time.
+inline constexpr double loneVersionCostMs = 100;
 /// Cost of prefilling uncached shared parts on an engine other than the one that all instances
 /// choose for them.
 inline constexpr double coldCachePenaltyMs = 100;
--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -60,6 +60,9 @@
     std::uint32_t affinityRank = notPreferred;
     /// Time until its rate limit permits another request; 0: it may get one now.
     double limitedForMs = 0;
+    /// Its service's other runners of its stage have other software versions: a stream that it
+    /// begins can go on nowhere else.
+    bool isAloneInVersion = false;
     bool isTried = false; ///< By this request, without success.
     bool isMisdirected = false; ///< It has denied its own entry.
 
@@ -75,6 +78,8 @@
     std::uint32_t sharedTokens = 0; ///< Tokens of the prompt's parts that other requests share.
     bool mayHandOff = true; ///< The prompt may be prefilled on another engine.
     bool hasBegun = false; ///< The caller has a part of the answer: too late to refuse.
+    /// It begins a stream that may have to go on at another runner of the version that begins it.
+    bool mayMoveLater = false;
     /// Software version that has to serve it; none: any.
     std::optional<version_key> version;
     /// Prefilled on another engine: only its KV cache has to be taken over.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -237,8 +237,11 @@
 double decodeLoadMs(const placement_query &query, const placement_candidate &one,
                     send_class urgency)
 {
+    const double loneCostMs =
+            query.mayMoveLater && one.isAloneInVersion ? config::loneVersionCostMs : 0;
     return (config::decodeCostMsPerRequest * one.load.open + slotWaitMs(query, one, urgency))
-            * std::max(one.load.slowness, 1.0);
+            * std::max(one.load.slowness, 1.0)
+            + loneCostMs;
 }
 
 const placement_candidate *leastLoadedDecoder(const placement_query &query,
@@ -334,6 +337,16 @@
     return later.waitingThere < room && waitMs < query.timeLeftMs * config::lateTimeShare;
 }
 
+/// Whether an engine costs more because streams that it begins can't move: not at the price of
+/// starting late.
+bool hasLoneVersion(const placement_query &query, const eligible_engines &engines)
+{
+    return query.mayMoveLater
+            && std::ranges::any_of(engines.decoders, [](const placement_candidate *one) {
+                   return one->isAloneInVersion;
+               });
+}
+
 /// Under overload, more prompts arrive than the engines can prefill in time. Served in the order of
 /// arrival, all of them would start late. So a request that can still start in time only waits for
 /// others that can; late requests are served when no such request waits. The estimate includes
@@ -359,8 +372,16 @@
     if (query.mayHandOff && query.promptTokens >= config::prefillHandoffMinTokens)
         engines.prefillers = sampledCandidates(
                 query, eligibleCandidates(query, candidates, engine_stage::Prefill));
+    const auto isInTime = [&query](const placement &place) {
+        return place.expectedStartMs <= query.objectiveLeftMs * config::urgentShare;
+    };
     placement urgent = cheapestPlacement(query, engines, send_class::Urgent);
-    if (urgent.expectedStartMs <= query.objectiveLeftMs * config::urgentShare)
+    if (!isInTime(urgent) && hasLoneVersion(query, engines)) {
+        placement_query anywhere = query;
+        anywhere.mayMoveLater = false;
+        urgent = cheapestPlacement(anywhere, engines, send_class::Urgent);
+    }
+    if (isInTime(urgent))
         return urgent;
     placement later = cheapestPlacement(query, engines, send_class::Late);
     if (query.hasBegun || canStartSoon(query, later))
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -244,6 +244,7 @@
     query.sharedTokens = std::min(sharedTokensOf(metadata.prompt), metadata.promptTokens);
     query.mayHandOff = !hasHandoffFailed && sends == 0 && context.retries.hasRoom(service);
     query.hasBegun = hasBegun || isTakeUp();
+    query.mayMoveLater = selectedRoute->isResumable && !streamVersion;
     query.version = streamVersion;
     query.isPrefilled = prefillEngine != nullptr;
     if (prefillEngine != nullptr)
--- a/src/gateway/runner_candidates.cpp
+++ b/src/gateway/runner_candidates.cpp
@@ -28,6 +28,19 @@
             : runners.groupOf(query.service, stage);
 }
 
+void markLoneVersions(std::vector<placement_candidate> &candidates, const catalogue &known,
+                      const service_id &service)
+{
+    if (known.soleVersions->contains(service))
+        return;
+    for (placement_candidate &one : candidates) {
+        const runner &target = *one.target;
+        const version_key version = versionKeyOf(target.version);
+        one.isAloneInVersion = known.runners->groupOf(service, target.stage, version).size() == 1
+                && known.runners->groupOf(service, target.stage).size() > 1;
+    }
+}
+
 /// Adds the candidate unless its runner is among the candidates.
 /// @returns The runner's candidate.
 placement_candidate &addOnce(std::vector<placement_candidate> &candidates, placement_candidate one)
@@ -131,6 +144,7 @@
             addOnce(candidates, candidateAt(query, target, now));
     }
     estimateSlowness(candidates, now);
+    markLoneVersions(candidates, known, query.service);
     return candidates;
 }
 
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(runnersOfARareVersionAreFoundInALargeFleet);
     CPPUNIT_TEST(onlyRunnersOfTheVersionServe);
     CPPUNIT_TEST(soleVersionIsKnownSinceItsLastSibling);
+    CPPUNIT_TEST(onlyRunnerOfItsVersionIsMarked);
+    CPPUNIT_TEST(streamsBeginWhereTheyCanMoveUnlessTheyWouldStartLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,6 +233,55 @@
         sole = updateSoleVersions(sole, runners, start + 4s);
         CPPUNIT_ASSERT(sole.at(engineService).since == start + 2s);
     }
+
+    void onlyRunnerOfItsVersionIsMarked()
+    {
+        runner_table table(systemClock());
+        catalogue known;
+        const auto marked = [&] {
+            std::string ids;
+            for (const placement_candidate &one :
+                 table.candidatesOf(known, {.service = engineService, .draw = 1}))
+                ids += one.isAloneInVersion ? one.target->id.text : "";
+            return ids;
+        };
+        putRunner(known, runnerOf("a", oldVersion));
+        CPPUNIT_ASSERT_EQUAL(std::string(), marked());
+        putRunner(known, runnerOf("b", newVersion));
+        putRunner(known, runnerOf("c", newVersion));
+        putRunner(known, runnerOf("d", oldVersion, engine_stage::Prefill));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), marked());
+        putRunner(known, runnerOf("e", oldVersion));
+        putRunner(known, runnerOf("f", newVersion, engine_stage::Prefill));
+        CPPUNIT_ASSERT_EQUAL(std::string("df"), marked());
+    }
+
+    /// Guards against streams that end with the only engine of their version, though they could
+    /// have begun, just as well in time, where they can go on elsewhere.
+    void streamsBeginWhereTheyCanMoveUnlessTheyWouldStartLate()
+    {
+        std::vector<placement_candidate> candidates(3);
+        const std::array ids{"a", "b", "c"};
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            candidates[i].target = std::make_shared<const runner>(
+                    runnerOf(ids[i], i == 0 ? oldVersion : newVersion));
+        candidates[0].isAloneInVersion = true;
+        candidates[1].load.open = candidates[2].load.open = 40;
+        placement_query query;
+        query.service = engineService;
+        query.engine = engine_traits{128, 800'000, 18'432, 350'000};
+        query.promptTokens = 1'000;
+        query.objectiveLeftMs = 1000;
+        const auto servingId = [&] {
+            return std::get<placement>(choosePlacement(query, candidates)).serving->id.text;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), servingId());
+        query.mayMoveLater = true;
+        CPPUNIT_ASSERT(servingId() != "a");
+        candidates[1].load.urgentPrefillMs = candidates[2].load.urgentPrefillMs = 60;
+        query.objectiveLeftMs = 100;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), servingId());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stream_version_test);
