--- a/include/poplarspool/streams/origin_exchange.h
+++ b/include/poplarspool/streams/origin_exchange.h
@@ -13,8 +13,8 @@
 class origin_exchange
 {
 public:
-    origin_exchange(peer::datagram_settings settings, const peer::fleet_view &fleet,
-                    clock_source clock, metrics_registry &metrics, journal &events);
+    origin_exchange(const peer::datagram_settings &settings, const peer::fleet_view &fleet,
+                    const clock_source &clock, metrics_registry &metrics, journal &events);
     ~origin_exchange();
 
     result<unit> start();
--- a/src/streams/origin_exchange.cpp
+++ b/src/streams/origin_exchange.cpp
@@ -26,8 +26,9 @@
     peer::datagram_loop loop;
 };
 
-origin_exchange::origin_exchange(peer::datagram_settings settings, const peer::fleet_view &fleet,
-                                 clock_source clock, metrics_registry &metrics, journal &events)
+origin_exchange::origin_exchange(const peer::datagram_settings &settings,
+                                 const peer::fleet_view &fleet, const clock_source &clock,
+                                 metrics_registry &metrics, journal &events)
     : inner(std::make_unique<state>(settings, fleet, clock, metrics, events))
 { }
 
--- a/src/streams/origin_registry.cpp
+++ b/src/streams/origin_registry.cpp
@@ -136,7 +136,7 @@
     const bool isAnswered = replied.wait_for(lock, config::originReplyTimeout, [&query] {
         return query.found || query.repliesLeft == 0;
     });
-    const auto found = std::move(query.found);
+    std::optional<found_origin> found = std::move(query.found);
     waiting.erase(number);
     (found ? known : isAnswered ? unknown : unanswered).add();
     return found;
