Say in the log which parts of a prompt a lost send had, and which answers only the end of the connection ends

The lines of the incident can't tell its hypotheses apart: none has a part of a prompt, and none says how an answer was delimited. send_end has both now, the parts where an answer was lost: all but the last, at most eight, each shortened to 32 bytes, since ids are callers' text. A counter of answers with neither a length nor chunks. No decision changes.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -312,6 +312,9 @@
 inline constexpr std::chrono::milliseconds stageOrderTimeout = 8s;
 /// Time-out of one report or order call; engines answer these at once.
 inline constexpr std::chrono::milliseconds stageCallTimeout = 400ms;
+/// Maximum parts of a prompt whose ids a log line names, and maximum bytes of each id there.
+inline constexpr std::size_t maxLoggedParts = 8;
+inline constexpr std::size_t maxLoggedPartBytes = 32;
 /// Number of runner incarnations that must end under a request before it is quarantined; the first
 /// quarantine time; the factor by which each further incarnation extends it; and the maximum. The
 /// request is tried three times in the first day, and an innocent one is released soon.
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -2,6 +2,7 @@
 
 #include "base/http_text.h"
 #include "poplarspool/base/hash.h"
+#include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
 #include <array>
@@ -117,6 +118,19 @@
     return read;
 }
 
+std::string sharedPartsText(const http_request &request, const dialect &names)
+{
+    std::vector<std::string_view> ids;
+    forEachItem(headerOf(request.headers, names.promptParts), [&ids](std::string_view item) {
+        if (ids.size() <= config::maxLoggedParts)
+            ids.push_back(item.substr(0, std::min(item.rfind(':'), config::maxLoggedPartBytes)));
+    });
+    std::string text;
+    for (std::size_t i = 0; i + 1 < ids.size(); ++i)
+        text.append(i == 0 ? "" : ",").append(ids[i]);
+    return text;
+}
+
 std::uint64_t digestOf(const http_request &request, std::uint64_t seed)
 {
     std::uint64_t digest = hashOf(request.method, seed);
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -36,6 +36,10 @@
 /// rejects or accepts them.
 envelope readEnvelope(const http_request &request, const dialect &names);
 
+/// @returns The ids of the parts that other requests may have in common with this one, which are all
+///          but the last, for a log line: at most config::maxLoggedParts, each shortened.
+std::string sharedPartsText(const http_request &request, const dialect &names);
+
 /// @param seed The same on all instances and unknown to callers, who otherwise could make requests
 ///             with another request's digest.
 /// @returns The digest that all attempts of the same request share: of its method, host, path and
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -51,6 +51,7 @@
     counter &foreignReplies;
     counter &prefillHandoffs;
     counter &kvCopies;
+    counter &endedByClose; ///< Runners' answers with neither a length nor chunks.
     std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
 };
@@ -238,6 +239,7 @@
     std::string lastRunner;
     std::string lastFault;
     std::string lastConnectError; ///< Of the last send; empty if it was connected.
+    bool isEndedByClose = false; ///< The last answer has neither a length nor chunks.
     std::string lastWay; ///< Of the last send: "direct", or the instance that carried it.
     mono_time firstByteAt{};
 };
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -62,6 +62,9 @@
     /// @returns The bytes read, with isLast if the body is complete.
     body_piece readRest(socket_deadline deadline, std::size_t maxBytes);
 
+    /// @returns Whether only the end of the connection ends the body that the last head announced.
+    bool isEndedByClose() const { return body == framing::ToClose; }
+
     /// @returns Whether a byte of the request was sent, so that the runner may have run it.
     bool mayHaveArrived() const { return bytesSent > 0; }
 
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -52,6 +52,7 @@
     lastFault.clear();
     lastConnectError.clear();
     lastWay.clear();
+    isEndedByClose = false;
     context.runnerTable.recordCached(target.id, metadata.prompt);
     const std::string limitText = limitTextOf(target);
     try_end end = try_end::Lost;
@@ -77,6 +78,8 @@
             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
             {"limit", limitText},
             {"way", lastWay},
+            {"ends_by", isEndedByClose ? "close" : "framing"},
+            {"parts", end == try_end::Lost ? sharedPartsText(request, context.names) : ""},
             {"fault", lastFault},
             {"left_ms", std::to_string(timeLeft().count())}};
     std::ranges::move(connectFieldsOf(target), std::back_inserter(fields));
@@ -208,6 +211,8 @@
     const auto head = readOwnHead(call, current.deadline);
     if (const auto *failed = std::get_if<call_fault>(&head))
         return handleFault(call, *failed, current);
+    isEndedByClose = call.isEndedByClose();
+    context.metrics.endedByClose.add(isEndedByClose ? 1 : 0);
     return takeReply(call, std::get<reply_head>(head), current);
 }
 
--- a/tests/gateway/envelope_test.cpp
+++ b/tests/gateway/envelope_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fixture.h"
 #include "gateway/event_splitter.h"
+#include "poplarspool/gateway/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -14,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(envelope_test);
     CPPUNIT_TEST(promptPartChainDependsOnAllPrecedingParts);
+    CPPUNIT_TEST(linesNameAllPartsButTheLast);
     CPPUNIT_TEST(unparsableValuesCountAsAbsent);
     CPPUNIT_TEST(reservedHeadersOfCallersAreDropped);
     CPPUNIT_TEST(methodPathAndBodyAreForwardedUnchanged);
@@ -56,6 +58,21 @@
         CPPUNIT_ASSERT(first[1].chain != other[1].chain);
     }
 
+    void linesNameAllPartsButTheLast()
+    {
+        const auto textOf = [](const std::string &parts) {
+            return sharedPartsText(requestOf("POST", "/", {{"Parts", parts}}), testDialect());
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("a,b"), textOf("a:800,b:410,c:250"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf("a:800"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), textOf(""));
+        std::string many;
+        for (std::size_t i = 0; i < 1000; ++i)
+            many += std::string(100, 'x') + ":1,";
+        CPPUNIT_ASSERT(textOf(many).size()
+                       <= config::maxLoggedParts * (config::maxLoggedPartBytes + 1));
+    }
+
     void unparsableValuesCountAsAbsent()
     {
         const auto read = readEnvelope(
