Move the records of crashes out of the gateway into a library of their own

Table, rumors and manager of the requests under which runners end stand in src/crashes now, as the origins of streams do in src/streams; the gateway's folder is six files smaller.

--- a/include/poplarspool/base/hash.h
+++ b/include/poplarspool/base/hash.h
@@ -10,6 +10,9 @@
 /// XXH3, 64 bits. For distributing keys; not cryptographically secure.
 std::uint64_t hashOf(std::string_view bytes, std::uint64_t seed = 0);
 
+/// @returns A hash as 16 hex digits.
+std::string digestText(std::uint64_t digest);
+
 /// @returns The hash mapped to a number in [0, 1), with uniform distribution.
 double toUnitInterval(std::uint64_t hash);
 
--- a/include/poplarspool/gateway/crash_records.h
+++ b/include/poplarspool/crashes/crash_records.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "poplarspool/base/clock.h"
+#include "poplarspool/base/endpoint.h"
+#include "poplarspool/base/ids.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/base/store_version.h"
-#include "poplarspool/gateway/catalogue.h"
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +12,18 @@
 
 /// Records of requests during which runners crashed. A request that crashes each runner that
 /// executes it could, if its caller keeps retrying, bring down a whole service for all callers.
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
+
+/// The incarnation of a runner that an instance has sent a request to.
+struct observed_runner
+{
+    runner_id id;
+    std::uint64_t startedAtMs = 0; ///< Unix time in ms; 0 if not reported.
+    endpoint address;
+    zone_id zone;
+
+    bool operator==(const observed_runner &) const = default;
+};
 
 /// An incarnation of a runner that has ended.
 struct ended_incarnation
@@ -23,7 +35,7 @@
 };
 
 /// @returns A key of one incarnation of a runner; the same on all instances.
-std::uint64_t incarnationKeyOf(const runner &target);
+std::uint64_t incarnationKeyOf(const observed_runner &target);
 
 /// The incarnations of runners that ended while they executed a request. A set: an end that is
 /// received twice, or observed by two instances, counts once.
@@ -60,4 +72,4 @@
     std::function<result<unit>(const crash_record_list &next)> write;
 };
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/include/poplarspool/gateway/gateway.h
+++ b/include/poplarspool/gateway/gateway.h
@@ -2,11 +2,11 @@
 
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
+#include "poplarspool/crashes/crash_records.h"
 #include "poplarspool/duties/lease.h"
 #include "poplarspool/duties/usage_reporter.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/catalogue_updater.h"
-#include "poplarspool/gateway/crash_records.h"
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/fleet_sink.h"
 #include "poplarspool/gateway/gateway_settings.h"
@@ -22,7 +22,7 @@
 struct platform_links
 {
     duties::lease_store stageLeases; ///< For the right to order engines.
-    crash_record_store crashRecords; ///< Store of the crash records.
+    crashes::crash_record_store crashRecords; ///< Store of the crash records.
     duties::lease_store usageLeases; ///< For the right to report usage.
     duties::usage_sink usageSink;
     duties::lease_store fleetLeases; ///< For the right to order runners.
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <cstring>
 #include <span>
 #include <stdexcept>
@@ -46,6 +48,13 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+std::string digestText(std::uint64_t digest)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
+    return text.data();
+}
+
 double toUnitInterval(std::uint64_t hash)
 {
     constexpr unsigned mantissaBits = 53;
--- a/src/gateway/crash_table.cpp
+++ b/src/crashes/crash_table.cpp
@@ -1,11 +1,11 @@
-#include "gateway/crash_table.h"
+#include "crashes/crash_table.h"
 
 #include "poplarspool/base/hash.h"
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/crashes/limits.h"
 
 #include <algorithm>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 namespace {
 
@@ -50,7 +50,7 @@
 
 } // namespace
 
-std::uint64_t incarnationKeyOf(const runner &target)
+std::uint64_t incarnationKeyOf(const observed_runner &target)
 {
     return hashOf(target.id.text, target.startedAtMs);
 }
@@ -215,4 +215,4 @@
     return fingerprint == 0 ? 0 : fingerprint % maxValue + 1;
 }
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/crash_table.h
+++ b/src/crashes/crash_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "poplarspool/base/published.h"
-#include "poplarspool/gateway/crash_records.h"
+#include "poplarspool/crashes/crash_records.h"
 
 #include <map>
 #include <mutex>
@@ -9,7 +9,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 /// State of a request that must not be sent to any runner.
 struct quarantine
@@ -75,4 +75,4 @@
     published<assessment_map> assessments{assessment_map{}};
 };
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/crash_update.cpp
+++ b/src/crashes/crash_update.cpp
@@ -1,12 +1,11 @@
-#include "gateway/crash_update.h"
+#include "crashes/crash_update.h"
 
-#include "gateway/envelope.h"
 #include "peer/codec.h"
 #include "poplarspool/base/hash.h"
 
 #include <algorithm>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 namespace {
 
@@ -90,4 +89,4 @@
     }
 }
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/crash_update.h
+++ b/src/crashes/crash_update.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "poplarspool/gateway/crash_records.h"
+#include "poplarspool/crashes/crash_records.h"
 #include "poplarspool/peer/gossip.h"
 
 #include <vector>
 
 /// Rumors in which instances send each other the ends of runners and the requests that were
 /// running.
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 /// An incarnation of a runner that ended while executing these requests, as observed by one
 /// instance.
@@ -26,4 +26,4 @@
 /// @returns The records in the rumor; empty if it is of another kind, Broken if it is malformed.
 result<std::vector<crash_record>> decodeCrashRecords(const peer::rumor &rumor);
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/quarantine_manager.cpp
+++ b/src/crashes/quarantine_manager.cpp
@@ -1,15 +1,14 @@
-#include "gateway/quarantine_manager.h"
+#include "crashes/quarantine_manager.h"
 
-#include "gateway/envelope.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/base/named_thread.h"
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/crashes/limits.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iterator>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 quarantine_manager::quarantine_manager(quarantine_dependencies given, crash_record_store store,
                                        instance_id self, clock_source clock,
@@ -58,7 +57,7 @@
 
 /// An incomplete response alone doesn't show that the runner has ended: connections are reset, and
 /// runners may abort responses. Refused connections do show it.
-void quarantine_manager::recordConnectionLost(std::uint64_t digest, const runner &target)
+void quarantine_manager::recordConnectionLost(std::uint64_t digest, const observed_runner &target)
 {
     if (table.hasEnded(incarnationKeyOf(target)) || dependencies.hasEnded(target))
         countEnd(digest, target);
@@ -66,7 +65,7 @@
         recordUnconfirmed(digest, target);
 }
 
-void quarantine_manager::recordUnconfirmed(std::uint64_t digest, const runner &target)
+void quarantine_manager::recordUnconfirmed(std::uint64_t digest, const observed_runner &target)
 {
     const std::lock_guard lock(guard);
     if (unconfirmed.size() < config::maxUnconfirmedEnds)
@@ -98,7 +97,7 @@
     std::ranges::move(remaining, std::back_inserter(unconfirmed));
 }
 
-void quarantine_manager::countEnd(std::uint64_t digest, const runner &target)
+void quarantine_manager::countEnd(std::uint64_t digest, const observed_runner &target)
 {
     const std::uint64_t key = incarnationKeyOf(target);
     const ended_incarnation ended{key, nowMs()};
@@ -195,7 +194,7 @@
 {
     const double share = toUnitInterval(hashOf(self.text));
     return milliseconds(
-            std::llround(share * static_cast<double>(config::registrationSpreadTime.count())));
+            std::llround(share * static_cast<double>(config::crashRewriteSpreadTime.count())));
 }
 
 /// All instances learn of a store rollback at once, so their reads and writes are spread over time.
@@ -363,4 +362,4 @@
     rewritesAll = false;
 }
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/quarantine_manager.h
+++ b/src/crashes/quarantine_manager.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/crash_table.h"
-#include "gateway/crash_update.h"
+#include "crashes/crash_table.h"
+#include "crashes/crash_update.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 
@@ -12,13 +12,13 @@
 #include <set>
 #include <thread>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 /// What the quarantine manager needs from its instance.
 struct quarantine_dependencies
 {
     /// @returns Whether the runner's host refuses connections: no process listens there any more.
-    std::function<bool(const runner &)> hasEnded;
+    std::function<bool(const observed_runner &)> hasEnded;
     /// Sends a rumor to the other instances by gossip.
     std::function<void(peer::rumor)> spreadRumor;
     /// Sets the fingerprint of this instance's quarantine that its heartbeats carry.
@@ -59,10 +59,10 @@
     }
     /// Records that the connection was lost before the response was complete. Counts against the
     /// request if the runner has ended.
-    void recordConnectionLost(std::uint64_t digest, const runner &target);
+    void recordConnectionLost(std::uint64_t digest, const observed_runner &target);
     /// Records an incomplete response where the connection doesn't show whether the runner has
     /// ended; this is checked later.
-    void recordUnconfirmed(std::uint64_t digest, const runner &target);
+    void recordUnconfirmed(std::uint64_t digest, const observed_runner &target);
     void recordServed(std::uint64_t digest);
 
     /// Applies a rumor of another instance; ignores other kinds of rumors.
@@ -83,12 +83,12 @@
     struct unconfirmed_end
     {
         std::uint64_t digest = 0;
-        runner target;
+        observed_runner target;
         mono_time seenAt{};
     };
 
     std::int64_t nowMs() const;
-    void countEnd(std::uint64_t digest, const runner &target);
+    void countEnd(std::uint64_t digest, const observed_runner &target);
     void resolveUnconfirmed();
     bool hasOtherFingerprint();
     void run();
@@ -133,4 +133,4 @@
     milliseconds readInterval{0};
 };
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -5,10 +5,7 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cinttypes>
-#include <cstdio>
 
 namespace poplarspool::gateway {
 
@@ -141,13 +138,6 @@
     return digest;
 }
 
-std::string digestText(std::uint64_t digest)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
-    return text.data();
-}
-
 std::string runnerRequestText(const http_request &request, const endpoint &to, const dialect &names,
                               const send_extras &extras)
 {
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -36,7 +36,8 @@
 /// rejects or accepts them.
 envelope readEnvelope(const http_request &request, const dialect &names);
 
-/// @returns The ids of the parts that other requests may have in common with this one, which are all
+/// @returns The ids of the parts that other requests may have in common with this one, which are
+/// all
 ///          but the last, for a log line: at most config::maxLoggedParts, each shortened.
 std::string sharedPartsText(const http_request &request, const dialect &names);
 
@@ -47,9 +48,6 @@
 ///          not included.
 std::uint64_t digestOf(const http_request &request, std::uint64_t seed);
 
-/// @returns The digest as 16 hex digits.
-std::string digestText(std::uint64_t digest);
-
 /// The headers that one send adds to or changes in a request.
 struct send_extras
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,7 +178,7 @@
     void onRumor(const peer::rumor &rumor);
     void announceCutOff(bool isCutOff);
     void addUsage(duties::lease_store leases, duties::usage_sink sink, metrics_registry &registry);
-    quarantine_dependencies quarantineDependencies();
+    crashes::quarantine_dependencies quarantineDependencies();
     rate_limiter_dependencies rateLimiterDependencies(metrics_registry &registry);
     std::optional<http_reply> forward(const http_request &request, http_sink &caller);
     void applyCallerLimits();
@@ -201,7 +201,7 @@
     runner_connector connector;
     tunnel_server tunnelServer;
     link_prober linkProber;
-    quarantine_manager quarantineManager;
+    crashes::quarantine_manager quarantineManager;
     peer::fleet_view fleet;
     rate_limiter rateLimiter;
     streams::origin_exchange originExchange;
@@ -287,10 +287,17 @@
             std::move(leases), settings.instance, settings.leaseBound);
 }
 
-quarantine_dependencies gateway::state::quarantineDependencies()
+crashes::quarantine_dependencies gateway::state::quarantineDependencies()
 {
-    quarantine_dependencies made;
-    made.hasEnded = [this](const runner &target) { return connector.hasEnded(target); };
+    crashes::quarantine_dependencies made;
+    made.hasEnded = [this](const crashes::observed_runner &target) {
+        runner connected;
+        connected.id = target.id;
+        connected.startedAtMs = target.startedAtMs;
+        connected.address = target.address;
+        connected.zone = target.zone;
+        return connector.hasEnded(connected);
+    };
     made.spreadRumor = [this](peer::rumor rumor) { members.spread(std::move(rumor)); };
     made.setFingerprint = [this](std::uint64_t fingerprint) {
         members.setApplied(fingerprint, clock.mono());
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -3,6 +3,7 @@
 #include "base/http_text.h"
 #include "gateway/caller_key.h"
 #include "poplarspool/base/hash.h"
+#include "poplarspool/crashes/limits.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/gateway/route_index.h"
 
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "crashes/quarantine_manager.h"
 #include "gateway/envelope.h"
 #include "gateway/event_splitter.h"
-#include "gateway/quarantine_manager.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
 #include "gateway/runner_call.h"
@@ -74,7 +74,7 @@
     /// Time by which this instance must have sent its last answer, in nanoseconds of clock.mono;
     /// requests' time limits are cut to it.
     const std::atomic<std::int64_t> &leavesAtNs;
-    quarantine_manager &quarantineManager;
+    crashes::quarantine_manager &quarantineManager;
     rate_limiter &rateLimiter;
     streams::origin_registry &origins;
     /// Seed of requests' digests; the same on all instances of the fleet.
@@ -234,7 +234,7 @@
     /// what two versions write doesn't fit together.
     std::optional<version_key> streamVersion;
     bool hasReturned = false; ///< It was sent to a runner again after its answer was lost there.
-    std::optional<quarantine> activeQuarantine; ///< Set once the request is quarantined.
+    std::optional<crashes::quarantine> activeQuarantine; ///< Set once the request is quarantined.
     milliseconds retryAfterTime; ///< Retry-After of a refusal.
     std::string lastRunner;
     std::string lastFault;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -270,10 +270,12 @@
     const bool isStaying = entry && !entry->isDraining && entry->retainedUntil == mono_time::max();
     if (!isStaying)
         return;
+    const crashes::observed_runner observed{target.id, target.startedAtMs, target.address,
+                                            target.zone};
     if (fault == call_fault::Closed)
-        context.quarantineManager.recordConnectionLost(digest, target);
+        context.quarantineManager.recordConnectionLost(digest, observed);
     else
-        context.quarantineManager.recordUnconfirmed(digest, target);
+        context.quarantineManager.recordUnconfirmed(digest, observed);
 }
 
 request_proxy::try_end request_proxy::recordServed(sending &current, try_end end)
--- a/tests/gateway/crash_table_test.cpp
+++ b/tests/crashes/crash_table_test.cpp
@@ -1,12 +1,12 @@
-#include "gateway/crash_table.h"
+#include "crashes/crash_table.h"
 
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/crashes/limits.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 namespace {
 
@@ -200,10 +200,10 @@
 
     void restartUnderTheSameIdIsANewIncarnation()
     {
-        runner first;
+        observed_runner first;
         first.id.text = "i-1";
         first.startedAtMs = 5;
-        runner second = first;
+        observed_runner second = first;
         second.startedAtMs = 6;
         CPPUNIT_ASSERT(incarnationKeyOf(first) != incarnationKeyOf(second));
     }
@@ -235,4 +235,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crash_table_test);
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/tests/gateway/quarantine_manager_test.cpp
+++ b/tests/crashes/quarantine_manager_test.cpp
@@ -1,13 +1,13 @@
-#include "gateway/quarantine_manager.h"
+#include "crashes/quarantine_manager.h"
 
 #include "poplarspool/base/limits.h"
-#include "poplarspool/gateway/limits.h"
+#include "poplarspool/crashes/limits.h"
 #include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace poplarspool::gateway {
+namespace poplarspool::crashes {
 
 namespace {
 
@@ -53,7 +53,7 @@
 struct instance
 {
     explicit instance(shared_list &list, const std::string &name = "edge-1")
-        : manager({[this](const runner &) { return isRunnerGone.load(); },
+        : manager({[this](const observed_runner &) { return isRunnerGone.load(); },
                    [this](peer::rumor rumor) {
                        const std::lock_guard lock(guard);
                        sent.push_back(std::move(rumor));
@@ -83,9 +83,9 @@
     quarantine_manager manager;
 };
 
-runner incarnationOf(int number)
+observed_runner incarnationOf(int number)
 {
-    runner made;
+    observed_runner made;
     made.id.text = "i-" + std::to_string(number);
     made.address = {"127.0.0.1", 9};
     return made;
@@ -300,4 +300,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(quarantine_manager_test);
 
-} // namespace poplarspool::gateway
+} // namespace poplarspool::crashes
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -16,13 +16,14 @@
     src/gateway/rollback_filter.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
     src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
     src/gateway/runner_set.cpp
-    src/gateway/crash_table.cpp src/gateway/crash_update.cpp src/gateway/limit_message.cpp
+    src/gateway/limit_message.cpp
     src/gateway/relayed_changes.cpp src/gateway/tunnel_message.cpp
     src/operators/config_files.cpp src/operators/cross_checks.cpp src/operators/gateway_file.cpp
     src/operators/inventory_file.cpp src/operators/key_table.cpp src/operators/rules_file.cpp
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
     src/workspaces/workspaces.cpp src/duties/fleet_clock.cpp src/duties/usage.cpp
     src/duties/usage_update.cpp src/scaling/fleet_plan.cpp src/streams/origin_message.cpp
+    src/crashes/crash_table.cpp src/crashes/crash_update.cpp
     platform/decode.cpp platform/decode_crash_records.cpp platform/decode_workspaces.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
 
 add_library(poplarspool_fuzzed STATIC EXCLUDE_FROM_ALL ${fuzzed})
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -61,17 +61,19 @@
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::set<endpoint> endedAddresses; ///< Addresses at which no process listens any more.
-    quarantine_manager quarantineManager{
-            {[this](const runner &target) { return endedAddresses.contains(target.address); },
-             {},
-             {},
-             {},
-             {}},
-            {},
-            {"test"},
-            clock,
-            registry,
-            events};
+    crashes::quarantine_manager quarantineManager{{[this](const crashes::observed_runner &target) {
+                                                       return endedAddresses.contains(
+                                                               target.address);
+                                                   },
+                                                   {},
+                                                   {},
+                                                   {},
+                                                   {}},
+                                                  {},
+                                                  {"test"},
+                                                  clock,
+                                                  registry,
+                                                  events};
     peer::fleet_view fleet{{{"test"}, {}}};
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
@@ -136,7 +138,7 @@
         endedAddresses.insert(gone);
         const http_request request = requestOf("GET", path, {{"Host", "h"}});
         for (int i = 0; i < count; ++i) {
-            runner endedRunner;
+            crashes::observed_runner endedRunner;
             endedRunner.id.text = "gone-" + std::to_string(i);
             endedRunner.address = gone;
             quarantineManager.recordConnectionLost(digestOf(request, context.digestSeed),
