--- a/tests/adapter/crashing_runners.h
+++ b/tests/adapter/crashing_runners.h
@@ -13,14 +13,22 @@
 
 namespace poplarspool::adapter::test {
 
-/// A runner that crashes when it receives a body with `crashMarker`: it resets all its connections
-/// and refuses new ones. Any other request gets a complete reply.
+/// How the replies of a runner are delimited, and where a crash ends them.
+enum class reply_form {
+    Sized, ///< With a length; a crash comes before the reply.
+    EndsBetweenEvents, ///< A stream without length or chunks; a crash ends it after an event.
+    EndsWithinEvent, ///< The same, and a crash ends it within its second event.
+};
+
+/// A runner that crashes when it receives a request with `crashMarker` in its prompt or its body:
+/// it closes all its connections and refuses new ones. Any other request gets a complete reply.
 class crashing_runner
 {
 public:
     static constexpr std::string_view crashMarker = "crashes-its-runner";
 
-    crashing_runner() : listener(::socket(AF_INET, SOCK_STREAM, 0))
+    explicit crashing_runner(reply_form form = reply_form::Sized)
+        : form(form), listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -44,6 +52,10 @@
 
     const endpoint &address() const { return listenAddress; }
     bool hasCrashed() const { return isCrashed; }
+    /// If false, requests with `crashMarker` are served like others.
+    void setVulnerable(bool isNow) { isVulnerable = isNow; }
+    /// Crashes at the next request, whichever it is.
+    void crashAtNextRequest() { crashesNext = true; }
     /// Number of received requests with `crashMarker`.
     int crashRequestCount() const { return crashRequests; }
 
@@ -78,15 +90,42 @@
                 request.append(buffer.data(), static_cast<std::size_t>(size));
                 receivedBytes += static_cast<std::size_t>(size);
             }
-            if (request.find(crashMarker, bodyStart) != std::string::npos) {
-                ++crashRequests;
+            const bool isMarked = request.find(crashMarker) != std::string::npos;
+            crashRequests += isMarked ? 1 : 0;
+            if ((isMarked && isVulnerable) || crashesNext.exchange(false)) {
+                send(fd, brokenReply());
                 return crash();
             }
-            sendAll(fd, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole",
-                    poplarspool::test::testDeadline(), -1);
+            send(fd, wholeReply());
+            if (form != reply_form::Sized) {
+                shutdown(fd, SHUT_RDWR);
+                return;
+            }
         }
     }
 
+    static void send(int fd, const std::string &text)
+    {
+        sendAll(fd, text, poplarspool::test::testDeadline(), -1);
+    }
+
+    std::string brokenReply() const
+    {
+        if (form == reply_form::Sized)
+            return {};
+        return std::string(streamHead) + "id: 1\ndata: a\n\n"
+                + (form == reply_form::EndsWithinEvent ? "id: 2\nda" : "");
+    }
+
+    std::string wholeReply() const
+    {
+        const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        if (form != reply_form::Sized)
+            return std::string(streamHead) + events;
+        return "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: "
+                + std::to_string(events.size()) + "\r\n\r\n" + events;
+    }
+
     void crash()
     {
         const std::lock_guard lock(guard);
@@ -99,9 +138,15 @@
         }
     }
 
+    static constexpr std::string_view streamHead =
+            "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+
+    const reply_form form;
     descriptor listener;
     endpoint listenAddress;
     std::mutex guard;
+    std::atomic<bool> isVulnerable{true};
+    std::atomic<bool> crashesNext{false};
     std::atomic<bool> isCrashed{false};
     std::atomic<int> crashRequests{0};
     std::vector<std::unique_ptr<descriptor>> connections;
@@ -113,7 +158,8 @@
 class crashing_runners
 {
 public:
-    crashing_runners(fake_store &store, int count) : store(store)
+    crashing_runners(fake_store &store, int count, reply_form form = reply_form::Sized)
+        : store(store), form(form)
     {
         for (int i = 0; i < count; ++i)
             startOne();
@@ -132,6 +178,21 @@
         }
     }
 
+    /// @param areNow If false, no runner crashes at marked requests.
+    void setVulnerable(bool areNow)
+    {
+        areVulnerable = areNow;
+        for (const incarnation_entry &each : incarnations)
+            each.runner->setVulnerable(areNow);
+    }
+
+    /// Each living runner crashes at its next request.
+    void crashAllAtNextRequest()
+    {
+        for (const incarnation_entry &each : incarnations)
+            each.runner->crashAtNextRequest();
+    }
+
     int crashedCount() const
     {
         return static_cast<int>(
@@ -159,7 +220,8 @@
     void startOne()
     {
         incarnation_entry entry{"i-" + std::to_string(incarnations.size()),
-                                std::make_unique<crashing_runner>()};
+                                std::make_unique<crashing_runner>(form)};
+        entry.runner->setVulnerable(areVulnerable);
         store.put(wire::runnerKind, entry.id,
                   R"({"service":"s","address":")" + textOf(entry.runner->address())
                           + R"(","state":"in_service","slots":8,"seq":1})");
@@ -167,6 +229,8 @@
     }
 
     fake_store &store;
+    const reply_form form;
+    bool areVulnerable = true;
     std::vector<incarnation_entry> incarnations;
 };
 
