Find out which part of prompts crashes runners, and refuse it at every instance

Cause: the memory of ends was keyed by the whole request. Of requests of which no two are alike, each digest has the ends of one attempt, and no count reaches three; the part that they share was kept only as a hash of itself and all before it, and in no record.

Change: a crash record is of a request or of a part (by its own id and the caller's workspace). Each end is told to the part's judges, three instances chosen by rendezvous hashing, and to five more. Ends of two moments make the judges ask all instances who has served the part; 150 ms later a judge convicts the narrowest part that explains the ends, tells all, spreads a rumor and writes the store. A convicted part is refused before its prompt is read anywhere; its time over, one instance tries it, one request every 10 s. Whole answers clear the ends that were known when their run was sent, by the order in which the instance learnt of them and no longer by the time of day, also for requests. An answer that only its connection's end ends counts as whole once its runner's host still listens.

Why it works: what speaks for a part is asked where it is known, so that a tenant's first part, which is at every end, is no suspect; ends that a convicted part explains speak against no other.

--- a/include/poplarspool/crashes/limits.h
+++ b/include/poplarspool/crashes/limits.h
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-/// Number of runner incarnations that must end under a request before it is quarantined; the first
+/// Number of runner incarnations that must end under a request, or under a part of prompts that was
+/// never served, before it is quarantined; the first
 /// quarantine time; the factor by which each further incarnation extends it; and the maximum. The
 /// request is tried three times in the first day, and an innocent one is released soon.
 inline constexpr std::size_t quarantineIncarnations = 3;
@@ -18,9 +19,37 @@
 inline constexpr std::chrono::milliseconds maxQuarantineTime = 48h;
 /// Number of ended incarnations from which a request is not retried on another runner.
 inline constexpr std::size_t noRetryIncarnations = 2;
-/// Maximum crash records kept in memory, and maximum incarnations per record.
+/// The same number for a part that was served before: several crashes in a row may come while
+/// nobody is served.
+inline constexpr std::size_t servedPartIncarnations = 5;
+/// Time within which ends count as one moment, as when many runners are killed at once.
+inline constexpr std::chrono::milliseconds crashMoment = 500ms;
+/// Maximum parts of one request that are suspected: its first ones.
+inline constexpr std::size_t maxSuspectParts = 62;
+/// Maximum crash records of each kind kept in memory, maximum incarnations per record, and maximum
+/// digests per incarnation.
 inline constexpr std::size_t maxCrashRecords = 1024;
 inline constexpr std::size_t maxCrashIncarnations = 8;
+inline constexpr std::size_t maxEndDigests = 4;
+/// Maximum ends of which the order is remembered.
+inline constexpr std::size_t maxNumberedEnds = 4096;
+/// Slots for parts that were served here, of 8 bytes each.
+inline constexpr std::size_t maxServedParts = 8192;
+/// Instances that judge a part, and those that are told of each end under it. In a small fleet the
+/// latter are all, so that the next request with the part isn't retried.
+inline constexpr std::size_t partJudges = 3;
+inline constexpr std::size_t toldInstances = 8;
+/// Time for which a judge waits for those that have served a suspected part; and minimum time
+/// between two questions about the same part.
+inline constexpr std::chrono::milliseconds witnessTime = 150ms;
+inline constexpr std::chrono::milliseconds questionInterval = 2s;
+/// Maximum questions that a judge asks at once; the others follow at its next look.
+inline constexpr std::size_t maxQuestionsAtOnce = 4;
+/// Interval at which judges look at their parts, without new reports and with many.
+inline constexpr std::chrono::milliseconds idleJudgeInterval = 250ms;
+inline constexpr std::chrono::milliseconds minJudgeInterval = 20ms;
+/// Time between two requests with a part whose quarantine is over, until one is served.
+inline constexpr std::chrono::milliseconds partTrialInterval = 10s;
 /// Number of incarnations from which a crash record is stored, and the maximum number of stored
 /// records.
 inline constexpr std::size_t minStoredIncarnations = 2;
--- a/src/crashes/crash_update.h
+++ b/src/crashes/crash_update.h
@@ -5,8 +5,8 @@
 
 #include <vector>
 
-/// Rumors in which instances send each other the ends of runners and the requests that were
-/// running.
+/// Rumors in which instances send each other the ends of runners, the requests that were running,
+/// and the verdicts on parts of prompts.
 namespace poplarspool::crashes {
 
 /// An incarnation of a runner that ended while executing these requests, as observed by one
@@ -19,9 +19,11 @@
 
 /// @returns The report, split into as many rumors as the size limit requires.
 std::vector<peer::rumor> rumorsOf(const instance_id &self, const end_report &report);
-/// @returns A rumor that the request has completed.
-/// @param servedAtMs Unix time in ms.
-peer::rumor servedRumor(std::uint64_t digest, std::int64_t servedAtMs);
+/// @param cleared Record of a request that was served.
+/// @returns A rumor of the request's ends that don't count any more.
+peer::rumor clearedRumor(const crash_record &cleared);
+/// @returns A rumor that the part is convicted.
+peer::rumor partRumor(const crash_record &convicted);
 
 /// @returns The records in the rumor; empty if it is of another kind, Broken if it is malformed.
 result<std::vector<crash_record>> decodeCrashRecords(const peer::rumor &rumor);
--- a/src/crashes/quarantine_manager.cpp
+++ b/src/crashes/quarantine_manager.cpp
@@ -15,9 +15,25 @@
                                        metrics_registry &metrics, journal &events)
     : dependencies(std::move(given)), store(std::move(store)), self(std::move(self)),
       clock(std::move(clock)), events(events),
-      endsSeen(metrics.counterOf("poplarspool_gateway_runner_ends_total"))
+      endsSeen(metrics.counterOf("poplarspool_gateway_runner_ends_total")),
+      requestRecords(metrics.gaugeOf("poplarspool_crash_records{kind=\"request\"}")),
+      partRecords(metrics.gaugeOf("poplarspool_crash_records{kind=\"part\"}")),
+      judge(judgeDependencies(metrics), table)
 { }
 
+part_judge_dependencies quarantine_manager::judgeDependencies(metrics_registry &metrics)
+{
+    return {self,
+            dependencies.fleet,
+            dependencies.send,
+            dependencies.spreadRumor,
+            clock,
+            metrics,
+            [this](const std::vector<std::uint64_t> &keys, bool isOwn) {
+                recordVerdicts(keys, isOwn);
+            }};
+}
+
 quarantine_manager::~quarantine_manager()
 {
     stop();
@@ -50,26 +66,42 @@
     return clock.wall().time_since_epoch().count();
 }
 
-std::optional<quarantine> quarantine_manager::quarantineOf(std::uint64_t digest) const
+std::optional<quarantine> quarantine_manager::quarantineOf(const request_suspects &suspects) const
 {
-    return table.quarantineOf(digest, nowMs());
+    return table.quarantineOf(suspects, nowMs());
+}
+
+/// The caller's next attempt will show whether the request crashes runners. When such requests were
+/// retried at once, they ended one runner after another. A part that was served before is suspected
+/// later.
+bool quarantine_manager::isRetryRisky(const request_suspects &suspects) const
+{
+    if (table.countEnds(suspects.digest).incarnations >= config::noRetryIncarnations)
+        return true;
+    return std::ranges::any_of(suspects.parts, [this](const part_suspect &part) {
+        const std::size_t ends = table.countEnds(part.key).incarnations;
+        return ends >= config::quarantineIncarnations
+                || (ends >= config::noRetryIncarnations && !judge.wasServed(part.key));
+    });
 }
 
 /// An incomplete response alone doesn't show that the runner has ended: connections are reset, and
 /// runners may abort responses. Refused connections do show it.
-void quarantine_manager::recordConnectionLost(std::uint64_t digest, const observed_runner &target)
+void quarantine_manager::recordConnectionLost(const request_suspects &suspects,
+                                              const observed_runner &target)
 {
     if (table.hasEnded(incarnationKeyOf(target)) || dependencies.hasEnded(target))
-        countEnd(digest, target);
+        countEnd(suspects, target);
     else
-        recordUnconfirmed(digest, target);
+        recordUnconfirmed(suspects, target);
 }
 
-void quarantine_manager::recordUnconfirmed(std::uint64_t digest, const observed_runner &target)
+void quarantine_manager::recordUnconfirmed(const request_suspects &suspects,
+                                           const observed_runner &target)
 {
     const std::lock_guard lock(guard);
     if (unconfirmed.size() < config::maxUnconfirmedEnds)
-        unconfirmed.push_back({digest, target, clock.mono()});
+        unconfirmed.push_back({suspects, target, clock.mono()});
 }
 
 /// The refusal of the connection may have been lost, or another instance may have observed the end
@@ -89,7 +121,7 @@
         if (isNew)
             known->second = table.hasEnded(key) || dependencies.hasEnded(each.target);
         if (known->second)
-            countEnd(each.digest, each.target);
+            countEnd(each.suspects, each.target);
         else if (clock.mono() - each.seenAt < config::unconfirmedEndTime)
             remaining.push_back(std::move(each));
     }
@@ -97,41 +129,82 @@
     std::ranges::move(remaining, std::back_inserter(unconfirmed));
 }
 
-void quarantine_manager::countEnd(std::uint64_t digest, const observed_runner &target)
+void quarantine_manager::countEnd(const request_suspects &suspects, const observed_runner &target)
 {
     const std::uint64_t key = incarnationKeyOf(target);
+    const std::uint64_t digest = suspects.digest;
     const ended_incarnation ended{key, nowMs()};
     if (!table.recordEnd(digest, ended))
         return;
     endsSeen.add();
+    std::string partKeys;
+    for (const part_suspect &part : suspects.parts)
+        partKeys += (partKeys.empty() ? "" : ",") + digestText(part.key);
     events.emit("ended_under_request",
                 {{"digest", digestText(digest)},
                  {"runner", target.id.text},
                  {"born", std::to_string(target.startedAtMs)},
-                 {"lives", std::to_string(table.countIncarnations(digest))}});
+                 {"lives", std::to_string(table.countEnds(digest).incarnations)},
+                 {"part_keys", partKeys}});
     logQuarantine(digest);
+    if (!suspects.parts.empty()) {
+        judge.reportEnd(suspects, ended);
+        judge.judge();
+    }
     const std::lock_guard lock(guard);
     end_report &report = pending[key].report;
     report.ended = ended;
     report.digests.push_back(digest);
-    ownDigests.insert(digest);
+    ownKeys.insert(digest);
     hasWork = true;
     changed.notify_all();
 }
 
-void quarantine_manager::recordServed(std::uint64_t digest)
+void quarantine_manager::recordServed(const request_suspects &suspects, std::uint64_t known)
+{
+    const std::vector<crash_record> cleared = table.recordServed(suspects, known);
+    judge.reportServed(suspects, cleared);
+    for (const crash_record &one : cleared) {
+        events.emit("request_cleared",
+                    {{"kind", std::string(nameOf(one.kind))}, {"digest", digestText(one.key)}});
+        const std::lock_guard lock(guard);
+        if (one.kind == suspect_kind::Request)
+            outgoing.push_back(clearedRumor(one));
+        else if (one.isConvicted)
+            outgoing.push_back(partRumor(one));
+        ownKeys.insert(one.key);
+        hasWork = true;
+        changed.notify_all();
+    }
+}
+
+/// Only the instance that has convicted a part writes it into the store.
+void quarantine_manager::recordVerdicts(const std::vector<std::uint64_t> &keys, bool isOwn)
+{
+    for (const std::uint64_t key : keys)
+        logQuarantine(key);
+    if (isOwn) {
+        const std::lock_guard lock(guard);
+        ownKeys.insert(keys.begin(), keys.end());
+    }
+    wake();
+}
+
+void quarantine_manager::wake()
 {
-    const std::int64_t now = nowMs();
-    if (!table.recordServed(digest, now))
-        return;
-    events.emit("request_cleared", {{"digest", digestText(digest)}});
     const std::lock_guard lock(guard);
-    outgoing.push_back(servedRumor(digest, now));
-    ownDigests.insert(digest);
     hasWork = true;
     changed.notify_all();
 }
 
+bool quarantine_manager::onDatagram(std::uint64_t sender, std::string_view payload)
+{
+    if (!judge.receive(sender, payload))
+        return false;
+    judge.judge();
+    return true;
+}
+
 void quarantine_manager::onRumor(const peer::rumor &rumor)
 {
     const auto received = decodeCrashRecords(rumor);
@@ -143,10 +216,8 @@
     if (valueOf(received).empty() || !table.merge(valueOf(received)))
         return;
     for (const crash_record &one : valueOf(received))
-        logQuarantine(one.digest);
-    const std::lock_guard lock(guard);
-    hasWork = true;
-    changed.notify_all();
+        logQuarantine(one.key);
+    wake();
 }
 
 void quarantine_manager::recordStoreRollback()
@@ -155,19 +226,34 @@
     isRollbackNew = true;
 }
 
-void quarantine_manager::logQuarantine(std::uint64_t digest) const
+void quarantine_manager::logQuarantine(std::uint64_t key) const
 {
-    const auto active = quarantineOf(digest);
-    const auto entry = table.find(digest);
+    const auto active = table.quarantineOf({key, {}}, nowMs());
+    const auto entry = table.find(key);
     if (!active || !entry)
         return;
     std::string incarnations;
-    for (const ended_incarnation &each : entry->incarnations)
+    std::set<std::uint64_t> digests;
+    for (const ended_incarnation &each : entry->incarnations) {
         incarnations += (incarnations.empty() ? "" : ",") + digestText(each.incarnationKey);
-    events.emit("request_quarantined",
-                {{"digest", digestText(digest)},
-                 {"lives", incarnations},
-                 {"for_ms", std::to_string(active->remaining.count())}});
+        digests.insert(each.digests.begin(), each.digests.end());
+    }
+    std::vector<event_field> fields{{"digest", digestText(key)},
+                                    {"lives", incarnations},
+                                    {"for_ms", std::to_string(active->remaining.count())}};
+    if (entry->kind == suspect_kind::PromptPart) {
+        fields.push_back({"place", std::to_string(entry->place)});
+        fields.push_back({"requests", std::to_string(digests.size())});
+        fields.push_back({"was_served", entry->wasServed ? "yes" : "no"});
+        fields.push_back({"others", std::to_string(table.countOthersAt(*entry))});
+    }
+    events.emit(std::string(nameOf(entry->kind)) + "_quarantined", std::move(fields));
+}
+
+void quarantine_manager::updateGauges()
+{
+    requestRecords.set(static_cast<std::int64_t>(table.countRecords(suspect_kind::Request)));
+    partRecords.set(static_cast<std::int64_t>(table.countRecords(suspect_kind::PromptPart)));
 }
 
 void quarantine_manager::run()
@@ -216,6 +302,7 @@
     handleStoreRollback();
     resolveUnconfirmed();
     sendPending();
+    updateGauges();
     const std::uint64_t fingerprint = table.fingerprintAt(nowMs());
     dependencies.setFingerprint(fingerprint);
     if (fingerprint != lastFingerprint)
@@ -225,8 +312,8 @@
     {
         const std::lock_guard lock(guard);
         mayAccessStore = !isLeaving;
-        if (ownDigests.size() > config::maxCrashRecords)
-            std::erase_if(ownDigests, [this](std::uint64_t digest) { return !table.find(digest); });
+        if (ownKeys.size() > config::maxCrashRecords)
+            std::erase_if(ownKeys, [this](std::uint64_t key) { return !table.find(key); });
     }
     if (mayAccessStore) {
         if (shouldReadStore())
@@ -316,7 +403,7 @@
     if (!table.merge(stored->records))
         return;
     for (const crash_record &one : stored->records)
-        logQuarantine(one.digest);
+        logQuarantine(one.key);
     lastFingerprint = table.fingerprintAt(nowMs());
     dependencies.setFingerprint(lastFingerprint);
 }
@@ -326,9 +413,9 @@
 {
     const std::lock_guard lock(guard);
     for (const crash_record &one : table.persistentRecords()) {
-        if (!rewritesAll && !ownDigests.contains(one.digest))
+        if (!rewritesAll && !ownKeys.contains(one.key))
             continue;
-        const auto found = std::ranges::find(list.records, one.digest, &crash_record::digest);
+        const auto found = std::ranges::find(list.records, one.key, &crash_record::key);
         if (found == list.records.end() || merged(*found, one) != *found)
             return true;
     }
--- a/src/crashes/quarantine_manager.h
+++ b/src/crashes/quarantine_manager.h
@@ -2,6 +2,7 @@
 
 #include "crashes/crash_table.h"
 #include "crashes/crash_update.h"
+#include "crashes/part_judge.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 
@@ -28,12 +29,17 @@
     /// @returns When this instance last received a confirmation from the store, directly or through
     ///          another instance.
     std::function<mono_time()> storeConfirmedAt;
+    const peer::fleet_view &fleet;
+    /// Sends a payload to the managers of other instances, given by their addresses for gossip.
+    /// Thread-safe.
+    std::function<void(const std::vector<endpoint> &to, const result<std::string> &payload)> send;
 };
 
-/// Collects during which requests runners ended, from this instance's own tries, from rumors of
-/// other instances, and from the store. Rumors are fast but may be lost. Records with two or more
-/// ends are also persisted in the store, for instances that start later, were partitioned, or were
-/// all killed at once. An instance detects that it lacks records by comparing fingerprints with the
+/// Collects during which requests, and on which parts of prompts, runners ended: from this
+/// instance's own tries, from rumors and datagrams of other instances, and from the store. Rumors
+/// are fast but may be lost. Records of requests with two or more ends, and of convicted parts, are
+/// also persisted in the store, for instances that start later, were partitioned, or were all
+/// killed at once. An instance detects that it lacks records by comparing fingerprints with the
 /// others.
 class quarantine_manager
 {
@@ -51,19 +57,32 @@
     // Called while handling requests.
 
     /// @returns Empty if the request may be sent.
-    std::optional<quarantine> quarantineOf(std::uint64_t digest) const;
-    /// @returns The number of ended incarnations that count against the request.
-    std::size_t countIncarnations(std::uint64_t digest) const
-    {
-        return table.countIncarnations(digest);
-    }
+    std::optional<quarantine> quarantineOf(const request_suspects &suspects) const;
+    /// @returns Whether this instance may send one request with the part, whose quarantine is over.
+    bool takeTrial(std::uint64_t partKey) { return judge.takeTrial(partKey); }
+    /// @returns Whether a request whose runner has ended should not go on at another one, because
+    ///          it may crash that as well.
+    bool isRetryRisky(const request_suspects &suspects) const;
+    /// @returns What recordServed() needs from the time at which the request was sent.
+    std::uint64_t endsKnown() const { return table.endsKnown(); }
+    /// @returns What counts against the request or the part.
+    counted_ends countEnds(std::uint64_t key) const { return table.countEnds(key); }
     /// Records that the connection was lost before the response was complete. Counts against the
-    /// request if the runner has ended.
-    void recordConnectionLost(std::uint64_t digest, const observed_runner &target);
+    /// request and its parts if the runner has ended.
+    void recordConnectionLost(const request_suspects &suspects, const observed_runner &target);
     /// Records an incomplete response where the connection doesn't show whether the runner has
     /// ended; this is checked later.
-    void recordUnconfirmed(std::uint64_t digest, const observed_runner &target);
-    void recordServed(std::uint64_t digest);
+    void recordUnconfirmed(const request_suspects &suspects, const observed_runner &target);
+    /// Records that the request completed at a runner to which it was sent when endsKnown() was
+    /// `known`.
+    void recordServed(const request_suspects &suspects, std::uint64_t known);
+
+    // Called from the thread that exchanges the datagrams.
+
+    /// @returns False if the payload can't be decoded.
+    bool onDatagram(std::uint64_t sender, std::string_view payload);
+    /// @returns When to call it again.
+    mono_time judgeParts() { return judge.judge(); }
 
     /// Applies a rumor of another instance; ignores other kinds of rumors.
     void onRumor(const peer::rumor &rumor);
@@ -82,13 +101,16 @@
     /// An incomplete response of a runner that may have ended.
     struct unconfirmed_end
     {
-        std::uint64_t digest = 0;
+        request_suspects suspects;
         observed_runner target;
         mono_time seenAt{};
     };
 
     std::int64_t nowMs() const;
-    void countEnd(std::uint64_t digest, const observed_runner &target);
+    part_judge_dependencies judgeDependencies(metrics_registry &metrics);
+    void countEnd(const request_suspects &suspects, const observed_runner &target);
+    void recordVerdicts(const std::vector<std::uint64_t> &keys, bool isOwn);
+    void wake();
     void resolveUnconfirmed();
     bool hasOtherFingerprint();
     void run();
@@ -101,7 +123,8 @@
     void readStore();
     void writeStore();
     bool isOwnRecordMissingIn(const crash_record_list &list);
-    void logQuarantine(std::uint64_t digest) const;
+    void logQuarantine(std::uint64_t key) const;
+    void updateGauges();
 
     const quarantine_dependencies dependencies;
     const crash_record_store store;
@@ -109,7 +132,10 @@
     const clock_source clock;
     journal &events;
     counter &endsSeen;
+    gauge &requestRecords;
+    gauge &partRecords;
     crash_table table;
+    part_judge judge;
     std::mutex guard;
     std::condition_variable changed;
     bool isStopping = false;
@@ -118,7 +144,8 @@
     bool hasWork = false;
     bool isRollbackNew = false; ///< A store rollback was reported and is not handled yet.
     std::map<std::uint64_t, pending_report> pending; ///< By incarnation key.
-    std::set<std::uint64_t> ownDigests; ///< Digests with ends observed by this instance itself.
+    /// Requests with ends observed by this instance itself, and parts that it has convicted.
+    std::set<std::uint64_t> ownKeys;
     std::vector<peer::rumor> outgoing;
     std::thread thread;
 
--- a/src/gateway/envelope.cpp
+++ b/src/gateway/envelope.cpp
@@ -2,6 +2,7 @@
 
 #include "base/http_text.h"
 #include "poplarspool/base/hash.h"
+#include "poplarspool/crashes/limits.h"
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
@@ -44,9 +45,10 @@
         const std::size_t colon = item.rfind(':');
         if (colon == std::string_view::npos || parts.size() >= maxPromptParts)
             return;
-        chain = hashOf(item.substr(0, colon), chain);
+        const std::string_view id = item.substr(0, colon);
+        chain = hashOf(id, chain);
         const auto tokens = numberOf<std::uint32_t>(item.substr(colon + 1));
-        parts.push_back({chain, tokens.value_or(0)});
+        parts.push_back({chain, tokens.value_or(0), hashOf(id)});
     });
     return parts;
 }
@@ -128,6 +130,19 @@
     return text;
 }
 
+std::vector<crashes::part_suspect> partSuspectsOf(const std::vector<prompt_part> &prompt,
+                                                  std::string_view workspace, std::uint64_t seed)
+{
+    std::vector<crashes::part_suspect> suspects;
+    const std::size_t count =
+            std::min(prompt.empty() ? 0 : prompt.size() - 1, config::maxSuspectParts);
+    suspects.reserve(count);
+    for (std::size_t place = 0; place < count; ++place)
+        suspects.push_back({crashes::partKeyOf(prompt[place].id, workspace, seed),
+                            static_cast<std::uint8_t>(place)});
+    return suspects;
+}
+
 std::uint64_t digestOf(const http_request &request, std::uint64_t seed)
 {
     std::uint64_t digest = hashOf(request.method, seed);
--- a/src/gateway/envelope.h
+++ b/src/gateway/envelope.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarspool/crashes/crash_records.h"
 #include "poplarspool/gateway/dialect.h"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 {
     std::uint64_t chain = 0; ///< Hash of this part and all before it: the key of a cached prefix.
     std::uint32_t tokens = 0;
+    std::uint64_t id = 0; ///< Hash of this part's id alone.
 
     bool operator==(const prompt_part &) const = default;
 };
@@ -41,6 +43,13 @@
 ///          but the last, for a log line: at most config::maxLoggedParts, each shortened.
 std::string sharedPartsText(const http_request &request, const dialect &names);
 
+/// @param workspace Of the caller; empty: none.
+/// @param seed See digestOf().
+/// @returns The keys of all parts but the last, which belongs to the request alone: at most
+///          config::maxSuspectParts.
+std::vector<crashes::part_suspect> partSuspectsOf(const std::vector<prompt_part> &prompt,
+                                                  std::string_view workspace, std::uint64_t seed);
+
 /// @param seed The same on all instances and unknown to callers, who otherwise could make requests
 ///             with another request's digest.
 /// @returns The digest that all attempts of the same request share: of its method, host, path and
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/gateway/gateway.h"
 
 #include "base/connection_pool.h"
+#include "crashes/crash_exchange.h"
 #include "gateway/address_subset.h"
 #include "gateway/caller_limits.h"
 #include "gateway/fleet_scaler.h"
@@ -92,9 +93,12 @@
                         registry, eventLog}),
           linkProber({publisher, connector, [this](bool isCutOff) { announceCutOff(isCutOff); },
                       clock, stepFailureReporterOf(eventLog, registry)}),
+          fleet({settings.instance, settings.peerAddress}),
           quarantineManager(quarantineDependencies(), std::move(links.crashRecords),
                             settings.instance, clock, registry, eventLog),
-          fleet({settings.instance, settings.peerAddress}),
+          crashExchange(datagramSettingsOf(settings, crashes::crashAddressOf(settings.peerAddress),
+                                           clock),
+                        quarantineManager, clock, registry, eventLog),
           rateLimiter(rateLimiterDependencies(registry), settings.instance),
           originExchange(datagramSettingsOf(settings,
                                             streams::originAddressOf(settings.peerAddress), clock),
@@ -165,6 +169,7 @@
     {
         linkProber.stop();
         tunnelServer.stop();
+        crashExchange.stop();
         quarantineManager.stop();
         members.stop();
     }
@@ -201,8 +206,9 @@
     runner_connector connector;
     tunnel_server tunnelServer;
     link_prober linkProber;
-    crashes::quarantine_manager quarantineManager;
     peer::fleet_view fleet;
+    crashes::quarantine_manager quarantineManager;
+    crashes::crash_exchange crashExchange;
     rate_limiter rateLimiter;
     streams::origin_exchange originExchange;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
@@ -289,29 +295,29 @@
 
 crashes::quarantine_dependencies gateway::state::quarantineDependencies()
 {
-    crashes::quarantine_dependencies made;
-    made.hasEnded = [this](const crashes::observed_runner &target) {
-        runner connected;
-        connected.id = target.id;
-        connected.startedAtMs = target.startedAtMs;
-        connected.address = target.address;
-        connected.zone = target.zone;
-        return connector.hasEnded(connected);
-    };
-    made.spreadRumor = [this](peer::rumor rumor) { members.spread(std::move(rumor)); };
-    made.setFingerprint = [this](std::uint64_t fingerprint) {
-        members.setApplied(fingerprint, clock.mono());
-    };
-    made.fingerprints = [this] {
-        std::vector<std::uint64_t> fingerprints;
-        for (const policy::member &one : members.members()) {
-            if (one.id != settings.instance)
-                fingerprints.push_back(one.appliedVersion);
-        }
-        return fingerprints;
-    };
-    made.storeConfirmedAt = [this] { return publisher.current()->runnersConfirmedAt; };
-    return made;
+    return {[this](const crashes::observed_runner &target) {
+                runner connected;
+                connected.id = target.id;
+                connected.startedAtMs = target.startedAtMs;
+                connected.address = target.address;
+                connected.zone = target.zone;
+                return connector.hasEnded(connected);
+            },
+            [this](peer::rumor rumor) { members.spread(std::move(rumor)); },
+            [this](std::uint64_t fingerprint) { members.setApplied(fingerprint, clock.mono()); },
+            [this] {
+                std::vector<std::uint64_t> fingerprints;
+                for (const policy::member &one : members.members()) {
+                    if (one.id != settings.instance)
+                        fingerprints.push_back(one.appliedVersion);
+                }
+                return fingerprints;
+            },
+            [this] { return publisher.current()->runnersConfirmedAt; },
+            fleet,
+            [this](const std::vector<endpoint> &to, const result<std::string> &payload) {
+                crashExchange.send(to, payload);
+            }};
 }
 
 rate_limiter_dependencies gateway::state::rateLimiterDependencies(metrics_registry &registry)
@@ -373,6 +379,9 @@
     const auto originsStarted = inner->originExchange.start();
     if (!succeeded(originsStarted))
         return errorOf(originsStarted);
+    const auto crashesStarted = inner->crashExchange.start();
+    if (!succeeded(crashesStarted))
+        return errorOf(crashesStarted);
     const auto tunnelsStarted = inner->tunnelServer.start();
     if (!succeeded(tunnelsStarted))
         return errorOf(tunnelsStarted);
@@ -484,6 +493,7 @@
     inner->loadExchange.stop();
     inner->limitExchange.stop();
     inner->originExchange.stop();
+    inner->crashExchange.stop();
     inner->members.stop();
 }
 
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -67,6 +67,7 @@
       callersGone(registry.counterOf("poplarspool_gateway_answers_total{end=\"caller_gone\"}")),
       unknownKeys(registry.counterOf("poplarspool_gateway_answers_total{end=\"unknown_key\"}")),
       quarantined(registry.counterOf("poplarspool_gateway_quarantined_total")),
+      quarantinedParts(registry.counterOf("poplarspool_gateway_quarantined_parts_total")),
       retries(registry.counterOf("poplarspool_gateway_retries_total")),
       resumes(registry.counterOf("poplarspool_gateway_resumes_total")),
       foreignReplies(registry.counterOf("poplarspool_gateway_foreign_replies_total")),
@@ -80,7 +81,8 @@
 request_proxy::request_proxy(const proxy_context &parts, const http_request &request,
                              http_sink &caller)
     : context(parts), request(request), caller(caller),
-      metadata(readEnvelope(request, parts.names)), digest(digestOf(request, parts.digestSeed)),
+      metadata(readEnvelope(request, parts.names)), suspects{digestOf(request, parts.digestSeed),
+                                                             {}},
       arrivedAt(parts.clock.mono()), view(parts.publisher.current()),
       retryAfterTime(config::refusedRetryAfter)
 { }
@@ -187,6 +189,8 @@
         return errorReply(400, error_code::BadRequest, verdict::NotRun,
                           "the header " + context.names.requestId + " is missing");
     }
+    suspects.parts = partSuspectsOf(metadata.prompt, owner == nullptr ? "" : owner->id.text,
+                                    context.digestSeed);
     const milliseconds limit = std::min(metadata.timeLimit.value_or(selectedRoute->timeLimit),
                                         selectedRoute->timeLimit);
     endsAt = std::min(arrivedAt + limit,
@@ -288,8 +292,13 @@
 /// Checked before each send: in the meantime, runners may have ended under other attempts.
 bool request_proxy::isQuarantined()
 {
-    if (!activeQuarantine)
-        activeQuarantine = context.quarantineManager.quarantineOf(digest);
+    if (activeQuarantine || isTrial)
+        return !isTrial;
+    activeQuarantine = context.quarantineManager.quarantineOf(suspects);
+    isTrial = activeQuarantine && activeQuarantine->isOver
+            && context.quarantineManager.takeTrial(activeQuarantine->key);
+    if (isTrial)
+        activeQuarantine.reset();
     return activeQuarantine.has_value();
 }
 
@@ -298,10 +307,7 @@
     if (arrivals >= config::maxArrivals || sends >= config::maxRequestTries
         || possibleRuns >= selectedRoute->maxRunners)
         return false;
-    // The caller's next attempt will show whether the request ends runners. When such requests were
-    // retried here at once, they ended one runner after another.
-    if (end == try_end::Lost
-        && context.quarantineManager.countIncarnations(digest) >= config::noRetryIncarnations)
+    if (end == try_end::Lost && (isTrial || context.quarantineManager.isRetryRisky(suspects)))
         return false;
     if (hasBegun)
         return selectedRoute->isResumable;
@@ -335,13 +341,8 @@
         context.metrics.failed.add();
         return std::move(bufferedReply);
     }
-    if (possibleRuns == 0 && activeQuarantine) {
-        context.metrics.quarantined.add();
-        lastFault = "quarantined";
-        return refusal(503, error_code::Unavailable,
-                       "request quarantined: runners ended while running it",
-                       activeQuarantine->remaining);
-    }
+    if (possibleRuns == 0 && activeQuarantine)
+        return quarantineRefusal();
     if (possibleRuns == 0)
         return refusal(503, error_code::Overloaded, "no runner could take the request",
                        retryAfterTime);
@@ -353,6 +354,18 @@
                       "runner's answer lost or incomplete");
 }
 
+http_reply request_proxy::quarantineRefusal()
+{
+    const bool isPart = activeQuarantine->kind == crashes::suspect_kind::PromptPart;
+    (isPart ? context.metrics.quarantinedParts : context.metrics.quarantined).add();
+    lastFault = isPart ? "quarantined_part:" + digestText(activeQuarantine->key) : "quarantined";
+    return refusal(
+            503, error_code::Unavailable,
+            isPart ? "request quarantined: runners ended while writing on a part of its prompt"
+                   : "request quarantined: runners ended while running it",
+            activeQuarantine->remaining);
+}
+
 http_reply request_proxy::refusal(int status, error_code code, std::string_view reason,
                                   milliseconds retryAfter)
 {
@@ -381,7 +394,8 @@
 
 void request_proxy::log(std::string_view kind, std::vector<event_field> fields) const
 {
-    fields.insert(fields.begin(), {{"request", metadata.id}, {"digest", digestText(digest)}});
+    fields.insert(fields.begin(),
+                  {{"request", metadata.id}, {"digest", digestText(suspects.digest)}});
     const std::uint64_t version = view->table ? view->table->version : 0;
     fields.push_back({"routes_version", std::to_string(version)});
     context.events.emit(kind, std::move(fields));
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -46,6 +46,7 @@
     counter &callersGone;
     counter &unknownKeys; ///< Ended because the request has no valid key.
     counter &quarantined; ///< Of the refused: runners have ended under the request.
+    counter &quarantinedParts; ///< Of the refused: runners have ended under a part of its prompt.
     counter &retries;
     counter &resumes;
     counter &foreignReplies;
@@ -132,6 +133,7 @@
     bool isCallerGone() const;
     std::optional<http_reply> abandon();
     std::optional<http_reply> finish();
+    http_reply quarantineRefusal();
     http_reply refusal(int status, error_code code, std::string_view reason,
                        milliseconds retryAfter);
     milliseconds timeLeft() const;
@@ -180,6 +182,7 @@
     bool beginReply(const reply_head &head);
     try_end handleFault(runner_call &call, call_fault fault, sending &current);
     void recordBrokenReply(const runner &target, call_fault fault);
+    bool hasRunnerCrashed(const runner_call &call, const runner &target) const;
     try_end recordServed(sending &current, try_end end);
     void keepConnection(runner_call &call, const reply_head &head, const runner &target,
                         runner_connection connection);
@@ -200,7 +203,8 @@
     const http_request &request;
     http_sink &caller;
     const envelope metadata;
-    const std::uint64_t digest; ///< Shared by all attempts of the same request.
+    /// The request, by a digest that all its attempts share, and the parts of its prompt.
+    crashes::request_suspects suspects;
     const mono_time arrivedAt;
 
     std::shared_ptr<const catalogue> view;
@@ -235,6 +239,10 @@
     std::optional<version_key> streamVersion;
     bool hasReturned = false; ///< It was sent to a runner again after its answer was lost there.
     std::optional<crashes::quarantine> activeQuarantine; ///< Set once the request is quarantined.
+    /// It is sent although a part of it is quarantined, to find out whether that still crashes
+    /// runners.
+    bool isTrial = false;
+    std::uint64_t endsKnown = 0; ///< Ends of runners that were known at the last send.
     milliseconds retryAfterTime; ///< Retry-After of a refusal.
     std::string lastRunner;
     std::string lastFault;
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -53,6 +53,7 @@
     lastConnectError.clear();
     lastWay.clear();
     isEndedByClose = false;
+    endsKnown = context.quarantineManager.endsKnown();
     context.runnerTable.recordCached(target.id, metadata.prompt);
     const std::string limitText = limitTextOf(target);
     try_end end = try_end::Lost;
@@ -273,15 +274,22 @@
     const crashes::observed_runner observed{target.id, target.startedAtMs, target.address,
                                             target.zone};
     if (fault == call_fault::Closed)
-        context.quarantineManager.recordConnectionLost(digest, observed);
+        context.quarantineManager.recordConnectionLost(suspects, observed);
     else
-        context.quarantineManager.recordUnconfirmed(digest, observed);
+        context.quarantineManager.recordUnconfirmed(suspects, observed);
+}
+
+/// A crash may end an answer like a runner that has written all of it, if only the end of the
+/// connection ends the answer.
+bool request_proxy::hasRunnerCrashed(const runner_call &call, const runner &target) const
+{
+    return call.isEndedByClose() && context.connections.hasEnded(target);
 }
 
 request_proxy::try_end request_proxy::recordServed(sending &current, try_end end)
 {
     current.record.recordEnd(send_outcome::Served);
-    context.quarantineManager.recordServed(digest);
+    context.quarantineManager.recordServed(suspects, endsKnown);
     return end;
 }
 
@@ -394,6 +402,8 @@
     // A partial event before an orderly end: the runner has lost the rest.
     if (!events.isAtBoundary())
         return handleFault(call, call_fault::Malformed, current);
+    if (hasRunnerCrashed(call, *current.place.serving))
+        return handleFault(call, call_fault::Closed, current);
     ++possibleRuns;
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
     if (!beginReply(head))
@@ -417,6 +427,8 @@
         if (body.size() > config::maxBufferedReplyBytes && !piece.isLast)
             return passLarge(call, head, std::move(body), current);
     }
+    if (hasRunnerCrashed(call, *current.place.serving))
+        return handleFault(call, call_fault::Closed, current);
     ++possibleRuns;
     recordFirstByte(current);
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
@@ -450,6 +462,8 @@
         if (piece.fault != call_fault::None)
             return handleFault(call, piece.fault, current);
     }
+    if (hasRunnerCrashed(call, *current.place.serving))
+        return handleFault(call, call_fault::Closed, current);
     ++possibleRuns;
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
     caller.end();
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -24,6 +24,7 @@
     Limit = 8, ///< Sent in a datagram.
     Tunnel = 9, ///< First frame of each side of a tunnel; plain bytes follow.
     StreamOrigin = 10, ///< Sent in a datagram.
+    Crash = 11, ///< Sent in a datagram.
 };
 
 /// Header of every frame between instances.
--- a/tests/crashes/crash_table_test.cpp
+++ b/tests/crashes/crash_table_test.cpp
@@ -29,7 +29,7 @@
 
 bool isQuarantined(const crash_table &table, std::uint64_t digest, std::int64_t now = start)
 {
-    return table.quarantineOf(digest, now).has_value();
+    return table.quarantineOf({digest, {}}, now).has_value();
 }
 
 } // namespace
@@ -60,7 +60,7 @@
         CPPUNIT_ASSERT(!table.recordEnd(7, endOf(1)));
         CPPUNIT_ASSERT(!table.merge({recordOf(7, {1})}));
         table.merge({recordOf(7, {1, 2})});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.countIncarnations(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.countEnds(7).incarnations);
         CPPUNIT_ASSERT(!isQuarantined(table, 7));
     }
 
@@ -105,14 +105,14 @@
     void completedRequestIsReleased()
     {
         crash_table table;
-        CPPUNIT_ASSERT(!table.recordServed(7, start));
+        CPPUNIT_ASSERT(table.recordServed({7, {}}, table.endsKnown()).empty());
         table.merge({recordOf(7, {1, 2, 3})});
-        CPPUNIT_ASSERT(table.recordServed(7, start + 1));
+        CPPUNIT_ASSERT(!table.recordServed({7, {}}, table.endsKnown()).empty());
         CPPUNIT_ASSERT(!isQuarantined(table, 7));
         table.merge({recordOf(7, {1, 2, 3})});
         CPPUNIT_ASSERT(!isQuarantined(table, 7));
         table.recordEnd(7, endOf(4, start + 2));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.countIncarnations(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.countEnds(7).incarnations);
     }
 
     /// Requests that ran beside the one that crashes runners are recorded at the same ends, and
@@ -137,7 +137,7 @@
         table.merge({recordOf(7, {1, 2, 3}), recordOf(8, {1, 2, 3}), recordOf(9, {1, 2})});
         CPPUNIT_ASSERT(isQuarantined(table, 7) && isQuarantined(table, 8)
                        && !isQuarantined(table, 9));
-        CPPUNIT_ASSERT(table.recordServed(7, start + 1));
+        CPPUNIT_ASSERT(!table.recordServed({7, {}}, table.endsKnown()).empty());
         CPPUNIT_ASSERT(!isQuarantined(table, 7) && isQuarantined(table, 8));
     }
 
@@ -181,7 +181,7 @@
         CPPUNIT_ASSERT(!isQuarantined(table, 7, next));
         for (std::uint64_t key = 5; key < 40; ++key)
             table.recordEnd(7, endOf(key, end));
-        CPPUNIT_ASSERT(table.quarantineOf(7, end)->remaining == config::maxQuarantineTime);
+        CPPUNIT_ASSERT(table.quarantineOf({7, {}}, end)->remaining == config::maxQuarantineTime);
     }
 
     /// Limits how many runners a request can crash whose caller keeps retrying.
--- a/tests/crashes/quarantine_manager_test.cpp
+++ b/tests/crashes/quarantine_manager_test.cpp
@@ -39,7 +39,7 @@
     std::size_t countEnds(std::uint64_t digest)
     {
         const std::lock_guard lock(guard);
-        const auto found = std::ranges::find(content.records, digest, &crash_record::digest);
+        const auto found = std::ranges::find(content.records, digest, &crash_record::key);
         return found == content.records.end() ? 0 : found->incarnations.size();
     }
 
@@ -60,7 +60,8 @@
                    },
                    [this](std::uint64_t given) { fingerprint = given; },
                    [this] { return std::vector<std::uint64_t>{otherFingerprint.load()}; },
-                   [this] { return isPartitioned ? mono_time{} : systemClock().mono(); }},
+                   [this] { return isPartitioned ? mono_time{} : systemClock().mono(); }, fleet,
+                   [](const std::vector<endpoint> &, const result<std::string> &) {}},
                   list.access(), {name}, systemClock(), metrics, events)
     {
         manager.start();
@@ -74,6 +75,7 @@
 
     metrics_registry metrics;
     journal events{{"test"}, systemClock(), 64};
+    peer::fleet_view fleet{{{"test"}, {}}};
     std::atomic<bool> isRunnerGone{true};
     std::atomic<std::uint64_t> fingerprint{0};
     std::atomic<std::uint64_t> otherFingerprint{0};
@@ -126,13 +128,13 @@
         shared_list list;
         instance one(list);
         one.isRunnerGone = false;
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countIncarnations(7));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countEnds(7).incarnations);
         one.isRunnerGone = true;
-        one.manager.recordConnectionLost(8, incarnationOf(1));
+        one.manager.recordConnectionLost({8, {}}, incarnationOf(1));
         one.isRunnerGone = false; // Restarted; the end of the incarnation is known nevertheless.
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.manager.countIncarnations(7));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.manager.countEnds(7).incarnations);
     }
 
     void endConfirmedLaterCounts()
@@ -140,11 +142,12 @@
         shared_list list;
         instance one(list);
         one.isRunnerGone = false;
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        one.manager.recordUnconfirmed(8, incarnationOf(1));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        one.manager.recordUnconfirmed({8, {}}, incarnationOf(1));
         one.isRunnerGone = true;
         CPPUNIT_ASSERT(waitUntil([&] {
-            return one.manager.countIncarnations(7) == 1 && one.manager.countIncarnations(8) == 1;
+            return one.manager.countEnds(7).incarnations == 1
+                    && one.manager.countEnds(8).incarnations == 1;
         }));
     }
 
@@ -155,8 +158,8 @@
         shared_list list;
         instance one(list);
         one.manager.stopStoreAccess();
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        one.manager.recordConnectionLost(7, incarnationOf(2));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(2));
         one.manager.stop();
         std::vector<crash_record> sent;
         for (const peer::rumor &rumor : one.takeSent()) {
@@ -172,15 +175,15 @@
         shared_list list;
         instance one(list);
         instance other(list, "edge-2");
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        one.manager.recordConnectionLost(7, incarnationOf(2));
-        other.manager.recordConnectionLost(7, incarnationOf(3));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(2));
+        other.manager.recordConnectionLost({7, {}}, incarnationOf(3));
         CPPUNIT_ASSERT(waitUntil([&] {
             for (const peer::rumor &rumor : one.takeSent())
                 other.manager.onRumor(rumor);
-            return other.manager.quarantineOf(7).has_value();
+            return other.manager.quarantineOf({7, {}}).has_value();
         }));
-        CPPUNIT_ASSERT(!other.manager.quarantineOf(8));
+        CPPUNIT_ASSERT(!other.manager.quarantineOf({8, {}}));
     }
 
     /// If all instances are killed at once and nothing is persisted, the request can crash three
@@ -190,14 +193,14 @@
         shared_list list;
         {
             instance one(list);
-            one.manager.recordConnectionLost(7, incarnationOf(1));
-            one.manager.recordConnectionLost(7, incarnationOf(2));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(2));
             CPPUNIT_ASSERT(waitUntil([&] { return list.countEnds(7) == 2; }));
         }
         instance later(list, "edge-2");
-        CPPUNIT_ASSERT(waitUntil([&] { return later.manager.countIncarnations(7) == 2; }));
-        later.manager.recordConnectionLost(7, incarnationOf(3));
-        CPPUNIT_ASSERT(later.manager.quarantineOf(7));
+        CPPUNIT_ASSERT(waitUntil([&] { return later.manager.countEnds(7).incarnations == 2; }));
+        later.manager.recordConnectionLost({7, {}}, incarnationOf(3));
+        CPPUNIT_ASSERT(later.manager.quarantineOf({7, {}}));
     }
 
     void concurrentWritersKeepAllEnds()
@@ -206,9 +209,9 @@
         instance one(list);
         instance other(list, "edge-2");
         for (int number = 1; number <= 3; ++number) {
-            one.manager.recordConnectionLost(7, incarnationOf(number));
-            other.manager.recordConnectionLost(8, incarnationOf(10 + number));
-            other.manager.recordConnectionLost(7, incarnationOf(20 + number));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(number));
+            other.manager.recordConnectionLost({8, {}}, incarnationOf(10 + number));
+            other.manager.recordConnectionLost({7, {}}, incarnationOf(20 + number));
         }
         CPPUNIT_ASSERT(waitUntil([&] { return list.countEnds(7) == 6 && list.countEnds(8) == 3; }));
     }
@@ -221,11 +224,13 @@
         CPPUNIT_ASSERT(waitUntil([&] { return list.reads > 0; }));
         instance one(list, "edge-2");
         for (int number = 1; number <= 3; ++number)
-            one.manager.recordConnectionLost(7, incarnationOf(number));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(number));
         CPPUNIT_ASSERT(waitUntil([&] { return one.fingerprint != 0 && list.countEnds(7) == 3; }));
-        CPPUNIT_ASSERT(!incomplete.manager.quarantineOf(7));
+        CPPUNIT_ASSERT(!incomplete.manager.quarantineOf({7, {}}));
         incomplete.otherFingerprint = one.fingerprint.load();
-        CPPUNIT_ASSERT(waitUntil([&] { return incomplete.manager.quarantineOf(7).has_value(); }));
+        CPPUNIT_ASSERT(waitUntil([&] {
+            return incomplete.manager.quarantineOf({7, {}}).has_value();
+        }));
         CPPUNIT_ASSERT(waitUntil([&] { return incomplete.fingerprint == one.fingerprint; }));
     }
 
@@ -238,10 +243,12 @@
         std::this_thread::sleep_for(2 * config::quarantineInterval);
         instance one(list, "edge-2");
         for (int number = 1; number <= 3; ++number)
-            one.manager.recordConnectionLost(7, incarnationOf(number));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(number));
         CPPUNIT_ASSERT(waitUntil([&] { return list.countEnds(7) == 3; }));
         incomplete.isPartitioned = false;
-        CPPUNIT_ASSERT(waitUntil([&] { return incomplete.manager.quarantineOf(7).has_value(); }));
+        CPPUNIT_ASSERT(waitUntil([&] {
+            return incomplete.manager.quarantineOf({7, {}}).has_value();
+        }));
     }
 
     void recordsAreRewrittenAfterStoreRollback()
@@ -249,7 +256,7 @@
         shared_list list;
         instance one(list);
         for (int number = 1; number <= 3; ++number)
-            one.manager.recordConnectionLost(7, incarnationOf(number));
+            one.manager.recordConnectionLost({7, {}}, incarnationOf(number));
         CPPUNIT_ASSERT(waitUntil([&] { return list.countEnds(7) == 3; }));
         {
             const std::lock_guard lock(list.guard);
@@ -263,13 +270,13 @@
     {
         shared_list list;
         instance one(list);
-        one.manager.recordConnectionLost(7, incarnationOf(1));
-        one.manager.recordServed(7);
+        one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
+        one.manager.recordServed({7, {}}, one.manager.endsKnown());
         CPPUNIT_ASSERT(waitUntil([&] { return !one.takeSent().empty(); }));
         std::this_thread::sleep_for(3 * config::quarantineInterval);
         CPPUNIT_ASSERT_EQUAL(1, list.reads);
         CPPUNIT_ASSERT_EQUAL(0, list.writes);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countIncarnations(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countEnds(7).incarnations);
     }
 
     void rumorsStayWithinSizeLimits()
@@ -293,8 +300,8 @@
             CPPUNIT_ASSERT(!succeeded(
                     decodeCrashRecords({whole.key, whole.version, whole.payload.substr(0, size)})));
         CPPUNIT_ASSERT(valueOf(decodeCrashRecords({"load/i-1", 1, "x"})).empty());
-        CPPUNIT_ASSERT(valueOf(decodeCrashRecords(servedRumor(7, 5)))
-                       == (std::vector<crash_record>{{7, {}, 5}}));
+        CPPUNIT_ASSERT(valueOf(decodeCrashRecords(clearedRumor({7, {{5, 9, true}, {6, 9}}})))
+                       == (std::vector<crash_record>{{7, {{5, 9, true}}}}));
     }
 };
 
--- a/tests/fuzz/datagrams.cpp
+++ b/tests/fuzz/datagrams.cpp
@@ -1,3 +1,4 @@
+#include "crashes/crash_message.h"
 #include "duties/usage_update.h"
 #include "fuzz.h"
 #include "gateway/limit_message.h"
@@ -89,7 +90,7 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    switch (fuzz::takeByte(bytes) % 10) {
+    switch (fuzz::takeByte(bytes) % 11) {
     case 0:
         checkFrame(bytes);
         break;
@@ -126,6 +127,12 @@
                 [](const gateway::limit_message &message) { return gateway::encode(message); },
                 gateway::decodeLimitMessage);
         break;
+    case 9:
+        checkRoundTrip(
+                bytes,
+                [](const crashes::crash_message &message) { return crashes::encode(message); },
+                crashes::decodeCrashMessage);
+        break;
     default:
         checkRoundTrip(
                 bytes,
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -60,21 +60,20 @@
     connector_fixture connections{clock, registry, events};
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
-    std::set<endpoint> endedAddresses; ///< Addresses at which no process listens any more.
-    crashes::quarantine_manager quarantineManager{{[this](const crashes::observed_runner &target) {
-                                                       return endedAddresses.contains(
-                                                               target.address);
-                                                   },
-                                                   {},
-                                                   {},
-                                                   {},
-                                                   {}},
-                                                  {},
-                                                  {"test"},
-                                                  clock,
-                                                  registry,
-                                                  events};
     peer::fleet_view fleet{{{"test"}, {}}};
+    std::set<endpoint> endedAddresses; ///< Addresses at which no process listens any more.
+    crashes::quarantine_dependencies quarantineDependencies{
+            [this](const crashes::observed_runner &target) {
+                return endedAddresses.contains(target.address);
+            },
+            [](peer::rumor) {},
+            [](std::uint64_t) {},
+            [] { return std::vector<std::uint64_t>(); },
+            [] { return mono_time{}; },
+            fleet,
+            [](const std::vector<endpoint> &, const result<std::string> &) {}};
+    crashes::quarantine_manager quarantineManager{
+            quarantineDependencies, {}, {"test"}, clock, registry, events};
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
              [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
@@ -141,7 +140,7 @@
             crashes::observed_runner endedRunner;
             endedRunner.id.text = "gone-" + std::to_string(i);
             endedRunner.address = gone;
-            quarantineManager.recordConnectionLost(digestOf(request, context.digestSeed),
+            quarantineManager.recordConnectionLost({digestOf(request, context.digestSeed), {}},
                                                    endedRunner);
         }
     }
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -48,8 +48,9 @@
     test::connector_fixture connections{clock, registry, events};
     proxy_metrics metrics{registry};
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
-    quarantine_manager quarantineManager{{}, {}, {"test"}, clock, registry, events};
     peer::fleet_view fleet{{{"test"}, {}}};
+    crashes::quarantine_manager quarantineManager{
+            {{}, {}, {}, {}, {}, fleet, {}}, {}, {"test"}, clock, registry, events};
     rate_limiter rateLimiter{
             {names.rateLimit, [](const std::vector<endpoint> &, const result<std::string> &) {},
              [this](std::uint32_t runner) { return runnerTable.recentSendsTo(runner); },
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -317,9 +317,10 @@
         };
         CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/again/1")->status);
         const http_request request = requestOf("GET", "/again/1", {{"Host", "h"}});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                             test.quarantineManager.countIncarnations(
-                                     digestOf(request, test.context.digestSeed)));
+        CPPUNIT_ASSERT_EQUAL(
+                std::size_t{0},
+                test.quarantineManager.countEnds(digestOf(request, test.context.digestSeed))
+                        .incarnations);
     }
 };
 
