--- a/src/bench/decisions.cpp
+++ b/src/bench/decisions.cpp
@@ -2,9 +2,12 @@
 
 #include "bench/command.h"
 #include "bench/sample_stats.h"
+#include "crashes/crash_table.h"
+#include "gateway/envelope.h"
 #include "gateway/runner_table.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/base/limits.h"
+#include "poplarspool/crashes/limits.h"
 #include "poplarspool/policy/plan.h"
 #include "poplarspool/policy/routing.h"
 
@@ -203,6 +206,30 @@
           }));
 }
 
+/// The check of one request against the records of crashes, with as many records as are kept.
+void benchQuarantine(std::size_t parts)
+{
+    crashes::crash_table table;
+    std::vector<crashes::crash_record> records;
+    for (std::uint64_t key = 0; key < config::maxCrashRecords; ++key) {
+        crashes::crash_record made{hashOf(std::to_string(key)), {{key, 1}}};
+        records.push_back(made);
+        made.key = ~made.key;
+        made.kind = crashes::suspect_kind::PromptPart;
+        records.push_back(std::move(made));
+    }
+    table.merge(records);
+    const std::vector<gateway::prompt_part> prompt(parts + 1, {1, 100, 1});
+    std::size_t refused = 0;
+    print("quarantine_of_" + std::to_string(parts) + "_parts",
+          timesOf(decisionCount, [&](std::uint32_t i) {
+              const crashes::request_suspects suspects{
+                      i, gateway::partSuspectsOf(prompt, "workspace", i)};
+              refused += table.quarantineOf(suspects, 2) ? 1 : 0;
+          }));
+    std::cout << "refused=" << refused << std::endl;
+}
+
 void benchAddresses()
 {
     const view now = makeView(makeFleet(1, modelCount));
@@ -227,6 +254,8 @@
     benchAddresses();
     for (const std::size_t engines : {140U, 1'200U, 10'000U, 20'000U})
         benchPlacement(engines);
+    for (const std::size_t parts : {1U, 4U, 16U})
+        benchQuarantine(parts);
     return exitSuccess;
 }
 
--- a/src/crashes/crash_table.cpp
+++ b/src/crashes/crash_table.cpp
@@ -171,6 +171,8 @@
                                                     std::uint64_t known)
 {
     const auto current = assessments.current();
+    if (current->empty())
+        return {};
     std::vector<std::uint64_t> keys{suspects.digest};
     for (const part_suspect &part : suspects.parts)
         keys.push_back(part.key);
