Let an answer speak for a part only once its runner has outlived it, and convict parts that were served before at the fifth end

A short answer is complete before its engine crashes of it (the crash comes 45 to 123 ms after the first byte). It cleared the part, which was not among those at the end either. Now answers are watched: they speak for their parts when their runner has outlived them by 1 s, and if it ends within 0.3 s, it has ended under that request. answerThatItsRunnerDoesNotSurviveSpeaksAgainstItsParts.

A part that was sound for a while needed five moments with ends. Where two engines run requests and end together, the fifth end is of the third moment. Now three are enough unless runners without the part ended in the same moments. partThatWasServedBeforeIsConvictedAtTheFifthEnd: fails on the code before, green now.

Two tests of the first form named the old numbers; their cases stand, with other runners that end in the same moments.

--- a/include/poplarspool/crashes/limits.h
+++ b/include/poplarspool/crashes/limits.h
@@ -19,8 +19,7 @@
 inline constexpr std::chrono::milliseconds maxQuarantineTime = 48h;
 /// Number of ended incarnations from which a request is not retried on another runner.
 inline constexpr std::size_t noRetryIncarnations = 2;
-/// The same number for a part that was served before: several crashes in a row may come while
-/// nobody is served.
+/// The same number for a part that may be at these ends by chance.
 inline constexpr std::size_t servedPartIncarnations = 5;
 /// Time within which ends count as one moment, as when many runners are killed at once.
 inline constexpr std::chrono::milliseconds crashMoment = 500ms;
@@ -33,6 +32,12 @@
 inline constexpr std::size_t maxEndDigests = 4;
 /// Maximum ends of which the order is remembered.
 inline constexpr std::size_t maxNumberedEnds = 4096;
+/// Time for which a runner must outlive an answer for it to speak for the request and its parts; if
+/// the runner ends within the second time, it counts as having ended under the request.
+inline constexpr std::chrono::milliseconds survivalTime = 1s;
+inline constexpr std::chrono::milliseconds lateCrashTime = 300ms;
+/// Maximum answers whose runners are watched.
+inline constexpr std::size_t maxWatchedAnswers = 4096;
 /// Slots for parts that were served here, of 8 bytes each.
 inline constexpr std::size_t maxServedParts = 8192;
 /// Instances that judge a part, and those that are told of each end under it. In a small fleet the
--- a/src/crashes/crash_table.cpp
+++ b/src/crashes/crash_table.cpp
@@ -274,10 +274,7 @@
 bool crash_table::hasEnded(std::uint64_t incarnationKey) const
 {
     const std::lock_guard lock(guard);
-    return std::ranges::any_of(records, [incarnationKey](const auto &entry) {
-        return std::ranges::binary_search(entry.second.incarnations, incarnationKey, {},
-                                          &ended_incarnation::incarnationKey);
-    });
+    return endNumbers.contains(incarnationKey);
 }
 
 std::vector<crash_record> crash_table::persistentRecords() const
--- a/src/crashes/part_verdicts.cpp
+++ b/src/crashes/part_verdicts.cpp
@@ -3,6 +3,7 @@
 #include "poplarspool/crashes/limits.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <optional>
 #include <vector>
@@ -48,6 +49,18 @@
     });
 }
 
+/// @returns Whether a runner without the part ended in the same moment: then something else ends
+///          runners.
+bool haveOthersEnded(const crash_record &part, const ended_incarnation &ended,
+                     const ends_by_incarnation &index)
+{
+    return std::ranges::any_of(index, [&](const auto &entry) {
+        const std::int64_t time = entry.second.front().ended->endedAtMs - ended.endedAtMs;
+        return std::abs(time) < config::crashMoment.count()
+                && std::ranges::find(entry.second, &part, &part_end::part) == entry.second.end();
+    });
+}
+
 std::size_t momentsOf(const std::vector<const ended_incarnation *> &ends)
 {
     std::vector<std::int64_t> times;
@@ -74,11 +87,6 @@
     return std::min(momentsOf(ends), digests.size() + 1);
 }
 
-std::size_t neededWeight(const crash_record &part)
-{
-    return part.wasServed ? config::servedPartIncarnations : config::quarantineIncarnations;
-}
-
 std::vector<const ended_incarnation *> countedEnds(const crash_record &part)
 {
     std::vector<const ended_incarnation *> counted;
@@ -112,7 +120,8 @@
         if (explained.contains(each->incarnationKey))
             continue;
         all.push_back(each);
-        if (!part.wasServed && !hasNarrowerSuspect(part, *each, index))
+        const bool isLikely = !part.wasServed || !haveOthersEnded(part, *each, index);
+        if (isLikely && !hasNarrowerSuspect(part, *each, index))
             narrowest.push_back(each);
     }
     const std::size_t weight = weightOf(all);
@@ -131,7 +140,7 @@
 
 bool isVerdictUpheld(const crash_record &part)
 {
-    return part.isConvicted && weightAgainst(part) >= neededWeight(part);
+    return part.isConvicted && weightAgainst(part) >= config::quarantineIncarnations;
 }
 
 std::set<std::uint64_t> crashingParts(std::span<const crash_record *const> parts)
--- a/src/crashes/part_verdicts.h
+++ b/src/crashes/part_verdicts.h
@@ -22,12 +22,14 @@
 ///
 /// A request that crashes a runner has several parts, and many sound requests are cut off with it.
 /// So a part is convicted only if the following holds:
-/// - Its weight, as above, is config::quarantineIncarnations if no request with it was ever served,
-///   and config::servedPartIncarnations otherwise. Ends before a request with the part was served
-///   don't count; a sound part is served as soon as any runner is up.
-/// - No narrower part explains the ends: those at which a convicted part was don't count, and where
-///   a part at a later place of the same request was never served either, the greater weight is
-///   needed.
+/// - Its weight, as above, is config::quarantineIncarnations. Ends before a request with the part
+///   was served don't count; a sound part is served as soon as any runner is up.
+/// - If a request with it was ever served, ends don't count at which runners without it ended in
+/// the
+///   same moment: then something else ends runners.
+/// - No narrower part explains the ends: those at which a convicted part was don't count, and
+///   neither do those at which a part at a later place of the same request was never served.
+/// A weight of config::servedPartIncarnations without the last two conditions is enough, too.
 std::set<std::uint64_t> crashingParts(std::span<const crash_record *const> parts);
 
 } // namespace poplarspool::crashes
--- a/src/crashes/quarantine_manager.cpp
+++ b/src/crashes/quarantine_manager.cpp
@@ -160,7 +160,62 @@
     changed.notify_all();
 }
 
-void quarantine_manager::recordServed(const request_suspects &suspects, std::uint64_t known)
+void quarantine_manager::recordServed(const request_suspects &suspects,
+                                      const observed_runner &target, std::uint64_t known)
+{
+    if (suspects.parts.empty())
+        clear(suspects, known);
+    else
+        watch({suspects, target, known, clock.mono()});
+}
+
+void quarantine_manager::watch(watched_answer answer)
+{
+    const std::lock_guard lock(answersGuard);
+    answers.push_back(std::move(answer));
+    if (answers.size() > config::maxWatchedAnswers)
+        answers.pop_front();
+}
+
+bool quarantine_manager::hasEnded(const watched_answer &answer) const
+{
+    return table.endsKnown() != answer.known && table.hasEnded(incarnationKeyOf(answer.target));
+}
+
+/// Takes out the answers that speak for or against their requests by now.
+void quarantine_manager::settleAnswers()
+{
+    std::vector<watched_answer> survived;
+    std::vector<watched_answer> crashed;
+    {
+        const mono_time now = clock.mono();
+        const std::lock_guard lock(answersGuard);
+        std::erase_if(answers, [&](watched_answer &each) {
+            const auto age = now - each.servedAt;
+            if (age >= config::survivalTime) {
+                if (!hasEnded(each))
+                    survived.push_back(std::move(each));
+                return true;
+            }
+            const bool isLate = age < config::lateCrashTime && hasEnded(each);
+            if (isLate)
+                crashed.push_back(std::move(each));
+            return isLate;
+        });
+    }
+    for (const watched_answer &each : crashed)
+        countEnd(each.suspects, each.target);
+    for (const watched_answer &each : survived)
+        clear(each.suspects, each.known);
+}
+
+mono_time quarantine_manager::judgeParts()
+{
+    settleAnswers();
+    return judge.judge();
+}
+
+void quarantine_manager::clear(const request_suspects &suspects, std::uint64_t known)
 {
     const std::vector<crash_record> cleared = table.recordServed(suspects, known);
     judge.reportServed(suspects, cleared);
@@ -201,7 +256,7 @@
 {
     if (!judge.receive(sender, payload))
         return false;
-    judge.judge();
+    judgeParts();
     return true;
 }
 
--- a/src/crashes/quarantine_manager.h
+++ b/src/crashes/quarantine_manager.h
@@ -7,6 +7,7 @@
 #include "poplarspool/base/metrics.h"
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -74,15 +75,17 @@
     /// ended; this is checked later.
     void recordUnconfirmed(const request_suspects &suspects, const observed_runner &target);
     /// Records that the request completed at a runner to which it was sent when endsKnown() was
-    /// `known`.
-    void recordServed(const request_suspects &suspects, std::uint64_t known);
+    /// `known`. Speaks for its parts only once the runner has outlived the answer for a while: a
+    /// short answer may be complete before the runner crashes of it.
+    void recordServed(const request_suspects &suspects, const observed_runner &target,
+                      std::uint64_t known);
 
     // Called from the thread that exchanges the datagrams.
 
     /// @returns False if the payload can't be decoded.
     bool onDatagram(std::uint64_t sender, std::string_view payload);
     /// @returns When to call it again.
-    mono_time judgeParts() { return judge.judge(); }
+    mono_time judgeParts();
 
     /// Applies a rumor of another instance; ignores other kinds of rumors.
     void onRumor(const peer::rumor &rumor);
@@ -106,7 +109,20 @@
         mono_time seenAt{};
     };
 
+    /// An answer that was complete lately.
+    struct watched_answer
+    {
+        request_suspects suspects;
+        observed_runner target;
+        std::uint64_t known = 0; ///< endsKnown() when the request was sent.
+        mono_time servedAt{};
+    };
+
     std::int64_t nowMs() const;
+    void watch(watched_answer answer);
+    void settleAnswers();
+    bool hasEnded(const watched_answer &answer) const;
+    void clear(const request_suspects &suspects, std::uint64_t known);
     part_judge_dependencies judgeDependencies(metrics_registry &metrics);
     void countEnd(const request_suspects &suspects, const observed_runner &target);
     void recordVerdicts(const std::vector<std::uint64_t> &keys, bool isOwn);
@@ -141,6 +157,8 @@
     bool isStopping = false;
     bool isLeaving = false;
     std::vector<unconfirmed_end> unconfirmed;
+    std::mutex answersGuard;
+    std::deque<watched_answer> answers; ///< The oldest first.
     bool hasWork = false;
     bool isRollbackNew = false; ///< A store rollback was reported and is not handled yet.
     std::map<std::uint64_t, pending_report> pending; ///< By incarnation key.
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -17,6 +17,11 @@
     return status >= 200 && status < 300;
 }
 
+crashes::observed_runner observed(const runner &target)
+{
+    return {target.id, target.startedAtMs, target.address, target.zone};
+}
+
 std::string wayOf(const runner_connection &connection)
 {
     if (!connection.isTunnel)
@@ -271,12 +276,10 @@
     const bool isStaying = entry && !entry->isDraining && entry->retainedUntil == mono_time::max();
     if (!isStaying)
         return;
-    const crashes::observed_runner observed{target.id, target.startedAtMs, target.address,
-                                            target.zone};
     if (fault == call_fault::Closed)
-        context.quarantineManager.recordConnectionLost(suspects, observed);
+        context.quarantineManager.recordConnectionLost(suspects, observed(target));
     else
-        context.quarantineManager.recordUnconfirmed(suspects, observed);
+        context.quarantineManager.recordUnconfirmed(suspects, observed(target));
 }
 
 /// A crash may end an answer like a runner that has written all of it, if only the end of the
@@ -289,7 +292,7 @@
 request_proxy::try_end request_proxy::recordServed(sending &current, try_end end)
 {
     current.record.recordEnd(send_outcome::Served);
-    context.quarantineManager.recordServed(suspects, endsKnown);
+    context.quarantineManager.recordServed(suspects, observed(*current.place.serving), endsKnown);
     return end;
 }
 
--- a/tests/crashes/part_judge_test.cpp
+++ b/tests/crashes/part_judge_test.cpp
@@ -124,9 +124,11 @@
         crash_fleet fleet(100);
         request_maker make;
         CPPUNIT_ASSERT(fleet.send(77, make({tenant, sound}), false));
-        for (std::uint64_t i = 0; i < 4; ++i, fleet.pass(600ms))
+        for (std::uint64_t i = 0; i < 4; ++i, fleet.pass(600ms)) {
             fleet.end(i, {make({tenant, sound})}, 500 + i);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.verdicts);
+            fleet.end(i + 10, {make({tenant + 100, sound + 100})}, 600 + i);
+        }
+        CPPUNIT_ASSERT(!fleet.isRefusedAt(1, make({tenant, sound})));
     }
 
     void partIsConvictedWhileTwoJudgesAreSilent()
--- a/tests/crashes/part_verdicts_test.cpp
+++ b/tests/crashes/part_verdicts_test.cpp
@@ -103,7 +103,8 @@
     CPPUNIT_TEST(causeBehindDifferingBeginningsIsConvicted);
     CPPUNIT_TEST(firstPartIsConvictedIfItAloneExplainsTheEnds);
     CPPUNIT_TEST(twoCausesOfOneTenantAreBothConvicted);
-    CPPUNIT_TEST(partThatWasServedBeforeNeedsMoreEnds);
+    CPPUNIT_TEST(partThatWasServedBeforeIsConvictedAtTheFifthEnd);
+    CPPUNIT_TEST(partThatWasServedBeforeNeedsMoreEndsWhereOthersEnd);
     CPPUNIT_TEST(answersAfterTheEndsClearAPart);
     CPPUNIT_TEST(killsOfManyRunnersCountOnce);
     CPPUNIT_TEST(endsOfOneRequestConvictNoPart);
@@ -165,16 +166,34 @@
         CPPUNIT_ASSERT(known.convicted() == (keys{cause, otherCause}));
     }
 
-    void partThatWasServedBeforeNeedsMoreEnds()
+    /// Two engines that run requests end together and are back after some seconds: the fifth end
+    /// is of the third moment.
+    void partThatWasServedBeforeIsConvictedAtTheFifthEnd()
     {
         evidence known;
         known.serveBefore(tenant);
         known.serveBefore(cause);
+        for (std::uint64_t i = 0; i < 2; ++i) {
+            known.end({{100 + i, {tenant, cause}}}, static_cast<int>(i));
+            known.end({{100 + i, {tenant, cause}}, {200 + i, {tenant}}}, static_cast<int>(i));
+        }
+        CPPUNIT_ASSERT(known.convicted().empty());
+        known.end({{102, {tenant, cause}}}, 2);
+        CPPUNIT_ASSERT(known.convicted() == keys{cause});
+    }
+
+    void partThatWasServedBeforeNeedsMoreEndsWhereOthersEnd()
+    {
+        evidence known;
+        for (const std::uint64_t part : {tenant, cause, std::uint64_t{5}, std::uint64_t{6}})
+            known.serveBefore(part);
         for (std::uint64_t i = 0; i < config::servedPartIncarnations; ++i) {
             CPPUNIT_ASSERT(known.convicted().empty());
             known.end({{100 + i, {tenant, cause}}}, static_cast<int>(i));
+            known.end({{200 + i, {5, 6}}}, static_cast<int>(i));
         }
-        CPPUNIT_ASSERT(known.convicted() == keys{cause});
+        CPPUNIT_ASSERT(known.convicted().contains(cause));
+        CPPUNIT_ASSERT(!known.convicted().contains(tenant));
     }
 
     void answersAfterTheEndsClearAPart()
--- a/tests/crashes/quarantine_manager_test.cpp
+++ b/tests/crashes/quarantine_manager_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(recordsAreRewrittenAfterStoreRollback);
     CPPUNIT_TEST(storeIsReadAfterPartition);
     CPPUNIT_TEST(clearedRequestCausesNoFurtherStoreAccess);
+    CPPUNIT_TEST(answerThatItsRunnerDoesNotSurviveSpeaksAgainstItsParts);
     CPPUNIT_TEST(rumorsStayWithinSizeLimits);
     CPPUNIT_TEST(malformedRumorsAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -271,7 +272,7 @@
         shared_list list;
         instance one(list);
         one.manager.recordConnectionLost({7, {}}, incarnationOf(1));
-        one.manager.recordServed({7, {}}, one.manager.endsKnown());
+        one.manager.recordServed({7, {}}, incarnationOf(2), one.manager.endsKnown());
         CPPUNIT_ASSERT(waitUntil([&] { return !one.takeSent().empty(); }));
         std::this_thread::sleep_for(3 * config::quarantineInterval);
         CPPUNIT_ASSERT_EQUAL(1, list.reads);
@@ -279,6 +280,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countEnds(7).incarnations);
     }
 
+    /// A short answer may be complete before the runner crashes of it.
+    void answerThatItsRunnerDoesNotSurviveSpeaksAgainstItsParts()
+    {
+        shared_list list;
+        instance one(list);
+        one.manager.recordServed({7, {{70, 0}}}, incarnationOf(1), one.manager.endsKnown());
+        one.manager.recordServed({8, {{80, 0}}}, incarnationOf(2), one.manager.endsKnown());
+        one.manager.recordConnectionLost({9, {{90, 0}}}, incarnationOf(1));
+        one.manager.judgeParts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.manager.countEnds(70).incarnations);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countEnds(80).incarnations);
+        one.manager.recordConnectionLost({8, {{80, 0}}}, incarnationOf(3));
+        one.manager.recordServed({8, {{80, 0}}}, incarnationOf(2), one.manager.endsKnown());
+        std::this_thread::sleep_for(config::survivalTime);
+        one.manager.judgeParts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.manager.countEnds(70).incarnations);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.manager.countEnds(80).incarnations);
+    }
+
     void rumorsStayWithinSizeLimits()
     {
         end_report report{{9, 1}, {}};
