--- a/src/crashes/quarantine_manager.cpp
+++ b/src/crashes/quarantine_manager.cpp
@@ -166,15 +166,7 @@
     if (suspects.parts.empty())
         clear(suspects, known);
     else
-        watch({suspects, target, known, clock.mono()});
-}
-
-void quarantine_manager::watch(watched_answer answer)
-{
-    const std::lock_guard lock(answersGuard);
-    answers.push_back(std::move(answer));
-    if (answers.size() > config::maxWatchedAnswers)
-        answers.pop_front();
+        answers.add({suspects, target, known, clock.mono()});
 }
 
 bool quarantine_manager::hasEnded(const watched_answer &answer) const
@@ -182,30 +174,13 @@
     return table.endsKnown() != answer.known && table.hasEnded(incarnationKeyOf(answer.target));
 }
 
-/// Takes out the answers that speak for or against their requests by now.
 void quarantine_manager::settleAnswers()
 {
-    std::vector<watched_answer> survived;
-    std::vector<watched_answer> crashed;
-    {
-        const mono_time now = clock.mono();
-        const std::lock_guard lock(answersGuard);
-        std::erase_if(answers, [&](watched_answer &each) {
-            const auto age = now - each.servedAt;
-            if (age >= config::survivalTime) {
-                if (!hasEnded(each))
-                    survived.push_back(std::move(each));
-                return true;
-            }
-            const bool isLate = age < config::lateCrashTime && hasEnded(each);
-            if (isLate)
-                crashed.push_back(std::move(each));
-            return isLate;
-        });
-    }
-    for (const watched_answer &each : crashed)
+    const settled_answers settled = answers.settle(
+            clock.mono(), [this](const watched_answer &each) { return hasEnded(each); });
+    for (const watched_answer &each : settled.crashed)
         countEnd(each.suspects, each.target);
-    for (const watched_answer &each : survived)
+    for (const watched_answer &each : settled.survived)
         clear(each.suspects, each.known);
 }
 
--- a/src/crashes/quarantine_manager.h
+++ b/src/crashes/quarantine_manager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashes/answer_watch.h"
 #include "crashes/crash_table.h"
 #include "crashes/crash_update.h"
 #include "crashes/part_judge.h"
@@ -7,7 +8,6 @@
 #include "poplarspool/base/metrics.h"
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -109,17 +109,7 @@
         mono_time seenAt{};
     };
 
-    /// An answer that was complete lately.
-    struct watched_answer
-    {
-        request_suspects suspects;
-        observed_runner target;
-        std::uint64_t known = 0; ///< endsKnown() when the request was sent.
-        mono_time servedAt{};
-    };
-
     std::int64_t nowMs() const;
-    void watch(watched_answer answer);
     void settleAnswers();
     bool hasEnded(const watched_answer &answer) const;
     void clear(const request_suspects &suspects, std::uint64_t known);
@@ -157,8 +147,7 @@
     bool isStopping = false;
     bool isLeaving = false;
     std::vector<unconfirmed_end> unconfirmed;
-    std::mutex answersGuard;
-    std::deque<watched_answer> answers; ///< The oldest first.
+    answer_watch answers;
     bool hasWork = false;
     bool isRollbackNew = false; ///< A store rollback was reported and is not handled yet.
     std::map<std::uint64_t, pending_report> pending; ///< By incarnation key.
