--- a/tests/adapter/crashing_part_test.cpp
+++ b/tests/adapter/crashing_part_test.cpp
@@ -187,7 +187,7 @@
     void crashesOfAllRunnersConvictNoPart()
     {
         part_fleet fleet(25700);
-        for (int round = 0; round <= maxCrashes; ++round) {
+        for (int round = 0; round < 2 * maxCrashes; ++round) {
             fleet.runners.crashAllAtNextRequest();
             for (std::size_t i = 0; i < runnerCount; ++i)
                 fleet.send(i, "tenant", i % 2 == 0 ? "sound" : "new-" + std::to_string(round));
