Say in the log what runners ask for in their answers, and which sends went against it

An answer may say that its runner leaves (Server-Leaving), and a refusal that it wants rest (503 with Retry-After).

A small library, withdrawals, reads both from the head of each answer: of runs, prefills, freed handles, reports and orders. Lines runner_leaving and runner_rest, once for each; the lines of sends have what the runner wanted as the send began; poplarspool_unwanted_sends_total counts the sends that went against it. Nothing else is done with it yet.

--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -64,6 +64,7 @@
     // Headers of runners' replies.
     std::string seal; ///< Set on each reply that the runner generated itself.
     std::string notRun; ///< The runner refused the request and has not run it.
+    std::string leaving; ///< "1" if the runner leaves; it wants no more requests.
     std::string rateLimit; ///< Requests per second that it takes from all instances together.
 
     /// @returns The handle to the KV cache that an engine keeps, from its reply to a prefill.
--- a/include/poplarspool/gateway/runner.h
+++ b/include/poplarspool/gateway/runner.h
@@ -3,6 +3,7 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
+#include "poplarspool/withdrawals/withdrawal.h"
 
 #include <cstdint>
 #include <string_view>
@@ -54,6 +55,8 @@
     bool operator==(const runner &) const = default;
 };
 
+withdrawals::runner_life lifeOf(const runner &target);
+
 /// @returns Whether two entries of a runner are equal apart from the sequence number of their
 /// write.
 bool equalExceptWrites(const runner &one, runner other);
--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -25,6 +25,11 @@
     return hashOf(version.text);
 }
 
+withdrawals::runner_life lifeOf(const runner &target)
+{
+    return {target.id, target.startedAtMs};
+}
+
 bool equalExceptWrites(const runner &one, runner other)
 {
     other.writes = one.writes;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -103,6 +103,7 @@
           originExchange(datagramSettingsOf(settings,
                                             streams::originAddressOf(settings.peerAddress), clock),
                          fleet, clock, registry, eventLog),
+          withdrawalRegistry({names.leaving, clock, registry, eventLog}),
           proxyContext{names,
                        publisher,
                        runnerTable,
@@ -116,6 +117,7 @@
                        quarantineManager,
                        rateLimiter,
                        originExchange.registry(),
+                       withdrawalRegistry,
                        hashOf(peerKeyOf(settings)),
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
@@ -150,7 +152,10 @@
                         stepFailureReporterOf(eventLog, registry),
                         [this] { return ownsRunnerRole(stagesRole); },
                         [this] { return instanceCount.load(); },
-                        [this](const runner &target) { return rateLimiter.limitOf(target); }},
+                        [this](const runner &target) { return rateLimiter.limitOf(target); },
+                        [this](const withdrawals::answer_head &head) {
+                            withdrawalRegistry.recordAnswer(head);
+                        }},
                        std::move(links.stageLeases), settings.instance, settings.leaseBound)
     {
         if (hasDuty(settings, usageDuty))
@@ -211,6 +216,7 @@
     crashes::crash_exchange crashExchange;
     rate_limiter rateLimiter;
     streams::origin_exchange originExchange;
+    withdrawals::withdrawal_registry withdrawalRegistry;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -96,7 +96,7 @@
                      silenceCheckOf(prefillEngine, connection, [] { return true; }));
     const std::string text =
             runnerRequestText(request, prefillEngine.address, context.names, extras);
-    sentAt = context.clock.mono();
+    beginSend(prefillEngine);
     call_fault fault = call.send(text, deadline);
     if (fault != call_fault::None) {
         lastFault = "prefill_" + std::string(nameOf(fault));
@@ -108,6 +108,7 @@
     const auto head = readOwnHead(call, deadline);
     http_reply reply;
     if (const auto *arrived = std::get_if<reply_head>(&head)) {
+        recordHead(prefillEngine, *arrived);
         reply.status = arrived->status;
         const bool isRefused = !headerOf(arrived->headers, context.names.notRun).empty();
         if (isRefused ? arrived->status != misdirectedStatus : arrived->status == acceptedStatus)
@@ -136,12 +137,19 @@
 /// KV cache that no engine takes over occupies the engine's memory until it expires.
 void request_proxy::freeHandle(const runner &prefillEngine, const std::string &handle)
 {
+    const mono_time askedAt = context.clock.mono();
     const auto freed =
             callRunner(context.connections, context.names, prefillEngine,
                        context.names.freeHandleRequest(handle), config::freeHandleTimeout);
-    if (!succeeded(freed))
+    if (!succeeded(freed)) {
         log("handle_not_freed",
             {{"runner", prefillEngine.id.text}, {"reason", errorOf(freed).message}});
+        return;
+    }
+    const http_reply &reply = valueOf(freed);
+    context.withdrawalRegistry.recordAnswer({lifeOf(prefillEngine), reply.status, reply.headers,
+                                             withdrawals::answer_kind::Control, askedAt,
+                                             metadata.id});
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -389,6 +389,8 @@
             {"runners_age_ms", millisecondsText(chosenAt - placementView->runnersConfirmedAt)});
     fields.push_back(
             {"sent_after_ms", sentAt == mono_time{} ? "" : millisecondsText(sentAt - chosenAt)});
+    fields.push_back({"withdrawal", std::string(nameOf(lastWithdrawal.kind))});
+    fields.push_back({"withdrawal_ms", std::to_string(lastWithdrawal.age.count())});
     log(kind, std::move(fields));
 }
 
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -12,6 +12,7 @@
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/duties/usage_exchange.h"
 #include "poplarspool/streams/origin_registry.h"
+#include "poplarspool/withdrawals/withdrawal_registry.h"
 
 #include <array>
 #include <atomic>
@@ -78,6 +79,7 @@
     crashes::quarantine_manager &quarantineManager;
     rate_limiter &rateLimiter;
     streams::origin_registry &origins;
+    withdrawals::withdrawal_registry &withdrawalRegistry;
     /// Seed of requests' digests; the same on all instances of the fleet.
     const std::uint64_t digestSeed = 0;
     /// Counts the requests of workspaces as they start to run; null: usage is not counted.
@@ -172,6 +174,10 @@
     bool mayGoOnElsewhere() const;
     send_outcome unreachableOutcome() const;
     std::variant<reply_head, call_fault> readOwnHead(runner_call &call, socket_deadline deadline);
+    /// Called with the head of each answer of the runner itself.
+    void recordHead(const runner &target, const reply_head &head);
+    /// Called right before the first byte is sent to the runner.
+    void beginSend(const runner &target);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
     try_end passStream(runner_call &call, const reply_head &head, sending &current);
@@ -248,6 +254,7 @@
     std::string lastFault;
     std::string lastConnectError; ///< Of the last send; empty if it was connected.
     bool isEndedByClose = false; ///< The last answer has neither a length nor chunks.
+    withdrawals::withdrawal lastWithdrawal; ///< What the runner wanted as the last send began.
     std::string lastWay; ///< Of the last send: "direct", or the instance that carried it.
     mono_time firstByteAt{};
 };
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -208,7 +208,7 @@
             silenceCheckOf(target, current.connection, [this] { return mayGoOnElsewhere(); }));
     const std::string text =
             runnerRequestText(request, target.address, context.names, extrasFor(current));
-    sentAt = context.clock.mono();
+    beginSend(target);
     const call_fault fault = call.send(text, current.deadline);
     if (call.mayHaveArrived())
         ++arrivals;
@@ -246,6 +246,22 @@
     return call_fault::Malformed;
 }
 
+void request_proxy::beginSend(const runner &target)
+{
+    sentAt = context.clock.mono();
+    lastWithdrawal = context.withdrawalRegistry.find(lifeOf(target));
+    context.withdrawalRegistry.recordUnwantedSend(lastWithdrawal);
+}
+
+void request_proxy::recordHead(const runner &target, const reply_head &head)
+{
+    const bool isRefused = !headerOf(head.headers, context.names.notRun).empty();
+    const auto kind =
+            isRefused ? withdrawals::answer_kind::Refused : withdrawals::answer_kind::Accepted;
+    context.withdrawalRegistry.recordAnswer(
+            {lifeOf(target), head.status, head.headers, kind, sentAt, metadata.id});
+}
+
 /// Determines what a failed step means for the request, and records it for the runner.
 request_proxy::try_end request_proxy::handleFault(runner_call &call, call_fault fault,
                                                   sending &current)
@@ -302,6 +318,8 @@
     const runner &target = *current.place.serving;
     const bool isRefused = !headerOf(head.headers, context.names.notRun).empty();
     const bool isSealed = !headerOf(head.headers, context.names.seal).empty();
+    if (isRefused || isSealed)
+        recordHead(target, head);
     if (head.status == misdirectedStatus && (isRefused || !isSealed))
         return takeRefusal(call, head, current);
     if (isRefused) {
--- a/src/gateway/stage_manager.cpp
+++ b/src/gateway/stage_manager.cpp
@@ -122,6 +122,22 @@
         placeOrder(known, change, *term);
 }
 
+result<http_reply> stage_manager::call(const runner &target, const http_request &request,
+                                       milliseconds timeout, const std::function<bool()> &check)
+{
+    const mono_time askedAt = dependencies.clock.mono();
+    auto reply = callRunner(dependencies.connections, dependencies.names, target, request, timeout,
+                            check);
+    if (succeeded(reply) && dependencies.onAnswer)
+        dependencies.onAnswer({lifeOf(target),
+                               valueOf(reply).status,
+                               valueOf(reply).headers,
+                               withdrawals::answer_kind::Control,
+                               askedAt,
+                               {}});
+    return reply;
+}
+
 /// Orders may be executed long after they were sent, also after newer ones. Each contains the
 /// number of orders that the engine had taken when it was last queried; the engine drops a delayed
 /// order because that number has changed since.
@@ -140,8 +156,7 @@
     };
     if (timeLeft() <= milliseconds::zero())
         return;
-    const auto report = callRunner(dependencies.connections, dependencies.names, target,
-                                   dependencies.names.reportRequest(), timeLeft());
+    const auto report = call(target, dependencies.names.reportRequest(), timeLeft());
     const auto state = succeeded(report) ? dependencies.names.parseReport(valueOf(report).body)
                                          : std::optional<engine_report>();
     if (!state || state->isChanging || timeLeft() <= milliseconds::zero()) {
@@ -157,8 +172,7 @@
     // Recorded before it is sent: even if the call fails, the engine may have taken the order.
     pendingOrders[target.id] = {change.wanted, dependencies.clock.mono(), target.startedAtMs};
     const auto reply =
-            callRunner(dependencies.connections, dependencies.names, target,
-                       dependencies.names.stageOrderRequest(wanted), timeLeft(), isInTerm);
+            call(target, dependencies.names.stageOrderRequest(wanted), timeLeft(), isInTerm);
     const bool wasNotSent = !succeeded(reply) && errorOf(reply).ran == verdict::NotRun;
     if (wasNotSent)
         pendingOrders.erase(target.id);
--- a/src/gateway/stage_manager.h
+++ b/src/gateway/stage_manager.h
@@ -7,6 +7,7 @@
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/dialect.h"
 #include "poplarspool/gateway/stage_plan.h"
+#include "poplarspool/withdrawals/withdrawal_registry.h"
 
 #include <map>
 
@@ -30,6 +31,8 @@
     std::function<std::size_t()> instanceCount;
     /// @returns The rate limit of an engine, in requests per second; none if it has none.
     std::function<std::optional<double>(const runner &)> limitOf = {};
+    /// Called with the head of each answer of an engine.
+    std::function<void(const withdrawals::answer_head &)> onAnswer = {};
 };
 
 /// Periodically plans the stages of all engines and orders engines to change stage, on a thread of
@@ -62,6 +65,8 @@
     std::vector<stage_engine> enginesOf(const catalogue &known, const service &engines);
     bool isLimited(const runner &target, const runner_use &use, const engine_traits &traits) const;
     void forgetSettledOrders(const catalogue &known);
+    result<http_reply> call(const runner &target, const http_request &request, milliseconds timeout,
+                            const std::function<bool()> &check = {});
     void placeOrder(const catalogue &known, const stage_change &change,
                     const duties::lease_term &term);
 
--- /dev/null
+++ b/src/withdrawals/withdrawal_registry.cpp
@@ -0,0 +1,170 @@
+#include "poplarspool/withdrawals/withdrawal_registry.h"
+
+#include "poplarspool/withdrawals/limits.h"
+#include "withdrawals/life_map.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace poplarspool::withdrawals {
+
+struct withdrawal_registry::state
+{
+    explicit state(withdrawal_dependencies given);
+
+    void recordLeaving(const answer_head &head, mono_time now);
+    void recordRest(const answer_head &head, milliseconds rest, mono_time now);
+    void recordAnswered(const answer_head &head, mono_time now);
+    void expire(mono_time now);
+    void updateSizes();
+    void log(std::string_view kind, const answer_head &head, std::vector<event_field> more);
+
+    const withdrawal_dependencies dependencies;
+    counter &rests;
+    counter &leavesHeard;
+    counter &sendsWhileResting;
+    counter &sendsAfterLeaving;
+    gauge &restingRunners;
+    gauge &leavingRunners;
+
+    mutable std::mutex guard;
+    life_map<mono_time> leaves; ///< When each runner has said so first.
+    life_map<rest_state> restStates;
+    std::atomic<std::size_t> size{0}; ///< Of both maps.
+};
+
+withdrawal_registry::state::state(withdrawal_dependencies given)
+    : dependencies(std::move(given)),
+      rests(dependencies.metrics.counterOf("poplarspool_runner_rests_total")),
+      leavesHeard(dependencies.metrics.counterOf("poplarspool_runner_leaves_total")),
+      sendsWhileResting(
+              dependencies.metrics.counterOf("poplarspool_unwanted_sends_total{runner=\"rests\"}")),
+      sendsAfterLeaving(dependencies.metrics.counterOf(
+              "poplarspool_unwanted_sends_total{runner=\"leaves\"}")),
+      restingRunners(dependencies.metrics.gaugeOf("poplarspool_resting_runners")),
+      leavingRunners(dependencies.metrics.gaugeOf("poplarspool_leaving_runners"))
+{ }
+
+/// @attention The caller must hold `guard`.
+void withdrawal_registry::state::expire(mono_time now)
+{
+    leaves.eraseIf([now](mono_time heardAt) { return now - heardAt > config::leaveRetention; });
+    restStates.eraseIf(
+            [now](const rest_state &one) { return now - one.endsAt > config::leaveRetention; });
+}
+
+/// @attention The caller must hold `guard`.
+void withdrawal_registry::state::updateSizes()
+{
+    restingRunners.set(static_cast<std::int64_t>(restStates.size()));
+    leavingRunners.set(static_cast<std::int64_t>(leaves.size()));
+    size.store(restStates.size() + leaves.size(), std::memory_order_release);
+}
+
+void withdrawal_registry::state::log(std::string_view kind, const answer_head &head,
+                                     std::vector<event_field> more)
+{
+    std::vector<event_field> fields{{"runner", head.from.id.text},
+                                    {"born", std::to_string(head.from.startedAtMs)},
+                                    {"status", std::to_string(head.status)},
+                                    {"request", head.request}};
+    fields.insert(fields.end(), more.begin(), more.end());
+    dependencies.events.emit(kind, std::move(fields));
+}
+
+void withdrawal_registry::state::recordLeaving(const answer_head &head, mono_time now)
+{
+    {
+        const std::lock_guard lock(guard);
+        if (leaves.find(head.from) != nullptr)
+            return;
+        expire(now);
+        leaves.set(head.from, now, now);
+        updateSizes();
+    }
+    leavesHeard.add();
+    log("runner_leaving", head, {{"from", "runner"}});
+}
+
+void withdrawal_registry::state::recordRest(const answer_head &head, milliseconds rest,
+                                            mono_time now)
+{
+    rest_state before;
+    rest_state after;
+    {
+        const std::lock_guard lock(guard);
+        if (const rest_state *known = restStates.find(head.from))
+            before = *known;
+        else
+            expire(now);
+        after = afterRest(before, rest, now);
+        restStates.set(head.from, after, now);
+        updateSizes();
+    }
+    rests.add();
+    if (after.endsAt - before.endsAt > config::loggedRestStep)
+        log("runner_rest", head,
+            {{"asked_ms", std::to_string(rest.count())},
+             {"left_ms", millisecondsText(after.endsAt - now)}});
+}
+
+void withdrawal_registry::state::recordAnswered(const answer_head &head, mono_time now)
+{
+    const std::lock_guard lock(guard);
+    const rest_state *known = restStates.find(head.from);
+    if (known == nullptr)
+        return;
+    const rest_state next = afterAnswer(*known, head.kind == answer_kind::Accepted, head.askedAt);
+    if (hasReturned(next))
+        restStates.erase(head.from.id);
+    else
+        restStates.set(head.from, next, now);
+    updateSizes();
+}
+
+withdrawal_registry::withdrawal_registry(withdrawal_dependencies given)
+    : inner(std::make_unique<state>(std::move(given)))
+{ }
+
+withdrawal_registry::~withdrawal_registry() = default;
+
+withdrawal_reading withdrawal_registry::recordAnswer(const answer_head &head)
+{
+    const withdrawal_reading reading =
+            readWithdrawal(head.status, head.headers, inner->dependencies.leavingHeader);
+    const mono_time now = inner->dependencies.clock.mono();
+    if (reading.isLeaving)
+        inner->recordLeaving(head, now);
+    if (reading.rest)
+        inner->recordRest(head, *reading.rest, now);
+    else if (!isEmpty() && head.kind != answer_kind::Control)
+        inner->recordAnswered(head, now);
+    return reading;
+}
+
+bool withdrawal_registry::isEmpty() const
+{
+    return inner->size.load(std::memory_order_acquire) == 0;
+}
+
+withdrawal withdrawal_registry::find(const runner_life &runner) const
+{
+    if (isEmpty())
+        return {};
+    const mono_time now = inner->dependencies.clock.mono();
+    const std::lock_guard lock(inner->guard);
+    if (const mono_time *heardAt = inner->leaves.find(runner))
+        return {withdrawal_kind::Leaves, std::chrono::floor<milliseconds>(now - *heardAt), {}};
+    const rest_state *rest = inner->restStates.find(runner);
+    return rest == nullptr ? withdrawal{} : withdrawalIn(*rest, now);
+}
+
+void withdrawal_registry::recordUnwantedSend(const withdrawal &unwanted)
+{
+    if (unwanted.kind == withdrawal_kind::Leaves)
+        inner->sendsAfterLeaving.add();
+    if (unwanted.kind == withdrawal_kind::Rests)
+        inner->sendsWhileResting.add();
+}
+
+} // namespace poplarspool::withdrawals
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -86,10 +86,22 @@
              fleet,
              clock,
              registry}};
-    const proxy_context context{
-            names,   publisher, runnerTable, retries,  connections.connector, metrics,
-            events,  clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
-            origins, 7};
+    withdrawals::withdrawal_registry withdrawalRegistry{{names.leaving, clock, registry, events}};
+    const proxy_context context{names,
+                                publisher,
+                                runnerTable,
+                                retries,
+                                connections.connector,
+                                metrics,
+                                events,
+                                clock,
+                                {"z"},
+                                leavesAt,
+                                quarantineManager,
+                                rateLimiter,
+                                origins,
+                                withdrawalRegistry,
+                                7};
     test_caller caller;
 
     /// Routes: /once/ may not be repeated, /again/ may, /stream/ may be resumed.
--- a/tests/gateway/refused_route_test.cpp
+++ b/tests/gateway/refused_route_test.cpp
@@ -63,10 +63,21 @@
              fleet,
              clock,
              registry}};
-    const proxy_context context{
-            names,  publisher, runnerTable, retries,  connections.connector, metrics,
-            events, clock,     {"z"},       leavesAt, quarantineManager,     rateLimiter,
-            origins};
+    withdrawals::withdrawal_registry withdrawalRegistry{{names.leaving, clock, registry, events}};
+    const proxy_context context{names,
+                                publisher,
+                                runnerTable,
+                                retries,
+                                connections.connector,
+                                metrics,
+                                events,
+                                clock,
+                                {"z"},
+                                leavesAt,
+                                quarantineManager,
+                                rateLimiter,
+                                origins,
+                                withdrawalRegistry};
 
     explicit fixture(std::vector<route> routes)
     {
