--- a/tests/adapter/limited_runners_test.cpp
+++ b/tests/adapter/limited_runners_test.cpp
@@ -1,5 +1,6 @@
 #include "adapter/gateway_fleet.h"
 #include "adapter/limited_runner.h"
+#include "adapter/steady_load.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
@@ -12,6 +13,9 @@
 using test::fake_store;
 using test::gateway_fleet;
 using test::limited_runner;
+using test::nextPrompt;
+using test::routesSpec;
+using test::steady_load;
 
 constexpr int instanceCount = 6;
 /// A third or less of what the runner gets without a limit.
@@ -22,52 +26,6 @@
 /// Maximum number of requests that a runner with that limit may get within the span.
 constexpr std::size_t maxArrivals = 1.5 * perSecond * span.count() + 5;
 
-std::string routesSpec(const std::string &kind, const std::string &serviceTraits)
-{
-    return R"({"version":1,"services":[{"name":"s")" + serviceTraits
-            + R"(}],"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":")" + kind
-            + R"(","resumable":true,"service":"s","attempts":2,"timeoutMs":3000,)"
-              R"("targetLatencyMs":1000}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,)"
-              R"("headerTimeoutMs":3000,"idleTimeoutMs":5000}})";
-}
-
-/// A prompt that no runner has cached, so that another engine prefills it first.
-http_headers nextPrompt()
-{
-    static std::atomic<int> prompts{0};
-    const std::string part = std::to_string(++prompts);
-    return {{"X-Token-Count", "1000,20"}, {"X-Prompt-Prefix", part + "a:900," + part + "b:100"}};
-}
-
-/// Callers that send some 36 requests per second, evenly over the instances, until they are
-/// destroyed.
-class steady_load
-{
-public:
-    explicit steady_load(gateway_fleet &fleet)
-    {
-        for (std::size_t i = 0; i < fleet.size(); ++i) {
-            threads.emplace_back([this, &fleet, i] {
-                while (!isStopping) {
-                    fleet.sendRequest(i, "x", nextPrompt());
-                    std::this_thread::sleep_for(165ms);
-                }
-            });
-        }
-    }
-
-    ~steady_load()
-    {
-        isStopping = true;
-        for (std::thread &each : threads)
-            each.join();
-    }
-
-private:
-    std::atomic<bool> isStopping{false};
-    std::vector<std::thread> threads;
-};
-
 void assertLimitIsKept(gateway_fleet &fleet, limited_runner &limited)
 {
     fleet.waitUntilAllServe("x", nextPrompt());
@@ -97,7 +55,7 @@
     void allInstancesTogetherKeepALimitOfAService()
     {
         fake_store store;
-        store.put(wire::configKind, wire::configName, routesSpec("idempotent", ""));
+        store.put(wire::configKind, wire::configName, routesSpec("idempotent", false));
         limited_runner limited(store, "i-0");
         limited_runner other(store, "i-1");
         gateway_fleet fleet(store, instanceCount, 26000, {"a", "b"});
@@ -107,7 +65,7 @@
     void allInstancesTogetherKeepALimitOfADecodeEngine()
     {
         fake_store store;
-        store.put(wire::configKind, wire::configName, engineRoutes());
+        store.put(wire::configKind, wire::configName, routesSpec("streaming", true));
         limited_runner reading(store, "i-0", wire::stagePrefill);
         limited_runner limited(store, "i-1", wire::stageDecode);
         limited_runner other(store, "i-2", wire::stageDecode);
@@ -118,7 +76,7 @@
     void allInstancesTogetherKeepALimitOfAPrefillEngine()
     {
         fake_store store;
-        store.put(wire::configKind, wire::configName, engineRoutes());
+        store.put(wire::configKind, wire::configName, routesSpec("streaming", true));
         limited_runner limited(store, "i-0", wire::stagePrefill);
         limited_runner other(store, "i-1", wire::stagePrefill);
         limited_runner running(store, "i-2", wire::stageDecode);
@@ -131,7 +89,7 @@
     void promptGoesToAnotherEngineIfOneRefusesIt()
     {
         fake_store store;
-        store.put(wire::configKind, wire::configName, engineRoutes());
+        store.put(wire::configKind, wire::configName, routesSpec("streaming", true));
         limited_runner refusing(store, "i-0", wire::stagePrefill);
         limited_runner other(store, "i-1", wire::stagePrefill);
         limited_runner running(store, "i-2", wire::stageDecode);
@@ -143,14 +101,6 @@
         CPPUNIT_ASSERT(refusing.arrivalCount() > 0);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, running.unpreparedCount());
     }
-
-private:
-    static std::string engineRoutes()
-    {
-        return routesSpec("streaming",
-                          R"(,"engine":{"slots":64,"kvCapacity":800000,)"
-                          R"("kvTokenBytes":18432,"linkMbps":100000})");
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(limited_runners_test);
