Send nothing to a runner that has said that it leaves, at any instance and before the store knows

Callers saw nothing yet: the requests were served.

Cause: that a runner leaves was known from its entry in the store alone. Its answers said so, and were read for their result only.

Now the word is kept by incarnation, and the runner's entry counts as draining from then on, whatever the store, a relayed entry or an older list says: in placement, in the plan of stages and in that of the fleet. It is looked at once more right before the first byte of a send, since the prefill of the prompt, a permit and a connection come after the choice.

The lists of recipients and the addresses in datagrams, which three exchanges have in common, are in one place now.

--- a/include/poplarspool/gateway/catalogue_updater.h
+++ b/include/poplarspool/gateway/catalogue_updater.h
@@ -40,8 +40,10 @@
 public:
     /// @param settleTime Maximum delay of updates after the store, or the network path to it, has
     /// recovered.
+    /// @param isLeaving Whether the runner has said itself that it leaves: it counts as draining,
+    /// whatever the store says.
     catalogue_updater(catalogue_publisher &publisher, milliseconds settleTime, clock_source clock,
-                      journal &events);
+                      journal &events, std::function<bool(const runner &)> isLeaving = {});
 
     // To be called from the thread that watches the routes.
 
@@ -53,6 +55,9 @@
     /// @param at When the query was sent, or later.
     void confirmTable(mono_time at);
 
+    /// Called when the runner has said that it leaves. May be called from any thread.
+    void applyLeaving(const runner_id &id);
+
     // To be called from the thread that watches the runners.
 
     /// Replaces the complete list of runners.
@@ -90,7 +95,9 @@
     void startGracePeriod(mono_time outageSeenAt);
     /// Publishes a changed copy of the runners.
     void updateRunners(const std::function<void(runner_set &)> &change);
-    void putRunner(runner_set &runners, const runner &entry);
+    /// @returns The entry, with isDraining if the runner has said that it leaves.
+    runner withOwnWord(runner entry) const;
+    void putRunner(runner_set &runners, const runner &written);
     void handleRemoval(runner_set &runners, const runner_id &id);
     void removeRunner(runner_set &runners, const runner_id &id);
 
@@ -98,6 +105,7 @@
     const milliseconds settleTime;
     const clock_source clock;
     journal &events;
+    const std::function<bool(const runner &)> isLeaving;
     mono_time failingSince{}; ///< First failure since the last answer; 0 if none.
     mono_time lastFailureSentAt{}; ///< When the last failed call was sent.
     mono_time recoveredAt{}; ///< When the store last recovered.
--- a/include/poplarspool/peer/fleet.h
+++ b/include/poplarspool/peer/fleet.h
@@ -57,6 +57,10 @@
 std::vector<std::size_t> rankedInstances(const fleet &known, std::string_view key,
                                          std::size_t count);
 
+/// @param self Number of this instance.
+/// @returns The other instances' addresses for gossip, without those known to be dead or leaving.
+std::vector<endpoint> livingPeersOf(const fleet &known, std::uint64_t self);
+
 /// Keeps the fleet up to date. Thread-safe.
 class fleet_view
 {
--- a/include/poplarspool/withdrawals/limits.h
+++ b/include/poplarspool/withdrawals/limits.h
@@ -28,5 +28,12 @@
 inline constexpr std::chrono::milliseconds returnTryTime = 1s;
 /// A rest that ends at most this much later than the one that is known gets no log line.
 inline constexpr std::chrono::milliseconds loggedRestStep = 500ms;
+/// Runners that one datagram names: it holds as many also with the longest names.
+inline constexpr std::size_t maxWithdrawalNotices = 8;
+/// How often other instances are told of a runner, against lost datagrams and for instances that
+/// have just started; the time between; and the number of runners that they are told of again.
+inline constexpr int withdrawalNoticeSends = 3;
+inline constexpr std::chrono::milliseconds withdrawalNoticeInterval = 2s;
+inline constexpr std::size_t maxPendingWithdrawals = 4096;
 
 } // namespace poplarspool::config
--- a/include/poplarspool/withdrawals/withdrawal.h
+++ b/include/poplarspool/withdrawals/withdrawal.h
@@ -60,6 +60,9 @@
     bool operator==(const withdrawal &) const = default;
 };
 
+/// @returns Whether nothing may be sent to the runner now.
+bool forbidsSends(const withdrawal &now);
+
 /// A rest, and the return after it.
 struct rest_state
 {
--- a/include/poplarspool/withdrawals/withdrawal_registry.h
+++ b/include/poplarspool/withdrawals/withdrawal_registry.h
@@ -4,18 +4,34 @@
 #include "poplarspool/base/http.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
+#include "poplarspool/base/result.h"
+#include "poplarspool/peer/fleet.h"
 #include "poplarspool/withdrawals/withdrawal.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace poplarspool::withdrawals {
 
+/// What the registry calls in its instance.
+struct withdrawal_hooks
+{
+    /// Called when a runner is known to leave, after find() says so.
+    std::function<void(const runner_life &)> onLeaving;
+};
+
 /// What the registry needs from its instance.
 struct withdrawal_dependencies
 {
+    instance_id self;
     std::string leavingHeader; ///< Header in which runners say that they leave; empty: none.
+    /// Sends a payload to other instances. Thread-safe.
+    std::function<void(const std::vector<endpoint> &to, const result<std::string> &payload)> send;
+    withdrawal_hooks hooks;
+    const peer::fleet_view &fleet; ///< The instances that are told which runners leave.
     clock_source clock;
     metrics_registry &metrics;
     journal &events;
@@ -39,8 +55,9 @@
     std::string request; ///< Its id, for log lines.
 };
 
-/// What runners have said of themselves in their answers to this instance. Kept by incarnation,
-/// whatever the store says meanwhile. Thread-safe.
+/// What runners have said of themselves in their answers. Kept by incarnation, whatever the store
+/// says meanwhile. All instances are told which runners leave; a rest is between a runner and the
+/// instance that it has answered. Thread-safe.
 class withdrawal_registry
 {
 public:
@@ -56,9 +73,20 @@
     /// Counts a request that is sent to the runner although it wants none.
     void recordUnwantedSend(const withdrawal &unwanted);
 
+    // Called from the thread that exchanges the datagrams.
+
+    /// @returns False if the payload can't be decoded.
+    bool receive(std::string_view payload);
+    /// Tells other instances again which runners leave.
+    /// @returns When to call it again.
+    mono_time sendDue();
+
 private:
     struct state;
     std::unique_ptr<state> inner;
 };
 
+/// @returns Where the instance exchanges withdrawals: six ports after its address for gossip.
+endpoint withdrawalAddressOf(const endpoint &peerAddress);
+
 } // namespace poplarspool::withdrawals
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -9,8 +9,10 @@
 namespace poplarspool::gateway {
 
 catalogue_updater::catalogue_updater(catalogue_publisher &publisher, milliseconds settleTime,
-                                     clock_source clock, journal &events)
-    : publisher(publisher), settleTime(settleTime), clock(std::move(clock)), events(events)
+                                     clock_source clock, journal &events,
+                                     std::function<bool(const runner &)> isLeaving)
+    : publisher(publisher), settleTime(settleTime), clock(std::move(clock)), events(events),
+      isLeaving(std::move(isLeaving))
 { }
 
 /// Versions only increase: a delayed answer must not restore routes that have been replaced since.
@@ -178,17 +180,37 @@
     runners.erase(id);
 }
 
+/// Entries that were written before the runner began to leave arrive late: a heartbeat, or one that
+/// another instance relays. While the store is away, no other arrives at all.
+runner catalogue_updater::withOwnWord(runner entry) const
+{
+    entry.isDraining = entry.isDraining || (isLeaving && isLeaving(entry));
+    return entry;
+}
+
+void catalogue_updater::applyLeaving(const runner_id &id)
+{
+    const runner_entry known = publisher.current()->runners->find(id);
+    if (!known || known->isDraining)
+        return;
+    updateRunners([&](runner_set &runners) {
+        if (const runner_entry listed = runners.find(id))
+            runners.put(std::make_shared<const runner>(withOwnWord(*listed)));
+    });
+}
+
 void catalogue_updater::setRunners(const std::vector<runner> &listed)
 {
     updateRunners([&](runner_set &runners) {
         if (std::exchange(isSnapshotNext, false))
             rollbackFilter.applySnapshot(runners, listed, clock.mono());
         std::set<runner_id> present;
-        for (const runner &entry : listed) {
-            present.insert(entry.id);
-            if (rollbackFilter.isOutdated(entry))
+        for (const runner &each : listed) {
+            present.insert(each.id);
+            if (rollbackFilter.isOutdated(each))
                 continue;
-            missing.erase(entry.id);
+            missing.erase(each.id);
+            const runner entry = withOwnWord(each);
             const runner_entry known = runners.find(entry.id);
             if (!known || *known != entry)
                 runners.put(std::make_shared<const runner>(entry));
@@ -207,10 +229,11 @@
                  {"outdated", std::to_string(rollbackFilter.countOutdated())}});
 }
 
-void catalogue_updater::putRunner(runner_set &runners, const runner &entry)
+void catalogue_updater::putRunner(runner_set &runners, const runner &written)
 {
-    if (rollbackFilter.isOutdated(entry))
+    if (rollbackFilter.isOutdated(written))
         return;
+    const runner entry = withOwnWord(written);
     missing.erase(entry.id);
     const runner_entry known = runners.find(entry.id);
     if (known && *known == entry)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "poplarspool/peer/load_exchange.h"
 #include "poplarspool/policy/role_owner.h"
 #include "poplarspool/streams/origin_exchange.h"
+#include "poplarspool/withdrawals/withdrawal_exchange.h"
 
 #include <algorithm>
 #include <optional>
@@ -83,7 +84,9 @@
     state(gateway_settings given, dialect dialectNames, platform_links links, clock_source time,
           metrics_registry &registry, journal &eventLog)
         : settings(std::move(given)), names(std::move(dialectNames)), clock(std::move(time)),
-          events(eventLog), catalogueUpdater(publisher, settings.settleTime, clock, eventLog),
+          events(eventLog),
+          catalogueUpdater(publisher, settings.settleTime, clock, eventLog,
+                           [this](const runner &target) { return isLeavingByItsWord(target); }),
           runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock)),
           retries({settings.retryShare, settings.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
@@ -103,7 +106,13 @@
           originExchange(datagramSettingsOf(settings,
                                             streams::originAddressOf(settings.peerAddress), clock),
                          fleet, clock, registry, eventLog),
-          withdrawalRegistry({names.leaving, clock, registry, eventLog}),
+          withdrawalExchange(
+                  datagramSettingsOf(settings,
+                                     withdrawals::withdrawalAddressOf(settings.peerAddress), clock),
+                  {[this](const withdrawals::runner_life &life) {
+                      catalogueUpdater.applyLeaving(life.id);
+                  }},
+                  names.leaving, fleet, clock, registry, eventLog),
           proxyContext{names,
                        publisher,
                        runnerTable,
@@ -117,7 +126,7 @@
                        quarantineManager,
                        rateLimiter,
                        originExchange.registry(),
-                       withdrawalRegistry,
+                       withdrawalExchange.registry(),
                        hashOf(peerKeyOf(settings)),
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
@@ -154,7 +163,7 @@
                         [this] { return instanceCount.load(); },
                         [this](const runner &target) { return rateLimiter.limitOf(target); },
                         [this](const withdrawals::answer_head &head) {
-                            withdrawalRegistry.recordAnswer(head);
+                            withdrawalExchange.registry().recordAnswer(head);
                         }},
                        std::move(links.stageLeases), settings.instance, settings.leaseBound)
     {
@@ -181,6 +190,7 @@
     state(const state &) = delete;
     state &operator=(const state &) = delete;
 
+    bool isLeavingByItsWord(const runner &target);
     bool owns(std::string_view role) const;
     bool ownsRunnerRole(std::string_view role) const;
     bool isOwner(std::span<const policy::member> candidates, std::string_view role) const;
@@ -216,7 +226,7 @@
     crashes::crash_exchange crashExchange;
     rate_limiter rateLimiter;
     streams::origin_exchange originExchange;
-    withdrawals::withdrawal_registry withdrawalRegistry;
+    withdrawals::withdrawal_exchange withdrawalExchange;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint64_t> limitsVersion{0};
@@ -233,6 +243,12 @@
     mono_time leftAt{};
 };
 
+bool gateway::state::isLeavingByItsWord(const runner &target)
+{
+    return withdrawalExchange.registry().find(lifeOf(target)).kind
+            == withdrawals::withdrawal_kind::Leaves;
+}
+
 bool gateway::state::isOwner(std::span<const policy::member> candidates,
                              std::string_view role) const
 {
@@ -385,6 +401,9 @@
     const auto originsStarted = inner->originExchange.start();
     if (!succeeded(originsStarted))
         return errorOf(originsStarted);
+    const auto withdrawalsStarted = inner->withdrawalExchange.start();
+    if (!succeeded(withdrawalsStarted))
+        return errorOf(withdrawalsStarted);
     const auto crashesStarted = inner->crashExchange.start();
     if (!succeeded(crashesStarted))
         return errorOf(crashesStarted);
@@ -499,6 +518,7 @@
     inner->loadExchange.stop();
     inner->limitExchange.stop();
     inner->originExchange.stop();
+    inner->withdrawalExchange.stop();
     inner->crashExchange.stop();
     inner->members.stop();
 }
--- a/src/gateway/limit_message.cpp
+++ b/src/gateway/limit_message.cpp
@@ -1,7 +1,6 @@
 #include "gateway/limit_message.h"
 
-#include "peer/codec.h"
-#include "peer/packed_address.h"
+#include "peer/packed_address_codec.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/peer/limits.h"
 
@@ -12,7 +11,6 @@
 namespace {
 
 constexpr std::size_t minNoticeBytes = 17;
-constexpr std::size_t addressBytes = 6;
 /// Resolution of a limit on the wire, in requests per second.
 constexpr double limitUnit = 0.001;
 
@@ -61,31 +59,13 @@
     codec.small(notice.heardAgoMs);
 }
 
-template <class Codec>
-void addressFields(Codec &codec, endpoint &address)
-{
-    peer::packed_address packed;
-    codec.fixed(packed.host);
-    codec.fixed(packed.port);
-    address = peer::endpointOf(packed);
-}
-
-void addressFields(peer::encoder &out, const endpoint &address)
-{
-    const auto packed = peer::packedAddressOf(address);
-    if (!packed)
-        throw peer::malformed_payload("not a numeric IPv4 address");
-    out.fixed(packed->host);
-    out.fixed(packed->port);
-}
-
 template <class Codec, class Update>
 void updateFields(Codec &codec, Update &update)
 {
     codec.list(update.notices, config::maxLimitNotices, minNoticeBytes,
                [](Codec &each, auto &notice) { noticeFields(each, notice); });
-    codec.list(update.forwardTo, config::maxForwardGroup, addressBytes,
-               [](Codec &each, auto &address) { addressFields(each, address); });
+    codec.list(update.forwardTo, config::maxForwardGroup, peer::packedAddressBytes,
+               [](Codec &each, auto &address) { peer::addressFields(each, address); });
 }
 
 template <class Codec, class Request>
--- a/src/gateway/limit_notices.cpp
+++ b/src/gateway/limit_notices.cpp
@@ -1,7 +1,6 @@
 #include "gateway/rate_limiter.h"
 #include "peer/forward_groups.h"
 #include "poplarspool/gateway/limits.h"
-#include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 
@@ -98,17 +97,11 @@
 
 void rate_limiter::sendNotices(const std::vector<limit_notice> &due)
 {
-    const auto current = dependencies.fleet.current();
     std::vector<endpoint> others;
-    for (const peer::fleet_instance &one : current->instances) {
-        if (one.number != selfNumber && one.isAlive && one.peerAddress.isValid())
-            others.push_back(limitAddressOf(one.peerAddress));
-    }
-    if (others.size() <= config::maxDirectRecipients)
-        return dependencies.send(others, encode(limit_message(limit_update{due, {}})));
-    for (const peer::forward_group &group : peer::forwardGroupsOf(others, selfNumber))
-        dependencies.send({group.forwarder},
-                          encode(limit_message(limit_update{due, group.members})));
+    for (const endpoint &each : peer::livingPeersOf(*dependencies.fleet.current(), selfNumber))
+        others.push_back(limitAddressOf(each));
+    for (const peer::forward_batch &batch : peer::forwardBatchesOf(std::move(others), selfNumber))
+        dependencies.send(batch.to, encode(limit_message(limit_update{due, batch.forwardTo})));
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -50,17 +50,16 @@
     }
     if (reply && reply->status == misdirectedStatus)
         context.runnerTable.recordMisdirected(place.prefill);
-    const bool isUnreachable = !reply && lastFault == unreachableFault;
-    // A failed prefill is deducted from the retry budget unless the engine was unreachable; an
-    // accepted one is free. While engines refuse or break off, each handoff would cost a second
-    // send: once the budget is overdrawn, prompts are prefilled where they run.
-    if (!isUnreachable)
+    const bool wasSent = reply || (lastFault != unreachableFault && !forbidsSends(lastWithdrawal));
+    // A failed prefill is deducted from the retry budget unless nothing was sent; an accepted one
+    // is free. While engines refuse or break off, each handoff would cost a second send: once the
+    // budget is overdrawn, prompts are prefilled where they run.
+    if (wasSent)
         context.retries.takeUnconditionally(service);
     // The prompt is then prefilled where the request runs, which costs time but not the answer. An
-    // engine that was unreachable or has refused has cost little, so that another handoff may be
-    // tried.
+    // engine that got nothing or has refused has cost little, so that another handoff may be tried.
     const bool isRefused = record.outcome() == send_outcome::Refused;
-    hasHandoffFailed = !isUnreachable && !(isRefused && ++refusedHandoffs < config::maxHandoffs);
+    hasHandoffFailed = wasSent && !(isRefused && ++refusedHandoffs < config::maxHandoffs);
     tried.push_back(prefillEngine.id);
     std::vector<event_field> fields{{"runner", prefillEngine.id.text},
                                     {"status", reply ? std::to_string(reply->status) : "none"},
@@ -96,7 +95,12 @@
                      silenceCheckOf(prefillEngine, connection, [] { return true; }));
     const std::string text =
             runnerRequestText(request, prefillEngine.address, context.names, extras);
-    beginSend(prefillEngine);
+    if (!beginSend(prefillEngine)) {
+        lastFault = "prefill_" + std::string(nameOf(lastWithdrawal.kind));
+        connection.connection = call.takeUnused();
+        context.connections.release(prefillEngine, std::move(connection), config::runnerIdleTime);
+        return std::nullopt;
+    }
     call_fault fault = call.send(text, deadline);
     if (fault != call_fault::None) {
         lastFault = "prefill_" + std::string(nameOf(fault));
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -73,6 +73,7 @@
       foreignReplies(registry.counterOf("poplarspool_gateway_foreign_replies_total")),
       prefillHandoffs(registry.counterOf("poplarspool_gateway_hand_overs_total")),
       kvCopies(registry.counterOf("poplarspool_gateway_kv_copies_total")),
+      withheldSends(registry.counterOf("poplarspool_gateway_withheld_sends_total")),
       endedByClose(registry.counterOf("poplarspool_gateway_answers_ended_by_close_total")),
       takeUps(takeUpCountersOf(registry)),
       firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds"))
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -53,6 +53,7 @@
     counter &foreignReplies;
     counter &prefillHandoffs;
     counter &kvCopies;
+    counter &withheldSends; ///< Not sent, since their runner wanted none any more.
     counter &endedByClose; ///< Runners' answers with neither a length nor chunks.
     std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
@@ -177,8 +178,11 @@
     /// Called with the head of each answer of the runner itself.
     void recordHead(const runner &target, const reply_head &head);
     /// Called right before the first byte is sent to the runner.
-    void beginSend(const runner &target);
+    /// @returns False if the runner wants no request any more; nothing may be sent then.
+    bool beginSend(const runner &target);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
+    /// Ends a send of which nothing was sent.
+    try_end withhold(runner_call &call, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
     try_end passStream(runner_call &call, const reply_head &head, sending &current);
     bool passEvents(event_splitter &events, const reply_head &head, const runner &target);
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -72,6 +72,9 @@
     ///          reply was read, and nothing followed it. Otherwise a closed descriptor.
     descriptor takeConnection();
 
+    /// @returns The connection of a call that has sent nothing.
+    descriptor takeUnused() { return std::move(connection); }
+
     /// Resets the connection, which tells the runner to stop.
     void abort();
 
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -208,7 +208,8 @@
             silenceCheckOf(target, current.connection, [this] { return mayGoOnElsewhere(); }));
     const std::string text =
             runnerRequestText(request, target.address, context.names, extrasFor(current));
-    beginSend(target);
+    if (!beginSend(target))
+        return withhold(call, current);
     const call_fault fault = call.send(text, current.deadline);
     if (call.mayHaveArrived())
         ++arrivals;
@@ -246,11 +247,27 @@
     return call_fault::Malformed;
 }
 
-void request_proxy::beginSend(const runner &target)
+/// Between the choice of the runner and the send lie the prefill of the prompt, a permit and a
+/// connection: the runner may have said meanwhile that it leaves.
+bool request_proxy::beginSend(const runner &target)
 {
     sentAt = context.clock.mono();
     lastWithdrawal = context.withdrawalRegistry.find(lifeOf(target));
+    if (forbidsSends(lastWithdrawal)) {
+        context.metrics.withheldSends.add();
+        return false;
+    }
     context.withdrawalRegistry.recordUnwantedSend(lastWithdrawal);
+    return true;
+}
+
+request_proxy::try_end request_proxy::withhold(runner_call &call, sending &current)
+{
+    lastFault = nameOf(lastWithdrawal.kind);
+    current.connection.connection = call.takeUnused();
+    context.connections.release(*current.place.serving, std::move(current.connection),
+                                config::runnerIdleTime);
+    return try_end::NotRun;
 }
 
 void request_proxy::recordHead(const runner &target, const reply_head &head)
--- a/src/peer/fleet.cpp
+++ b/src/peer/fleet.cpp
@@ -72,6 +72,16 @@
     return indexes;
 }
 
+std::vector<endpoint> livingPeersOf(const fleet &known, std::uint64_t self)
+{
+    std::vector<endpoint> peers;
+    for (const fleet_instance &one : known.instances) {
+        if (one.number != self && one.isAlive && one.peerAddress.isValid())
+            peers.push_back(one.peerAddress);
+    }
+    return peers;
+}
+
 fleet_view::fleet_view(listed_instance self) : self(std::move(self))
 {
     rebuild();
--- a/src/peer/forward_groups.cpp
+++ b/src/peer/forward_groups.cpp
@@ -34,4 +34,18 @@
     return groups;
 }
 
+std::vector<forward_batch> forwardBatchesOf(std::vector<endpoint> recipients, std::uint64_t relay)
+{
+    std::vector<forward_batch> batches;
+    if (recipients.empty())
+        return batches;
+    if (recipients.size() <= config::maxDirectRecipients) {
+        batches.push_back({std::move(recipients), {}});
+        return batches;
+    }
+    for (forward_group &group : forwardGroupsOf(std::move(recipients), relay))
+        batches.push_back({{std::move(group.forwarder)}, std::move(group.members)});
+    return batches;
+}
+
 } // namespace poplarspool::peer
--- a/src/peer/forward_groups.h
+++ b/src/peer/forward_groups.h
@@ -21,4 +21,17 @@
 /// @param relay Number of the relay.
 std::vector<forward_group> forwardGroupsOf(std::vector<endpoint> recipients, std::uint64_t relay);
 
+/// Recipients of one datagram, and those to which each of them forwards it.
+struct forward_batch
+{
+    std::vector<endpoint> to;
+    std::vector<endpoint> forwardTo;
+
+    bool operator==(const forward_batch &) const = default;
+};
+
+/// Up to config::maxDirectRecipients get a datagram directly, more by way of forwarders.
+/// @returns Empty if there are no recipients.
+std::vector<forward_batch> forwardBatchesOf(std::vector<endpoint> recipients, std::uint64_t relay);
+
 } // namespace poplarspool::peer
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -93,7 +93,7 @@
         return frame_fault::Foreign;
     frame_header header;
     headerFields(in, header);
-    if (header.kind < frame_kind::Gossip || header.kind > frame_kind::Crash)
+    if (header.kind < frame_kind::Gossip || header.kind > frame_kind::Withdrawal)
         return frame_fault::Foreign;
     if (header.length > config::maxPeerCallBytes)
         return frame_fault::Foreign;
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -25,6 +25,7 @@
     Tunnel = 9, ///< First frame of each side of a tunnel; plain bytes follow.
     StreamOrigin = 10, ///< Sent in a datagram.
     Crash = 11, ///< Sent in a datagram.
+    Withdrawal = 12, ///< Sent in a datagram.
 };
 
 /// Header of every frame between instances.
--- a/src/peer/store_update.cpp
+++ b/src/peer/store_update.cpp
@@ -1,7 +1,6 @@
 #include "poplarspool/peer/store_update.h"
 
-#include "peer/codec.h"
-#include "peer/packed_address.h"
+#include "peer/packed_address_codec.h"
 #include "poplarspool/peer/limits.h"
 
 #include <algorithm>
@@ -14,24 +13,6 @@
 /// Minimum bytes of an encoded item of each list.
 constexpr std::size_t minKindBytes = 10;
 constexpr std::size_t minChangeBytes = 1;
-constexpr std::size_t minAddressBytes = 6;
-
-void serializeAddress(encoder &out, const endpoint &address)
-{
-    const auto packed = packedAddressOf(address);
-    if (!packed)
-        throw malformed_payload("only IPv4 addresses can be packed");
-    out.fixed(packed->host);
-    out.fixed(packed->port);
-}
-
-void serializeAddress(decoder &in, endpoint &address)
-{
-    packed_address packed;
-    in.fixed(packed.host);
-    in.fixed(packed.port);
-    address = endpointOf(packed);
-}
 
 template <class Codec, class Update>
 void storeUpdateFields(Codec &codec, Update &update)
@@ -50,8 +31,8 @@
         each.small(item.parts);
     });
     codec.fixed(update.origin);
-    codec.list(update.forwardTo, config::maxForwardGroup, minAddressBytes,
-               [](Codec &each, auto &address) { serializeAddress(each, address); });
+    codec.list(update.forwardTo, config::maxForwardGroup, packedAddressBytes,
+               [](Codec &each, auto &address) { addressFields(each, address); });
 }
 
 } // namespace
--- a/src/peer/store_update_exchange.cpp
+++ b/src/peer/store_update_exchange.cpp
@@ -136,14 +136,10 @@
 void store_update_exchange::state::sendUpdate(const store_update &update,
                                               const std::vector<endpoint> &to)
 {
-    if (to.size() <= config::maxDirectRecipients) {
-        socket.send(to, encode(update));
-        return;
-    }
-    for (const forward_group &group : forwardGroupsOf(to, self)) {
+    for (const forward_batch &batch : forwardBatchesOf(to, self)) {
         store_update forwarded = update;
-        forwarded.forwardTo = group.members;
-        socket.send({group.forwarder}, encode(forwarded));
+        forwarded.forwardTo = batch.forwardTo;
+        socket.send(batch.to, encode(forwarded));
     }
 }
 
--- a/src/withdrawals/withdrawal.cpp
+++ b/src/withdrawals/withdrawal.cpp
@@ -73,6 +73,11 @@
     return "none";
 }
 
+bool forbidsSends(const withdrawal &now)
+{
+    return now.kind == withdrawal_kind::Leaves;
+}
+
 rest_state afterRest(const rest_state &state, milliseconds rest, mono_time now)
 {
     rest_state next;
--- a/src/withdrawals/withdrawal_registry.cpp
+++ b/src/withdrawals/withdrawal_registry.cpp
@@ -1,18 +1,40 @@
 #include "poplarspool/withdrawals/withdrawal_registry.h"
 
+#include "peer/forward_groups.h"
+#include "peer/frame.h"
 #include "poplarspool/withdrawals/limits.h"
 #include "withdrawals/life_map.h"
+#include "withdrawals/withdrawal_message.h"
 
+#include <algorithm>
 #include <atomic>
+#include <deque>
 #include <mutex>
 
 namespace poplarspool::withdrawals {
 
+namespace {
+
+constexpr std::uint16_t withdrawalPortOffset = 6;
+
+} // namespace
+
 struct withdrawal_registry::state
 {
     explicit state(withdrawal_dependencies given);
 
+    /// A runner that other instances are told of again.
+    struct pending_notice
+    {
+        withdrawal_notice notice;
+        int sendsLeft = 0;
+    };
+
+    /// @returns Whether that was not known.
+    bool markLeaving(const runner_life &runner, mono_time now);
     void recordLeaving(const answer_head &head, mono_time now);
+    void applyNotice(const withdrawal_notice &notice, mono_time now);
+    void tellAll(const std::vector<withdrawal_notice> &notices);
     void recordRest(const answer_head &head, milliseconds rest, mono_time now);
     void recordAnswered(const answer_head &head, mono_time now);
     void expire(mono_time now);
@@ -20,6 +42,7 @@
     void log(std::string_view kind, const answer_head &head, std::vector<event_field> more);
 
     const withdrawal_dependencies dependencies;
+    const std::uint64_t selfNumber;
     counter &rests;
     counter &leavesHeard;
     counter &sendsWhileResting;
@@ -30,11 +53,12 @@
     mutable std::mutex guard;
     life_map<mono_time> leaves; ///< When each runner has said so first.
     life_map<rest_state> restStates;
+    std::deque<pending_notice> pending;
     std::atomic<std::size_t> size{0}; ///< Of both maps.
 };
 
 withdrawal_registry::state::state(withdrawal_dependencies given)
-    : dependencies(std::move(given)),
+    : dependencies(std::move(given)), selfNumber(peer::senderNumber(dependencies.self)),
       rests(dependencies.metrics.counterOf("poplarspool_runner_rests_total")),
       leavesHeard(dependencies.metrics.counterOf("poplarspool_runner_leaves_total")),
       sendsWhileResting(
@@ -72,18 +96,50 @@
     dependencies.events.emit(kind, std::move(fields));
 }
 
+bool withdrawal_registry::state::markLeaving(const runner_life &runner, mono_time now)
+{
+    const std::lock_guard lock(guard);
+    if (leaves.find(runner) != nullptr)
+        return false;
+    expire(now);
+    leaves.set(runner, now, now);
+    updateSizes();
+    return true;
+}
+
+/// The others are told at once: until the store knows, they learn it only by answers of their own.
 void withdrawal_registry::state::recordLeaving(const answer_head &head, mono_time now)
 {
-    {
-        const std::lock_guard lock(guard);
-        if (leaves.find(head.from) != nullptr)
-            return;
-        expire(now);
-        leaves.set(head.from, now, now);
-        updateSizes();
-    }
+    if (!markLeaving(head.from, now))
+        return;
     leavesHeard.add();
     log("runner_leaving", head, {{"from", "runner"}});
+    dependencies.hooks.onLeaving(head.from);
+    const withdrawal_notice notice{head.from, 0};
+    tellAll({notice});
+    const std::lock_guard lock(guard);
+    if (pending.size() < config::maxPendingWithdrawals)
+        pending.push_back({notice, config::withdrawalNoticeSends - 1});
+}
+
+void withdrawal_registry::state::applyNotice(const withdrawal_notice &notice, mono_time now)
+{
+    if (!markLeaving(notice.runner, now))
+        return;
+    dependencies.events.emit("runner_leaving",
+                             {{"runner", notice.runner.id.text},
+                              {"born", std::to_string(notice.runner.startedAtMs)},
+                              {"from", "instance"}});
+    dependencies.hooks.onLeaving(notice.runner);
+}
+
+void withdrawal_registry::state::tellAll(const std::vector<withdrawal_notice> &notices)
+{
+    std::vector<endpoint> others;
+    for (const endpoint &each : peer::livingPeersOf(*dependencies.fleet.current(), selfNumber))
+        others.push_back(withdrawalAddressOf(each));
+    for (const peer::forward_batch &batch : peer::forwardBatchesOf(std::move(others), selfNumber))
+        dependencies.send(batch.to, encode(withdrawal_update{notices, batch.forwardTo}));
 }
 
 void withdrawal_registry::state::recordRest(const answer_head &head, milliseconds rest,
@@ -159,6 +215,42 @@
     return rest == nullptr ? withdrawal{} : withdrawalIn(*rest, now);
 }
 
+bool withdrawal_registry::receive(std::string_view payload)
+{
+    auto decoded = decodeWithdrawalUpdate(payload);
+    if (!succeeded(decoded))
+        return false;
+    withdrawal_update &update = valueOf(decoded);
+    const mono_time now = inner->dependencies.clock.mono();
+    for (const withdrawal_notice &one : update.notices)
+        inner->applyNotice(one, now);
+    const auto to = std::exchange(update.forwardTo, {});
+    if (!to.empty())
+        inner->dependencies.send(to, encode(update));
+    return true;
+}
+
+mono_time withdrawal_registry::sendDue()
+{
+    std::vector<withdrawal_notice> due;
+    {
+        const std::lock_guard lock(inner->guard);
+        for (state::pending_notice &one : inner->pending) {
+            due.push_back(one.notice);
+            --one.sendsLeft;
+        }
+        std::erase_if(inner->pending,
+                      [](const state::pending_notice &one) { return one.sendsLeft == 0; });
+    }
+    while (!due.empty()) {
+        const auto count = std::min(due.size(), config::maxWithdrawalNotices);
+        const auto end = due.begin() + static_cast<std::ptrdiff_t>(count);
+        inner->tellAll({due.begin(), end});
+        due.erase(due.begin(), end);
+    }
+    return inner->dependencies.clock.mono() + config::withdrawalNoticeInterval;
+}
+
 void withdrawal_registry::recordUnwantedSend(const withdrawal &unwanted)
 {
     if (unwanted.kind == withdrawal_kind::Leaves)
@@ -167,4 +259,12 @@
         inner->sendsWhileResting.add();
 }
 
+endpoint withdrawalAddressOf(const endpoint &peerAddress)
+{
+    endpoint address = peerAddress;
+    if (address.isValid())
+        address.port = static_cast<std::uint16_t>(address.port + withdrawalPortOffset);
+    return address;
+}
+
 } // namespace poplarspool::withdrawals
--- a/tests/fuzz/datagrams.cpp
+++ b/tests/fuzz/datagrams.cpp
@@ -9,6 +9,7 @@
 #include "poplarspool/peer/store_update.h"
 #include "poplarspool/scaling/fleet_plan.h"
 #include "streams/origin_message.h"
+#include "withdrawals/withdrawal_message.h"
 
 #include <algorithm>
 
@@ -90,7 +91,7 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    switch (fuzz::takeByte(bytes) % 11) {
+    switch (fuzz::takeByte(bytes) % 12) {
     case 0:
         checkFrame(bytes);
         break;
@@ -133,6 +134,14 @@
                 [](const crashes::crash_message &message) { return crashes::encode(message); },
                 crashes::decodeCrashMessage);
         break;
+    case 10:
+        checkRoundTrip(
+                bytes,
+                [](const withdrawals::withdrawal_update &update) {
+                    return withdrawals::encode(update);
+                },
+                withdrawals::decodeWithdrawalUpdate);
+        break;
     default:
         checkRoundTrip(
                 bytes,
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -23,6 +23,7 @@
     src/operators/settings_file.cpp src/operators/toml_reader.cpp src/operators/value_rules.cpp
     src/workspaces/workspaces.cpp src/duties/fleet_clock.cpp src/duties/usage.cpp
     src/duties/usage_update.cpp src/scaling/fleet_plan.cpp src/streams/origin_message.cpp
+    src/withdrawals/withdrawal_message.cpp
     src/crashes/crash_message.cpp src/crashes/crash_records.cpp src/crashes/crash_table.cpp
     src/crashes/crash_update.cpp src/crashes/part_verdicts.cpp
     platform/decode.cpp platform/decode_crash_records.cpp platform/decode_workspaces.cpp platform/dialect.cpp platform/json_count.cpp platform/store_wire.cpp)
--- a/tests/gateway/catalogue_updater_test.cpp
+++ b/tests/gateway/catalogue_updater_test.cpp
@@ -2,6 +2,7 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 
 namespace poplarspool::gateway {
 
@@ -34,7 +35,9 @@
     clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
     journal events{{"test"}, clock, 16};
     catalogue_publisher publisher{catalogue{}};
-    catalogue_updater updater{publisher, settleTime, clock, events};
+    std::set<runner_id> leaving; ///< Runners that have said that they leave.
+    catalogue_updater updater{publisher, settleTime, clock, events,
+                              [this](const runner &target) { return leaving.contains(target.id); }};
 
     /// Simulates an outage of the store.
     /// @param noticedAfter Time from the last failed call to the first answer.
@@ -47,12 +50,19 @@
         updater.recordStoreAnswer();
     }
 
+    /// The runner says that it leaves.
+    void leave(const std::string &id)
+    {
+        leaving.insert({id});
+        updater.applyLeaving({id});
+    }
+
     /// @returns Whether requests may be sent to the runner.
     bool isUsed(const std::string &id) const
     {
         const auto known = publisher.current();
         const runner_entry found = known->runners->find({id});
-        return found && found->retainedUntil > now;
+        return found && !found->isDraining && found->retainedUntil > now;
     }
 };
 
@@ -77,6 +87,9 @@
     CPPUNIT_TEST(markersAreAppliedOnceAndNotToLiveRunners);
     CPPUNIT_TEST(liveRunnersAreNotMarked);
     CPPUNIT_TEST(runnerKeptAtSecondRollbackIsMarkedOnceRemoved);
+    CPPUNIT_TEST(runnerThatSaysThatItLeavesIsNotUsed);
+    CPPUNIT_TEST(entriesFromBeforeALeaveDoNotEndIt);
+    CPPUNIT_TEST(leavingRunnersGetNoGracePeriod);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -350,6 +363,41 @@
         CPPUNIT_ASSERT(test.updater.outdatedMarkers()
                        == (std::vector<outdated_entry_marker>{{{"a"}, 0, 4}}));
     }
+
+    void runnerThatSaysThatItLeavesIsNotUsed()
+    {
+        fixture parts;
+        parts.updater.setRunners({runnerOf("a"), runnerOf("b")});
+        parts.leave("a");
+        CPPUNIT_ASSERT(!parts.isUsed("a"));
+        CPPUNIT_ASSERT(parts.isUsed("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parts.publisher.current()->runners->servingCount());
+    }
+
+    /// Guards against entries that say "in service" and arrive after the runner's own word.
+    void entriesFromBeforeALeaveDoNotEndIt()
+    {
+        fixture parts;
+        parts.updater.setRunners({writtenRunner("a", 1)});
+        parts.leave("a");
+        parts.updater.applyChanges({{{"a"}, writtenRunner("a", 2)}});
+        CPPUNIT_ASSERT(!parts.isUsed("a"));
+        parts.updater.setRunners({writtenRunner("a", 3)});
+        CPPUNIT_ASSERT(!parts.isUsed("a"));
+        parts.updater.applyChanges({{{"a"}, std::nullopt}});
+        parts.updater.applyChanges({{{"a"}, writtenRunner("a", 4)}});
+        CPPUNIT_ASSERT(!parts.isUsed("a"));
+    }
+
+    void leavingRunnersGetNoGracePeriod()
+    {
+        fixture parts;
+        parts.updater.setRunners({runnerOf("a"), runnerOf("b")});
+        parts.leave("a");
+        parts.simulateOutage(5s);
+        parts.updater.setRunners({runnerOf("b")});
+        CPPUNIT_ASSERT(!parts.publisher.current()->runners->find({"a"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(catalogue_updater_test);
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -86,7 +86,15 @@
              fleet,
              clock,
              registry}};
-    withdrawals::withdrawal_registry withdrawalRegistry{{names.leaving, clock, registry, events}};
+    withdrawals::withdrawal_registry withdrawalRegistry{
+            {{"test"},
+             names.leaving,
+             [](const std::vector<endpoint> &, const result<std::string> &) {},
+             {[](const withdrawals::runner_life &) {}},
+             fleet,
+             clock,
+             registry,
+             events}};
     const proxy_context context{names,
                                 publisher,
                                 runnerTable,
--- a/tests/withdrawals/withdrawal_registry_test.cpp
+++ b/tests/withdrawals/withdrawal_registry_test.cpp
@@ -112,7 +112,15 @@
     metrics_registry metrics;
     const clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
     journal events{{"test"}, clock, 1024};
-    withdrawal_registry registry{{"Leaves", clock, metrics, events}};
+    const peer::fleet_view fleet{{{"edge-0"}, {"10.0.0.1", 7000}}};
+    withdrawal_registry registry{{{"edge-0"},
+                                  "Leaves",
+                                  [](const std::vector<endpoint> &, const result<std::string> &) {},
+                                  {[](const runner_life &) {}},
+                                  fleet,
+                                  clock,
+                                  metrics,
+                                  events}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withdrawal_registry_test);
