Keep the rest that a runner asks for, and send one request first when it is over

Cause: Retry-After in a runner's refusal was read by nobody. What there was, 60 ms for which a runner that refuses is left aside, is a preference: where fewer than half of the candidates are left, all are taken.

It excludes the runner: also where no other is left, where a permit is held, and where a prompt would be prefilled or cache be copied for it; reports, orders and freed handles wait, too. If all rest, callers are refused at once and told when the first rest ends, within the bounds of other refusals. A refusal that asks for rest is no reason to infer a rate limit, which all instances would keep.

--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -60,6 +60,9 @@
     std::uint32_t affinityRank = notPreferred;
     /// Time until its rate limit permits another request; 0: it may get one now.
     double limitedForMs = 0;
+    /// Time for which it has asked this instance for rest; 0: it may get requests.
+    double restsForMs = 0;
+    bool isLeaving = false; ///< It has said that it leaves, and its entry doesn't say so yet.
     /// Its service's other runners of its stage have other software versions: a stream that it
     /// begins can go on nowhere else.
     bool isAloneInVersion = false;
@@ -123,10 +126,12 @@
 struct no_placement
 {
     bool areAllTried = false; ///< There are runners, but this request has tried them all.
-    /// More requests wait at all runners than can start in time, or their rate limits are used up;
-    /// the caller should come back after this many milliseconds. 0: another reason.
+    /// More requests wait at all runners than can start in time, or their rate limits are used up,
+    /// or they rest; the caller should come back after this many milliseconds. 0: another reason.
     double retryInMs = 0;
-    bool isLimited = false; ///< The reason: the rate limits of all runners are used up.
+    /// The reason: the rate limits of all runners are used up, but for those that rest.
+    bool isLimited = false;
+    bool isResting = false; ///< The reason, for one of the runners at least: it rests.
 
     bool operator==(const no_placement &) const = default;
 };
--- a/include/poplarspool/withdrawals/withdrawal.h
+++ b/include/poplarspool/withdrawals/withdrawal.h
@@ -55,7 +55,7 @@
 {
     withdrawal_kind kind = withdrawal_kind::None;
     milliseconds age{0}; ///< Since the runner has said so last.
-    milliseconds remaining{0}; ///< Until it may get one; only of Rests and Returns.
+    milliseconds remaining{0}; ///< Of the rest; 0 if an answer may end it at any time.
 
     bool operator==(const withdrawal &) const = default;
 };
--- a/include/poplarspool/withdrawals/withdrawal_registry.h
+++ b/include/poplarspool/withdrawals/withdrawal_registry.h
@@ -70,8 +70,9 @@
     bool isEmpty() const;
     /// @returns Whether the runner may get a request now.
     withdrawal find(const runner_life &runner) const;
-    /// Counts a request that is sent to the runner although it wants none.
-    void recordUnwantedSend(const withdrawal &unwanted);
+    /// As find(), for a request that is sent at once if the runner may get it: after a rest, it
+    /// counts as one of the first.
+    withdrawal admit(const runner_life &runner);
 
     // Called from the thread that exchanges the datagrams.
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -162,6 +162,9 @@
                         [this] { return ownsRunnerRole(stagesRole); },
                         [this] { return instanceCount.load(); },
                         [this](const runner &target) { return rateLimiter.limitOf(target); },
+                        [this](const runner &target) {
+                            return withdrawalExchange.registry().find(lifeOf(target));
+                        },
                         [this](const withdrawals::answer_head &head) {
                             withdrawalExchange.registry().recordAnswer(head);
                         }},
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -31,11 +31,12 @@
             || versionKeyOf(target.version) == *query.version;
 }
 
-/// Whether the runner could take the request, if its rate limit permits another one.
+/// Whether the runner could take the request, if it doesn't rest and its rate limit permits another
+/// one.
 bool isCandidate(const placement_query &query, const placement_candidate &one, engine_stage stage)
 {
-    return one.target->service == query.service && !one.target->isDraining && !one.isTried
-            && !one.isMisdirected && one.target->retainedUntil > query.now
+    return one.target->service == query.service && !one.target->isDraining && !one.isLeaving
+            && !one.isTried && !one.isMisdirected && one.target->retainedUntil > query.now
             && serves(*one.target, stage) && hasWantedVersion(query, *one.target, stage);
 }
 
@@ -48,7 +49,7 @@
     candidate_list all;
     candidate_list good;
     for (const placement_candidate &one : candidates) {
-        if (!isCandidate(query, one, stage) || one.limitedForMs > 0)
+        if (!isCandidate(query, one, stage) || one.limitedForMs > 0 || one.restsForMs > 0)
             continue;
         all.push_back(&one);
         if (!isEjected(one, query.now))
@@ -59,17 +60,19 @@
 }
 
 /// The reason why no runner may take the request now. The rate limits of all runners together are
-/// what the service takes: if they are used up, the caller learns at once when to come back.
+/// what the service takes: if they are used up, or if all rest, the caller learns at once when to
+/// come back.
 no_placement noneEligible(const placement_query &query,
                           std::span<const placement_candidate> candidates, engine_stage stage)
 {
     no_placement none;
     for (const placement_candidate &one : candidates) {
-        if (!isCandidate(query, one, stage) || one.limitedForMs <= 0)
+        const double waitMs = std::max(one.limitedForMs, one.restsForMs);
+        if (!isCandidate(query, one, stage) || waitMs <= 0)
             continue;
-        none.retryInMs =
-                none.isLimited ? std::min(none.retryInMs, one.limitedForMs) : one.limitedForMs;
-        none.isLimited = true;
+        none.retryInMs = none.retryInMs == 0 ? waitMs : std::min(none.retryInMs, waitMs);
+        none.isLimited = none.isLimited || one.restsForMs <= 0;
+        none.isResting = none.isResting || one.restsForMs > 0;
     }
     return none;
 }
@@ -147,7 +150,7 @@
     const placement_candidate *holder = nullptr;
     for (const placement_candidate &one : candidates) {
         const bool isUsable = one.target->service == query.service && one.copyableTokens > 0
-                && !isEjected(one, query.now);
+                && !isEjected(one, query.now) && one.restsForMs <= 0;
         if (isUsable && (holder == nullptr || isBetterHolder(one, *holder)))
             holder = &one;
     }
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -112,13 +112,13 @@
     const auto head = readOwnHead(call, deadline);
     http_reply reply;
     if (const auto *arrived = std::get_if<reply_head>(&head)) {
-        recordHead(prefillEngine, *arrived);
+        const bool isWithdrawn = recordHead(prefillEngine, *arrived);
         reply.status = arrived->status;
         const bool isRefused = !headerOf(arrived->headers, context.names.notRun).empty();
         if (isRefused ? arrived->status != misdirectedStatus : arrived->status == acceptedStatus)
-            context.rateLimiter.recordReply(prefillEngine, arrived->headers,
-                                            isRefused ? reply_kind::Refused : reply_kind::Accepted,
-                                            sentAt);
+            context.rateLimiter.recordReply(
+                    prefillEngine, arrived->headers,
+                    isRefused ? refusalKind(isWithdrawn) : reply_kind::Accepted, sentAt);
         body_piece rest = call.readRest(deadline, config::maxBufferedReplyBytes);
         reply.body = std::move(rest.bytes);
         fault = rest.fault;
@@ -142,6 +142,13 @@
 void request_proxy::freeHandle(const runner &prefillEngine, const std::string &handle)
 {
     const mono_time askedAt = context.clock.mono();
+    const withdrawals::withdrawal wanted = context.withdrawalRegistry.find(lifeOf(prefillEngine));
+    if (forbidsSends(wanted)) {
+        log("handle_not_freed",
+            {{"runner", prefillEngine.id.text},
+             {"reason", "engine " + std::string(nameOf(wanted.kind))}});
+        return;
+    }
     const auto freed =
             callRunner(context.connections, context.names, prefillEngine,
                        context.names.freeHandleRequest(handle), config::freeHandleTimeout);
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -60,6 +60,8 @@
         observed.perSecond = reading.perSecond;
     if (reading.kind != rate_limit_kind::None)
         return observed.perSecond ? std::optional(observed) : std::nullopt;
+    if (kind == reply_kind::Withdrawn)
+        return std::nullopt;
     const auto known = table.limitOf(target);
     const bool isNamed = known && !known->isInferred;
     if (kind == reply_kind::Refused) {
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -28,8 +28,14 @@
 enum class reply_kind {
     Accepted, ///< It has begun to work on the request.
     Refused, ///< It has not run the request.
+    Withdrawn, ///< The same, and it wants no others: that is no limit for all instances.
 };
 
+inline reply_kind refusalKind(bool isWithdrawn)
+{
+    return isWithdrawn ? reply_kind::Withdrawn : reply_kind::Refused;
+}
+
 /// The right to send one request to a runner.
 struct rate_permit
 {
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -230,7 +230,7 @@
 std::optional<placement> request_proxy::findNextPlacement()
 {
     auto place = findPermittedPlacement(nullptr);
-    const bool mayReturn = !place && hasBegun && streamVersion && !hasReturned && !isRateLimited
+    const bool mayReturn = !place && hasBegun && streamVersion && !hasReturned && !isWaitUseful
             && !tried.empty() && lastConnectError.empty();
     if (!mayReturn)
         return place;
@@ -272,15 +272,20 @@
                                                         affinityKeyOf(metadata.prompt), query.draw,
                                                         streamVersion});
     markLimited(candidates);
+    markWithdrawn(candidates);
     const auto found = choosePlacement(query, candidates);
-    isRateLimited = false;
+    isWaitUseful = false;
     if (const auto *place = std::get_if<placement>(&found))
         return *place;
     const no_placement &none = std::get<no_placement>(found);
-    isRateLimited = none.isLimited;
+    isWaitUseful = none.isLimited
+            || (none.isResting
+                && none.retryInMs < static_cast<double>(config::maxPermitWait.count()));
     if (none.retryInMs > 0) {
         retryAfterTime = retryAfterFor(none.retryInMs, query.draw);
-        const std::string reason = none.isLimited ? "rate_limit" : "no_room";
+        const std::string reason = none.isResting ? "rests"
+                : none.isLimited                  ? "rate_limit"
+                                                  : "no_room";
         lastFault = lastFault.empty() ? reason : reason + ":" + lastFault;
     } else {
         lastFault = none.areAllTried ? "all_tried:" + lastFault : "no_runner";
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -151,6 +151,7 @@
     void usePermit(const runner &target);
     void releasePermits();
     void markLimited(std::vector<placement_candidate> &candidates);
+    void markWithdrawn(std::vector<placement_candidate> &candidates) const;
 
     // stream_take_up.cpp: the software version that began a stream.
     bool isTakeUp() const;
@@ -176,7 +177,8 @@
     send_outcome unreachableOutcome() const;
     std::variant<reply_head, call_fault> readOwnHead(runner_call &call, socket_deadline deadline);
     /// Called with the head of each answer of the runner itself.
-    void recordHead(const runner &target, const reply_head &head);
+    /// @returns Whether the runner wants fewer requests from now on.
+    bool recordHead(const runner &target, const reply_head &head);
     /// Called right before the first byte is sent to the runner.
     /// @returns False if the runner wants no request any more; nothing may be sent then.
     bool beginSend(const runner &target);
@@ -236,7 +238,8 @@
     std::vector<runner_id> tried;
     std::vector<rate_permit> heldPermits; ///< Not used yet.
     std::vector<runner_id> deniedRunners; ///< Those whose rate limit has not permitted the request.
-    bool isRateLimited = false; ///< The last search has found no other runners than such.
+    /// The last search has found no runner, but one may take the request soon.
+    bool isWaitUseful = false;
     /// A handoff has failed: the prompt is prefilled where the request runs.
     bool hasHandoffFailed = false;
     std::uint32_t refusedHandoffs = 0;
--- a/src/gateway/runner_permits.cpp
+++ b/src/gateway/runner_permits.cpp
@@ -7,8 +7,8 @@
 
 namespace poplarspool::gateway {
 
-/// A request that has begun, here or by a prefill elsewhere, may wait for a permit: refused, that
-/// work would be lost. Others are refused at once.
+/// A request that has begun, here or by a prefill elsewhere, may wait for a permit or for the end
+/// of a rest: refused, that work would be lost. Others are refused at once.
 std::optional<placement> request_proxy::findPermittedPlacement(const runner *prefillEngine)
 {
     const bool mayWait = hasBegun || isTakeUp() || prefillEngine != nullptr;
@@ -23,7 +23,7 @@
         // Denied: the runners that are left are tried.
         if (place)
             continue;
-        if (!isRateLimited || isCallerGone()
+        if (!isWaitUseful || isCallerGone()
             || context.clock.mono() + config::minPermitRetryTime >= waitEndsAt)
             return std::nullopt;
         std::this_thread::sleep_for(config::minPermitRetryTime);
@@ -73,6 +73,21 @@
     heldPermits.clear();
 }
 
+/// A rest that has been asked for is kept also where a permit is held, and where no other runner is
+/// left.
+void request_proxy::markWithdrawn(std::vector<placement_candidate> &candidates) const
+{
+    if (context.withdrawalRegistry.isEmpty())
+        return;
+    for (placement_candidate &one : candidates) {
+        const auto known = context.withdrawalRegistry.find(lifeOf(*one.target));
+        if (known.kind == withdrawals::withdrawal_kind::Leaves)
+            one.isLeaving = true;
+        else if (forbidsSends(known))
+            one.restsForMs = std::max(1.0, static_cast<double>(known.remaining.count()));
+    }
+}
+
 void request_proxy::markLimited(std::vector<placement_candidate> &candidates)
 {
     context.rateLimiter.markLimited(candidates);
--- a/src/gateway/stage_manager.cpp
+++ b/src/gateway/stage_manager.cpp
@@ -122,6 +122,12 @@
         placeOrder(known, change, *term);
 }
 
+void stage_manager::skipOrder(const runner &target, std::string_view reason)
+{
+    dependencies.events.emit("stage_order_skipped",
+                             {{"runner", target.id.text}, {"reason", std::string(reason)}});
+}
+
 result<http_reply> stage_manager::call(const runner &target, const http_request &request,
                                        milliseconds timeout, const std::function<bool()> &check)
 {
@@ -148,6 +154,10 @@
     if (!entry)
         return;
     const runner &target = *entry;
+    if (dependencies.withdrawalOf && forbidsSends(dependencies.withdrawalOf(target))) {
+        skipOrder(target, "engine rests");
+        return;
+    }
     const auto isInTerm = [&] { return dependencies.clock.mono() < term.endsAt; };
     const auto timeLeft = [&] {
         const auto left =
@@ -160,12 +170,10 @@
     const auto state = succeeded(report) ? dependencies.names.parseReport(valueOf(report).body)
                                          : std::optional<engine_report>();
     if (!state || state->isChanging || timeLeft() <= milliseconds::zero()) {
-        dependencies.events.emit("stage_order_skipped",
-                                 {{"runner", target.id.text},
-                                  {"reason",
-                                   !state                      ? "engine gave no report"
-                                           : state->isChanging ? "stage change in progress"
-                                                               : "lease term expired"}});
+        skipOrder(target,
+                  !state                      ? "engine gave no report"
+                          : state->isChanging ? "stage change in progress"
+                                              : "lease term expired");
         return;
     }
     const engine_order wanted{change.wanted, self, term.fence, state->ordersTaken};
--- a/src/gateway/stage_manager.h
+++ b/src/gateway/stage_manager.h
@@ -31,6 +31,8 @@
     std::function<std::size_t()> instanceCount;
     /// @returns The rate limit of an engine, in requests per second; none if it has none.
     std::function<std::optional<double>(const runner &)> limitOf = {};
+    /// @returns Whether the engine wants requests.
+    std::function<withdrawals::withdrawal(const runner &)> withdrawalOf = {};
     /// Called with the head of each answer of an engine.
     std::function<void(const withdrawals::answer_head &)> onAnswer = {};
 };
@@ -67,6 +69,7 @@
     void forgetSettledOrders(const catalogue &known);
     result<http_reply> call(const runner &target, const http_request &request, milliseconds timeout,
                             const std::function<bool()> &check = {});
+    void skipOrder(const runner &target, std::string_view reason);
     void placeOrder(const catalogue &known, const stage_change &change,
                     const duties::lease_term &term);
 
--- a/src/withdrawals/withdrawal.cpp
+++ b/src/withdrawals/withdrawal.cpp
@@ -75,7 +75,7 @@
 
 bool forbidsSends(const withdrawal &now)
 {
-    return now.kind == withdrawal_kind::Leaves;
+    return now.kind != withdrawal_kind::None;
 }
 
 rest_state afterRest(const rest_state &state, milliseconds rest, mono_time now)
@@ -113,8 +113,7 @@
     const std::uint32_t allowed = 1 + config::triesPerAcceptance * state.acceptances;
     if (hasReturned(state) || openTriesAt(state, now) < allowed)
         return {};
-    return {withdrawal_kind::Returns, age,
-            std::chrono::ceil<milliseconds>(state.lastTryAt + config::returnTryTime - now)};
+    return {withdrawal_kind::Returns, age, milliseconds(0)};
 }
 
 bool hasReturned(const rest_state &state)
--- a/src/withdrawals/withdrawal_registry.cpp
+++ b/src/withdrawals/withdrawal_registry.cpp
@@ -37,6 +37,8 @@
     void tellAll(const std::vector<withdrawal_notice> &notices);
     void recordRest(const answer_head &head, milliseconds rest, mono_time now);
     void recordAnswered(const answer_head &head, mono_time now);
+    void countUnwanted(const answer_head &head);
+    withdrawal findLocked(const runner_life &runner, mono_time now) const;
     void expire(mono_time now);
     void updateSizes();
     void log(std::string_view kind, const answer_head &head, std::vector<event_field> more);
@@ -77,6 +79,15 @@
             [now](const rest_state &one) { return now - one.endsAt > config::leaveRetention; });
 }
 
+/// @attention The caller must hold `guard`.
+withdrawal withdrawal_registry::state::findLocked(const runner_life &runner, mono_time now) const
+{
+    if (const mono_time *heardAt = leaves.find(runner))
+        return {withdrawal_kind::Leaves, std::chrono::floor<milliseconds>(now - *heardAt), {}};
+    const rest_state *rest = restStates.find(runner);
+    return rest == nullptr ? withdrawal{} : withdrawalIn(*rest, now);
+}
+
 /// @attention The caller must hold `guard`.
 void withdrawal_registry::state::updateSizes()
 {
@@ -178,6 +189,18 @@
     updateSizes();
 }
 
+/// Counts a request that was sent although the runner had said that it wants none.
+void withdrawal_registry::state::countUnwanted(const answer_head &head)
+{
+    const std::lock_guard lock(guard);
+    const mono_time *leftAt = leaves.find(head.from);
+    if (leftAt != nullptr && head.askedAt > *leftAt)
+        sendsAfterLeaving.add();
+    const rest_state *rest = restStates.find(head.from);
+    if (rest != nullptr && head.askedAt > rest->askedAt && head.askedAt < rest->endsAt)
+        sendsWhileResting.add();
+}
+
 withdrawal_registry::withdrawal_registry(withdrawal_dependencies given)
     : inner(std::make_unique<state>(std::move(given)))
 { }
@@ -189,6 +212,8 @@
     const withdrawal_reading reading =
             readWithdrawal(head.status, head.headers, inner->dependencies.leavingHeader);
     const mono_time now = inner->dependencies.clock.mono();
+    if (!isEmpty())
+        inner->countUnwanted(head);
     if (reading.isLeaving)
         inner->recordLeaving(head, now);
     if (reading.rest)
@@ -209,10 +234,7 @@
         return {};
     const mono_time now = inner->dependencies.clock.mono();
     const std::lock_guard lock(inner->guard);
-    if (const mono_time *heardAt = inner->leaves.find(runner))
-        return {withdrawal_kind::Leaves, std::chrono::floor<milliseconds>(now - *heardAt), {}};
-    const rest_state *rest = inner->restStates.find(runner);
-    return rest == nullptr ? withdrawal{} : withdrawalIn(*rest, now);
+    return inner->findLocked(runner, now);
 }
 
 bool withdrawal_registry::receive(std::string_view payload)
@@ -251,12 +273,17 @@
     return inner->dependencies.clock.mono() + config::withdrawalNoticeInterval;
 }
 
-void withdrawal_registry::recordUnwantedSend(const withdrawal &unwanted)
+withdrawal withdrawal_registry::admit(const runner_life &runner)
 {
-    if (unwanted.kind == withdrawal_kind::Leaves)
-        inner->sendsAfterLeaving.add();
-    if (unwanted.kind == withdrawal_kind::Rests)
-        inner->sendsWhileResting.add();
+    if (isEmpty())
+        return {};
+    const mono_time now = inner->dependencies.clock.mono();
+    const std::lock_guard lock(inner->guard);
+    const withdrawal known = inner->findLocked(runner, now);
+    const rest_state *rest = inner->restStates.find(runner);
+    if (!forbidsSends(known) && rest != nullptr)
+        inner->restStates.set(runner, afterTry(*rest, now), now);
+    return known;
 }
 
 endpoint withdrawalAddressOf(const endpoint &peerAddress)
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -63,6 +63,10 @@
     CPPUNIT_TEST(ejectedRunnersAreNotChosen);
     CPPUNIT_TEST(ejectedRunnersAreUsedIfTooFewRemain);
     CPPUNIT_TEST(misdirectedRunnersAreNeverChosen);
+    CPPUNIT_TEST(restingRunnersAreNotChosenHoweverFewRemain);
+    CPPUNIT_TEST(nothingIsPrefilledIfAllThatCouldGoOnRest);
+    CPPUNIT_TEST(refusalSaysWhenTheFirstRestEnds);
+    CPPUNIT_TEST(restingEnginesAreNoSourcesOfCopies);
     CPPUNIT_TEST(busyRunnerIsPreferredToSlowOne);
     CPPUNIT_TEST(missingRunnerIsUsedUntilItsGracePeriodEnds);
     CPPUNIT_TEST(noRunnerIsDistinguishedFromAllTried);
@@ -91,6 +95,55 @@
         CPPUNIT_ASSERT(used == (std::set<std::string>{"b", "c"}));
     }
 
+    /// Guards against a rest that is a preference only, as an ejection is.
+    void restingRunnersAreNotChosenHoweverFewRemain()
+    {
+        std::vector<placement_candidate> all{candidateOf("a"), candidateOf("b"), candidateOf("c"),
+                                             candidateOf("d")};
+        for (std::size_t i = 0; i < 3; ++i)
+            all[i].restsForMs = 1;
+        for (std::uint64_t draw = 0; draw < 100; ++draw) {
+            placement_query query = serviceQuery();
+            query.draw = draw;
+            CPPUNIT_ASSERT_EQUAL(std::string("d"), servingOf(query, all));
+        }
+    }
+
+    void nothingIsPrefilledIfAllThatCouldGoOnRest()
+    {
+        std::vector<placement_candidate> all{candidateOf("p", engine_stage::Prefill),
+                                             candidateOf("a", engine_stage::Decode),
+                                             candidateOf("b", engine_stage::Decode)};
+        all[1].restsForMs = all[2].restsForMs = 3000;
+        CPPUNIT_ASSERT_EQUAL(std::string(), servingOf(engineQuery(), all));
+        all[2].restsForMs = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), servingOf(engineQuery(), all));
+    }
+
+    void refusalSaysWhenTheFirstRestEnds()
+    {
+        std::vector<placement_candidate> all{candidateOf("a"), candidateOf("b"), candidateOf("c")};
+        all[0].restsForMs = 3000;
+        all[1].restsForMs = 1200;
+        all[2].limitedForMs = 2000;
+        const auto chosen = choosePlacement(serviceQuery(), all);
+        const auto *none = std::get_if<no_placement>(&chosen);
+        CPPUNIT_ASSERT(none != nullptr && none->isResting && none->isLimited);
+        CPPUNIT_ASSERT_EQUAL(1200.0, none->retryInMs);
+        CPPUNIT_ASSERT(!none->areAllTried);
+    }
+
+    void restingEnginesAreNoSourcesOfCopies()
+    {
+        std::vector<placement_candidate> all{candidateOf("holder", engine_stage::Decode),
+                                             candidateOf("a", engine_stage::Decode)};
+        all[0].cachedTokens = all[0].copyableTokens = 13300;
+        all[0].restsForMs = 3000;
+        const auto chosen = choosePlacement(engineQuery(), all);
+        const auto *place = std::get_if<placement>(&chosen);
+        CPPUNIT_ASSERT(place != nullptr && !place->cacheSource);
+    }
+
     /// This instance's link loses packets, and sends to three of four runners fail. If they were
     /// ejected, all load would go to the fourth runner, which would refuse most of it.
     void ejectedRunnersAreUsedIfTooFewRemain()
--- a/tests/withdrawals/withdrawal_registry_test.cpp
+++ b/tests/withdrawals/withdrawal_registry_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(nextIncarnationDoesNotRest);
     CPPUNIT_TEST(refusalsInARestAreLoggedOnce);
     CPPUNIT_TEST(runnerThatHasReturnedIsForgotten);
+    CPPUNIT_TEST(sendsAgainstARunnersWordAreCounted);
+    CPPUNIT_TEST(firstRequestsAfterARestAreAdmittedOneByOne);
     CPPUNIT_TEST(mapEvictsWhatWasSetFirst);
     CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +89,32 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, restingCount());
     }
 
+    void sendsAgainstARunnersWordAreCounted()
+    {
+        answer(first, 503, {{"Retry-After", "3"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unwanted("rests"));
+        now += 1s;
+        answer(first, 503, {{"Retry-After", "3"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, unwanted("rests"));
+        answer(first, 200, {{"Leaves", "1"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, unwanted("leaves"));
+        now += 1s;
+        answer(first, 200, {});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, unwanted("leaves"));
+    }
+
+    void firstRequestsAfterARestAreAdmittedOneByOne()
+    {
+        answer(first, 503, {{"Retry-After", "3"}});
+        CPPUNIT_ASSERT(registry.admit(first).kind == withdrawal_kind::Rests);
+        now += 3s;
+        CPPUNIT_ASSERT(registry.admit(first).kind == withdrawal_kind::None);
+        CPPUNIT_ASSERT(registry.admit(first).kind == withdrawal_kind::Returns);
+        CPPUNIT_ASSERT(kindOf(first) == withdrawal_kind::Returns);
+        answer(first, 200, {});
+        CPPUNIT_ASSERT(registry.admit(first).kind == withdrawal_kind::None);
+    }
+
     void mapEvictsWhatWasSetFirst()
     {
         life_map<int> map(2);
@@ -106,6 +134,10 @@
     }
 
     withdrawal_kind kindOf(const runner_life &runner) const { return registry.find(runner).kind; }
+    std::uint64_t unwanted(const std::string &why)
+    {
+        return metrics.counterOf("poplarspool_unwanted_sends_total{runner=\"" + why + "\"}").get();
+    }
     std::int64_t restingCount() { return metrics.gaugeOf("poplarspool_resting_runners").get(); }
 
     mono_time now{1h};
