Keep a rest also at the instance that carried the request, and at those that it carries for

A runner takes a request that another instance carries for one of the carrier's machine, so that its word binds that machine. The carrier sees bytes only: it went on sending requests of its own and those of others (one each until it was refused itself), and those whose links are cut went on through it.

Now the instance that reads such an answer tells the carrier; an instance that is asked or told tells those whose connections to that runner it carries; new tunnels to a runner that leaves or rests are rejected, which is no fault of the carrier.

--- a/include/poplarspool/withdrawals/withdrawal_registry.h
+++ b/include/poplarspool/withdrawals/withdrawal_registry.h
@@ -21,6 +21,9 @@
 {
     /// Called when a runner is known to leave, after find() says so.
     std::function<void(const runner_life &)> onLeaving;
+    /// @returns Addresses for gossip of the instances whose connections to the runner are carried
+    /// by this one: the runner takes their requests for this instance's.
+    std::function<std::vector<endpoint>(const runner_id &)> usersOf = {};
 };
 
 /// What the registry needs from its instance.
@@ -52,12 +55,15 @@
     const http_headers &headers;
     answer_kind kind = answer_kind::Control;
     mono_time askedAt{}; ///< When the request was sent.
-    std::string request; ///< Its id, for log lines.
+    std::string request = {}; ///< Its id, for log lines.
+    /// Address for gossip of the instance that carried the connection; empty if it was direct.
+    endpoint carrier = {};
 };
 
 /// What runners have said of themselves in their answers. Kept by incarnation, whatever the store
 /// says meanwhile. All instances are told which runners leave; a rest is between a runner and the
-/// instance that it has answered. Thread-safe.
+/// instance that it has answered, and is told only where one instance carries the connections of
+/// another. Thread-safe.
 class withdrawal_registry
 {
 public:
--- a/src/bench/decisions.cpp
+++ b/src/bench/decisions.cpp
@@ -10,6 +10,7 @@
 #include "poplarspool/crashes/limits.h"
 #include "poplarspool/policy/plan.h"
 #include "poplarspool/policy/routing.h"
+#include "poplarspool/withdrawals/withdrawal_registry.h"
 
 #include <iostream>
 #include <random>
@@ -230,6 +231,38 @@
     std::cout << "refused=" << refused << std::endl;
 }
 
+/// The look at what 40 candidates of one request have said of themselves.
+/// @param withdrawn Runners that have said that they leave; none of the candidates is among them.
+void benchWithdrawals(std::size_t withdrawn)
+{
+    metrics_registry metrics;
+    const clock_source clock = systemClock();
+    journal events({"bench"}, clock, 16);
+    const peer::fleet_view fleet{{{"bench"}, {}}};
+    withdrawals::withdrawal_registry registry({{"bench"},
+                                               "Leaves",
+                                               [](const auto &, const auto &) {},
+                                               {[](const auto &) {}},
+                                               fleet,
+                                               clock,
+                                               metrics,
+                                               events});
+    const http_headers leaving{{"Leaves", "1"}};
+    for (std::size_t i = 0; i < withdrawn; ++i)
+        registry.recordAnswer({{{"left-" + std::to_string(i)}, 1}, 200, leaving});
+    constexpr std::size_t candidates = 40;
+    std::vector<withdrawals::runner_life> asked;
+    for (std::size_t i = 0; i < candidates; ++i)
+        asked.push_back({{"engine-" + std::to_string(i)}, 1});
+    std::size_t found = 0;
+    print("withdrawals_of_40_candidates_" + std::to_string(withdrawn) + "_known",
+          timesOf(decisionCount, [&](std::uint32_t) {
+              for (const withdrawals::runner_life &each : asked)
+                  found += forbidsSends(registry.find(each)) ? 1 : 0;
+          }));
+    std::cout << "found=" << found << std::endl;
+}
+
 void benchAddresses()
 {
     const view now = makeView(makeFleet(1, modelCount));
@@ -256,6 +289,8 @@
         benchPlacement(engines);
     for (const std::size_t parts : {1U, 4U, 16U})
         benchQuarantine(parts);
+    for (const std::size_t withdrawn : {0U, 1U, 1'400U})
+        benchWithdrawals(withdrawn);
     return exitSuccess;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -93,6 +93,9 @@
           metrics(registry), linkTable(clock), cutOff(clock),
           connector(connectorDependencies(registry)),
           tunnelServer({settings.peerAddress, tunnelSenderOf(settings, clock), publisher, linkTable,
+                        [this](const runner &target) {
+                            return forbidsSends(withdrawalExchange.registry().find(lifeOf(target)));
+                        },
                         registry, eventLog}),
           linkProber({publisher, connector, [this](bool isCutOff) { announceCutOff(isCutOff); },
                       clock, stepFailureReporterOf(eventLog, registry)}),
@@ -110,8 +113,9 @@
                   datagramSettingsOf(settings,
                                      withdrawals::withdrawalAddressOf(settings.peerAddress), clock),
                   {[this](const withdrawals::runner_life &life) {
-                      catalogueUpdater.applyLeaving(life.id);
-                  }},
+                       catalogueUpdater.applyLeaving(life.id);
+                   },
+                   [this](const runner_id &target) { return tunnelUsersOf(target); }},
                   names.leaving, fleet, clock, registry, eventLog),
           proxyContext{names,
                        publisher,
@@ -194,6 +198,7 @@
     state &operator=(const state &) = delete;
 
     bool isLeavingByItsWord(const runner &target);
+    std::vector<endpoint> tunnelUsersOf(const runner_id &target) const;
     bool owns(std::string_view role) const;
     bool ownsRunnerRole(std::string_view role) const;
     bool isOwner(std::span<const policy::member> candidates, std::string_view role) const;
@@ -252,6 +257,18 @@
             == withdrawals::withdrawal_kind::Leaves;
 }
 
+std::vector<endpoint> gateway::state::tunnelUsersOf(const runner_id &target) const
+{
+    std::vector<endpoint> addresses;
+    const auto known = fleet.current();
+    for (const std::uint64_t user : tunnelServer.usersOf(target)) {
+        const auto found = std::ranges::find(known->instances, user, &peer::fleet_instance::number);
+        if (found != known->instances.end())
+            addresses.push_back(found->peerAddress);
+    }
+    return addresses;
+}
+
 bool gateway::state::isOwner(std::span<const policy::member> candidates,
                              std::string_view role) const
 {
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -95,7 +95,7 @@
                      silenceCheckOf(prefillEngine, connection, [] { return true; }));
     const std::string text =
             runnerRequestText(request, prefillEngine.address, context.names, extras);
-    if (!beginSend(prefillEngine)) {
+    if (!beginSend(prefillEngine, connection)) {
         lastFault = "prefill_" + std::string(nameOf(lastWithdrawal.kind));
         connection.connection = call.takeUnused();
         context.connections.release(prefillEngine, std::move(connection), config::runnerIdleTime);
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -181,7 +181,7 @@
     bool recordHead(const runner &target, const reply_head &head);
     /// Called right before the first byte is sent to the runner.
     /// @returns False if the runner wants no request any more; nothing may be sent then.
-    bool beginSend(const runner &target);
+    bool beginSend(const runner &target, const runner_connection &connection);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
     /// Ends a send of which nothing was sent.
     try_end withhold(runner_call &call, sending &current);
@@ -261,6 +261,7 @@
     std::string lastFault;
     std::string lastConnectError; ///< Of the last send; empty if it was connected.
     bool isEndedByClose = false; ///< The last answer has neither a length nor chunks.
+    endpoint lastCarrier; ///< Of the last send's connection; empty if it was direct.
     withdrawals::withdrawal lastWithdrawal; ///< What the runner wanted as the last send began.
     std::string lastWay; ///< Of the last send: "direct", or the instance that carried it.
     mono_time firstByteAt{};
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -1,6 +1,7 @@
 #include "gateway/runner_connector.h"
 
 #include "peer/call_wire.h"
+#include "peer/numeric_address.h"
 #include "poplarspool/base/hash.h"
 #include "poplarspool/gateway/limits.h"
 
@@ -37,8 +38,10 @@
 {
     const bool isDirect = !isBroken(target.id);
     descriptor idle = (isDirect ? dependencies.direct : tunnels).acquireIdle(target.address);
-    if (idle.isOpen())
-        return runner_connection{std::move(idle), !isDirect, {}};
+    if (idle.isOpen()) {
+        const endpoint carrier = isDirect ? endpoint{} : peer::remoteAddress(idle.get());
+        return runner_connection{std::move(idle), !isDirect, {}, carrier};
+    }
     return connect(target, deadline, interruptFd);
 }
 
@@ -57,7 +60,7 @@
     connect_result made = dependencies.direct.tryConnect(target.address, deadline, interruptFd);
     if (made.end == connect_end::Connected) {
         recordReached(target.id);
-        return runner_connection{std::move(made.connection), false, {}};
+        return runner_connection{std::move(made.connection), false, {}, {}};
     }
     error failure = connectErrorOf(target.address, made);
     if (made.end != connect_end::Refused && made.end != connect_end::Silent)
@@ -189,7 +192,7 @@
     const auto outcome = decodeTunnelOutcome(frame->payload);
     if (!succeeded(outcome))
         return {};
-    return {{std::move(made.connection), true, carrier.id}, valueOf(outcome)};
+    return {{std::move(made.connection), true, carrier.id, carrier.peerAddress}, valueOf(outcome)};
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -19,6 +19,7 @@
     descriptor connection;
     bool isTunnel = false; ///< Carried by another instance.
     instance_id carrier; ///< Of a new tunnel.
+    endpoint carrierAddress; ///< For gossip; only of a tunnel.
 };
 
 struct runner_connector_dependencies
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -208,7 +208,7 @@
             silenceCheckOf(target, current.connection, [this] { return mayGoOnElsewhere(); }));
     const std::string text =
             runnerRequestText(request, target.address, context.names, extrasFor(current));
-    if (!beginSend(target))
+    if (!beginSend(target, current.connection))
         return withhold(call, current);
     const call_fault fault = call.send(text, current.deadline);
     if (call.mayHaveArrived())
@@ -249,8 +249,9 @@
 
 /// Between the choice of the runner and the send lie the prefill of the prompt, a permit and a
 /// connection: the runner may have said meanwhile that it leaves, or that it wants rest.
-bool request_proxy::beginSend(const runner &target)
+bool request_proxy::beginSend(const runner &target, const runner_connection &connection)
 {
+    lastCarrier = connection.carrierAddress;
     sentAt = context.clock.mono();
     lastWithdrawal = context.withdrawalRegistry.admit(lifeOf(target));
     const bool isWithheld = forbidsSends(lastWithdrawal);
@@ -273,7 +274,7 @@
     const auto kind =
             isRefused ? withdrawals::answer_kind::Refused : withdrawals::answer_kind::Accepted;
     const auto reading = context.withdrawalRegistry.recordAnswer(
-            {lifeOf(target), head.status, head.headers, kind, sentAt, metadata.id});
+            {lifeOf(target), head.status, head.headers, kind, sentAt, metadata.id, lastCarrier});
     return reading.isLeaving || reading.rest;
 }
 
--- a/src/gateway/tunnel_message.cpp
+++ b/src/gateway/tunnel_message.cpp
@@ -30,6 +30,8 @@
         return "cut_off";
     case tunnel_outcome::Unlisted:
         return "unlisted";
+    case tunnel_outcome::Withdrawn:
+        return "withdrawn";
     case tunnel_outcome::Rejected:
         break;
     }
@@ -81,7 +83,7 @@
         tunnel_outcome outcome = tunnel_outcome::Rejected;
         in.fixed(outcome);
         in.finish();
-        if (outcome < tunnel_outcome::Connected || outcome > tunnel_outcome::Unlisted)
+        if (outcome < tunnel_outcome::Connected || outcome > tunnel_outcome::Withdrawn)
             return notRun(error_code::Broken, "unknown outcome of a tunnel");
         return outcome;
     } catch (const std::exception &) {
--- a/src/gateway/tunnel_message.h
+++ b/src/gateway/tunnel_message.h
@@ -29,6 +29,7 @@
     CutOff = 4, ///< The carrier can't reach the runner either, for a cause of its own.
     Rejected = 5, ///< The carrier is busy or leaving.
     Unlisted = 6, ///< The carrier knows no such runner.
+    Withdrawn = 7, ///< The runner leaves, or has asked the carrier for rest.
 };
 
 std::string_view nameOf(tunnel_outcome outcome);
--- a/src/gateway/tunnel_server.cpp
+++ b/src/gateway/tunnel_server.cpp
@@ -6,6 +6,7 @@
 #include "peer/listen.h"
 #include "poplarspool/gateway/limits.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
 
@@ -109,13 +110,37 @@
         return;
     }
     served.add();
+    carry(std::move(near), std::move(far), valueOf(request).target, frame->header.sender);
+}
+
+void tunnel_server::carry(descriptor near, descriptor far, const runner_id &target,
+                          std::uint64_t user)
+{
     open.add(1);
+    std::unique_lock lock(usersGuard);
+    const auto entry = users.emplace(target, user);
+    lock.unlock();
     enableDeadPeerDetection(near.get(), config::runnerSilenceTimeout);
     enableDeadPeerDetection(far.get(), config::runnerSilenceTimeout);
     carryBytes(std::move(near), std::move(far), stopping.descriptorNumber(), bytesCarried);
+    lock.lock();
+    users.erase(entry);
+    lock.unlock();
     open.add(-1);
 }
 
+std::vector<std::uint64_t> tunnel_server::usersOf(const runner_id &target) const
+{
+    std::vector<std::uint64_t> found;
+    const std::lock_guard lock(usersGuard);
+    const auto [first, last] = users.equal_range(target);
+    for (auto one = first; one != last; ++one) {
+        if (std::ranges::find(found, one->second) == found.end())
+            found.push_back(one->second);
+    }
+    return found;
+}
+
 runner_entry tunnel_server::targetOf(const tunnel_request &request) const
 {
     const runner_entry listed = dependencies.publisher.current()->runners->find(request.target);
@@ -129,6 +154,9 @@
     const runner_entry target = targetOf(request);
     if (!target)
         return tunnel_outcome::Unlisted;
+    // The runner would see the request as one of this instance.
+    if (dependencies.isWithdrawn(*target))
+        return tunnel_outcome::Withdrawn;
     if (dependencies.links.isBroken(target->id))
         return tunnel_outcome::CutOff;
     connect_result made =
--- a/src/gateway/tunnel_server.h
+++ b/src/gateway/tunnel_server.h
@@ -9,7 +9,11 @@
 #include "poplarspool/gateway/catalogue.h"
 
 #include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 namespace poplarspool::gateway {
 
@@ -19,6 +23,8 @@
     tunnel_sender self;
     const catalogue_publisher &publisher;
     link_table &links;
+    /// Whether the runner wants no requests from this instance.
+    std::function<bool(const runner &)> isWithdrawn;
     metrics_registry &metrics;
     journal &events;
 };
@@ -37,10 +43,13 @@
     void announceShutdown() { isLeaving = true; }
     /// Resets the tunnels that are left.
     void stop();
+    /// @returns The numbers of the instances whose connections to the runner are carried now.
+    std::vector<std::uint64_t> usersOf(const runner_id &target) const;
 
 private:
     void acceptUntilStopped();
     void serve(descriptor near);
+    void carry(descriptor near, descriptor far, const runner_id &target, std::uint64_t user);
     tunnel_outcome connectFor(const tunnel_request &request, descriptor &far);
     runner_entry targetOf(const tunnel_request &request) const;
 
@@ -50,6 +59,8 @@
     counter &bytesCarried;
     gauge &open;
     std::atomic<bool> isLeaving{false};
+    mutable std::mutex usersGuard;
+    std::multimap<runner_id, std::uint64_t> users; ///< One entry for each tunnel.
     descriptor listener;
     pollable_flag stopping;
     connection_threads threads;
--- a/src/peer/numeric_address.cpp
+++ b/src/peer/numeric_address.cpp
@@ -47,4 +47,12 @@
     return endpointOf(address);
 }
 
+endpoint remoteAddress(int fd)
+{
+    numeric_address address;
+    if (getpeername(fd, address.get(), &address.size) != 0)
+        return {};
+    return endpointOf(address);
+}
+
 } // namespace poplarspool::peer
--- a/src/peer/numeric_address.h
+++ b/src/peer/numeric_address.h
@@ -25,5 +25,7 @@
 
 /// @returns The address to which a socket is bound; an empty endpoint on failure.
 endpoint boundAddress(int fd);
+/// @returns The address to which a socket is connected; an empty endpoint on failure.
+endpoint remoteAddress(int fd);
 
 } // namespace poplarspool::peer
--- a/src/withdrawals/withdrawal_registry.cpp
+++ b/src/withdrawals/withdrawal_registry.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <utility>
 
 namespace poplarspool::withdrawals {
 
@@ -35,7 +36,12 @@
     void recordLeaving(const answer_head &head, mono_time now);
     void applyNotice(const withdrawal_notice &notice, mono_time now);
     void tellAll(const std::vector<withdrawal_notice> &notices);
+    std::pair<rest_state, rest_state> markRest(const runner_life &runner, milliseconds rest,
+                                               mono_time now);
     void recordRest(const answer_head &head, milliseconds rest, mono_time now);
+    void tellSharers(const runner_life &runner, std::chrono::nanoseconds left,
+                     const endpoint &carrier);
+    void applyRest(const withdrawal_notice &notice, mono_time now);
     void recordAnswered(const answer_head &head, mono_time now);
     void countUnwanted(const answer_head &head);
     withdrawal findLocked(const runner_life &runner, mono_time now) const;
@@ -135,6 +141,8 @@
 
 void withdrawal_registry::state::applyNotice(const withdrawal_notice &notice, mono_time now)
 {
+    if (notice.restMs > 0)
+        return applyRest(notice, now);
     if (!markLeaving(notice.runner, now))
         return;
     dependencies.events.emit("runner_leaving",
@@ -144,6 +152,22 @@
     dependencies.hooks.onLeaving(notice.runner);
 }
 
+/// By an instance that carries this one's connections, or whose connections this one carries.
+void withdrawal_registry::state::applyRest(const withdrawal_notice &notice, mono_time now)
+{
+    const milliseconds rest = std::min(milliseconds(notice.restMs), config::maxRest);
+    const auto [before, after] = markRest(notice.runner, rest, now);
+    const auto longer = after.endsAt - before.endsAt;
+    if (longer > config::loggedRestStep)
+        dependencies.events.emit("runner_rest",
+                                 {{"runner", notice.runner.id.text},
+                                  {"born", std::to_string(notice.runner.startedAtMs)},
+                                  {"from", "instance"},
+                                  {"left_ms", millisecondsText(after.endsAt - now)}});
+    if (longer > std::chrono::nanoseconds::zero())
+        tellSharers(notice.runner, after.endsAt - now, {});
+}
+
 void withdrawal_registry::state::tellAll(const std::vector<withdrawal_notice> &notices)
 {
     std::vector<endpoint> others;
@@ -153,26 +177,53 @@
         dependencies.send(batch.to, encode(withdrawal_update{notices, batch.forwardTo}));
 }
 
+/// @returns What is known of the rest before and after.
+std::pair<rest_state, rest_state>
+withdrawal_registry::state::markRest(const runner_life &runner, milliseconds rest, mono_time now)
+{
+    const std::lock_guard lock(guard);
+    const rest_state *known = restStates.find(runner);
+    const rest_state before = known != nullptr ? *known : rest_state{};
+    if (known == nullptr)
+        expire(now);
+    const rest_state after = afterRest(before, rest, now);
+    restStates.set(runner, after, now);
+    updateSizes();
+    return {before, after};
+}
+
 void withdrawal_registry::state::recordRest(const answer_head &head, milliseconds rest,
                                             mono_time now)
 {
-    rest_state before;
-    rest_state after;
-    {
-        const std::lock_guard lock(guard);
-        if (const rest_state *known = restStates.find(head.from))
-            before = *known;
-        else
-            expire(now);
-        after = afterRest(before, rest, now);
-        restStates.set(head.from, after, now);
-        updateSizes();
-    }
+    const auto [before, after] = markRest(head.from, rest, now);
     rests.add();
-    if (after.endsAt - before.endsAt > config::loggedRestStep)
+    const auto longer = after.endsAt - before.endsAt;
+    if (longer > config::loggedRestStep)
         log("runner_rest", head,
-            {{"asked_ms", std::to_string(rest.count())},
+            {{"from", "runner"},
+             {"asked_ms", std::to_string(rest.count())},
              {"left_ms", millisecondsText(after.endsAt - now)}});
+    if (longer > std::chrono::nanoseconds::zero())
+        tellSharers(head.from, after.endsAt - now, head.carrier);
+}
+
+/// The runner takes the requests of all instances that share a machine's connections for that
+/// machine's.
+void withdrawal_registry::state::tellSharers(const runner_life &runner,
+                                             std::chrono::nanoseconds left, const endpoint &carrier)
+{
+    std::vector<endpoint> to;
+    if (carrier.isValid())
+        to.push_back(withdrawalAddressOf(carrier));
+    if (dependencies.hooks.usersOf) {
+        for (const endpoint &each : dependencies.hooks.usersOf(runner.id))
+            to.push_back(withdrawalAddressOf(each));
+    }
+    if (to.empty())
+        return;
+    const auto leftMs = std::chrono::ceil<milliseconds>(left).count();
+    dependencies.send(
+            to, encode(withdrawal_update{{{runner, static_cast<std::uint32_t>(leftMs)}}, {}}));
 }
 
 void withdrawal_registry::state::recordAnswered(const answer_head &head, mono_time now)
--- a/tests/adapter/leaving_runners_test.cpp
+++ b/tests/adapter/leaving_runners_test.cpp
@@ -20,7 +20,7 @@
 
 constexpr int instanceCount = 6;
 /// Time after which no instance may send requests to a runner that has said that it leaves.
-constexpr auto settleTime = 1s;
+constexpr std::chrono::milliseconds settleTime = 1s;
 /// Time for which requests go on after that.
 constexpr auto checkedTime = 3s;
 
@@ -117,6 +117,7 @@
         }
         std::this_thread::sleep_for(settleTime);
         const std::size_t before = fleet.runners.front().arrivalCount();
+        const std::size_t othersBefore = fleet.runners.back().arrivalCount();
         for (int i = 0; i < 2 * instanceCount; ++i) {
             callers.emplace_back([&fleet, i] {
                 fleet.instances->sendRequest(static_cast<std::size_t>(i) % instanceCount, "x",
@@ -125,12 +126,14 @@
         }
         std::this_thread::sleep_for(settleTime / 2);
         const std::size_t after = fleet.runners.front().arrivalCount();
+        const std::size_t othersAfter = fleet.runners.back().arrivalCount();
         for (withdrawing_runner &each : fleet.runners)
             each.holdStreams(false);
         for (std::thread &each : callers)
             each.join();
         CPPUNIT_ASSERT(before > 0);
         CPPUNIT_ASSERT_EQUAL(before, after);
+        CPPUNIT_ASSERT_EQUAL(othersBefore + 2 * instanceCount, othersAfter);
     }
 
     void prefillEngineThatLeavesGetsNoPrompts()
--- a/tests/gateway/tunnel_test.cpp
+++ b/tests/gateway/tunnel_test.cpp
@@ -51,6 +51,7 @@
                                                {self.id, 1, peer::deriveFrameKey(key)},
                                                publisher,
                                                links,
+                                               [this](const runner &) { return isWithdrawn; },
                                                registry,
                                                events});
             if (succeeded(server->start()))
@@ -61,6 +62,7 @@
 
     policy::member self;
     link_table links{systemClock()};
+    std::atomic<bool> isWithdrawn{false}; ///< The runner wants no requests from the carrier.
     std::unique_ptr<tunnel_server> server;
 
 private:
@@ -97,6 +99,7 @@
     CPPUNIT_TEST(runnerThatRefusesAllBreaksNoLink);
     CPPUNIT_TEST(carrierThatIsCutOffCarriesNothing);
     CPPUNIT_TEST(leavingCarrierTakesNoTunnels);
+    CPPUNIT_TEST(runnerThatWantsNoRequestsIsNotReached);
     CPPUNIT_TEST(unlistedRunnerIsNotReached);
     CPPUNIT_TEST(instanceWithAnotherKeyIsNotServed);
     CPPUNIT_TEST(runnerThatOthersReachHasNotEnded);
@@ -162,6 +165,18 @@
         CPPUNIT_ASSERT(!t.canConnect());
     }
 
+    /// Guards against requests that a runner takes for those of the carrier that it has asked for
+    /// rest.
+    void runnerThatWantsNoRequestsIsNotReached()
+    {
+        const scripted_runner reached({script{"reply", script_end::Close}});
+        fixture t(reached.address());
+        t.other.isWithdrawn = true;
+        CPPUNIT_ASSERT(!t.canConnect());
+        t.other.isWithdrawn = false;
+        CPPUNIT_ASSERT(t.canConnect());
+    }
+
     void unlistedRunnerIsNotReached()
     {
         const scripted_runner reached({});
--- a/tests/withdrawals/withdrawal_exchange_test.cpp
+++ b/tests/withdrawals/withdrawal_exchange_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(largeFleetLearnsFromOneInstance);
     CPPUNIT_TEST(instanceThatMissedItIsToldAgain);
     CPPUNIT_TEST(restIsToldToNobody);
+    CPPUNIT_TEST(restBindsAllWhoShareACarrier);
     CPPUNIT_TEST(nobodyRepeatsWhatOthersSay);
     CPPUNIT_TEST(updatesFitIntoADatagram);
     CPPUNIT_TEST(malformedUpdatesAreRejected);
@@ -64,13 +65,25 @@
     void restIsToldToNobody()
     {
         withdrawal_fleet fleet(6);
-        const http_headers rest{{"Retry-After", "3"}};
-        fleet.at(0).recordAnswer({leaving, 503, rest, answer_kind::Refused, fleet.now, "q"});
+        fleet.rest(0, leaving, "3");
         CPPUNIT_ASSERT(fleet.at(0).find(leaving).kind == withdrawal_kind::Rests);
         CPPUNIT_ASSERT(fleet.at(1).find(leaving).kind == withdrawal_kind::None);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.datagrams);
     }
 
+    /// Guards against requests through a carrier that a runner has asked for rest.
+    void restBindsAllWhoShareACarrier()
+    {
+        withdrawal_fleet fleet(4);
+        fleet.users[1] = {0, 2};
+        fleet.rest(0, leaving, "3", 1);
+        for (const std::size_t each : {0, 1, 2})
+            CPPUNIT_ASSERT(fleet.at(each).find(leaving).kind == withdrawal_kind::Rests);
+        CPPUNIT_ASSERT(fleet.at(3).find(leaving).kind == withdrawal_kind::None);
+        fleet.rest(1, leaving, "5");
+        CPPUNIT_ASSERT(fleet.at(2).find(leaving).remaining == milliseconds(5000));
+    }
+
     void nobodyRepeatsWhatOthersSay()
     {
         withdrawal_fleet fleet(6);
--- a/tests/withdrawals/withdrawal_fleet.h
+++ b/tests/withdrawals/withdrawal_fleet.h
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,10 +22,7 @@
     {
         std::vector<peer::listed_instance> listed;
         for (std::size_t i = 0; i < count; ++i) {
-            listed.push_back(
-                    {{"edge-" + std::to_string(i)},
-                     {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1),
-                      7000}});
+            listed.push_back({{"edge-" + std::to_string(i)}, peerAddressOf(i)});
             indexes[withdrawalAddressOf(listed.back().peerAddress)] = i;
         }
         for (const peer::listed_instance &each : listed) {
@@ -47,7 +45,8 @@
                     for (const endpoint &each : to)
                         deliver(index, each, valueOf(payload));
                 },
-                {[](const runner_life &) {}},
+                {[](const runner_life &) {},
+                 [this, index](const runner_id &) { return usersOf(index); }},
                 *views[index],
                 clock,
                 metrics,
@@ -56,7 +55,7 @@
 
     void answer(std::size_t index, const runner_life &from, const http_headers &headers)
     {
-        registries[index]->recordAnswer({from, 200, headers, answer_kind::Accepted, now, "q"});
+        registries[index]->recordAnswer({from, 200, headers, answer_kind::Accepted, now, "q", {}});
     }
 
     /// @returns How many instances know that the runner leaves.
@@ -68,14 +67,39 @@
         return count;
     }
 
+    /// An answer that asks for rest.
+    /// @param carrier The instance that carries the connection; none: it is direct.
+    void rest(std::size_t index, const runner_life &from, const std::string &text,
+              std::optional<std::size_t> carrier = {})
+    {
+        const http_headers headers{{"Retry-After", text}};
+        registries[index]->recordAnswer({from, 503, headers, answer_kind::Refused, now, "q",
+                                         carrier ? peerAddressOf(*carrier) : endpoint{}});
+    }
+
     withdrawal_registry &at(std::size_t index) { return *registries[index]; }
 
     mono_time now{std::chrono::hours(1)};
     std::set<std::size_t> silent; ///< Instances that neither send nor get datagrams.
+    /// By instance: those whose connections it carries.
+    std::map<std::size_t, std::vector<std::size_t>> users;
     std::size_t datagrams = 0;
     std::size_t bytes = 0;
 
 private:
+    static endpoint peerAddressOf(std::size_t i)
+    {
+        return {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1), 7000};
+    }
+
+    std::vector<endpoint> usersOf(std::size_t index)
+    {
+        std::vector<endpoint> found;
+        for (const std::size_t each : users[index])
+            found.push_back(peerAddressOf(each));
+        return found;
+    }
+
     void deliver(std::size_t from, const endpoint &to, const std::string &payload)
     {
         const std::size_t receiver = indexes.at(to);
--- a/tests/withdrawals/withdrawal_registry_test.cpp
+++ b/tests/withdrawals/withdrawal_registry_test.cpp
@@ -130,7 +130,7 @@
     void answer(const runner_life &from, int status, const http_headers &headers)
     {
         const auto kind = status == 200 ? answer_kind::Accepted : answer_kind::Refused;
-        registry.recordAnswer({from, status, headers, kind, now, "q"});
+        registry.recordAnswer({from, status, headers, kind, now, "q", {}});
     }
 
     withdrawal_kind kindOf(const runner_life &runner) const { return registry.find(runner).kind; }
