--- a/tests/adapter/resting_runners_test.cpp
+++ b/tests/adapter/resting_runners_test.cpp
@@ -15,7 +15,6 @@
 using test::gateway_fleet;
 using test::nextPrompt;
 using test::steady_load;
-using test::waitUntil;
 using test::withdrawing_runner;
 
 constexpr int instanceCount = 6;
--- a/tests/gateway/tunnel_test.cpp
+++ b/tests/gateway/tunnel_test.cpp
@@ -51,7 +51,7 @@
                                                {self.id, 1, peer::deriveFrameKey(key)},
                                                publisher,
                                                links,
-                                               [this](const runner &) { return isWithdrawn; },
+                                               [this](const runner &) { return isWithdrawn.load(); },
                                                registry,
                                                events});
             if (succeeded(server->start()))
