Let no report or order reach an engine that rests, with a test, and log sends with their own state

A send that did not connect was logged with what the runner of the send before had wanted. The order to a resting engine had been held back without a test; the line now says whether the engine rests, returns or leaves.

--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -31,6 +31,7 @@
     context.metrics.prefillHandoffs.add();
     const std::string limitText = limitTextOf(prefillEngine);
     lastConnectError.clear();
+    lastWithdrawal = {};
     const auto reply = sendPrefill(place, record);
     auto handle = reply ? context.names.parseHandle(reply->body) : std::nullopt;
     if (handle) {
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -56,6 +56,7 @@
     lastRunner = target.id.text;
     lastFault.clear();
     lastConnectError.clear();
+    lastWithdrawal = {};
     lastWay.clear();
     isEndedByClose = false;
     endsKnown = context.quarantineManager.endsKnown();
--- a/src/gateway/stage_manager.cpp
+++ b/src/gateway/stage_manager.cpp
@@ -154,8 +154,10 @@
     if (!entry)
         return;
     const runner &target = *entry;
-    if (dependencies.withdrawalOf && forbidsSends(dependencies.withdrawalOf(target))) {
-        skipOrder(target, "engine rests");
+    const auto wanted = dependencies.withdrawalOf ? dependencies.withdrawalOf(target)
+                                                  : withdrawals::withdrawal{};
+    if (forbidsSends(wanted)) {
+        skipOrder(target, "engine " + std::string(nameOf(wanted.kind)));
         return;
     }
     const auto isInTerm = [&] { return dependencies.clock.mono() < term.endsAt; };
@@ -176,11 +178,11 @@
                                               : "lease term expired");
         return;
     }
-    const engine_order wanted{change.wanted, self, term.fence, state->ordersTaken};
+    const engine_order order{change.wanted, self, term.fence, state->ordersTaken};
     // Recorded before it is sent: even if the call fails, the engine may have taken the order.
     pendingOrders[target.id] = {change.wanted, dependencies.clock.mono(), target.startedAtMs};
     const auto reply =
-            call(target, dependencies.names.stageOrderRequest(wanted), timeLeft(), isInTerm);
+            call(target, dependencies.names.stageOrderRequest(order), timeLeft(), isInTerm);
     const bool wasNotSent = !succeeded(reply) && errorOf(reply).ran == verdict::NotRun;
     if (wasNotSent)
         pendingOrders.erase(target.id);
--- a/tests/gateway/stage_manager_test.cpp
+++ b/tests/gateway/stage_manager_test.cpp
@@ -80,7 +80,8 @@
                                [this] { return isOwner; }, [] { return std::size_t{4}; },
                                [this](const runner &target) -> std::optional<double> {
                                    return target.id.text == "e0" ? limit : std::nullopt;
-                               }},
+                               },
+                               [this](const runner &) { return wanted; }},
                               store(), {"self"}, 3000ms);
         manager.runOnce();
         now += config::stageSettleTime;
@@ -98,6 +99,7 @@
     milliseconds writeTime{1};
     bool isOwner = true;
     std::optional<double> limit; ///< Of the first engine.
+    withdrawals::withdrawal wanted; ///< What all engines want.
 };
 
 } // namespace
@@ -107,6 +109,7 @@
     CPPUNIT_TEST_SUITE(stage_manager_test);
     CPPUNIT_TEST(ordersContainTheNumberOfOrdersTaken);
     CPPUNIT_TEST(changingEnginesGetNoOrders);
+    CPPUNIT_TEST(restingEnginesGetNeitherReportsNorOrders);
     CPPUNIT_TEST(engineWithALowLimitDoesNotCount);
     CPPUNIT_TEST(nothingIsSentAfterTheLeaseTerm);
     CPPUNIT_TEST(onlyTheOwnerSendsOrders);
@@ -132,6 +135,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.events.events({"stage_order", {}, {}}).size());
     }
 
+    /// Guards against calls of the instance itself to an engine that it has been asked to leave
+    /// alone.
+    void restingEnginesGetNeitherReportsNorOrders()
+    {
+        scripted_runner engine({{replyOf("200 OK", "free")}, {replyOf("202 Accepted", "")}});
+        fixture test(engine.address());
+        test.wanted = {withdrawals::withdrawal_kind::Rests, 0ms, 1000ms};
+        test.runTwice();
+        CPPUNIT_ASSERT(engine.requests().empty());
+        CPPUNIT_ASSERT(!test.events.events({"stage_order_skipped", {}, {}}).empty());
+    }
+
     /// Guards against a plan that counts on an engine that takes hardly any requests: the others
     /// get more than they can serve, and no engine is ordered to help them.
     void engineWithALowLimitDoesNotCount()
--- a/tests/gateway/tunnel_test.cpp
+++ b/tests/gateway/tunnel_test.cpp
@@ -46,14 +46,14 @@
         self.zone.text = "z";
         for (self.peerAddress = {"127.0.0.1", firstPort}; self.peerAddress.port < firstPort + 100;
              ++self.peerAddress.port) {
-            server = std::make_unique<tunnel_server>(
-                    tunnel_server_dependencies{self.peerAddress,
-                                               {self.id, 1, peer::deriveFrameKey(key)},
-                                               publisher,
-                                               links,
-                                               [this](const runner &) { return isWithdrawn.load(); },
-                                               registry,
-                                               events});
+            server = std::make_unique<tunnel_server>(tunnel_server_dependencies{
+                    self.peerAddress,
+                    {self.id, 1, peer::deriveFrameKey(key)},
+                    publisher,
+                    links,
+                    [this](const runner &) { return isWithdrawn.load(); },
+                    registry,
+                    events});
             if (succeeded(server->start()))
                 return;
         }
