--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -29,6 +29,7 @@
     names.seal = "Seal";
     names.notRun = "Not-Run";
     names.rateLimit = "Rate";
+    names.leaving = "Leaves";
     names.parseHandle = [](std::string_view body) -> std::optional<std::string> {
         if (body.empty())
             return std::nullopt;
