--- a/tests/gateway/withdrawn_runner_test.cpp
+++ b/tests/gateway/withdrawn_runner_test.cpp
@@ -160,6 +160,7 @@
         std::this_thread::sleep_for(5ms);
         std::atomic<int> served{0};
         std::vector<std::thread> callers;
+        callers.reserve(requestCount);
         for (int i = 0; i < requestCount; ++i) {
             callers.emplace_back([&] {
                 const auto reply = test.sendRequest("/again/1");
