Give what a request does with withdrawn runners a file of its own, and the settings of exchanges, ports and test fleets one place

Moves only: runner_withdrawals.cpp out of runner_try.cpp and runner_permits.cpp, exchange_settings.cpp out of gateway.cpp; four functions that add an offset to a port, and two test fleets, are one each.

--- a/src/crashes/crash_exchange.cpp
+++ b/src/crashes/crash_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "crashes/quarantine_manager.h"
 #include "peer/datagram_loop.h"
+#include "peer/port_offset.h"
 
 namespace poplarspool::crashes {
 
@@ -56,10 +57,7 @@
 
 endpoint crashAddressOf(const endpoint &peerAddress)
 {
-    endpoint address = peerAddress;
-    if (address.isValid())
-        address.port = static_cast<std::uint16_t>(address.port + crashPortOffset);
-    return address;
+    return peer::atPortOffset(peerAddress, crashPortOffset);
 }
 
 } // namespace poplarspool::crashes
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "crashes/crash_exchange.h"
 #include "gateway/address_subset.h"
 #include "gateway/caller_limits.h"
+#include "gateway/exchange_settings.h"
 #include "gateway/fleet_scaler.h"
 #include "gateway/limit_exchange.h"
 #include "gateway/link_prober.h"
@@ -27,23 +28,6 @@
 
 namespace {
 
-peer::gossip_settings gossipSettingsOf(const gateway_settings &settings, const clock_source &clock)
-{
-    peer::gossip_settings made;
-    made.self.id = settings.instance;
-    made.self.zone = settings.zone;
-    made.self.callerAddress = settings.callerAddress;
-    made.self.peerAddress = settings.peerAddress;
-    made.self.incarnation = incarnationOf(clock);
-    made.key = peerKeyOf(settings);
-    made.roundInterval = config::gatewayGossipInterval;
-    made.probeTimeout = config::gatewaySuspectTime;
-    made.suspicionTimeout = config::suspicionTimeout;
-    made.fanout = config::gossipFanout;
-    made.bytesPerSecond = config::gossipBytesPerSecond;
-    return made;
-}
-
 constexpr std::string_view stagesRole = "stages";
 constexpr std::string_view usageRole = "usage";
 constexpr std::string_view fleetRole = "fleet";
@@ -53,17 +37,6 @@
     return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-peer::datagram_settings datagramSettingsOf(const gateway_settings &settings,
-                                           const endpoint &address, const clock_source &clock)
-{
-    return {settings.instance, incarnationOf(clock), address, peerKeyOf(settings)};
-}
-
-tunnel_sender tunnelSenderOf(const gateway_settings &settings, const clock_source &clock)
-{
-    return {settings.instance, incarnationOf(clock), peer::deriveFrameKey(peerKeyOf(settings))};
-}
-
 /// Counts of the requests started here, for one incarnation of this instance.
 struct usage_count
 {
--- a/src/gateway/limit_fleet.cpp
+++ b/src/gateway/limit_fleet.cpp
@@ -1,5 +1,7 @@
 #include "gateway/limit_fleet.h"
 
+#include "peer/port_offset.h"
+
 namespace poplarspool::gateway {
 
 namespace {
@@ -22,10 +24,7 @@
 
 endpoint limitAddressOf(const endpoint &peerAddress)
 {
-    endpoint address = peerAddress;
-    if (address.isValid())
-        address.port = static_cast<std::uint16_t>(address.port + limitPortOffset);
-    return address;
+    return peer::atPortOffset(peerAddress, limitPortOffset);
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -151,7 +151,17 @@
     void usePermit(const runner &target);
     void releasePermits();
     void markLimited(std::vector<placement_candidate> &candidates);
+
+    // runner_withdrawals.cpp: what runners have said of themselves.
     void markWithdrawn(std::vector<placement_candidate> &candidates) const;
+    /// Called right before the first byte is sent to the runner.
+    /// @returns False if the runner wants no request any more; nothing may be sent then.
+    bool beginSend(const runner &target, const runner_connection &connection);
+    /// Ends a send of which nothing was sent.
+    try_end withhold(runner_call &call, sending &current);
+    /// Called with the head of each answer of the runner itself.
+    /// @returns Whether the runner wants fewer requests from now on.
+    bool recordHead(const runner &target, const reply_head &head);
 
     // stream_take_up.cpp: the software version that began a stream.
     bool isTakeUp() const;
@@ -176,15 +186,7 @@
     bool mayGoOnElsewhere() const;
     send_outcome unreachableOutcome() const;
     std::variant<reply_head, call_fault> readOwnHead(runner_call &call, socket_deadline deadline);
-    /// Called with the head of each answer of the runner itself.
-    /// @returns Whether the runner wants fewer requests from now on.
-    bool recordHead(const runner &target, const reply_head &head);
-    /// Called right before the first byte is sent to the runner.
-    /// @returns False if the runner wants no request any more; nothing may be sent then.
-    bool beginSend(const runner &target, const runner_connection &connection);
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
-    /// Ends a send of which nothing was sent.
-    try_end withhold(runner_call &call, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
     try_end passStream(runner_call &call, const reply_head &head, sending &current);
     bool passEvents(event_splitter &events, const reply_head &head, const runner &target);
--- a/src/gateway/runner_permits.cpp
+++ b/src/gateway/runner_permits.cpp
@@ -73,21 +73,6 @@
     heldPermits.clear();
 }
 
-/// A rest that has been asked for is kept also where a permit is held, and where no other runner is
-/// left.
-void request_proxy::markWithdrawn(std::vector<placement_candidate> &candidates) const
-{
-    if (context.withdrawalRegistry.isEmpty())
-        return;
-    for (placement_candidate &one : candidates) {
-        const auto known = context.withdrawalRegistry.find(lifeOf(*one.target));
-        if (known.kind == withdrawals::withdrawal_kind::Leaves)
-            one.isLeaving = true;
-        else if (forbidsSends(known))
-            one.restsForMs = std::max(1.0, static_cast<double>(known.remaining.count()));
-    }
-}
-
 void request_proxy::markLimited(std::vector<placement_candidate> &candidates)
 {
     context.rateLimiter.markLimited(candidates);
--- a/src/streams/origin_registry.cpp
+++ b/src/streams/origin_registry.cpp
@@ -1,6 +1,7 @@
 #include "poplarspool/streams/origin_registry.h"
 
 #include "peer/frame.h"
+#include "peer/port_offset.h"
 #include "poplarspool/streams/limits.h"
 #include "streams/origin_message.h"
 #include "streams/origin_table.h"
@@ -222,10 +223,7 @@
 
 endpoint originAddressOf(const endpoint &peerAddress)
 {
-    endpoint address = peerAddress;
-    if (address.isValid())
-        address.port = static_cast<std::uint16_t>(address.port + originPortOffset);
-    return address;
+    return peer::atPortOffset(peerAddress, originPortOffset);
 }
 
 } // namespace poplarspool::streams
--- a/src/withdrawals/withdrawal_registry.cpp
+++ b/src/withdrawals/withdrawal_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "peer/forward_groups.h"
 #include "peer/frame.h"
+#include "peer/port_offset.h"
 #include "poplarspool/withdrawals/limits.h"
 #include "withdrawals/life_map.h"
 #include "withdrawals/withdrawal_message.h"
@@ -339,10 +340,7 @@
 
 endpoint withdrawalAddressOf(const endpoint &peerAddress)
 {
-    endpoint address = peerAddress;
-    if (address.isValid())
-        address.port = static_cast<std::uint16_t>(address.port + withdrawalPortOffset);
-    return address;
+    return peer::atPortOffset(peerAddress, withdrawalPortOffset);
 }
 
 } // namespace poplarspool::withdrawals
--- a/tests/adapter/leaving_runners_test.cpp
+++ b/tests/adapter/leaving_runners_test.cpp
@@ -1,9 +1,6 @@
-#include "adapter/gateway_fleet.h"
-#include "adapter/steady_load.h"
-#include "adapter/withdrawing_runner.h"
+#include "adapter/withdrawing_fleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <list>
 #include <thread>
 
 namespace poplarspool::adapter {
@@ -11,36 +8,21 @@
 namespace {
 
 using namespace std::chrono_literals;
-using test::fake_store;
-using test::gateway_fleet;
 using test::nextPrompt;
 using test::steady_load;
 using test::waitUntil;
+using test::withdrawing_fleet;
 using test::withdrawing_runner;
 
-constexpr int instanceCount = 6;
+constexpr int instanceCount = withdrawing_fleet::instanceCount;
 /// Time after which no instance may send requests to a runner that has said that it leaves.
 constexpr std::chrono::milliseconds settleTime = 1s;
 /// Time for which requests go on after that.
 constexpr auto checkedTime = 3s;
 
-/// Whole instances and runners that don't need the store any more.
-struct leaving_fleet
+struct leaving_fleet : withdrawing_fleet
 {
-    /// @param stages Of the runners; empty for plain services.
-    leaving_fleet(std::uint16_t firstPort, const std::string &kind,
-                  const std::vector<std::string> &stages)
-    {
-        const bool isEngine = !stages.front().empty();
-        store.put(wire::configKind, wire::configName, test::routesSpec(kind, isEngine));
-        for (const std::string &stage : stages)
-            runners.emplace_back(store, "i-" + std::to_string(runners.size()), stage);
-        instances = std::make_unique<gateway_fleet>(store, instanceCount, firstPort,
-                                                    std::vector<std::string>{"a", "b"},
-                                                    std::vector<endpoint>{}, 1000);
-        instances->waitUntilAllServe("x", nextPrompt());
-        instances->waitUntilAllKnowEachOther();
-    }
+    using withdrawing_fleet::withdrawing_fleet;
 
     /// The first runner leaves while the store is away, under load.
     void assertGetsNothing(const std::function<void()> &afterLeave = {})
@@ -64,10 +46,6 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("requests at a runner that had said that it leaves",
                                      std::size_t{0}, leaving.arrivalsBetween(settleTime, to));
     }
-
-    fake_store store;
-    std::list<withdrawing_runner> runners;
-    std::unique_ptr<gateway_fleet> instances;
 };
 
 } // namespace
--- a/tests/adapter/resting_runners_test.cpp
+++ b/tests/adapter/resting_runners_test.cpp
@@ -1,9 +1,6 @@
-#include "adapter/gateway_fleet.h"
-#include "adapter/steady_load.h"
-#include "adapter/withdrawing_runner.h"
+#include "adapter/withdrawing_fleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <list>
 #include <thread>
 
 namespace poplarspool::adapter {
@@ -11,33 +8,21 @@
 namespace {
 
 using namespace std::chrono_literals;
-using test::fake_store;
-using test::gateway_fleet;
-using test::nextPrompt;
 using test::steady_load;
+using test::withdrawing_fleet;
 using test::withdrawing_runner;
 
-constexpr int instanceCount = 6;
 /// Time after which no instance may send requests to a runner that rests.
 constexpr auto settleTime = 500ms;
 constexpr auto rest = 3s;
 
-/// Whole instances under load, and runners that ask for rest.
-struct resting_fleet
+/// Runners that ask for rest, and callers of all instances.
+struct resting_fleet : withdrawing_fleet
 {
-    /// @param stages Of the runners; empty for plain services.
     resting_fleet(std::uint16_t firstPort, const std::string &kind,
                   const std::vector<std::string> &stages)
+        : withdrawing_fleet(firstPort, kind, stages)
     {
-        const bool isEngine = !stages.front().empty();
-        store.put(wire::configKind, wire::configName, test::routesSpec(kind, isEngine));
-        for (const std::string &stage : stages)
-            runners.emplace_back(store, "i-" + std::to_string(runners.size()), stage);
-        instances = std::make_unique<gateway_fleet>(store, instanceCount, firstPort,
-                                                    std::vector<std::string>{"a", "b"},
-                                                    std::vector<endpoint>{}, 1000);
-        instances->waitUntilAllServe("x", nextPrompt());
-        instances->waitUntilAllKnowEachOther();
         load = std::make_unique<steady_load>(*instances);
         std::this_thread::sleep_for(1s);
     }
@@ -57,9 +42,6 @@
                                      arrivalsBetween(settleTime, rest));
     }
 
-    fake_store store;
-    std::list<withdrawing_runner> runners;
-    std::unique_ptr<gateway_fleet> instances;
     std::unique_ptr<steady_load> load;
 };
 
@@ -135,7 +117,7 @@
         const std::size_t tries = fleet.arrivalsBetween(rest, rest + 2s);
         CPPUNIT_ASSERT(tries > 0);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(tries) + " requests at runners that refuse again",
-                               tries <= fleet.runners.size() * instanceCount);
+                               tries <= fleet.runners.size() * resting_fleet::instanceCount);
     }
 
     /// Guards against a rest for runners that have asked for none.
