--- a/tests/withdrawals/withdrawal_exchange_test.cpp
+++ b/tests/withdrawals/withdrawal_exchange_test.cpp
@@ -49,7 +49,7 @@
         CPPUNIT_ASSERT_EQUAL(largeFleet - 1, fleet.datagrams);
     }
 
-    /// Guards against lost datagrams and for instances that start.
+    /// Guards against instances that lost a datagram, or have started since.
     void instanceThatMissedItIsToldAgain()
     {
         withdrawal_fleet fleet(6);
