Relay changes of more than 256 routes

Callers of a fleet with 259 routes got the old routes for as long as each of 985 instances took to read the whole table from the store. Cause: the list of differences between two tables was limited to 256 items, a constant of other lists, so that no relay could send a change of all routes.

--- a/src/gateway/relayed_changes.cpp
+++ b/src/gateway/relayed_changes.cpp
@@ -151,10 +151,11 @@
     Part full;
 };
 
+/// @param maxParts Maximum items of the table: each may differ from the previous one's.
 template <class Codec, class Parts, class Serialize>
-void serializeParts(Codec &codec, Parts &parts, const Serialize &serialize)
+void serializeParts(Codec &codec, Parts &parts, std::size_t maxParts, const Serialize &serialize)
 {
-    codec.list(parts, maxItems, minPartBytes, [&](Codec &each, auto &one) {
+    codec.list(parts, maxParts, minPartBytes, [&](Codec &each, auto &one) {
         each.small(one.count);
         if (one.count > 0)
             each.small(one.first);
@@ -166,19 +167,22 @@
 template <class Codec, class Parts>
 void serializeRoutes(Codec &codec, Parts &parts)
 {
-    serializeParts(codec, parts, [](Codec &each, auto &one) { serializeRoute(each, one); });
+    serializeParts(codec, parts, maxRelayedRoutes,
+                   [](Codec &each, auto &one) { serializeRoute(each, one); });
 }
 
 template <class Codec, class Parts>
 void serializeServices(Codec &codec, Parts &parts)
 {
-    serializeParts(codec, parts, [](Codec &each, auto &one) { serializeService(each, one); });
+    serializeParts(codec, parts, maxRelayedServices,
+                   [](Codec &each, auto &one) { serializeService(each, one); });
 }
 
 template <class Codec, class Parts>
 void serializeWorkspaces(Codec &codec, Parts &parts)
 {
-    serializeParts(codec, parts, [](Codec &each, auto &one) { serializeWorkspace(each, one); });
+    serializeParts(codec, parts, maxRelayedWorkspaces,
+                   [](Codec &each, auto &one) { serializeWorkspace(each, one); });
 }
 
 std::uint64_t contentHash(const route &one)
