Let the time for which a confirmation proves something follow the deployment's bound

An unknown route was answered 503 in place of 404 once the configuration was confirmed more than 1.9 s ago, whatever the bound: on the fleet (bound 5 s, confirmations each 3.3 s) 5,202 of 7,689 requests on unknown routes in 16 s. The constant was that of deployments with 2 s. Now it is 0.95 of the bound: 1.9 s at 2 s as before, 4.75 s at 5 s. The same for the age of the runners at which no other software version is assumed. The tests ask the context for its times; what they check is unchanged.

--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
+#include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
 #include <string>
@@ -59,6 +60,13 @@
     bool operator==(const gateway_settings &) const = default;
 };
 
+/// @param bound Time in which a change must be in force.
+/// @returns Maximum age of a confirmation that proves that no such change is missing.
+inline milliseconds proofTimeOf(milliseconds bound)
+{
+    return std::chrono::floor<milliseconds>(bound * config::confirmedShare);
+}
+
 /// @returns Where instances exchange store updates: the port after peerAddress's. Invalid if store
 ///          updates are not shared.
 inline endpoint updateAddressOf(const gateway_settings &settings)
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -261,12 +261,10 @@
 inline constexpr std::chrono::milliseconds unknownVersionRetryAfter = 100ms;
 /// The same if no runner of its version serves: a crashed one is back after some seconds.
 inline constexpr std::chrono::milliseconds goneVersionRetryAfter = 1s;
-/// Maximum age of the last confirmation of the runners at which no other version is assumed to
-/// serve than those that are known.
-inline constexpr std::chrono::milliseconds runnersTrustTime = 1900ms;
-/// Maximum age of the last confirmation of the routes at which an unknown route is reported as not
-/// found. It is below the 2 s in which a change must be in force everywhere.
-inline constexpr std::chrono::milliseconds routesTrustTime = 1900ms;
+/// Share of the time in which a change must be in force. A confirmation that is younger proves that
+/// there is no such change: an unknown route is reported as not found. The rest of the time is for
+/// the way of the request, and for delays of the confirmation that its age does not include.
+inline constexpr double confirmedShare = 0.95;
 /// Minimum share of the engines that run requests (decode), for engines with large and with small
 /// batches; their minimum number; and the batch size from which a batch is large. Engines with
 /// small batches run out of slots before they run out of time for prompts.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,7 +106,9 @@
                        withdrawalExchange.registry(),
                        hashOf(peerKeyOf(settings)),
                        hasDuty(settings, usageDuty) ? &usage.parts : nullptr,
-                       settings.isRevokeStrict ? settings.revokeTime : milliseconds::max()},
+                       settings.isRevokeStrict ? settings.revokeTime : milliseconds::max(),
+                       proofTimeOf(settings.routesBound),
+                       proofTimeOf(settings.runnersBound)},
           members(gossipSettingsOf(settings, clock),
                   {[this](const std::vector<policy::member> &alive) {
                        loadExchange.setDigestRecipients(peer::digestRecipientsOf(
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -176,7 +176,7 @@
     selectedRoute =
             findRoute(*view->table, *view->index, headerOf(request.headers, "host"), request.path);
     if (selectedRoute == nullptr) {
-        if (context.clock.mono() - view->tableConfirmedAt > config::routesTrustTime)
+        if (context.clock.mono() - view->tableConfirmedAt > context.routesProofTime)
             return refusal(503, error_code::Stale,
                            "no such route in a possibly outdated configuration",
                            config::startingRetryAfter);
@@ -217,7 +217,7 @@
     owner = areKeysValid ? keyOwnerOf(request, context.names, table, *view->index) : nullptr;
     if (owner != nullptr || selectedRoute->allowsAnonymous)
         return std::nullopt;
-    if (age > config::routesTrustTime || table.hasUnreadableKeys)
+    if (age > context.routesProofTime || table.hasUnreadableKeys)
         return refusal(503, error_code::Stale, "no such key in a possibly outdated configuration",
                        config::startingRetryAfter);
     context.metrics.unknownKeys.add();
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -11,6 +11,7 @@
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/duties/usage_exchange.h"
+#include "poplarspool/gateway/gateway_settings.h"
 #include "poplarspool/streams/origin_registry.h"
 #include "poplarspool/withdrawals/withdrawal_registry.h"
 
@@ -87,6 +88,10 @@
     const duties::usage_context *usage = nullptr;
     /// Maximum age of the last confirmed configuration at which its keys are accepted.
     const milliseconds keyTrustTime = milliseconds::max();
+    /// Maximum age of the last confirmation of the routes at which an unknown route or key is
+    /// reported as such, and of the runners at which no other versions serve than those known.
+    const milliseconds routesProofTime = proofTimeOf(gateway_settings{}.routesBound);
+    const milliseconds runnersProofTime = proofTimeOf(gateway_settings{}.runnersBound);
 };
 
 /// Forwards one request to a runner and the answer back, according to the request's route: it is
--- a/src/gateway/stream_take_up.cpp
+++ b/src/gateway/stream_take_up.cpp
@@ -87,7 +87,7 @@
     // Callers set time limits of their own, which may exceed the route's.
     const milliseconds takeUpTime = 2 * selectedRoute->timeLimit + config::originMargin;
     const bool isCertain = now - found->second.since >= takeUpTime
-            && now - known->runnersConfirmedAt <= config::runnersTrustTime;
+            && now - known->runnersConfirmedAt <= context.runnersProofTime;
     if (!metadata.resumes.empty() && !isCertain)
         return std::nullopt;
     return found->second.version;
--- a/tests/gateway/proxy_keys_test.cpp
+++ b/tests/gateway/proxy_keys_test.cpp
@@ -61,7 +61,7 @@
         fixture test({});
         test.needKeys();
         test.publisher.update([&test](catalogue &next) {
-            next.tableConfirmedAt = test.clock.mono() - config::routesTrustTime - 1s;
+            next.tableConfirmedAt = test.clock.mono() - test.context.routesProofTime - 1s;
             return true;
         });
         CPPUNIT_ASSERT_EQUAL(503,
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -253,7 +253,7 @@
         fixture test({});
         CPPUNIT_ASSERT_EQUAL(404, test.sendRequest("/new/1")->status);
         test.publisher.update([&](catalogue &next) {
-            next.tableConfirmedAt = test.clock.mono() - config::routesTrustTime - 1ms;
+            next.tableConfirmedAt = test.clock.mono() - test.context.routesProofTime - 1ms;
             return true;
         });
         CPPUNIT_ASSERT_EQUAL(503, test.sendRequest("/new/1")->status);
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -155,7 +155,7 @@
             return reply ? reply->status : 200;
         };
         CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 20s, now));
-        CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 1h, now - config::runnersTrustTime - 1ms));
+        CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 1h, now - test.context.runnersProofTime - 1ms));
         CPPUNIT_ASSERT_EQUAL(200, statusWith(now - 1h, now));
     }
 
