Let relays prove that the store answers them, and read a starting fleet's runners for all

What callers saw: a configuration that had been confirmed came into force 7 s later at instances that were not cut off (bound 5 s), and before that for 30 s runners were known late everywhere.

Causes, both of the class that what serves all is taken for working because it once did, and that its loss makes everybody do its work: 1. A relay whose calls to the store get no answer was relied on until its confirmation was 4.4 of 5 s old, and any instance that had relied on others could succeed it without having reached the store. 2. Runners that register in a burst are told in batches that not all instances receive. Whoever lacked one read the rest itself, 500 changes a call; 957 of 985 did so from the third second on, filled the store's link, were slower than the changes came, and were never again where a relay's updates join.

Repair: the bound is a budget of named parts (trust 2 s at most, takeover, spread, own call). A relay with expired confirmations is replaced, a successor first makes a call of its own, the others wait for it. What an instance lacks it requests from a relay, which keeps changes for 4 s; changes are compressed, sent whole by one relay only, and their parts take different forwarders; replies that may have been cut are followed at once. A partial update no longer ends the cover of other kinds; the age of a confirmation includes the wait at a forwarder. Why it works: nobody reads from the store what a relay has, so that the link stays free for the relays; and each step to another relay fits into the bound.

New lines: store_changes (by whom, how old the confirmation was), store_followed_here why=, store_kind_not_shared.

Tests: mixed_versions_test uses the new numbers of formats; relay_election_test passes the times to the constructor and says what relays can repeat; outdatedInstanceIsNotCovered is unchanged for what they can't.

--- a/include/poplarspool/peer/limits.h
+++ b/include/poplarspool/peer/limits.h
@@ -66,6 +66,19 @@
 /// Time for which a relayed change is repeated, in four datagrams. An instance that still lacks the
 /// change afterwards reads it from the store.
 inline constexpr std::chrono::milliseconds relayedChangeRetention = 1s;
+/// Time for which changes are kept to be repeated on request, and their bytes: longer than an
+/// instance that lacks them waits before it asks the store.
+inline constexpr std::chrono::milliseconds changeLogTime = 4s;
+inline constexpr std::size_t maxChangeLogBytes = std::size_t{512} * 1024;
+/// Interval between two requests of an instance for the same kind, and between two repetitions of
+/// the same changes: a few round trips over forwarders.
+inline constexpr std::chrono::milliseconds changeRequestInterval = 250ms;
+inline constexpr std::chrono::milliseconds minRepeatInterval = 1s;
+/// Time without progress after which an instance that lacks changes requests them: datagrams may be
+/// on their way for as long while many changes fill the links.
+inline constexpr std::chrono::milliseconds missingChangesTime = 500ms;
+/// Maximum number of updates that are kept until those before them arrive.
+inline constexpr std::size_t maxEarlyUpdates = 64;
 /// Limits of one datagram of relayed changes: number of kinds, number of changes of a kind, bytes
 /// of one change, bytes of all changes.
 inline constexpr std::size_t maxUpdateKinds = 4;
--- a/include/poplarspool/peer/store_update.h
+++ b/include/poplarspool/peer/store_update.h
@@ -31,10 +31,20 @@
     /// the same `since` and `version`. They are applied when all parts have arrived.
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
+    std::uint64_t repeatableSince = 0; ///< The sender can repeat all changes after this revision.
 
     bool operator==(const kind_update &) const = default;
 };
 
+/// Request of an instance that lacks changes to a relay, which then repeats them for all.
+struct change_request
+{
+    std::uint32_t kind = 0;
+    store_version known; ///< The changes after this version are lacking.
+
+    bool operator==(const change_request &) const = default;
+};
+
 struct store_update
 {
     std::vector<kind_update> kinds;
@@ -42,6 +52,8 @@
     std::uint64_t origin = 0;
     /// Instances to which the receiver forwards the update.
     std::vector<endpoint> forwardTo = {};
+    /// Requests to the receiver. An update with requests has no kinds.
+    std::vector<change_request> requests = {};
 
     bool operator==(const store_update &) const = default;
 };
@@ -50,8 +62,8 @@
 result<std::string> encode(const store_update &update);
 result<store_update> decodeStoreUpdate(std::string_view payload);
 
-/// Recent changes of one kind, without gaps. Each datagram repeats them, so that a lost datagram
-/// does not cost its receivers a call to the store.
+/// Recent changes of one kind, without gaps. Each datagram repeats the newest of them, and others
+/// are repeated on request, so that lost datagrams do not cost their receivers calls to the store.
 class recent_changes
 {
 public:
@@ -69,15 +81,24 @@
     /// partial updates of at most `maxBytes` each. However many changes a call to the store
     /// returns, each is sent at least once; if they were omitted, all receivers would call the
     /// store.
-    std::vector<kind_update> takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes);
+    /// @param onlyRequested Leaves out changes that no instance has requested: another relay sends
+    ///                      them to all.
+    std::vector<kind_update> takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes,
+                                        bool onlyRequested = false);
+    /// Makes takeUnsent() return the changes after `known` again, unless they have just been
+    /// repeated: many instances may lack the same.
+    void repeatAfter(store_version known, mono_time now);
 
 private:
+    enum class batch_state { New, Requested, Sent };
+
     struct change_batch
     {
-        bool isSent = false;
+        batch_state state = batch_state::New;
         std::uint64_t since = 0;
         std::uint64_t to = 0;
         mono_time addedAt{};
+        mono_time repeatedAt{};
         std::vector<std::string> changes;
         std::size_t bytes = 0;
     };
@@ -87,6 +108,8 @@
     std::uint64_t baseRevision = 0; ///< Changes are known after this revision,
     store_version version; ///< up to and including this version.
     std::deque<change_batch> batches; ///< Oldest first; no other changes lie between them.
+    std::size_t bytes = 0; ///< Of all batches.
+    mono_time lastAddedAt{};
 };
 
 } // namespace poplarspool::peer
--- a/include/poplarspool/peer/store_update_exchange.h
+++ b/include/poplarspool/peer/store_update_exchange.h
@@ -31,8 +31,8 @@
 {
 public:
     /// @param collect Returns the updates to send. Called on the sender thread.
-    /// @param onUpdate Gets the relay's number and its update, in the order in which it sent them.
-    ///                 Called on the receiver thread.
+    /// @param onUpdate Gets the relay's number and its update, in the order in which it sent them;
+    ///                 or the requests of an instance. Called on the receiver thread.
     store_update_exchange(datagram_settings settings, std::function<relay_iteration()> collect,
                           std::function<void(std::uint64_t sender, const store_update &)> onUpdate,
                           metrics_registry &metrics, journal &events);
@@ -42,6 +42,8 @@
     void stop();
     void setPeers(std::vector<endpoint> peers);
     std::size_t peerCount() const;
+    /// Asks an instance to repeat changes.
+    void request(const endpoint &relay, const change_request &wanted);
     /// Runs the next iteration at once. Called when there is something new to send.
     void wake();
 
--- a/src/peer/store_update.cpp
+++ b/src/peer/store_update.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 /// Minimum bytes of an encoded item of each list.
-constexpr std::size_t minKindBytes = 10;
+constexpr std::size_t minKindBytes = 11;
+constexpr std::size_t minRequestBytes = 3;
 constexpr std::size_t minChangeBytes = 1;
 
 template <class Codec, class Update>
@@ -29,10 +30,17 @@
         each.small(item.isPartial);
         each.small(item.part);
         each.small(item.parts);
+        each.small(item.repeatableSince);
     });
     codec.fixed(update.origin);
     codec.list(update.forwardTo, config::maxForwardGroup, packedAddressBytes,
                [](Codec &each, auto &address) { addressFields(each, address); });
+    codec.list(update.requests, config::maxUpdateKinds, minRequestBytes,
+               [](Codec &each, auto &item) {
+                   each.small(item.kind);
+                   each.small(item.known.epoch);
+                   each.small(item.known.revision);
+               });
 }
 
 } // namespace
@@ -60,6 +68,7 @@
     baseRevision = to.revision;
     version = to;
     batches.clear();
+    bytes = 0;
 }
 
 void recent_changes::add(std::uint64_t since, store_version to, std::vector<std::string> changes,
@@ -72,32 +81,49 @@
     if (to.epoch != version.epoch || since > version.revision)
         reset({to.epoch, since});
     if (!changes.empty()) {
-        std::size_t bytes = 0;
+        std::size_t size = 0;
         for (const std::string &one : changes)
-            bytes += one.size() + minChangeBytes;
-        batches.push_back({false, since, to.revision, now, std::move(changes), bytes});
+            size += one.size() + minChangeBytes;
+        batches.push_back(
+                {batch_state::New, since, to.revision, now, {}, std::move(changes), size});
+        bytes += size;
     }
     version = std::max(version, to);
+    lastAddedAt = now;
     while (!batches.empty()
-           && (batches.size() > config::maxRelayedChanges
-               || now - batches.front().addedAt > config::relayedChangeRetention)) {
+           && (bytes > config::maxChangeLogBytes
+               || now - batches.front().addedAt > config::changeLogTime)) {
         baseRevision = std::max(baseRevision, batches.front().to);
+        bytes -= batches.front().bytes;
         batches.pop_front();
     }
 }
 
-/// @returns The first of the newest batches that fit into one update together.
+void recent_changes::repeatAfter(store_version known, mono_time now)
+{
+    if (known.epoch != version.epoch)
+        return;
+    for (change_batch &batch : batches) {
+        if (batch.to <= known.revision || now - batch.repeatedAt < config::minRepeatInterval)
+            continue;
+        batch.state = batch_state::Requested;
+        batch.repeatedAt = now;
+    }
+}
+
+/// @returns The first of the newest batches that are repeated: they fit into one update together.
 std::deque<recent_changes::change_batch>::const_iterator
 recent_changes::firstRepeated(std::size_t maxBytes) const
 {
     auto first = batches.end();
-    std::size_t bytes = 0;
+    std::size_t total = 0;
     std::size_t count = 0;
     while (first != batches.begin()) {
         const change_batch &batch = *std::prev(first);
-        bytes += batch.bytes;
+        total += batch.bytes;
         count += batch.changes.size();
-        if (bytes > maxBytes || count > config::maxRelayedChanges)
+        const bool isOld = lastAddedAt - batch.addedAt > config::relayedChangeRetention;
+        if (total > maxBytes || count > config::maxRelayedChanges || isOld)
             break;
         --first;
     }
@@ -109,31 +135,37 @@
     auto first = firstRepeated(maxBytes);
     kind_update update;
     update.version = version;
+    update.repeatableSince = baseRevision;
     update.since = first == batches.begin() ? baseRevision : std::prev(first)->to;
     for (; first != batches.end(); ++first)
         update.changes.insert(update.changes.end(), first->changes.begin(), first->changes.end());
     return update;
 }
 
-std::vector<kind_update> recent_changes::takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes)
+std::vector<kind_update> recent_changes::takeUnsent(std::size_t repeatedBytes, std::size_t maxBytes,
+                                                    bool onlyRequested)
 {
     std::vector<kind_update> updates;
     const auto repeated = static_cast<std::size_t>(firstRepeated(repeatedBytes) - batches.begin());
     for (std::size_t i = 0; i < batches.size(); ++i) {
         change_batch &batch = batches[i];
-        if (std::exchange(batch.isSent, true) || i >= repeated)
+        const auto state = std::exchange(batch.state, batch_state::Sent);
+        const bool isWanted =
+                state == batch_state::Requested || (state == batch_state::New && !onlyRequested);
+        if (!isWanted || i >= repeated)
             continue;
         kind_update whole;
         whole.since = i == 0 ? baseRevision : batches[i - 1].to;
         whole.version = {version.epoch, batch.to};
         whole.isPartial = true;
+        whole.repeatableSince = baseRevision;
         const std::size_t firstPart = updates.size();
-        std::size_t bytes = maxBytes;
+        std::size_t size = maxBytes;
         for (const std::string &change : batch.changes) {
-            bytes += change.size() + minChangeBytes;
-            if (bytes > maxBytes || updates.back().changes.size() >= config::maxRelayedChanges) {
+            size += change.size() + minChangeBytes;
+            if (size > maxBytes || updates.back().changes.size() >= config::maxRelayedChanges) {
                 updates.push_back(whole);
-                bytes = change.size() + minChangeBytes;
+                size = change.size() + minChangeBytes;
             }
             updates.back().changes.push_back(change);
         }
--- a/src/peer/store_update_exchange.cpp
+++ b/src/peer/store_update_exchange.cpp
@@ -15,6 +15,25 @@
 
 namespace poplarspool::peer {
 
+namespace {
+
+/// A received update that others wait for.
+struct waiting_update
+{
+    store_update update;
+    socket_clock::time_point receivedAt;
+};
+
+/// The age that others are told includes the time for which the update waited here.
+void addWait(store_update &update, socket_clock::duration wait)
+{
+    const auto waited = static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(wait).count());
+    for (kind_update &one : update.kinds)
+        one.ageMs += waited;
+}
+
+} // namespace
+
 struct store_update_exchange::state
 {
     state(datagram_settings settings, std::function<relay_iteration()> collect,
@@ -28,7 +47,7 @@
     void sendLoop();
     void sendOnce();
     void sendUpdate(const store_update &update, const std::vector<endpoint> &to);
-    void forwardAll(std::vector<store_update> waiting);
+    void forwardAll(std::vector<waiting_update> &waiting);
     void receiveLoop();
     bool receive(std::uint64_t sender, std::string_view payload);
 
@@ -44,7 +63,8 @@
     std::condition_variable changed;
     bool isWakeRequested = false;
     std::vector<endpoint> peers;
-    std::vector<store_update> toForward; ///< Received updates that others wait for.
+    std::vector<waiting_update> toForward;
+    std::vector<std::pair<endpoint, change_request>> toRequest;
     socket_clock::time_point nextIterationAt{}; ///< Used by sendThread only.
 };
 
@@ -93,6 +113,13 @@
     return inner->peers.size();
 }
 
+void store_update_exchange::request(const endpoint &relay, const change_request &wanted)
+{
+    const std::lock_guard lock(inner->guard);
+    inner->toRequest.emplace_back(relay, wanted);
+    inner->changed.notify_all();
+}
+
 void store_update_exchange::wake()
 {
     const std::lock_guard lock(inner->guard);
@@ -116,8 +143,11 @@
 {
     std::unique_lock lock(guard);
     auto waiting = std::exchange(toForward, {});
+    const auto requests = std::exchange(toRequest, {});
     lock.unlock();
-    forwardAll(std::move(waiting));
+    forwardAll(waiting);
+    for (const auto &[relay, wanted] : requests)
+        socket.send({relay}, encode(store_update{{}, 0, {}, {wanted}}));
     lock.lock();
     if (isWakeRequested || socket_clock::now() >= nextIterationAt) {
         isWakeRequested = false;
@@ -129,24 +159,28 @@
         lock.lock();
         nextIterationAt = socket_clock::now() + iteration.wait;
     }
-    changed.wait_until(lock, nextIterationAt,
-                       [this] { return isWakeRequested || !toForward.empty(); });
+    changed.wait_until(lock, nextIterationAt, [this] {
+        return isWakeRequested || !toForward.empty() || !toRequest.empty();
+    });
 }
 
 void store_update_exchange::state::sendUpdate(const store_update &update,
                                               const std::vector<endpoint> &to)
 {
-    for (const forward_batch &batch : forwardBatchesOf(to, self)) {
+    // The parts of many changes take different forwarders, so that their links share the load.
+    const std::uint64_t part = update.kinds.empty() ? 0 : update.kinds.front().part;
+    for (const forward_batch &batch : forwardBatchesOf(to, self + part)) {
         store_update forwarded = update;
         forwarded.forwardTo = batch.forwardTo;
         socket.send(batch.to, encode(forwarded));
     }
 }
 
-void store_update_exchange::state::forwardAll(std::vector<store_update> waiting)
+void store_update_exchange::state::forwardAll(std::vector<waiting_update> &waiting)
 {
-    for (store_update &update : waiting) {
+    for (auto &[update, receivedAt] : waiting) {
         const auto to = std::exchange(update.forwardTo, {});
+        addWait(update, socket_clock::now() - receivedAt);
         socket.send(to, encode(update));
     }
 }
@@ -181,7 +215,7 @@
     if (!update.forwardTo.empty()) {
         const std::lock_guard lock(guard);
         if (toForward.size() < config::maxUpdateParts)
-            toForward.push_back(update);
+            toForward.push_back({update, socket_clock::now()});
         changed.notify_all();
     }
     return runLoggingExceptions(faults, [&] { onUpdate(update.origin, update); });
--- a/src/peer/update_assembler.cpp
+++ b/src/peer/update_assembler.cpp
@@ -40,4 +40,28 @@
     return whole;
 }
 
+void update_assembler::keep(kind_update update, mono_time now)
+{
+    if (early.size() < config::maxEarlyUpdates)
+        early.push_back({std::move(update), now});
+}
+
+std::optional<kind_update> update_assembler::takeNext(std::uint32_t kind, store_version known,
+                                                      mono_time now)
+{
+    std::erase_if(early, [&](const early_update &one) {
+        const bool isOutdated = one.update.kind == kind && one.update.version <= known;
+        return isOutdated || now - one.keptAt > config::relayedChangeRetention;
+    });
+    const auto next = std::ranges::find_if(early, [&](const early_update &one) {
+        return one.update.kind == kind && one.update.version.epoch == known.epoch
+                && one.update.since <= known.revision;
+    });
+    if (next == early.end())
+        return std::nullopt;
+    kind_update taken = std::move(next->update);
+    early.erase(next);
+    return taken;
+}
+
 } // namespace poplarspool::peer
--- a/tests/adapter/kind_watch_test.cpp
+++ b/tests/adapter/kind_watch_test.cpp
@@ -304,7 +304,7 @@
                          systemClock(), fixture.store.metrics, fixture.events);
         watch.start();
         CPPUNIT_ASSERT(test::waitUntil([&] { return watch.state().isListed; }));
-        watch.applyRelayed({5, {0, 6}}, systemClock().mono(), [] { return true; });
+        watch.applyRelayed({5, {0, 6}}, 1, systemClock().mono(), [] { return true; });
         const int before = failures;
         watch.recordRelayStoreLoss();
         CPPUNIT_ASSERT(failures > before);
--- a/tests/adapter/mixed_versions_test.cpp
+++ b/tests/adapter/mixed_versions_test.cpp
@@ -1,4 +1,6 @@
 #include "adapter/follower_pair.h"
+#include "platform/packed_changes.h"
+#include "platform/relay_updates.h"
 #include "poplarspool/peer/store_update_exchange.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -16,9 +18,9 @@
 using test::waitUntil;
 
 /// Numbers of kinds for which no instance of this version sends updates.
-constexpr std::uint32_t otherRoutesFormat = 0;
-constexpr std::uint32_t otherRunnersFormat = 1;
-constexpr std::uint32_t runners = 3;
+constexpr std::uint32_t otherRoutesFormat = 2;
+constexpr std::uint32_t otherRunnersFormat = 3;
+constexpr auto runners = static_cast<std::uint32_t>(relayed_kind::Runners);
 
 bool hasRoutes(const follower_fixture &one, std::uint64_t version)
 {
@@ -39,7 +41,8 @@
     const store_version later{0, 1'000};
     return {{{otherRoutesFormat, true, 0, later, 0, {valueOf(gateway::encode(after, *before))}},
              {otherRunnersFormat, true, 0, later, 0, {valueOf(gateway::encode({{"i-8"}, entry}))}},
-             {runners, true, 0, later, 0, {valueOf(gateway::encode({entry.id, entry}))}}}};
+             {runners, true, 0, later, 0,
+              valueOf(packChanges({valueOf(gateway::encode({entry.id, entry}))}))}}};
 }
 
 } // namespace
--- a/tests/adapter/simulated_zone.cpp
+++ b/tests/adapter/simulated_zone.cpp
@@ -20,8 +20,9 @@
 constexpr auto answerTime = 4ms;
 /// Time in which the instances of a fleet start.
 constexpr auto startTime = 2s;
-/// Bytes of a changed runner as relays send it.
-constexpr std::size_t changeBytes = 90;
+/// Bytes of a changed runner as relays send it, compressed, and of a piece of many of them.
+constexpr std::size_t changeBytes = 16;
+constexpr std::size_t pieceBytes = 1'090;
 constexpr double datagramBytes = 1'400;
 /// Bytes of an object in an answer of the store, by kind, and maximum number of them.
 constexpr std::array<std::size_t, 2> objectBytes{60'000, 350};
@@ -37,14 +38,22 @@
     return {"10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250), 80};
 }
 
+std::map<std::uint32_t, peer::reliance_limits> limitsFor(const instance_id &id,
+                                                         const staleness_bounds &bounds)
+{
+    const auto limits = relianceLimitsOf(bounds, id);
+    return {{numberOf(relayed_kind::Routes), limits}, {numberOf(relayed_kind::Runners), limits}};
+}
+
 } // namespace
 
-simulated_zone::instance::instance(const instance_id &id)
-    : election(id), number(peer::senderNumber(id))
+simulated_zone::instance::instance(const instance_id &id, const zone_scenario &scenario)
+    : election(id, limitsFor(id, scenario.bounds)), number(peer::senderNumber(id))
 { }
 
 simulated_zone::simulated_zone(zone_scenario given)
-    : scenario(std::move(given)), random(scenario.seed), now(timeOf(0ms))
+    : scenario(std::move(given)), budget(budgetFor(scenario.bounds)), random(scenario.seed),
+      now(timeOf(0ms))
 {
     std::uint64_t revision = firstRevision;
     for (const simulated_change &change : scenario.changes) {
@@ -58,13 +67,14 @@
             0, std::chrono::milliseconds(startTime).count());
     for (std::size_t i = 0; i < scenario.instances; ++i) {
         const instance_id id{"edge-" + std::to_string(scenario.seed) + "-" + std::to_string(i)};
-        auto one = std::make_unique<instance>(id);
+        auto one = std::make_unique<instance>(id, scenario);
         one->isCut = isCut(random);
         const mono_time started = timeOf(milliseconds(startedAt(random)));
         one->startedAt = started;
+        indexByNumber[one->number] = i;
         for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
             followed_kind &followed = one->followed.at(kind);
-            followed.known = {true, true, {0, firstRevision}, started};
+            followed.known = {true, true, {0, firstRevision}, started, started};
             followed.recent.reset(followed.known.version);
             schedule(started, [this, i, kind] { wake(i, kind); });
         }
@@ -150,26 +160,28 @@
     return std::nullopt;
 }
 
-bool simulated_zone::canRelay(const instance &one)
+peer::relay_ability simulated_zone::abilityOf(const instance &one) const
 {
-    return std::ranges::all_of(one.followed, [](const followed_kind &followed) {
-        return followed.known.canBeRelayed();
-    });
+    auto ability = peer::relay_ability::Proven;
+    for (const followed_kind &followed : one.followed)
+        ability = std::min(ability, relayAbilityOf(followed.known, budget.trustTime, now));
+    return ability;
 }
 
 void simulated_zone::iterate(std::size_t index)
 {
     instance &one = *instances[index];
-    const bool isAble = canRelay(one);
-    const bool isRelay =
-            one.election.decide(isAble, peer::relayCountFor(scenario.instances - 1), now);
-    const bool wasRelay = std::exchange(one.isRelay, isRelay);
-    if (isRelay || (wasRelay && !isAble))
+    const auto ability = abilityOf(one);
+    const auto role =
+            one.election.decide(ability, peer::relayCountFor(scenario.instances - 1), now);
+    const auto before = std::exchange(one.role, role);
+    const bool wasRelay = before == peer::relay_role::Relay;
+    if (role == peer::relay_role::Relay || (wasRelay && ability != peer::relay_ability::Proven))
         send(index);
     mono_time next = now + config::storeUpdateInterval;
     if (const auto takeoverAt = one.election.takeoverAt())
         next = std::clamp(*takeoverAt, now + 1ms, next);
-    if (wasRelay != isRelay) {
+    if (before != role) {
         for (std::size_t kind = 0; kind < kinds.size(); ++kind)
             wake(index, kind);
     }
@@ -203,11 +215,11 @@
     one.batches.clear();
 }
 
-const std::vector<peer::forward_batch> &simulated_zone::batchesOf(instance &one)
+const std::vector<peer::forward_batch> &simulated_zone::batchesOf(instance &one, std::uint32_t part)
 {
-    auto &batches = one.batches;
+    auto &batches = one.batches[part];
     if (batches.empty())
-        batches = peer::forwardBatchesOf(one.others, one.number);
+        batches = peer::forwardBatchesOf(one.others, one.number + part);
     return batches;
 }
 
@@ -219,9 +231,9 @@
     for (std::size_t kind = 0; kind < kinds.size(); ++kind)
         sources.push_back(
                 {kinds.at(kind), one.followed.at(kind).known, one.followed.at(kind).recent});
-    for (peer::store_update &made : relayUpdatesOf(sources, now)) {
+    for (peer::store_update &made : relayUpdatesOf(sources, one.election.isFirstRelay(), now)) {
         const auto update = std::make_shared<const peer::store_update>(std::move(made));
-        for (const peer::forward_batch &batch : batchesOf(one)) {
+        for (const peer::forward_batch &batch : batchesOf(one, update->kinds.front().part)) {
             for (const endpoint &to : batch.to) {
                 const std::size_t receiver = indexByAddress.at(textOf(to));
                 const auto arrival = sendDatagram(one, receiver, one.number, update);
@@ -281,13 +293,41 @@
         }
         const std::uint64_t before = followed.known.version.revision;
         applyRelayed(followed, *joined);
+        while (const auto next = one.assembler.takeNext(joined->kind, followed.known.version, now))
+            applyRelayed(followed, *next);
         raiseVersion(one, kind, before, followed.known.version.revision);
         const bool isBehind = followed.known.version < joined->version;
+        if (isBehind && joined->isPartial)
+            one.assembler.keep(*joined, now);
+        if (isBehind)
+            requestChanges(index, sender, kind);
         if (isBehind || before != followed.known.version.revision)
             wake(index, kind);
     }
 }
 
+void simulated_zone::requestChanges(std::size_t index, std::uint64_t relay, std::size_t kind)
+{
+    instance &one = *instances[index];
+    const auto known = one.followed.at(kind).known.version;
+    missing_changes &waiting = one.missing.at(kind);
+    if (waiting.known != known)
+        waiting = {known, now, waiting.requestedAt};
+    if (one.role != peer::relay_role::None || now - waiting.since < config::missingChangesTime
+        || now - waiting.requestedAt < config::changeRequestInterval)
+        return;
+    waiting.requestedAt = now;
+    if (std::bernoulli_distribution(scenario.lossShare)(random))
+        return;
+    const std::size_t asked = indexByNumber.at(relay);
+    schedule(now + datagramTime, [this, asked, kind, known] {
+        if (instances[asked]->role != peer::relay_role::Relay)
+            return;
+        instances[asked]->followed.at(kind).recent.repeatAfter(known, now);
+        requestIteration(asked);
+    });
+}
+
 void simulated_zone::applyRelayed(followed_kind &followed, const peer::kind_update &update)
 {
     kind_state &known = followed.known;
@@ -317,11 +357,11 @@
 {
     instance &one = *instances[index];
     followed_kind &followed = one.followed.at(kind);
-    const auto covered = one.isRelay
-            ? std::nullopt
-            : one.election.coveredUntil(
+    const auto covered = one.role == peer::relay_role::None
+            ? one.election.coveredUntil(
                     {numberOf(kinds.at(kind)), followed.known.version, followed.known.confirmedAt},
-                    trustTimeFor(scenario.bounds), now);
+                    now)
+            : std::nullopt;
     if (!covered)
         return call(index, kind);
     const std::uint64_t step = ++followed.step;
@@ -337,8 +377,8 @@
     followed_kind &followed = one.followed.at(kind);
     ++calls;
     followed.isCalling = true;
-    const milliseconds wait = followed.failures > 0 ? config::storeProbeWatchTime
-                                                    : relayWatchTimeFor(scenario.bounds);
+    const milliseconds wait =
+            relayedWatchTimeFor(scenario.bounds, followed.known, followed.failures, now);
     const std::uint64_t since = followed.known.version.revision;
     const auto change = nextChangeAfter(kind, since);
     const mono_time answered =
@@ -379,9 +419,9 @@
     kind_state &known = followed.known;
     const std::uint64_t before = known.version.revision;
     if (received.revision >= before) {
-        followed.recent.add(
-                received.since, {0, received.revision},
-                std::vector<std::string>(received.objects, std::string(changeBytes, 'x')), now);
+        const std::size_t pieces = (received.objects * changeBytes + pieceBytes - 1) / pieceBytes;
+        followed.recent.add(received.since, {0, received.revision},
+                            std::vector<std::string>(pieces, std::string(pieceBytes, 'x')), now);
         known.version = {0, received.revision};
         raiseVersion(one, kind, before, received.revision);
     }
@@ -389,9 +429,12 @@
             std::max<mono_time>(received.sentAt, now - config::storeConfirmDelay);
     known.isAnswered = true;
     known.confirmedAt = std::max(known.confirmedAt, confirmedAt);
+    known.answeredAt = std::max(known.answeredAt, confirmedAt);
     requestIteration(index);
-    const milliseconds gap = one.isRelay ? config::relayWatchGap : config::gatewayWatchGap;
-    followed.pausedUntil = received.sentAt + gap;
+    const milliseconds gap =
+            one.role == peer::relay_role::None ? config::gatewayWatchGap : config::relayWatchGap;
+    followed.pausedUntil =
+            received.objects >= config::largeReplyChanges ? now : received.sentAt + gap;
     wake(index, kind);
 }
 
--- a/tests/adapter/simulated_zone.h
+++ b/tests/adapter/simulated_zone.h
@@ -72,21 +72,29 @@
         std::uint64_t step = 0; ///< Number of the only scheduled step that is valid.
     };
 
+    struct missing_changes
+    {
+        store_version known;
+        mono_time since{};
+        mono_time requestedAt{};
+    };
+
     struct instance
     {
-        explicit instance(const instance_id &id);
+        explicit instance(const instance_id &id, const zone_scenario &scenario);
 
         peer::relay_election election;
         peer::update_assembler assembler;
         std::array<followed_kind, kinds.size()> followed;
         std::vector<endpoint> others; ///< Listed instances.
-        std::vector<peer::forward_batch> batches;
+        std::map<std::uint32_t, std::vector<peer::forward_batch>> batches; ///< By part.
         mono_time listedAt{};
         mono_time startedAt{};
         mono_time linkBusyUntil{};
+        std::array<missing_changes, kinds.size()> missing{};
         std::uint64_t number = 0;
         std::uint64_t step = 0;
-        bool isRelay = false;
+        peer::relay_role role = peer::relay_role::None;
         bool isCut = false;
     };
 
@@ -116,11 +124,12 @@
     store_answer answerOf(std::size_t kind, std::uint64_t since) const;
     void answer(std::size_t index, std::size_t kind, store_answer made, mono_time failsAt);
     void listInstances(std::size_t index);
+    void requestChanges(std::size_t index, std::uint64_t relay, std::size_t kind);
     std::optional<mono_time> nextChangeAfter(std::size_t kind, std::uint64_t revision) const;
-    static bool canRelay(const instance &one);
+    peer::relay_ability abilityOf(const instance &one) const;
     void iterate(std::size_t index);
     void requestIteration(std::size_t index);
-    static const std::vector<peer::forward_batch> &batchesOf(instance &one);
+    static const std::vector<peer::forward_batch> &batchesOf(instance &one, std::uint32_t part);
     void send(std::size_t index);
     std::optional<mono_time> sendDatagram(instance &from, std::size_t to, std::uint64_t relay,
                                           const std::shared_ptr<const peer::store_update> &update);
@@ -138,12 +147,14 @@
     void raiseVersion(const instance &one, std::size_t kind, std::uint64_t from, std::uint64_t to);
 
     const zone_scenario scenario;
+    const staleness_budget budget;
     std::mt19937 random;
     mono_time now;
     std::uint64_t scheduledCount = 0;
     std::priority_queue<scheduled> queue;
     std::vector<std::unique_ptr<instance>> instances;
     std::map<std::string, std::size_t> indexByAddress;
+    std::map<std::uint64_t, std::size_t> indexByNumber;
     mono_time storeBusyUntil{};
     struct stored_change
     {
--- a/tests/adapter/store_follower_test.cpp
+++ b/tests/adapter/store_follower_test.cpp
@@ -123,17 +123,21 @@
 
     /// With each user's bounds, an instance that relies on a relay receives the next confirmation
     /// before the last one expires, even if a datagram is lost. When it does expire, there is time
-    /// left to query the store.
+    /// left for another relay to take over, and to query the store.
     void confirmationsLastUntilTheNextOne()
     {
-        for (const milliseconds bound : {2s, 3s, 4s}) {
+        for (const milliseconds bound : {2s, 3s, 4s, 5s}) {
             const staleness_bounds bounds{bound + 1s, bound};
+            const staleness_budget budget = budgetFor(bounds);
             const milliseconds cycle = relayWatchTimeFor(bounds) + config::relayWatchGap
                     + config::storeConfirmDelay + config::storeUpdateInterval;
-            CPPUNIT_ASSERT(cycle < trustTimeFor(bounds));
-            CPPUNIT_ASSERT(trustTimeFor(bounds) + config::confirmationLossLag <= bound);
+            CPPUNIT_ASSERT(cycle < budget.trustTime);
+            CPPUNIT_ASSERT(budget.callTime >= config::minFallbackCallTime);
+            CPPUNIT_ASSERT(budget.trustTime + budget.takeoverTime + budget.fallbackSpread
+                                   + budget.callTime
+                           == bound);
         }
-        CPPUNIT_ASSERT(trustTimeFor({1s, 1s}) == 0ms);
+        CPPUNIT_ASSERT(budgetFor({1s, 1s}) == staleness_budget{});
     }
 };
 
--- a/tests/adapter/store_refusal_test.cpp
+++ b/tests/adapter/store_refusal_test.cpp
@@ -126,7 +126,7 @@
         relayCallbacks.coveredUntil = [this, &clock](const kind_state &) {
             return isCovered ? std::optional(clock.now() + 1h) : std::nullopt;
         };
-        relayCallbacks.isRelay = [] { return false; };
+        relayCallbacks.role = [] { return peer::relay_role::None; };
         return relayCallbacks;
     }
 
@@ -197,7 +197,7 @@
         relayed_watch one(store, clock);
         one.watch.start();
         CPPUNIT_ASSERT(waitUntil([&] { return one.isIdle(); }));
-        one.watch.applyRelayed({5, {0, 6}}, clock.now(), [] { return true; });
+        one.watch.applyRelayed({5, {0, 6}}, 1, clock.now(), [] { return true; });
         const mono_time lastUpdateAt = clock.now();
         clock.advance(9s);
         one.isCovered = false;
--- a/tests/adapter/table_sizes_test.cpp
+++ b/tests/adapter/table_sizes_test.cpp
@@ -53,6 +53,7 @@
 {
     CPPUNIT_TEST_SUITE(table_sizes_test);
     CPPUNIT_TEST(oneChangeAmongManyRoutesIsRelayed);
+    CPPUNIT_TEST(changeOfAllRoutesIsRelayed);
     CPPUNIT_TEST(tablesThatGrowAndShrinkWithinASecondAreFollowed);
     CPPUNIT_TEST(unreadableEntryIsLoggedAndDoesNotAffectOthers);
     CPPUNIT_TEST(runnersAreListedInPages);
@@ -76,6 +77,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(both, "changes_untold"));
     }
 
+    /// Guards against a read of the whole table by every instance whenever all routes change.
+    void changeOfAllRoutesIsRelayed()
+    {
+        for (const std::size_t count : {259U, 1'000U}) {
+            fake_store store;
+            store.put(wire::configKind, wire::configName, configSpec(3, static_cast<int>(count)));
+            const follower_pair both(store);
+            CPPUNIT_ASSERT(waitUntil([&] { return both.followedByOthersCount() >= 2; }));
+            CPPUNIT_ASSERT(haveRoutes(both, 3, count));
+            json spec = json::parse(configSpec(5, static_cast<int>(count)));
+            for (json &route : spec[wire::routes])
+                route[wire::routeTimeLimitMs] = 7'000;
+            store.put(wire::configKind, wire::configName, spec.dump());
+            CPPUNIT_ASSERT(waitUntil([&] { return haveRoutes(both, 5, count); }));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(both, "changes_untold"));
+            std::size_t relayed = 0;
+            for (const auto *one : {both.one.get(), both.two.get()}) {
+                CPPUNIT_ASSERT(tableOf(*one)->routes.back().timeLimit == 7s);
+                for (const event &line : one->events.events({"store_changes", {}, {}}))
+                    relayed += line.fields[0].value == wire::configKind
+                                    && line.fields[1].value == "relay"
+                            ? 1
+                            : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, relayed);
+        }
+    }
+
     void tablesThatGrowAndShrinkWithinASecondAreFollowed()
     {
         fake_store store;
