--- a/include/poplarspool/peer/store_update.h
+++ b/include/poplarspool/peer/store_update.h
@@ -87,7 +87,8 @@
                                         bool onlyRequested = false);
     /// Makes takeUnsent() return the changes after `known` again, unless they have just been
     /// repeated: many instances may lack the same.
-    void repeatAfter(store_version known, mono_time now);
+    /// @returns Whether takeUnsent() will return any of them.
+    bool repeatAfter(store_version known, mono_time now);
 
 private:
     enum class batch_state { New, Requested, Sent };
--- a/src/peer/store_update.cpp
+++ b/src/peer/store_update.cpp
@@ -99,16 +99,19 @@
     }
 }
 
-void recent_changes::repeatAfter(store_version known, mono_time now)
+bool recent_changes::repeatAfter(store_version known, mono_time now)
 {
     if (known.epoch != version.epoch)
-        return;
+        return false;
+    bool isAnyRepeated = false;
     for (change_batch &batch : batches) {
         if (batch.to <= known.revision || now - batch.repeatedAt < config::minRepeatInterval)
             continue;
         batch.state = batch_state::Requested;
         batch.repeatedAt = now;
+        isAnyRepeated = true;
     }
+    return isAnyRepeated;
 }
 
 /// @returns The first of the newest batches that are repeated: they fit into one update together.
--- a/tests/adapter/simulated_zone.cpp
+++ b/tests/adapter/simulated_zone.cpp
@@ -323,8 +323,8 @@
     schedule(now + datagramTime, [this, asked, kind, known] {
         if (instances[asked]->role != peer::relay_role::Relay)
             return;
-        instances[asked]->followed.at(kind).recent.repeatAfter(known, now);
-        requestIteration(asked);
+        if (instances[asked]->followed.at(kind).recent.repeatAfter(known, now))
+            requestIteration(asked);
     });
 }
 
--- a/tests/adapter/simulated_zone.h
+++ b/tests/adapter/simulated_zone.h
@@ -98,6 +98,21 @@
         bool isCut = false;
     };
 
+    struct store_answer
+    {
+        std::uint64_t since = 0;
+        std::uint64_t revision = 0;
+        std::size_t objects = 0;
+        mono_time sentAt{}; ///< Of the call.
+    };
+
+    struct stored_change
+    {
+        std::uint64_t revision = 0;
+        mono_time at{};
+        std::size_t objects = 0;
+    };
+
     struct scheduled
     {
         mono_time at{};
@@ -114,13 +129,6 @@
     void schedule(mono_time at, std::function<void()> run);
     bool isUnreachable(const instance &one, mono_time from, mono_time until) const;
     std::uint64_t revisionAt(mono_time time) const;
-    struct store_answer
-    {
-        std::uint64_t since = 0;
-        std::uint64_t revision = 0;
-        std::size_t objects = 0;
-        mono_time sentAt{}; ///< Of the call.
-    };
     store_answer answerOf(std::size_t kind, std::uint64_t since) const;
     void answer(std::size_t index, std::size_t kind, store_answer made, mono_time failsAt);
     void listInstances(std::size_t index);
@@ -156,13 +164,6 @@
     std::map<std::string, std::size_t> indexByAddress;
     std::map<std::uint64_t, std::size_t> indexByNumber;
     mono_time storeBusyUntil{};
-    struct stored_change
-    {
-        std::uint64_t revision = 0;
-        mono_time at{};
-        std::size_t objects = 0;
-    };
-
     std::array<std::vector<stored_change>, kinds.size()> changesByKind;
     std::array<std::chrono::nanoseconds, kinds.size()> latestApplied{};
     std::size_t calls = 0;
--- a/tests/peer/store_update_test.cpp
+++ b/tests/peer/store_update_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(omittedChangesRaiseSince);
     CPPUNIT_TEST(gapRaisesSince);
     CPPUNIT_TEST(oldChangesAreNotRepeated);
+    CPPUNIT_TEST(requestedChangesAreRepeatedOnceASecond);
     CPPUNIT_TEST(changesOfEarlierEpochAreDropped);
     CPPUNIT_TEST(allChangesAreSentOnce);
     CPPUNIT_TEST(longBatchesAreJoined);
@@ -108,6 +109,25 @@
         CPPUNIT_ASSERT(update.changes == (std::vector<std::string>{"b"}));
     }
 
+    /// Guards against a relay that sends all it has whenever one of many instances requests it.
+    void requestedChangesAreRepeatedOnceASecond()
+    {
+        recent_changes recent;
+        recent.reset({0, 5});
+        recent.add(5, {0, 7}, {std::string(80, 'a')}, start);
+        recent.add(7, {0, 9}, {std::string(80, 'b')}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recent.takeUnsent(90, 90).size());
+        CPPUNIT_ASSERT(!recent.repeatAfter({0, 9}, start + 10ms));
+        CPPUNIT_ASSERT(recent.repeatAfter({0, 5}, start + 10ms));
+        CPPUNIT_ASSERT(!recent.repeatAfter({0, 5}, start + 20ms));
+        const auto repeated = recent.takeUnsent(90, 90, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, repeated.size());
+        CPPUNIT_ASSERT(repeated.front().since == 5 && repeated.front().version.revision == 7);
+        CPPUNIT_ASSERT(recent.takeUnsent(90, 90, true).empty());
+        CPPUNIT_ASSERT(recent.repeatAfter({0, 5}, start + 10ms + config::minRepeatInterval));
+        CPPUNIT_ASSERT(!recent.repeatAfter({1, 5}, start + 3s));
+    }
+
     void oldChangesAreNotRepeated()
     {
         recent_changes recent;
