--- a/tests/adapter/relay_takeover_test.cpp
+++ b/tests/adapter/relay_takeover_test.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using test::simulated_change;
 using test::simulated_zone;
 using test::zone_scenario;
 
