Log the sizes that a holder of the fleet's orders works with

An on-call engineer sees only the orders, not why they are for so few runners: the line fleet_sizes names the size of each service and zone, whose record they come from, and whether they may still grow. It tells a size that a former holder wrote during the start from one that this instance has seen itself. No decision is changed.

--- a/src/gateway/fleet_scaler.cpp
+++ b/src/gateway/fleet_scaler.cpp
@@ -31,8 +31,22 @@
         maxRegularSeen = regular;
         changedAt = now;
     }
-    if (now - changedAt >= config::fleetSettleTime && !targetSizes.empty())
-        areSizesSettled = true;
+    if (areSizesSettled || now - changedAt < config::fleetSettleTime || targetSizes.empty())
+        return;
+    areSizesSettled = true;
+    reportSizes("");
+}
+
+/// @param source Holder whose record the sizes come from; empty: this instance has settled them.
+void fleet_scaler::reportSizes(const std::string &source)
+{
+    std::string sizes;
+    for (const auto &[key, size] : targetSizes)
+        sizes += (sizes.empty() ? "" : ",") + key.first + "/" + key.second.text + "="
+                + std::to_string(size);
+    dependencies.events.emit(
+            "fleet_sizes",
+            {{"source", source}, {"settled", areSizesSettled ? "yes" : "no"}, {"sizes", sizes}});
 }
 
 /// @returns Whether the orders placed by previous lease holders are known.
@@ -54,6 +68,7 @@
         for (const scaling::issued_order &one : checkpoint->sizes)
             targetSizes[{one.service, one.order.zone}] = one.order.wanted;
         areSizesSettled = !targetSizes.empty();
+        reportSizes(present->holder.text);
     }
     isCheckpointRead = true;
     return true;
--- a/src/gateway/fleet_scaler.h
+++ b/src/gateway/fleet_scaler.h
@@ -55,6 +55,7 @@
     };
 
     void updateSizesSettled(const catalogue &known);
+    void reportSizes(const std::string &source);
     bool readCheckpoint();
     std::vector<scaling::zone_fleet> zonesOf(const catalogue &known, const service &one);
     std::vector<scaling::issued_order> planAll(const catalogue &known);
