Tests of a fleet that is taken over while it starts, and of runners that send without end

Four tests of the fleet's orders, on a platform that carries out each order at once: a second holder leaves 2 of 4 runners a zone, a silent store 3 of 7 spot runners, a lost record 2 of 8. Seven of calls: bytes that are no answer while the request is sent, interim replies, trailers, a body past its limit, one event and a chunk's size line. Two more (chunks past the limit, a head without end) are green already and guard only.

--- a/tests/base/http_pool_test.cpp
+++ b/tests/base/http_pool_test.cpp
@@ -1,4 +1,5 @@
 #include "base/http_fixture.h"
+#include "poplarspool/base/limits.h"
 
 using namespace poplarspool;
 using namespace poplarspool::test;
@@ -49,6 +50,8 @@
     CPPUNIT_TEST(closedPortYieldsNotRun);
     CPPUNIT_TEST(hostNamesAreRejected);
     CPPUNIT_TEST(stopInterruptsCalls);
+    CPPUNIT_TEST(interimRepliesWithoutEndEndTheCall);
+    CPPUNIT_TEST(chunkLineWithoutEndEndsTheCall);
     CPPUNIT_TEST(timeLimitHoldsForEndlessReply);
     CPPUNIT_TEST(deadlineHoldsWhenDataIsAvailable);
     CPPUNIT_TEST(ambiguousReplyIsBroken);
@@ -94,6 +97,22 @@
         CPPUNIT_ASSERT(errorOf(pool.send(server.at, get, testTimeout)).ran == verdict::NotRun);
     }
 
+    /// Guards against a call that a server prolongs to its limit with replies that are not final.
+    void interimRepliesWithoutEndEndTheCall()
+    {
+        std::string reply;
+        while (reply.size() < 2 * config::maxReplyHeaderBytes)
+            reply += "HTTP/1.1 102 Processing\r\n\r\n";
+        expectBroken(reply + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    /// Guards against memory that grows for as long as a server sends a line without end.
+    void chunkLineWithoutEndEndsTheCall()
+    {
+        expectBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;"
+                     + std::string(2 * config::maxReplyHeaderBytes, 'x') + "\r\nok\r\n0\r\n\r\n");
+    }
+
     // The server writes endlessly and faster than the client reads, so no single read blocks. The
     // time limit must apply to the whole call.
     void timeLimitHoldsForEndlessReply()
@@ -217,6 +236,14 @@
     }
 
 private:
+    void expectBroken(const std::string &reply)
+    {
+        scripted_server server(reply);
+        const auto outcome = pool.send(server.address(), get, testTimeout);
+        CPPUNIT_ASSERT(!succeeded(outcome));
+        CPPUNIT_ASSERT(errorOf(outcome).code == error_code::Broken);
+    }
+
     metrics_registry metrics;
     http_pool pool{4, 2s, metrics};
 };
--- a/tests/gateway/fleet_scaler_test.cpp
+++ b/tests/gateway/fleet_scaler_test.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarspool/scaling/limits.h"
 
+#include <climits>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace poplarspool::gateway {
@@ -79,14 +80,44 @@
                                               store(), instance_id{name}, 3s);
     }
 
+    /// The store confirms the list of runners before each iteration, unless it is silent.
     void runIterations(fleet_scaler &scaler, int iterations = 3)
     {
         for (int i = 0; i < iterations; ++i) {
+            publisher.update([&](catalogue &next) {
+                if (!isStoreSilent)
+                    next.runnersConfirmedAt = now;
+                return true;
+            });
             scaler.runOnce();
             now += config::fleetInterval;
         }
     }
 
+    int countOf(const std::string &zone, bool isSpot) const
+    {
+        int count = 0;
+        publisher.current()->runners->forEach([&](const runner_entry &entry) {
+            count += entry->zone.text == zone && entry->isSpot == isSpot ? 1 : 0;
+        });
+        return count;
+    }
+
+    /// Runs iterations on a platform that carries out each order at once.
+    /// @returns The minimum number of runners of one zone after any of them.
+    int runWithPlatform(fleet_scaler &scaler, int iterations)
+    {
+        int least = INT_MAX;
+        for (int i = 0; i < iterations; ++i) {
+            runIterations(scaler, 1);
+            for (const scaling::fleet_order &one : takeOrders())
+                put(one.zone.text, one.isSpot, static_cast<int>(one.wanted));
+            for (const char *zone : {"a", "b"})
+                least = std::min(least, countOf(zone, false) + countOf(zone, true));
+        }
+        return least;
+    }
+
     std::vector<scaling::fleet_order> takeOrders() { return std::exchange(orders, {}); }
 
     mono_time now{std::chrono::hours(1)};
@@ -98,6 +129,7 @@
     std::vector<scaling::fleet_order> orders;
     bool isOwner = true;
     bool hasNoSpot = false;
+    bool isStoreSilent = false;
 };
 
 using orders = std::vector<scaling::fleet_order>;
@@ -113,6 +145,10 @@
     CPPUNIT_TEST(reclaimedRunnersAreReorderedAtOnce);
     CPPUNIT_TEST(unfilledOrderIsRepeatedAfterTimeout);
     CPPUNIT_TEST(onlyTheOwnerPlacesOrders);
+    CPPUNIT_TEST(takenOverStartKeepsTheWholeFleet);
+    CPPUNIT_TEST(takenOverStartKeepsRunnersThatRegisterLate);
+    CPPUNIT_TEST(silentStoreDoesNotSettleTheSizes);
+    CPPUNIT_TEST(lostCheckpointKeepsTheFleet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -209,6 +245,75 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, test.record.version.revision);
     }
 
+    /// Guards against a fleet that is cut down to the runners that had registered when its first
+    /// holder placed the first orders.
+    void takenOverStartKeepsTheWholeFleet()
+    {
+        fixture test;
+        test.put("a", false, 1);
+        test.put("b", false, 1);
+        test.runWithPlatform(*test.scalerOf("first"), 1);
+        test.put("a", false, 4);
+        test.put("b", false, 4);
+        const int least = test.runWithPlatform(*test.scalerOf("second"), 30);
+        CPPUNIT_ASSERT(least >= 4);
+        for (const char *zone : {"a", "b"}) {
+            CPPUNIT_ASSERT_EQUAL(7, test.countOf(zone, true));
+            CPPUNIT_ASSERT_EQUAL(1, test.countOf(zone, false));
+        }
+    }
+
+    /// The same if the second holder reads the record before the last runners register.
+    void takenOverStartKeepsRunnersThatRegisterLate()
+    {
+        fixture test;
+        test.put("a", false, 1);
+        test.put("b", false, 1);
+        test.runWithPlatform(*test.scalerOf("first"), 1);
+        const auto second = test.scalerOf("second");
+        for (int registered = 1; registered <= 4; ++registered) {
+            test.put("a", false, registered);
+            test.put("b", false, registered);
+            test.runWithPlatform(*second, 1);
+        }
+        CPPUNIT_ASSERT(test.runWithPlatform(*second, 30) >= 4);
+        CPPUNIT_ASSERT_EQUAL(7, test.countOf("a", true));
+    }
+
+    /// Guards against a fleet that is cut down to the runners that had registered before the store
+    /// fell silent: a list that nobody confirms doesn't grow, whoever registers.
+    void silentStoreDoesNotSettleTheSizes()
+    {
+        fixture test;
+        test.put("a", false, 2);
+        test.put("b", false, 2);
+        const auto scaler = test.scalerOf("me");
+        test.runWithPlatform(*scaler, 1);
+        test.isStoreSilent = true;
+        test.runWithPlatform(*scaler, 5);
+        test.isStoreSilent = false;
+        test.put("a", false, 4);
+        test.put("b", false, 4);
+        CPPUNIT_ASSERT(test.runWithPlatform(*scaler, 30) >= 4);
+        CPPUNIT_ASSERT_EQUAL(7, test.countOf("a", true));
+        CPPUNIT_ASSERT_EQUAL(7, test.countOf("b", true));
+    }
+
+    /// Guards against a fleet that is cut down to its last regular runners when the record of its
+    /// orders is gone.
+    void lostCheckpointKeepsTheFleet()
+    {
+        fixture test;
+        replaceRegularBySpot(test, *test.scalerOf("first"));
+        test.record = {};
+        test.record.version.epoch = 1;
+        const auto second = test.scalerOf("second");
+        CPPUNIT_ASSERT_EQUAL(8, test.runWithPlatform(*second, 30));
+        test.put("a", true, 0);
+        test.runWithPlatform(*second, 10);
+        CPPUNIT_ASSERT_EQUAL(7, test.countOf("a", true));
+    }
+
 private:
     static void replaceRegularBySpot(fixture &test, fleet_scaler &scaler)
     {
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(answerWithoutSealIsRejected);
     CPPUNIT_TEST(streamResumesAfterLastCompleteEvent);
     CPPUNIT_TEST(unresumableStreamIsNotEndedNormally);
+    CPPUNIT_TEST(streamWithAnEventWithoutEndGoesOnElsewhere);
+    CPPUNIT_TEST(headWithoutEndIsRetriedElsewhere);
     CPPUNIT_TEST(callerDisconnectAbortsRunnerCall);
     CPPUNIT_TEST(requestOfDisconnectedCallerIsNotSent);
     CPPUNIT_TEST(unknownRouteIsDeniedOnlyIfRoutesAreFresh);
@@ -219,6 +221,20 @@
         CPPUNIT_ASSERT(!test.caller.isWhole);
     }
 
+    /// Guards against a stream that lasts to its time limit, and memory that grows for as long,
+    /// under a runner that sends an event without end.
+    void streamWithAnEventWithoutEndGoesOnElsewhere()
+    {
+        expectAnswerOfTheSecond({streamHead + eventText(1) + "id: 2\ndata: ", script_end::Endless},
+                                streamHead + eventText(2), "/stream/1");
+    }
+
+    void headWithoutEndIsRetriedElsewhere()
+    {
+        expectAnswerOfTheSecond({"HTTP/1.1 200 OK\r\nPadding: ", script_end::Endless},
+                                streamHead + eventText(1) + eventText(2), "/stream/1");
+    }
+
     /// The caller closes while an engine prefills its prompt and sends nothing yet. If this were
     /// detected only at the first byte, the engine would work on an unwanted answer.
     void callerDisconnectAbortsRunnerCall()
@@ -322,6 +338,25 @@
                 test.quarantineManager.countEnds(digestOf(request, test.context.digestSeed))
                         .incarnations);
     }
+
+private:
+    /// The first runner answers with the faulty script and is left by the call; the caller gets
+    /// both events, the rest of them from the second runner.
+    static void expectAnswerOfTheSecond(script faulty, const std::string &answer,
+                                        const std::string &path)
+    {
+        scripted_runner first({std::move(faulty)});
+        scripted_runner second({{answer}});
+        fixture test({&first, &second});
+        test.runnerTable.candidatesOf(*test.publisher.current(), {.service = {"s"}});
+        {
+            runner_table::open_send busy(test.runnerTable, {"r1"}, 0, send_class::Urgent);
+            test.sendRequest(path, "60000");
+        }
+        CPPUNIT_ASSERT(first.awaitDisconnect());
+        CPPUNIT_ASSERT_EQUAL(eventText(1) + eventText(2), test.caller.body);
+        CPPUNIT_ASSERT(test.caller.isWhole);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_proxy_test);
--- a/tests/gateway/runner_call_test.cpp
+++ b/tests/gateway/runner_call_test.cpp
@@ -35,6 +35,44 @@
     return socket_clock::now() + 20s;
 }
 
+/// A runner that never reads. It sends the head, and then the same bytes as fast as they are taken,
+/// until it is stopped or has sent more than any call may read.
+class endless_runner
+{
+public:
+    endless_runner(const socket_pair &pair, const std::string &head, const std::string &bytes)
+        : thread([this, &pair, head, bytes] { run(pair.theirs.get(), head, bytes); })
+    { }
+    ~endless_runner()
+    {
+        stopping.raise();
+        thread.join();
+    }
+    endless_runner(const endless_runner &) = delete;
+    endless_runner &operator=(const endless_runner &) = delete;
+
+private:
+    void run(int fd, const std::string &head, const std::string &bytes)
+    {
+        sendAll(fd, head, testDeadline(), stopping.descriptorNumber());
+        // Large writes keep the runner ahead of its reader.
+        std::string piece;
+        while (piece.size() < maxSentBytes / 256)
+            piece += bytes;
+        std::size_t sent = 0;
+        while (sent < maxSentBytes
+               && sendAll(fd, piece, testDeadline(), stopping.descriptorNumber()).fault
+                       == socket_fault::None)
+            sent += piece.size();
+        shutdown(fd, SHUT_WR);
+    }
+
+    static constexpr std::size_t maxSentBytes = 16UL * 1024 * 1024;
+
+    pollable_flag stopping;
+    std::thread thread;
+};
+
 std::string bodyOf(runner_call &call, call_fault &fault)
 {
     std::string body;
@@ -58,6 +96,11 @@
     CPPUNIT_TEST(missingLastChunkIsAFault);
     CPPUNIT_TEST(earlyReplyPreventsReuse);
     CPPUNIT_TEST(failedFirstSendIsReportedAsNotArrived);
+    CPPUNIT_TEST(bytesWithoutEndWhileTheRequestIsSentEndTheCall);
+    CPPUNIT_TEST(interimRepliesWithoutEndEndTheCall);
+    CPPUNIT_TEST(trailersWithoutEndEndTheCall);
+    CPPUNIT_TEST(chunksWithoutEndLastNoLongerThanTheLimit);
+    CPPUNIT_TEST(bodyWithoutEndLastsNoLongerThanTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +180,81 @@
         CPPUNIT_ASSERT(call.send("GET / HTTP/1.1\r\n\r\n", testDeadline()) == call_fault::Closed);
         CPPUNIT_ASSERT(!call.mayHaveArrived());
     }
+
+    /// Guards against a call that reads for ever what a runner sends instead of reading its
+    /// request.
+    void bytesWithoutEndWhileTheRequestIsSentEndTheCall()
+    {
+        socket_pair runner;
+        runner_call call(std::move(runner.ours), -1);
+        const endless_runner endless(runner, "", "these bytes are no answer ");
+        const std::string longBody(8UL * 1024 * 1024, 'x');
+        CPPUNIT_ASSERT(call.send(longBody, testDeadline()) == call_fault::Malformed);
+        CPPUNIT_ASSERT(call.mayHaveArrived());
+    }
+
+    /// Guards against a call that a runner prolongs to its limit with replies that are not final.
+    void interimRepliesWithoutEndEndTheCall()
+    {
+        socket_pair runner;
+        runner_call call(std::move(runner.ours), -1);
+        const endless_runner endless(runner, "", "HTTP/1.1 102 Processing\r\n\r\n");
+        CPPUNIT_ASSERT(call.send("GET / HTTP/1.1\r\n\r\n", testDeadline()) == call_fault::None);
+        CPPUNIT_ASSERT(std::get<call_fault>(call.readHead(testDeadline()))
+                       == call_fault::Malformed);
+    }
+
+    /// Guards against the same after the last chunk.
+    void trailersWithoutEndEndTheCall()
+    {
+        socket_pair runner;
+        runner_call call(std::move(runner.ours), -1);
+        const endless_runner endless(
+                runner, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+                "T: 1\r\n");
+        call.send("GET / HTTP/1.1\r\n\r\n", testDeadline());
+        call.readHead(testDeadline());
+        call_fault fault = call_fault::None;
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), bodyOf(call, fault));
+        CPPUNIT_ASSERT(fault == call_fault::Malformed);
+    }
+
+    /// Guards against a limit that is looked at only when the runner has nothing to say: no step
+    /// may take bytes after it.
+    void chunksWithoutEndLastNoLongerThanTheLimit()
+    {
+        expectNothingAfterTheLimit("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "2\r\nok\r\n");
+    }
+
+    void bodyWithoutEndLastsNoLongerThanTheLimit()
+    {
+        expectNothingAfterTheLimit("HTTP/1.1 200 OK\r\n\r\n", "bytes ");
+    }
+
+private:
+    /// Everything is there before it is read, so that the call never waits.
+    static void expectNothingAfterTheLimit(std::string head, const std::string &bytes)
+    {
+        socket_pair runner;
+        runner_call call(std::move(runner.ours), -1);
+        call.send("GET / HTTP/1.1\r\n\r\n", testDeadline());
+        while (head.size() < 2 * maxBytesAfterLimit)
+            head += bytes;
+        runner.sendReply(head);
+        call.readHead(testDeadline());
+        const socket_deadline past = socket_clock::now() - 1ms;
+        body_piece piece;
+        std::size_t taken = 0;
+        while (piece.fault == call_fault::None && taken < maxBytesAfterLimit) {
+            piece = call.readBody(past);
+            taken += piece.bytes.size() + 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("timed_out"), std::string(nameOf(piece.fault)));
+    }
+
+    /// What one read may have brought before the limit.
+    static constexpr std::size_t maxBytesAfterLimit = 32UL * 1024;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(runner_call_test);
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -15,6 +15,9 @@
     Close, ///< In an orderly way.
     Reset,
     Stay, ///< Stays open until the caller closes it.
+    /// Bytes without an empty line follow until the caller closes it, or until they are more than
+    /// any call may read.
+    Endless,
 };
 
 struct script
@@ -58,6 +61,14 @@
     }
     /// @returns Whether a connection that stays open was closed by the other side.
     bool wasDisconnected() const { return isDisconnected; }
+    /// Waits for the end of bytes without end.
+    /// @returns Whether the other side has closed the connection before it took all of them.
+    bool awaitDisconnect() const
+    {
+        while (!isEndlessOver)
+            std::this_thread::yield();
+        return isDisconnected;
+    }
 
 private:
     void run()
@@ -76,6 +87,8 @@
             sendAll(connection.get(), each.bytes, poplarspool::test::testDeadline(), -1);
             if (each.end == script_end::Reset)
                 abortOnClose(connection.get());
+            if (each.end == script_end::Endless)
+                sendWithoutEnd(connection.get());
             if (each.end == script_end::Stay) {
                 poplarspool::test::readUntil(connection.get(), {});
                 isDisconnected = true;
@@ -83,6 +96,20 @@
         }
     }
 
+    void sendWithoutEnd(int connection)
+    {
+        const std::string bytes(64UL * 1024, 'x');
+        std::size_t sent = 0;
+        while (sent < maxEndlessBytes
+               && sendAll(connection, bytes, poplarspool::test::testDeadline(), -1).fault
+                       == socket_fault::None)
+            sent += bytes.size();
+        isDisconnected = sent < maxEndlessBytes;
+        isEndlessOver = true;
+    }
+
+    static constexpr std::size_t maxEndlessBytes = 16UL * 1024 * 1024;
+
     const std::vector<script> scripts;
     const std::function<void()> onRequest;
     descriptor listener;
@@ -90,6 +117,7 @@
     mutable std::mutex guard;
     std::vector<std::string> receivedRequests;
     std::atomic<bool> isDisconnected{false};
+    std::atomic<bool> isEndlessOver{false};
     std::thread thread;
 };
 
