Let each holder of the fleet's orders see the whole fleet before it gives runners back

Cause: the sizes of the fleet were written with the first orders, after what the list showed at that moment of the start, and whoever read them took them for final. While the members of a start don't know each other yet, two instances own the duty one after the other: the second one gave back all regular runners but one a zone, at the size of the first second. The same from a list that nobody confirms any more, and without a record, where the regular runners that are left are taken for the fleet.

Without a record the size follows from the spot runners in service. No order is for fewer spot runners than are in service.

--- a/include/poplarspool/scaling/fleet_plan.h
+++ b/include/poplarspool/scaling/fleet_plan.h
@@ -19,6 +19,7 @@
 {
     zone_id zone;
     std::uint32_t size = 0; ///< Wanted number of runners, both kinds together.
+    bool isSizeFinal = false; ///< The size doesn't grow any more: the fleet has registered.
     std::uint32_t regular = 0; ///< In service.
     std::uint32_t spot = 0; ///< In service. Cheaper; a whole zone may be reclaimed at once.
     std::optional<std::uint32_t> regularOrdered; ///< None: no order has been issued.
@@ -38,8 +39,14 @@
     bool operator==(const fleet_order &) const = default;
 };
 
-/// @returns Orders to issue now. Spot runners replace regular ones, which are removed once the spot
-///          runners are in service and ordered again if too many of these are reclaimed.
+/// @returns The wanted number of runners of a zone whose former orders are unknown, as its runners
+///          in service show it.
+/// @param zones Number of zones in which the service has runners.
+std::uint32_t sizeInService(const fleet_traits &traits, const zone_fleet &zone, std::size_t zones);
+
+/// @returns Orders to issue now. Spot runners replace regular ones, which are removed once the size
+///          is final and the spot runners are in service, and ordered again if too many of these
+///          are reclaimed. No order is for fewer spot runners than are in service.
 std::vector<fleet_order> planFleet(const fleet_traits &traits, std::span<const zone_fleet> zones);
 
 /// An order that was issued, or may have been.
--- a/src/gateway/fleet_scaler.cpp
+++ b/src/gateway/fleet_scaler.cpp
@@ -20,7 +20,9 @@
 
 /// The initial size of the fleet is the one to maintain; later sizes are the result of orders and
 /// losses. While a fleet starts, its runners register one after the other, so the size is final
-/// only once it has not grown for a while.
+/// only once the store confirms that it has not grown for a while. A former holder's record may
+/// stem from an earlier moment of the start: each holder settles the sizes by itself. Until then no
+/// regular runner is removed, so that those in service still show the size.
 void fleet_scaler::updateSizesSettled(const catalogue &known)
 {
     const mono_time now = dependencies.clock.mono();
@@ -31,7 +33,8 @@
         maxRegularSeen = regular;
         changedAt = now;
     }
-    if (areSizesSettled || now - changedAt < config::fleetSettleTime || targetSizes.empty())
+    const bool isQuiet = known.runnersConfirmedAt - changedAt >= config::fleetSettleTime;
+    if (areSizesSettled || !isQuiet || targetSizes.empty())
         return;
     areSizesSettled = true;
     reportSizes("");
@@ -67,20 +70,27 @@
                     .ordered = one.order.wanted, .orderedAt = now};
         for (const scaling::issued_order &one : checkpoint->sizes)
             targetSizes[{one.service, one.order.zone}] = one.order.wanted;
-        areSizesSettled = !targetSizes.empty();
         reportSizes(present->holder.text);
     }
     isCheckpointRead = true;
     return true;
 }
 
+/// Another instance owns the duty now, and its record is what counts.
+void fleet_scaler::forget()
+{
+    isCheckpointRead = areSizesSettled = false;
+    maxRegularSeen = 0;
+    changedAt = {};
+    capacities.clear();
+    targetSizes.clear();
+}
+
 void fleet_scaler::runOnce()
 {
     const auto known = dependencies.publisher.current();
     if (!known->table || !known->areRunnersKnown || !dependencies.isOwner()) {
-        isCheckpointRead = areSizesSettled = false;
-        capacities.clear();
-        targetSizes.clear();
+        forget();
         return;
     }
     const auto canScale = [](const service &one) { return one.scaling.has_value(); };
@@ -125,10 +135,14 @@
     std::vector<scaling::zone_fleet> found;
     for (auto &[id, zone] : zones) {
         zone.zone = id;
-        std::uint32_t &size = targetSizes[{one.id.text, id}];
-        if (!areSizesSettled)
+        const auto [entry, isNew] = targetSizes.try_emplace({one.id.text, id}, 0);
+        std::uint32_t &size = entry->second;
+        if (isNew)
+            size = scaling::sizeInService(*one.scaling, zone, zones.size());
+        else if (!areSizesSettled)
             size = std::max(size, zone.regular);
         zone.size = size;
+        zone.isSizeFinal = areSizesSettled;
         expireUnfilledOrders(*one.scaling, one.id.text, zone);
         const capacity_state &spot = capacities[{one.id.text, id, true}];
         zone.regularOrdered = capacities[{one.id.text, id, false}].ordered;
--- a/src/gateway/fleet_scaler.h
+++ b/src/gateway/fleet_scaler.h
@@ -54,6 +54,7 @@
         mono_time noCapacityUntil{}; ///< The platform has no capacity; no orders until then.
     };
 
+    void forget();
     void updateSizesSettled(const catalogue &known);
     void reportSizes(const std::string &source);
     bool readCheckpoint();
@@ -73,7 +74,8 @@
     std::map<capacity_key, capacity_state> capacities;
     /// Target sizes, by service and zone.
     std::map<std::pair<std::string, zone_id>, std::uint32_t> targetSizes;
-    bool areSizesSettled = false; ///< If false, the fleet is still starting and sizes may grow.
+    /// If false, the fleet may still be starting: sizes grow, and no regular runner is removed.
+    bool areSizesSettled = false;
     std::size_t maxRegularSeen = 0;
     mono_time changedAt{}; ///< When the maximum number of regular runners last grew.
     mono_time nextAttemptAt{};
--- a/src/scaling/fleet_plan.cpp
+++ b/src/scaling/fleet_plan.cpp
@@ -57,7 +57,8 @@
 {
     const std::uint32_t present = zone.regularOrdered.value_or(zone.regular);
     const std::uint32_t lacking = zone.size - std::min(zone.size, zone.spot);
-    const std::uint32_t wanted = areShort ? std::max(present, lacking) : std::min(present, lacking);
+    const std::uint32_t kept = zone.isSizeFinal ? std::min(present, lacking) : present;
+    const std::uint32_t wanted = areShort ? std::max(present, lacking) : kept;
     return std::clamp(wanted, traits.minRunners, std::max(traits.minRunners, traits.maxRunners));
 }
 
@@ -85,6 +86,16 @@
 
 } // namespace
 
+std::uint32_t sizeInService(const fleet_traits &traits, const zone_fleet &zone, std::size_t zones)
+{
+    if (zone.spot == 0)
+        return zone.regular;
+    const std::uint64_t served = zone.spot + traits.minRunners;
+    const std::uint64_t others = std::max<std::size_t>(zones, 2) - 1;
+    const std::uint64_t withoutSpare = zones < 2 ? served : served * others / (others + 1);
+    return std::max(zone.regular, static_cast<std::uint32_t>(withoutSpare));
+}
+
 std::vector<fleet_order> planFleet(const fleet_traits &traits, std::span<const zone_fleet> zones)
 {
     std::vector<fleet_order> orders;
@@ -94,7 +105,7 @@
     for (const zone_fleet &zone : zones) {
         const std::uint32_t spot = spotWanted(traits, zone, zones.size());
         // An order with a lower number would remove runners that are in service.
-        const bool wantsMore = spot > zone.spotOrdered.value_or(0);
+        const bool wantsMore = spot > std::max(zone.spotOrdered.value_or(0), zone.spot);
         if (wantsMore && !zone.isSpotUnavailable)
             orders.push_back({zone.zone, true, spot});
         const std::uint32_t regular = regularWanted(traits, zone, areShort);
--- a/tests/scaling/fleet_plan_test.cpp
+++ b/tests/scaling/fleet_plan_test.cpp
@@ -18,6 +18,7 @@
     zone_fleet made;
     made.zone = {name};
     made.size = 35;
+    made.isSizeFinal = true;
     made.regular = regular;
     made.spot = spot;
     return made;
@@ -53,6 +54,9 @@
     CPPUNIT_TEST_SUITE(fleet_plan_test);
     CPPUNIT_TEST(spotRunnersAreOrderedFirst);
     CPPUNIT_TEST(regularRunnersAreReplacedAsSpotRunnersServe);
+    CPPUNIT_TEST(regularRunnersStayWhileTheFleetRegisters);
+    CPPUNIT_TEST(spotRunnersInServiceAreNotOrderedAway);
+    CPPUNIT_TEST(runnersInServiceShowTheSize);
     CPPUNIT_TEST(fleetToleratesLossOfOneZone);
     CPPUNIT_TEST(fleetAsPlannedNeedsNoOrders);
     CPPUNIT_TEST(bothKindsTogetherStayBelowMax);
@@ -83,6 +87,36 @@
         CPPUNIT_ASSERT(planOf({booting}) == (std::vector<fleet_order>{{{"a"}, false, 1}}));
     }
 
+    /// Guards against a fleet that is cut down to the runners that have registered so far.
+    void regularRunnersStayWhileTheFleetRegisters()
+    {
+        zone_fleet starting = zoneOf("a", 35, 7);
+        starting.size = 7;
+        starting.spotOrdered = 7;
+        starting.isSizeFinal = false;
+        CPPUNIT_ASSERT(planOf({starting}).empty());
+        starting.isSizeFinal = true;
+        CPPUNIT_ASSERT(planOf({starting}) == (std::vector<fleet_order>{{{"a"}, false, 1}}));
+    }
+
+    void spotRunnersInServiceAreNotOrderedAway()
+    {
+        zone_fleet unknown = zoneOf("a", 1, 34);
+        unknown.size = 2;
+        CPPUNIT_ASSERT(planOf({unknown}).empty());
+    }
+
+    void runnersInServiceShowTheSize()
+    {
+        for (const std::size_t zones : {1, 2, 3, 4, 7}) {
+            const auto orders = planOf(std::vector<zone_fleet>(zones, zoneOf("a", 1, 0)));
+            const zone_fleet replaced = zoneOf("a", 1, orders.at(0).wanted);
+            CPPUNIT_ASSERT_EQUAL(35U, sizeInService(sampleTraits(), replaced, zones));
+            const zone_fleet starting = zoneOf("a", 35, 0);
+            CPPUNIT_ASSERT_EQUAL(35U, sizeInService(sampleTraits(), starting, zones));
+        }
+    }
+
     /// Guards against too few runners after all spot runners of one zone are reclaimed at once:
     /// each zone gets enough spare runners that the other zones still have the wanted number.
     void fleetToleratesLossOfOneZone()
