Bound what a runner may send beside its answer, and look at the limit before each read

What callers saw: a request at a runner that sends bytes without end lasts to its time limit or beyond it; while a body of 8 MB was being sent, the call never returned and took memory as fast as the runner sent.

Cause: the loop that sends read what came without a bound; the time limit was looked at only when nothing was to be read; interim replies and trailers were counted one by one, not together. An answer to another request was collected, up to 64 MB, though nobody needs it.

Change: a head has its bound also while the request is sent; interim replies together have that of one head, trailers 16 KB; the limit is looked at before each read; what nobody needs is skipped.

The call ends as malformed, which counts as a failure of the runner, and the request goes on elsewhere where it may.

--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -16,6 +16,8 @@
 constexpr int firstFinalStatus = 200;
 /// Maximum length of a chunk's size line or of a trailer.
 constexpr std::size_t maxChunkLineBytes = 1024;
+/// Maximum length of all trailers of one reply.
+constexpr std::size_t maxTrailerBytes = 16 * 1024;
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headEnd = "\r\n\r\n";
 
@@ -79,6 +81,11 @@
     return buffer.find(headEnd) != std::string::npos;
 }
 
+bool runner_call::isHeadTooLong() const
+{
+    return std::min(buffer.find(headEnd), buffer.size()) > config::maxReplyHeaderBytes;
+}
+
 call_fault runner_call::send(std::string_view request, socket_deadline deadline)
 {
     while (bytesSent < request.size()) {
@@ -104,6 +111,8 @@
         // answered early is closed after its reply (isSentWhole stays false).
         if (fill(deadline) != call_fault::None || hasWholeHead())
             return call_fault::None;
+        if (isHeadTooLong())
+            return call_fault::Malformed;
     }
     isSentWhole = true;
     return call_fault::None;
@@ -115,6 +124,9 @@
         return call_fault::Closed;
     std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
     while (true) {
+        // Checked before each recv(): a runner that sends without end always has something to read.
+        if (socket_clock::now() >= deadline)
+            return call_fault::TimedOut;
         const ssize_t count = recv(connection.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (count > 0) {
             buffer.append(bytes.data(), static_cast<std::size_t>(count));
@@ -138,9 +150,10 @@
 
 std::variant<reply_head, call_fault> runner_call::readHead(socket_deadline deadline)
 {
+    std::size_t interimBytes = 0;
     while (true) {
         const std::size_t end = buffer.find(headEnd);
-        if (std::min(end, buffer.size()) > config::maxReplyHeaderBytes)
+        if (interimBytes + std::min(end, buffer.size()) > config::maxReplyHeaderBytes)
             return call_fault::Malformed;
         if (end == std::string::npos) {
             const call_fault fault = fill(deadline);
@@ -153,8 +166,10 @@
         if (!head)
             return call_fault::Malformed;
         buffer.erase(0, bytes);
-        if (head->status < firstFinalStatus)
+        if (head->status < firstFinalStatus) {
+            interimBytes += bytes;
             continue;
+        }
         keepsAlive = head->keepsAlive;
         bodyLeft = head->bodyBytes.value_or(0);
         isInChunk = false;
@@ -201,6 +216,17 @@
     return rest;
 }
 
+body_piece runner_call::skipRest(socket_deadline deadline, std::size_t maxBytes)
+{
+    body_piece rest;
+    std::size_t skipped = 0;
+    while (!rest.isLast && rest.fault == call_fault::None && skipped < maxBytes) {
+        rest = readBody(deadline);
+        skipped += std::exchange(rest.bytes, {}).size();
+    }
+    return rest;
+}
+
 body_piece runner_call::readSized(socket_deadline deadline)
 {
     if (bodyLeft > 0 && buffer.empty()) {
@@ -251,10 +277,14 @@
 call_fault runner_call::skipTrailers(socket_deadline deadline)
 {
     std::string line;
+    std::size_t bytes = 0;
     do {
         const call_fault fault = readLine(line, deadline);
         if (fault != call_fault::None)
             return fault;
+        bytes += line.size() + lineEnd.size();
+        if (bytes > maxTrailerBytes)
+            return call_fault::Malformed;
     } while (!line.empty());
     return call_fault::None;
 }
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -17,7 +17,7 @@
     CallerGone, ///< The caller closed its connection and no longer waits for the answer.
     TimedOut,
     Closed, ///< The runner closed or reset the connection.
-    Malformed, ///< The received bytes are not a valid reply.
+    Malformed, ///< The received bytes are not a valid reply, or more than one may have.
 };
 
 std::string_view nameOf(call_fault fault);
@@ -49,7 +49,8 @@
     /// @param callerFd Descriptor of the caller's connection; -1: none to watch.
     runner_call(descriptor connection, int callerFd, silence_check check = {});
 
-    /// Sends the whole request. Returns early with success if the runner has already answered.
+    /// Sends the whole request. Returns early with success if the runner has already answered, and
+    /// with Malformed if it sends more than a head may have.
     call_fault send(std::string_view request, socket_deadline deadline);
 
     /// @returns The next final reply's head; interim replies are skipped.
@@ -62,6 +63,9 @@
     /// @returns The bytes read, with isLast if the body is complete.
     body_piece readRest(socket_deadline deadline, std::size_t maxBytes);
 
+    /// As readRest(), for bytes that nobody needs.
+    body_piece skipRest(socket_deadline deadline, std::size_t maxBytes);
+
     /// @returns Whether only the end of the connection ends the body that the last head announced.
     bool isEndedByClose() const { return body == framing::ToClose; }
 
@@ -82,6 +86,7 @@
     call_fault await(short events, socket_deadline deadline) const;
     call_fault fill(socket_deadline deadline);
     bool hasWholeHead() const;
+    bool isHeadTooLong() const;
     body_piece readSized(socket_deadline deadline);
     body_piece readChunk(socket_deadline deadline);
     body_piece readToClose(socket_deadline deadline);
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -239,7 +239,7 @@
         if (id.empty() || id == metadata.id)
             return head;
         context.metrics.foreignReplies.add();
-        const body_piece rest = call.readRest(deadline, config::maxReplyBytes);
+        const body_piece rest = call.skipRest(deadline, config::maxReplyBytes);
         if (rest.fault != call_fault::None)
             return rest.fault;
         if (!rest.isLast)
@@ -329,7 +329,7 @@
         context.runnerTable.recordMisdirected(current.place.serving);
     current.record.recordEnd(head.status == misdirectedStatus ? send_outcome::Misdirected
                                                               : send_outcome::Refused);
-    const body_piece rest = call.readRest(current.deadline, config::maxBufferedReplyBytes);
+    const body_piece rest = call.skipRest(current.deadline, config::maxBufferedReplyBytes);
     if (rest.isLast)
         keepConnection(call, head, *current.place.serving, std::move(current.connection));
     return rest.fault == call_fault::CallerGone ? try_end::CallerGone : try_end::NotRun;
