Bound the size of one event of a stream

What callers saw: a stream whose runner sends an event without end stands still until its time limit, and the instance, of 160 MB in places, keeps all that comes.

Cause: the bytes of an event were collected without a bound, and all of them were searched twice with each piece. Change: an event has 256 KB at most, beyond which the answer is malformed and the stream goes on at another runner after its last event; the search goes on where it ended.

By the bounds, 200 such calls at once keep at most 200 x (256 + 16) KB = 53 MiB, and 200 plain bodies without end 200 x (512 + 16) KB = 103 MiB: arithmetic, not measured.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -243,6 +243,8 @@
 /// Maximum size of a plain answer that is buffered whole before its first byte is passed on, so
 /// that the request can be retried if the runner breaks off.
 inline constexpr std::size_t maxBufferedReplyBytes = 512 * 1024;
+/// Maximum size of one event of a stream.
+inline constexpr std::size_t maxEventBytes = 256 * 1024;
 /// Replies to other requests that are skipped on one connection before it is closed.
 inline constexpr std::uint32_t maxForeignReplies = 2;
 /// Time beyond a request's limit for which the runner's own final reply is awaited.
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -7,11 +7,15 @@
 
 namespace {
 
+/// Length of the longest text that ends an event.
+constexpr std::size_t maxEndBytes = 4;
+
+/// @param from No event ends before this position.
 /// @returns Length of the first event including its empty line; npos if it is incomplete.
-std::size_t endOfEvent(std::string_view text)
+std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t withReturns = text.find("\r\n\r\n");
+    const std::size_t plain = text.find("\n\n", from);
+    const std::size_t withReturns = text.find("\r\n\r\n", from);
     const std::size_t plainEnd = plain == std::string_view::npos ? plain : plain + 2;
     const std::size_t otherEnd =
             withReturns == std::string_view::npos ? withReturns : withReturns + 4;
@@ -41,9 +45,12 @@
 
 std::optional<stream_event> event_splitter::next()
 {
-    const std::size_t end = endOfEvent(buffer);
-    if (end == std::string::npos)
+    const std::size_t end = endOfEvent(buffer, searched);
+    if (end == std::string::npos) {
+        searched = buffer.size() - std::min(buffer.size(), maxEndBytes - 1);
         return std::nullopt;
+    }
+    searched = 0;
     stream_event event;
     event.text = buffer.substr(0, end);
     event.id = idOf(event.text);
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "poplarspool/gateway/limits.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,10 +31,12 @@
     /// @returns Whether no partial event is buffered.
     bool isAtBoundary() const { return buffer.empty(); }
 
-    void clear() { buffer.clear(); }
+    /// @returns Whether the partial event exceeds config::maxEventBytes: it may have no end.
+    bool isTooLong() const { return buffer.size() > config::maxEventBytes; }
 
 private:
     std::string buffer;
+    std::size_t searched = 0; ///< No event ends in so many bytes at the beginning of the buffer.
 };
 
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -402,6 +402,8 @@
         }
         if (piece.fault != call_fault::None)
             return handleFault(call, piece.fault, current);
+        if (events.isTooLong())
+            return handleFault(call, call_fault::Malformed, current);
         if (piece.isLast)
             break;
     }
