Bound what the store, engines and other instances may send between the pieces of a reply

What happened: a reply whose interim heads, chunk size line or trailers have no end was read to the time limit of the call; the library keeps a line of any length. No caller's answer comes this way, but the store's does, on whose changes all requests depend.

Cause: only the bytes of the final head and of the body had a bound.

--- a/src/base/pooled_call.cpp
+++ b/src/base/pooled_call.cpp
@@ -129,12 +129,16 @@
         call.fault = socket_fault::Interrupted;
         return false;
     }
+    // Interim replies, a chunk's size line and trailers may have no end; the library has no bound.
+    if (call.bytesSincePiece > config::maxReplyHeaderBytes)
+        return false;
     std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
     const receive_result some = receiveSome(fd, bytes.data(), bytes.size(), call.deadline,
                                             call.stopping.descriptorNumber());
     if (some.fault != socket_fault::None && !some.isEnd)
         call.fault = some.fault;
     buffer.append(bytes.data(), some.bytes);
+    call.bytesSincePiece += some.bytes;
     return some.fault == socket_fault::None;
 }
 
@@ -187,6 +191,7 @@
     };
     converted.content_receiver = [this, &receivers](const char *piece, size_t size, uint64_t,
                                                     uint64_t) {
+        bytesSincePiece = 0;
         isCancelled = !receivers.onPiece(std::string_view(piece, size));
         return !isCancelled;
     };
--- a/src/base/pooled_call.h
+++ b/src/base/pooled_call.h
@@ -51,6 +51,7 @@
     bool isRequestSent = false;
     bool isReusable = false;
     std::size_t bytesSent = 0;
+    std::size_t bytesSincePiece = 0; ///< Received since the last piece of the body.
     socket_fault fault = socket_fault::None;
     std::optional<reply_head> head;
 };
