Take an answer that is ready also after its limit

What callers would have lost: since the limit is looked at before each read, an answer that had arrived while its reader ran late was dropped.

Change: up to 32 KB of one call are read after the limit; beyond that the call is timed out, so that bytes without end still end.

--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -16,6 +16,8 @@
 constexpr int firstFinalStatus = 200;
 /// Maximum length of a chunk's size line or of a trailer.
 constexpr std::size_t maxChunkLineBytes = 1024;
+/// Maximum number of bytes that are read after the limit: an answer that is ready is still taken.
+constexpr std::size_t maxLateBytes = 32 * 1024;
 /// Maximum length of all trailers of one reply.
 constexpr std::size_t maxTrailerBytes = 16 * 1024;
 constexpr std::string_view lineEnd = "\r\n";
@@ -125,10 +127,12 @@
     std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
     while (true) {
         // Checked before each recv(): a runner that sends without end always has something to read.
-        if (socket_clock::now() >= deadline)
+        const bool isLate = socket_clock::now() >= deadline;
+        if (isLate && lateBytes >= maxLateBytes)
             return call_fault::TimedOut;
         const ssize_t count = recv(connection.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
         if (count > 0) {
+            lateBytes += isLate ? static_cast<std::size_t>(count) : 0;
             buffer.append(bytes.data(), static_cast<std::size_t>(count));
             if (check.onBytes)
                 check.onBytes();
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -100,6 +100,7 @@
     const silence_check check;
     std::string buffer; ///< Received and not yet consumed.
     std::size_t bytesSent = 0;
+    std::size_t lateBytes = 0; ///< Received after the limit of the step.
     bool isSentWhole = false;
     bool isReplyWhole = false;
     bool keepsAlive = false;
