See a zone that is added later whole before its runners are given back

The same fault as of a start: the size of a zone that appears once the others are settled was that of the first runner that registered there, and the rest was given back as soon as others served.

Evidence: zoneThatIsAddedLaterIsSeenWhole (6 of 6 runners in the end).

--- a/src/gateway/fleet_scaler.cpp
+++ b/src/gateway/fleet_scaler.cpp
@@ -137,10 +137,13 @@
         zone.zone = id;
         const auto [entry, isNew] = targetSizes.try_emplace({one.id.text, id}, 0);
         std::uint32_t &size = entry->second;
-        if (isNew)
+        if (isNew) {
             size = scaling::sizeInService(*one.scaling, zone, zones.size());
-        else if (!areSizesSettled)
+            areSizesSettled = false;
+            changedAt = dependencies.clock.mono();
+        } else if (!areSizesSettled) {
             size = std::max(size, zone.regular);
+        }
         zone.size = size;
         zone.isSizeFinal = areSizesSettled;
         expireUnfilledOrders(*one.scaling, one.id.text, zone);
--- a/tests/gateway/fleet_scaler_test.cpp
+++ b/tests/gateway/fleet_scaler_test.cpp
@@ -149,6 +149,7 @@
     CPPUNIT_TEST(takenOverStartKeepsRunnersThatRegisterLate);
     CPPUNIT_TEST(silentStoreDoesNotSettleTheSizes);
     CPPUNIT_TEST(lostCheckpointKeepsTheFleet);
+    CPPUNIT_TEST(zoneThatIsAddedLaterIsSeenWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,6 +315,21 @@
         CPPUNIT_ASSERT_EQUAL(7, test.countOf("a", true));
     }
 
+    /// Guards against a zone that is cut down to the runners that registered there first.
+    void zoneThatIsAddedLaterIsSeenWhole()
+    {
+        fixture test;
+        const auto scaler = test.scalerOf("me");
+        replaceRegularBySpot(test, *scaler);
+        test.runWithPlatform(*scaler, 5);
+        test.put("c", false, 1);
+        test.runWithPlatform(*scaler, 1);
+        test.put("c", false, 4);
+        test.runWithPlatform(*scaler, 30);
+        // Four, and a half of that for the loss of one of three zones.
+        CPPUNIT_ASSERT_EQUAL(6, test.countOf("c", false) + test.countOf("c", true));
+    }
+
 private:
     static void replaceRegularBySpot(fixture &test, fleet_scaler &scaler)
     {
