Load updates: ranks, workspaces and engine samples

Decisions under overload need to know what waits at an engine by rank, what each workspace was given, and how fast single engines are. Load updates get optional fields for that. They follow the former fields and are left out if empty, so that updates without them have the same bytes as before.

No behaviour changes.

--- a/include/poplarspool/peer/limits.h
+++ b/include/poplarspool/peer/limits.h
@@ -46,6 +46,8 @@
 /// Maximum numbers of entries in one load update, so that it fits into a datagram.
 inline constexpr std::size_t maxLoadItems = 64;
 inline constexpr std::size_t maxCachedPrefixes = 48;
+inline constexpr std::size_t maxWorkspaceItems = 16;
+inline constexpr std::size_t maxEngineSamples = 16;
 /// Number of other instances from which on two relays watch the platform's store for them. If one
 /// relay dies, freezes or is rejected by the store, the others need not query the store themselves.
 /// With fewer instances, the second relay costs more store calls than it saves.
--- a/include/poplarspool/peer/load_exchange.h
+++ b/include/poplarspool/peer/load_exchange.h
@@ -9,6 +9,8 @@
 #include "poplarspool/peer/datagram_settings.h"
 #include "poplarspool/policy/view.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +21,18 @@
 
 namespace poplarspool::peer {
 
+/// Requests of one rank that wait at a runner.
+struct ranked_work
+{
+    std::uint32_t waiting = 0; ///< Requests that have not begun.
+    std::uint32_t prefillMs = 0; ///< Estimated prefill time of these.
+
+    bool operator==(const ranked_work &) const = default;
+};
+
+/// Ranks of urgent requests that load updates tell apart; the lowest includes all ranks below it.
+inline constexpr std::size_t rankLevels = 4;
+
 /// Requests of one instance at one runner.
 struct runner_work
 {
@@ -32,6 +46,8 @@
     std::uint32_t prefilledTokens = 0;
     std::uint32_t urgentWaiting = 0; ///< Urgent requests that have not begun.
     std::uint32_t lateWaiting = 0; ///< Late requests that have not begun.
+    /// Of the urgent requests, those of rank 1, of rank 2, and of lower ranks.
+    std::array<ranked_work, rankLevels - 1> lowerRanks{};
 
     bool operator==(const runner_work &) const = default;
 };
@@ -46,6 +62,24 @@
     bool operator==(const cached_prefix &) const = default;
 };
 
+/// Work that one instance has given to a workspace recently.
+struct workspace_work
+{
+    std::uint32_t workspace = 0; ///< workspaceKey() of its id.
+    std::uint32_t work = 0; ///< Prompt tokens, and their equivalent for generated ones.
+
+    bool operator==(const workspace_work &) const = default;
+};
+
+/// Duration of one prefill on a runner.
+struct engine_sample
+{
+    std::uint32_t runner = 0; ///< runnerKey() of its id.
+    std::uint32_t pacePercent = 0; ///< Of the expected duration.
+
+    bool operator==(const engine_sample &) const = default;
+};
+
 /// Load update of one instance. Only a hint: the datagram may be lost, and its data is soon stale.
 struct load_update
 {
@@ -59,6 +93,9 @@
     std::uint32_t digestPart = 0;
     std::uint64_t origin = 0; ///< Number of the instance that made the digest.
     bool mustForward = false; ///< The receiver forwards it to the instances of its own zone.
+    std::vector<workspace_work> workspaces = {}; ///< Heaviest first. Only for the sender's zone.
+    std::vector<engine_sample> samples =
+            {}; ///< New since the last update. Only for the sender's zone.
 
     bool isDigest() const { return digestParts > 0; }
     bool operator==(const load_update &) const = default;
@@ -70,6 +107,10 @@
 /// @returns Hash that identifies a runner in load updates.
 std::uint32_t runnerKey(const runner_id &id);
 
+/// @param id Text of the workspace's id; empty for callers without a workspace.
+/// @returns Hash that identifies a workspace in load updates.
+std::uint32_t workspaceKey(std::string_view id);
+
 /// @returns TooLarge if the update exceeds a bound.
 result<std::string> encode(const load_update &update);
 result<load_update> decodeLoadUpdate(std::string_view payload);
--- a/tests/peer/load_update_test.cpp
+++ b/tests/peer/load_update_test.cpp
@@ -67,6 +67,9 @@
 {
     CPPUNIT_TEST_SUITE(load_update_test);
     CPPUNIT_TEST(updatesRoundTrip);
+    CPPUNIT_TEST(optionalFieldsRoundTrip);
+    CPPUNIT_TEST(updatesWithoutOptionalFieldsKeepTheFormerFormat);
+    CPPUNIT_TEST(invalidOptionalFieldsAreRejected);
     CPPUNIT_TEST(malformedUpdatesAreRejected);
     CPPUNIT_TEST(instancesReceiveUpdates);
     CPPUNIT_TEST(exceptionsDoNotEndTheExchange);
@@ -85,6 +88,42 @@
         CPPUNIT_ASSERT(valueOf(decodeLoadUpdate(valueOf(encode({})))) == load_update{});
     }
 
+    void optionalFieldsRoundTrip()
+    {
+        load_update update = sampleUpdate();
+        update.work.push_back({.runner = 3});
+        update.work[1].lowerRanks[2] = {4, 250};
+        update.workspaces = {{5, 17000}, {6, 200}};
+        update.samples = {{1, 160}};
+        CPPUNIT_ASSERT(valueOf(decodeLoadUpdate(valueOf(encode(update)))) == update);
+    }
+
+    /// Instances of an earlier release must be able to read the updates of a fleet that needs none
+    /// of the optional fields.
+    void updatesWithoutOptionalFieldsKeepTheFormerFormat()
+    {
+        load_update update = sampleUpdate();
+        const std::string former = valueOf(encode(update));
+        update.samples = {{1, 100}};
+        const std::string extended = valueOf(encode(update));
+        CPPUNIT_ASSERT(extended.starts_with(former));
+        CPPUNIT_ASSERT(extended.size() > former.size());
+    }
+
+    /// A rank or a runner that doesn't exist must not be written past the end of a list.
+    void invalidOptionalFieldsAreRejected()
+    {
+        const std::string former = valueOf(encode(sampleUpdate()));
+        const std::string noLists("\0\0", 2);
+        const std::string unknownRunner("\1\7\0\1\1", 5);
+        const std::string unknownRank("\1\0\3\1\1", 5);
+        CPPUNIT_ASSERT(!succeeded(decodeLoadUpdate(former + unknownRunner + noLists)));
+        CPPUNIT_ASSERT(!succeeded(decodeLoadUpdate(former + unknownRank + noLists)));
+        load_update tooMany = sampleUpdate();
+        tooMany.samples.resize(config::maxEngineSamples + 1);
+        CPPUNIT_ASSERT(errorOf(encode(tooMany)).code == error_code::TooLarge);
+    }
+
     void malformedUpdatesAreRejected()
     {
         const std::string bytes = valueOf(encode(sampleUpdate()));
