Read and write varints without the stream

Load updates arrive some hundred times a second at each instance, and most of their fields are varints. Each byte went through a stream and two virtual calls. The bytes stay the same.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -36,13 +36,15 @@
     : stream(&sink), archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian())
 { }
 
+/// Most fields are varints. The archive would check the stream and call it virtually for each byte.
+/// It has no buffer of its own, so the order of the bytes stays the same.
 void encoder::varint(std::uint64_t value)
 {
     while (value > varintMask) {
-        fixed(static_cast<std::uint8_t>((value & varintMask) | varintMore));
+        sink.bytes.push_back(static_cast<char>((value & varintMask) | varintMore));
         value >>= varintBits;
     }
-    fixed(static_cast<std::uint8_t>(value));
+    sink.bytes.push_back(static_cast<char>(value));
 }
 
 void encoder::text(std::string_view value, std::size_t maxBytes)
@@ -68,8 +70,10 @@
 {
     std::uint64_t value = 0;
     for (int index = 0; index < maxVarintBytes; ++index) {
-        std::uint8_t byte = 0;
-        fixed(byte);
+        const auto next = source.sbumpc();
+        if (memory_source::traits_type::eq_int_type(next, memory_source::traits_type::eof()))
+            throw malformed_payload("varint is cut off");
+        const auto byte = static_cast<std::uint8_t>(next);
         const std::uint64_t bits = byte & varintMask;
         const int shift = index * varintBits;
         if ((bits << shift) >> shift != bits)
