Estimate waits of urgent requests by rank

Cause: engines admit urgent requests by rank, but placement estimated a request's wait from all urgent work at an engine. A request of rank 0 was classified as late because of work that engines serve after it, queued behind everything else, and timed out.

The load of a runner now holds the urgent work of lower ranks, own and reported (load updates and digests). Where the configuration has workspaces, a request waits only for work of its rank and above. Since requests of higher ranks that arrive later overtake it, the wait is extended by their share of the urgent work sent lately. The rank that was decided goes into the priority header, the load, and send_end; poplarspool_gateway_promoted_requests_total counts promoted requests. Lower ranks that don't fit into a datagram are left out of load updates: they then count as rank 0.

Without workspaces, all urgent work counts as before; send_end has the additional field rank.

--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarspool/admission/ranks.h"
 #include "poplarspool/gateway/catalogue.h"
 #include "poplarspool/gateway/limits.h"
 
@@ -38,6 +39,9 @@
     double urgentPrefillMs = 0; ///< Time needed for the urgent prompts that are not prefilled yet.
     /// The same for the late ones, which all urgent ones overtake.
     double latePrefillMs = 0;
+    admission::lower_ranks lowerRanks{}; ///< Of the urgent ones, those of lower ranks.
+    /// Of its service: what overtakes urgent requests of each rank.
+    admission::overtaking_shares overtaking{};
     mono_time ejectedUntil{}; ///< It failed recently: other runners are preferred until then.
     engine_pace pace; ///< Of its service and stage.
     double runMs = 0; ///< Recent mean from a request's first event to its end; 0: unknown.
@@ -91,6 +95,10 @@
     double objectiveLeftMs = 0; ///< Time in which it should start.
     /// Time in which it must have ended.
     double timeLeftMs = std::numeric_limits<double>::infinity();
+    std::uint32_t rank = 0; ///< Priority; 0 is the highest.
+    /// Whether urgent work of lower ranks is left out of its wait; otherwise ranks don't matter.
+    bool doRanksCount = false;
+    bool isPromotable = false; ///< It may be served at rank 0 while capacity is short.
     mono_time now{};
     std::uint64_t draw = 0; ///< Uniformly distributed random bits; break ties.
 
@@ -116,8 +124,10 @@
     double aheadMs = 0; ///< Prefill time of the prompts before it on that engine.
     double expectedStartMs = 0; ///< Until the first event.
     double slotWaitMs = 0; ///< Wait for a free slot on `serving`.
-    std::uint32_t waitingThere = 0; ///< Requests on `serving` that have not started.
+    /// Requests on `serving` that have not started, without urgent ones of lower ranks.
+    std::uint32_t waitingThere = 0;
     send_class urgency = send_class::Urgent;
+    std::uint32_t rank = 0; ///< At which engines serve it.
 
     bool operator==(const placement &) const = default;
 };
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -177,6 +177,24 @@
     const placement_candidate *preferred;
 };
 
+/// Urgent work that the engine serves before the request: of all ranks, unless the query counts
+/// ranks.
+admission::waiting_work urgentAhead(const placement_query &query, const runner_load &load,
+                                    send_class urgency)
+{
+    const admission::waiting_work all{load.urgentWaiting, load.urgentPrefillMs};
+    return query.doRanksCount && urgency == send_class::Urgent
+            ? admission::workAhead(all, load.lowerRanks, query.rank)
+            : all;
+}
+
+double overtakingFactorOf(const placement_query &query, const runner_load &load, send_class urgency)
+{
+    return query.doRanksCount && urgency == send_class::Urgent
+            ? admission::overtakingFactor(load.overtaking, query.rank)
+            : 1;
+}
+
 prefill_option prefillOptionAt(const prefill_inputs &inputs, const placement_candidate &at,
                                const placement_candidate *copyFrom)
 {
@@ -198,7 +216,8 @@
     made.ownMs = prefillTimeMs(at.target->stage, query.promptTokens, cached) * at.load.pace.scale
                     * slowness
             + copyMs;
-    const double aheadMs = at.load.urgentPrefillMs
+    const double aheadMs = urgentAhead(query, at.load, inputs.urgency).prefillMs
+                    * overtakingFactorOf(query, at.load, inputs.urgency)
             + (inputs.urgency == send_class::Late ? at.load.latePrefillMs : 0);
     made.aheadMs = aheadMs * slowness;
     made.startMs = made.aheadMs + made.ownMs + at.load.pace.firstTokenMs;
@@ -231,8 +250,11 @@
 {
     const double batch = std::max(query.engine->batch, 1U);
     const runner_load &load = one.load;
-    const double ahead = load.open - (urgency == send_class::Urgent ? load.lateWaiting : 0.0);
-    return std::max(0.0, ahead + 1 - batch) * load.runMs / batch;
+    const double overtaken = load.urgentWaiting - urgentAhead(query, load, urgency).count
+            + (urgency == send_class::Urgent ? load.lateWaiting : 0.0);
+    const double ahead = load.open - overtaken;
+    return std::max(0.0, ahead + 1 - batch) * load.runMs / batch
+            * overtakingFactorOf(query, load, urgency);
 }
 
 /// Delay of a request's events by the requests that already run on the engine. Prompts that wait
@@ -324,7 +346,9 @@
     chosen.cacheSource = best.copyFrom != nullptr ? best.copyFrom->target : nullptr;
     chosen.serving = serving->target;
     chosen.slotWaitMs = slotWaitMs(query, *serving, urgency);
-    chosen.waitingThere = serving->load.urgentWaiting + serving->load.lateWaiting;
+    chosen.waitingThere =
+            urgentAhead(query, serving->load, urgency).count + serving->load.lateWaiting;
+    chosen.rank = query.rank;
     chosen.prefillMs = best.ownMs;
     chosen.aheadMs = best.aheadMs;
     chosen.expectedStartMs = best.startMs + chosen.slotWaitMs;
@@ -350,12 +374,31 @@
                });
 }
 
+bool isInTime(const placement_query &query, const placement &place)
+{
+    return place.expectedStartMs <= query.objectiveLeftMs * config::urgentShare;
+}
+
+placement urgentPlacement(const placement_query &query, const eligible_engines &engines)
+{
+    placement urgent = cheapestPlacement(query, engines, send_class::Urgent);
+    if (isInTime(query, urgent) || !hasLoneVersion(query, engines))
+        return urgent;
+    placement_query anywhere = query;
+    anywhere.mayMoveLater = false;
+    return cheapestPlacement(anywhere, engines, send_class::Urgent);
+}
+
 /// Under overload, more prompts arrive than the engines can prefill in time. Served in the order of
 /// arrival, all of them would start late. So a request that can still start in time only waits for
 /// others that can; late requests are served when no such request waits. The estimate includes
 /// slots and waiting prompts: by open requests alone, requests would be accepted as on time that
 /// are not.
 ///
+/// Engines serve urgent requests by rank. If requests of the highest rank use all capacity, those
+/// below it would get nothing for as long as that lasts, so a share of them is served at rank 0 if
+/// that is what makes them start in time.
+///
 /// Late requests are accepted only if they start soon: the callers of the others learn at once when
 /// to come back, and not only after some engines have refused them.
 std::variant<placement, no_placement> chooseEngine(const placement_query &query,
@@ -375,17 +418,15 @@
     if (query.mayHandOff && query.promptTokens >= config::prefillHandoffMinTokens)
         engines.prefillers = sampledCandidates(
                 query, eligibleCandidates(query, candidates, engine_stage::Prefill));
-    const auto isInTime = [&query](const placement &place) {
-        return place.expectedStartMs <= query.objectiveLeftMs * config::urgentShare;
-    };
-    placement urgent = cheapestPlacement(query, engines, send_class::Urgent);
-    if (!isInTime(urgent) && hasLoneVersion(query, engines)) {
-        placement_query anywhere = query;
-        anywhere.mayMoveLater = false;
-        urgent = cheapestPlacement(anywhere, engines, send_class::Urgent);
-    }
-    if (isInTime(urgent))
+    placement urgent = urgentPlacement(query, engines);
+    if (isInTime(query, urgent))
         return urgent;
+    if (query.doRanksCount && query.isPromotable && query.rank > 0) {
+        placement_query promoted = query;
+        promoted.rank = 0;
+        if (placement first = urgentPlacement(promoted, engines); isInTime(query, first))
+            return first;
+    }
     placement later = cheapestPlacement(query, engines, send_class::Late);
     if (query.hasBegun || canStartSoon(query, later))
         return later;
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -24,7 +24,7 @@
     const runner &prefillEngine = *place.prefill;
     usePermit(prefillEngine);
     runner_table::open_send record(context.runnerTable, prefillEngine.id, place.prefillMs,
-                                   place.urgency);
+                                   place.urgency, recordRank(place, false));
     if (!place.cacheSource)
         record.recordExpected(service, prefillEngine.stage, place.aheadMs + place.prefillMs);
     context.runnerTable.recordCached(prefillEngine.id, metadata.prompt);
@@ -86,7 +86,7 @@
     runner_connection connection = std::move(valueOf(connected));
     enableDeadPeerDetection(connection.connection.get(), config::runnerSilenceTimeout);
     send_extras extras = extrasTo(prefillEngine);
-    extras.priority = priorityOf(place.urgency);
+    extras.priority = priorityOf(place);
     extras.isPrefillOnly = true;
     if (place.cacheSource) {
         extras.kvFetch = textOf(place.cacheSource->address);
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -74,6 +74,7 @@
       prefillHandoffs(registry.counterOf("poplarspool_gateway_hand_overs_total")),
       kvCopies(registry.counterOf("poplarspool_gateway_kv_copies_total")),
       withheldSends(registry.counterOf("poplarspool_gateway_withheld_sends_total")),
+      promoted(registry.counterOf("poplarspool_gateway_promoted_requests_total")),
       endedByClose(registry.counterOf("poplarspool_gateway_answers_ended_by_close_total")),
       takeUps(takeUpCountersOf(registry)),
       firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds"))
@@ -264,6 +265,10 @@
                                     arrivedAt + selectedRoute->latencyObjective - query.now)
                                     .count();
     query.timeLeftMs = static_cast<double>(timeLeft().count());
+    query.rank = rankOf();
+    query.doRanksCount = doRanksCount();
+    query.isPromotable = query.doRanksCount && admission::isPromotable(metadata.id)
+            && context.runnerTable.hasRoomForPromotion(service);
     query.draw = hashOf(metadata.id, sends);
     if (engine != nullptr)
         query.engine = *engine;
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -55,6 +55,7 @@
     counter &prefillHandoffs;
     counter &kvCopies;
     counter &withheldSends; ///< Not sent, since their runner wanted none any more.
+    counter &promoted; ///< Requests sent at rank 0 although their own rank is lower.
     counter &endedByClose; ///< Runners' answers with neither a length nor chunks.
     std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
@@ -182,6 +183,16 @@
     std::optional<http_reply> sendPrefill(const placement &place, runner_table::open_send &record);
     void freeHandle(const runner &prefillEngine, const std::string &handle);
 
+    // request_rank.cpp: the priority at engines.
+    /// @returns The request's own rank, from 0 to config::maxRank.
+    std::uint32_t rankOf() const;
+    bool doRanksCount() const;
+    std::uint32_t priorityOf(const placement &place) const;
+    /// Called with the placement of a send or prefill, right before it.
+    /// @param isPrefilled The engine takes over a prompt that was prefilled elsewhere.
+    /// @returns The rank that the engine's load counts it at.
+    std::uint32_t recordRank(const placement &place, bool isPrefilled);
+
     // runner_try.cpp: one send and its answer.
     try_end tryAt(const placement &place, const std::string &kvSource);
     try_end sendTo(sending &current);
@@ -209,7 +220,6 @@
     send_extras extrasTo(const runner &target) const;
     send_extras extrasFor(const sending &current) const;
     socket_deadline deadlineIn(milliseconds time) const;
-    std::uint32_t priorityOf(send_class urgency) const;
     void recordFirstByte(sending &current);
     /// @returns The limit under which a request is sent to the runner, for a log line.
     std::string limitTextOf(const runner &target) const;
@@ -257,6 +267,7 @@
     /// Software version that has begun the stream, here or for an earlier attempt of the caller:
     /// what two versions write doesn't fit together.
     std::optional<version_key> streamVersion;
+    bool isPromoted = false; ///< It was sent at rank 0 although its own rank is lower.
     bool hasReturned = false; ///< It was sent to a runner again after its answer was lost there.
     std::optional<crashes::quarantine> activeQuarantine; ///< Set once the request is quarantined.
     /// It is sent although a part of it is quarantined, to find out whether that still crashes
--- a/src/gateway/runner_candidates.cpp
+++ b/src/gateway/runner_candidates.cpp
@@ -75,6 +75,8 @@
     const std::map<engine_stage, engine_pace> &paceByStage = paces[query.service];
     if (const auto pace = paceByStage.find(target->stage); pace != paceByStage.end())
         one.load.pace = pace->second;
+    if (const auto mix = rankMixes.find(query.service); mix != rankMixes.end())
+        one.load.overtaking = mix->second.shares();
     const auto found = records.find(peer::runnerKey(target->id));
     if (found == records.end())
         return one;
@@ -91,6 +93,11 @@
     one.load.lateWaiting = own.late.count + others.late.count;
     one.load.urgentPrefillMs = own.urgent.prefillMs + others.urgent.prefillMs;
     one.load.latePrefillMs = own.late.prefillMs + others.late.prefillMs;
+    for (std::size_t i = 0; i < one.load.lowerRanks.size(); ++i) {
+        const waiting_work &mine = own.lowerRanks[i];
+        const waiting_work &theirs = others.lowerRanks[i];
+        one.load.lowerRanks[i] = {mine.count + theirs.count, mine.prefillMs + theirs.prefillMs};
+    }
     one.load.runMs = entry.runMs;
     one.load.ejectedUntil = entry.ejectedUntil;
     one.isMisdirected =
--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -1,10 +1,12 @@
 #include "gateway/runner_table.h"
+#include "peer/frame.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/peer/limits.h"
 
 #include <algorithm>
 #include <bit>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace poplarspool::gateway {
@@ -13,6 +15,24 @@
 
 constexpr auto otherZonesIndex = static_cast<std::size_t>(peer::update_recipients::OtherZones);
 
+/// Leaves out lower ranks that don't fit into a datagram, which would be dropped. They then count
+/// as rank 0, which makes other instances estimate longer waits, but never shorter ones.
+void limitRanks(peer::load_update &update)
+{
+    constexpr std::size_t maxBytes = config::maxDatagramBytes - peer::frameHeaderBytes;
+    const auto isTooLong = [&update] {
+        const auto bytes = peer::encode(update);
+        return succeeded(bytes) && valueOf(bytes).size() > maxBytes;
+    };
+    for (peer::runner_work &last : std::views::reverse(update.work)) {
+        if (last.lowerRanks == peer::runner_work{}.lowerRanks)
+            continue;
+        if (!isTooLong())
+            return;
+        last.lowerRanks = {};
+    }
+}
+
 /// Tokens between two values of one sender's counter, which wraps around. A value far below the
 /// last one is from a new incarnation of the sender, which counts from 0.
 std::uint32_t tokensSince(std::uint32_t before, std::uint32_t now)
@@ -24,9 +44,21 @@
 
 } // namespace
 
-runner_table::waiting_work &runner_table::work_sum::of(send_class urgency)
+void runner_table::work_sum::addWaiting(const open_send &sent)
 {
-    return urgency == send_class::Urgent ? urgent : late;
+    const bool isUrgent = sent.urgency == send_class::Urgent;
+    (isUrgent ? urgent : late).add(1, sent.prefillMs);
+    if (isUrgent && sent.rank > 0)
+        lowerRanks[std::min<std::size_t>(sent.rank, lowerRanks.size()) - 1].add(1, sent.prefillMs);
+}
+
+void runner_table::work_sum::subtractWaiting(const open_send &sent)
+{
+    const bool isUrgent = sent.urgency == send_class::Urgent;
+    (isUrgent ? urgent : late).subtract(1, sent.prefillMs);
+    if (isUrgent && sent.rank > 0)
+        lowerRanks[std::min<std::size_t>(sent.rank, lowerRanks.size()) - 1].subtract(
+                1, sent.prefillMs);
 }
 
 void runner_table::work_sum::add(const peer::runner_work &update)
@@ -34,6 +66,8 @@
     open += update.open;
     urgent.add(update.urgentWaiting, update.urgentPrefillMs);
     late.add(update.lateWaiting, update.latePrefillMs);
+    for (std::size_t i = 0; i < lowerRanks.size(); ++i)
+        lowerRanks[i].add(update.lowerRanks[i].waiting, update.lowerRanks[i].prefillMs);
 }
 
 void runner_table::work_sum::add(const work_sum &other)
@@ -41,6 +75,8 @@
     open += other.open;
     urgent.add(other.urgent.count, other.urgent.prefillMs);
     late.add(other.late.count, other.late.prefillMs);
+    for (std::size_t i = 0; i < lowerRanks.size(); ++i)
+        lowerRanks[i].add(other.lowerRanks[i].count, other.lowerRanks[i].prefillMs);
 }
 
 void runner_table::work_sum::subtract(const peer::runner_work &update)
@@ -48,6 +84,8 @@
     open -= std::min(open, update.open);
     urgent.subtract(update.urgentWaiting, update.urgentPrefillMs);
     late.subtract(update.lateWaiting, update.latePrefillMs);
+    for (std::size_t i = 0; i < lowerRanks.size(); ++i)
+        lowerRanks[i].subtract(update.lowerRanks[i].waiting, update.lowerRanks[i].prefillMs);
 }
 
 /// Subtracts an instance's last update from the sums.
@@ -83,13 +121,18 @@
 peer::runner_work runner_table::workOf(std::uint32_t runner, const work_sum &sum,
                                        std::uint64_t tokensIn)
 {
-    return {runner,
-            sum.open,
-            static_cast<std::uint32_t>(sum.urgent.prefillMs),
-            static_cast<std::uint32_t>(sum.late.prefillMs),
-            static_cast<std::uint32_t>(tokensIn),
-            sum.urgent.count,
-            sum.late.count};
+    peer::runner_work work{runner,
+                           sum.open,
+                           static_cast<std::uint32_t>(sum.urgent.prefillMs),
+                           static_cast<std::uint32_t>(sum.late.prefillMs),
+                           static_cast<std::uint32_t>(tokensIn),
+                           sum.urgent.count,
+                           sum.late.count};
+    for (std::size_t i = 0; i < sum.lowerRanks.size(); ++i) {
+        const waiting_work &lower = sum.lowerRanks[i];
+        work.lowerRanks[i] = {lower.count, static_cast<std::uint32_t>(lower.prefillMs)};
+    }
+    return work;
 }
 
 std::vector<peer::cached_prefix> runner_table::takeCached(std::deque<cached_update> &waiting)
@@ -121,6 +164,7 @@
     }
     update.zone = zone;
     update.cached = takeCached(pendingUpdates[index]);
+    limitRanks(update);
     return update;
 }
 
@@ -240,6 +284,7 @@
         if (items.size() < config::maxLoadItems)
             items.push_back(one);
     }
+    std::ranges::for_each(parts, limitRanks);
     return parts;
 }
 
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -32,9 +32,9 @@
 { }
 
 runner_table::open_send::open_send(runner_table &table, const runner_id &target, double prefillMs,
-                                   send_class urgency)
+                                   send_class urgency, std::uint32_t rank)
     : table(table), target(peer::runnerKey(target)), prefillMs(prefillMs), urgency(urgency),
-      sentAt(table.clock.mono())
+      rank(rank), sentAt(table.clock.mono())
 {
     table.opened(*this);
 }
@@ -79,7 +79,7 @@
     runner_record &entry = records[sent.target];
     ++entry.own.open;
     entry.recentSends.record(sent.sentAt);
-    entry.own.of(sent.urgency).add(1, sent.prefillMs);
+    entry.own.addWaiting(sent);
     entry.sendsLeft.fill(config::updateRepeats);
 }
 
@@ -87,7 +87,7 @@
 {
     const std::lock_guard lock(guard);
     runner_record &entry = records[sent.target];
-    entry.own.of(sent.urgency).subtract(1, sent.prefillMs);
+    entry.own.subtractWaiting(sent);
     entry.recentStarts.record(sent.startedAt);
     entry.answeredAt = sent.startedAt;
     const mono_time now = sent.startedAt;
@@ -114,7 +114,7 @@
     const bool hasStarted = sent.startedAt != mono_time{};
     runner_record &entry = records[sent.target];
     if (!hasStarted)
-        entry.own.of(sent.urgency).subtract(1, sent.prefillMs);
+        entry.own.subtractWaiting(sent);
     entry.own.open -= std::min(entry.own.open, 1U);
     const mono_time now = clock.mono();
     if (sent.isRun && hasStarted && sent.end == send_outcome::Served) {
@@ -213,6 +213,20 @@
     entry.misdirectedUntil = clock.mono() + config::misdirectedTime;
 }
 
+void runner_table::recordRank(const service_id &service, std::uint32_t rank, std::uint32_t ownRank,
+                              double prefillMs)
+{
+    const std::lock_guard lock(guard);
+    rankMixes[service].record(rank, ownRank, prefillMs, clock.mono());
+}
+
+bool runner_table::hasRoomForPromotion(const service_id &service)
+{
+    const std::lock_guard lock(guard);
+    const auto mix = rankMixes.find(service);
+    return mix == rankMixes.end() || mix->second.hasRoomForPromotion();
+}
+
 std::uint32_t runner_table::recentSendsTo(std::uint32_t runner)
 {
     const std::lock_guard lock(guard);
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -66,8 +66,9 @@
     public:
         /// @param prefillMs Prefill time that the runner needs for the prompt; 0 if it is already
         ///                  prefilled.
+        /// @param rank Priority among urgent requests; 0 where ranks don't count.
         open_send(runner_table &table, const runner_id &target, double prefillMs,
-                  send_class urgency);
+                  send_class urgency, std::uint32_t rank = 0);
         open_send(const open_send &) = delete;
         open_send &operator=(const open_send &) = delete;
         ~open_send();
@@ -93,6 +94,7 @@
         const std::uint32_t target;
         const double prefillMs;
         const send_class urgency;
+        const std::uint32_t rank;
         const mono_time sentAt;
         bool isRun = false;
         service_id service; ///< With `stage`: the engines whose pace is learnt.
@@ -122,6 +124,12 @@
     /// stage.
     void recordMisdirected(const std::shared_ptr<const runner> &target);
 
+    /// Called when an urgent request is sent, where ranks count.
+    void recordRank(const service_id &service, std::uint32_t rank, std::uint32_t ownRank,
+                    double prefillMs);
+    /// @returns Whether requests of the service may be served at rank 0 while capacity is short.
+    bool hasRoomForPromotion(const service_id &service);
+
     /// Called before the runner prefills this prompt, which then stays in its cache.
     void recordCached(const runner_id &target, const std::vector<prompt_part> &prompt);
     /// Called when the runner has prefilled it: other engines can copy it from then on.
@@ -161,8 +169,11 @@
         std::uint32_t open = 0;
         waiting_work urgent;
         waiting_work late;
+        /// Of the urgent ones, those of rank 1, of rank 2, and of lower ranks.
+        std::array<waiting_work, peer::rankLevels - 1> lowerRanks;
 
-        waiting_work &of(send_class urgency);
+        void addWaiting(const open_send &sent);
+        void subtractWaiting(const open_send &sent);
         void add(const peer::runner_work &update);
         void add(const work_sum &other);
         void subtract(const peer::runner_work &update);
@@ -250,6 +261,7 @@
     std::mutex guard;
     std::unordered_map<std::uint32_t, runner_record> records; ///< By runner.
     std::map<service_id, std::map<engine_stage, engine_pace>> paces;
+    std::map<service_id, admission::rank_mix> rankMixes;
     std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
     mono_time silenceCheckedAt{};
     mono_time digestCollectedAt{};
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -36,17 +36,6 @@
     return socket_clock::now() + std::max(time, milliseconds(1));
 }
 
-/// Within each class the operators' ranks decide; a workspace's rank takes precedence over its
-/// route's. Late requests are prefilled when no urgent request waits: if they came first, each of
-/// them would make the next request late too.
-std::uint32_t request_proxy::priorityOf(send_class urgency) const
-{
-    const std::uint32_t given =
-            owner != nullptr ? owner->rank.value_or(selectedRoute->rank) : selectedRoute->rank;
-    const std::uint32_t rank = std::min(given, config::maxRank);
-    return (urgency == send_class::Urgent ? config::urgentPriority : config::latePriority) + rank;
-}
-
 request_proxy::try_end request_proxy::tryAt(const placement &place, const std::string &kvSource)
 {
     const runner &target = *place.serving;
@@ -64,8 +53,10 @@
     const std::string limitText = limitTextOf(target);
     try_end end = try_end::Lost;
     {
+        const bool isPrefilled = !kvSource.empty();
         runner_table::open_send record(context.runnerTable, target.id,
-                                       kvSource.empty() ? place.prefillMs : 0, place.urgency);
+                                       isPrefilled ? 0 : place.prefillMs, place.urgency,
+                                       recordRank(place, isPrefilled));
         record.markRunning();
         const bool updatesPace = kvSource.empty() && !place.cacheSource && place.slotWaitMs == 0;
         if (engine != nullptr && updatesPace && !hasBegun)
@@ -80,6 +71,7 @@
             {"address", textOf(target.address)},
             {"prefill", place.prefill ? place.prefill->id.text : ""},
             {"urgency", std::string(nameOf(place.urgency))},
+            {"rank", engine == nullptr ? "" : std::to_string(place.rank)},
             {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
             {"reading_ms", std::to_string(std::lround(place.prefillMs))},
             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
@@ -178,8 +170,8 @@
 {
     send_extras extras = extrasTo(*current.place.serving);
     if (engine != nullptr)
-        extras.priority = current.kvSource.empty() ? priorityOf(current.place.urgency)
-                                                   : config::prefilledPriority;
+        extras.priority =
+                current.kvSource.empty() ? priorityOf(current.place) : config::prefilledPriority;
     if (lastEventId)
         extras.lastEventId = std::to_string(*lastEventId);
     extras.kvSource = current.kvSource;
--- a/tests/gateway/runner_table_test.cpp
+++ b/tests/gateway/runner_table_test.cpp
@@ -3,6 +3,7 @@
 #include "allocation_meter.h"
 #include "catalogue_fixture.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/peer/limits.h"
 
 #include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
@@ -101,6 +102,9 @@
     CPPUNIT_TEST(usualFailureRateDoesNotEject);
     CPPUNIT_TEST(repeatedlyUnreachableRunnerIsEjectedLonger);
     CPPUNIT_TEST(loadOfOtherInstancesIsAdded);
+    CPPUNIT_TEST(lowerRanksReachOtherInstances);
+    CPPUNIT_TEST(lowerRanksReachOtherZones);
+    CPPUNIT_TEST(updatesWithManyRanksFitIntoDatagrams);
     CPPUNIT_TEST(waitingRequestsAreCountedApartFromRunning);
     CPPUNIT_TEST(paceConvergesWithin170Prompts);
     CPPUNIT_TEST(longPromptsDoNotMakeEngineSlow);
@@ -299,6 +303,56 @@
         CPPUNIT_ASSERT_EQUAL(1U, test.candidateFor("a").load.open);
     }
 
+    /// Guards against ranks that are lost or counted twice between instances, which would make
+    /// rank 0 late or lower ranks urgent.
+    void lowerRanksReachOtherInstances()
+    {
+        fixture test;
+        fixture other;
+        runner_table::open_send mine(test.table, {"a"}, 30, send_class::Urgent, 1);
+        const runner_table::open_send first(other.table, {"a"}, 40, send_class::Urgent);
+        const runner_table::open_send theirs(other.table, {"a"}, 50, send_class::Urgent, 1);
+        const runner_table::open_send last(other.table, {"a"}, 60, send_class::Urgent, 3);
+        const runner_table::open_send late(other.table, {"a"}, 70, send_class::Late, 1);
+        for (int i = 0; i < 2; ++i)
+            test.table.applyUpdate(1, other.table.collectUpdate(peer::update_recipients::SameZone));
+        const admission::lower_ranks all{{{2, 80}, {}, {1, 60}}};
+        CPPUNIT_ASSERT(test.candidateFor("a").load.lowerRanks == all);
+        CPPUNIT_ASSERT_EQUAL(4U, test.candidateFor("a").load.urgentWaiting);
+        mine.recordStart();
+        const admission::lower_ranks rest{{{1, 50}, {}, {1, 60}}};
+        CPPUNIT_ASSERT(test.candidateFor("a").load.lowerRanks == rest);
+        test.table.applyUpdate(1, {});
+        CPPUNIT_ASSERT(test.candidateFor("a").load.lowerRanks == admission::lower_ranks{});
+    }
+
+    /// Guards against a digest that reports lower ranks of other zones as rank 0.
+    void lowerRanksReachOtherZones()
+    {
+        zone_pair zones;
+        const runner_table::open_send mine(zones.near.table, {"a"}, 30, send_class::Urgent, 2);
+        const runner_table::open_send theirs(zones.neighbor.table, {"a"}, 50, send_class::Urgent,
+                                             2);
+        zones.exchange();
+        const admission::lower_ranks both{{{}, {2, 80}, {}}};
+        CPPUNIT_ASSERT(zones.far.candidateFor("a").load.lowerRanks == both);
+    }
+
+    /// Guards against load updates that are dropped whole because ranks make them too long.
+    void updatesWithManyRanksFitIntoDatagrams()
+    {
+        fixture test;
+        std::vector<std::unique_ptr<runner_table::open_send>> sends;
+        for (std::uint32_t i = 0; i < 240; ++i)
+            sends.push_back(std::make_unique<runner_table::open_send>(
+                    test.table, runner_id{"r" + std::to_string(i / 4)}, 300, send_class::Urgent,
+                    i % 4));
+        const auto update = test.table.collectUpdate(peer::update_recipients::SameZone);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{60}, update.work.size());
+        CPPUNIT_ASSERT(valueOf(peer::encode(update)).size() < config::maxDatagramBytes - 78);
+        CPPUNIT_ASSERT(update.work.front().lowerRanks != peer::runner_work{}.lowerRanks);
+    }
+
     void waitingRequestsAreCountedApartFromRunning()
     {
         fixture test;
