--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <bit>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace poplarspool::gateway {
@@ -24,13 +23,12 @@
         const auto bytes = peer::encode(update);
         return succeeded(bytes) && valueOf(bytes).size() > maxBytes;
     };
-    for (peer::runner_work &last : std::views::reverse(update.work)) {
-        if (last.lowerRanks == peer::runner_work{}.lowerRanks)
-            continue;
-        if (!isTooLong())
-            return;
-        last.lowerRanks = {};
-    }
+    const auto hasRanks = [](const peer::runner_work &one) {
+        return one.lowerRanks != peer::runner_work{}.lowerRanks;
+    };
+    std::size_t left = std::ranges::any_of(update.work, hasRanks) ? update.work.size() : 0;
+    while (left > 0 && isTooLong())
+        update.work[--left].lowerRanks = {};
 }
 
 /// Tokens between two values of one sender's counter, which wraps around. A value far below the
