--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -358,5 +358,7 @@
 /// callers that have just received this instance's address are still served.
 inline constexpr std::chrono::milliseconds leaveMargin = 900ms;
 inline constexpr std::chrono::milliseconds lateCallerTime = 500ms;
+/// Routes whose outcomes are counted by name; each adds five series to the metrics of an instance.
+inline constexpr std::size_t maxCountedRoutes = 64;
 
 } // namespace poplarspool::config
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -76,7 +76,8 @@
       withheldSends(registry.counterOf("poplarspool_gateway_withheld_sends_total")),
       endedByClose(registry.counterOf("poplarspool_gateway_answers_ended_by_close_total")),
       takeUps(takeUpCountersOf(registry)),
-      firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds"))
+      firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds")),
+      routeOutcomes(registry)
 { }
 
 request_proxy::request_proxy(const proxy_context &parts, const http_request &request,
@@ -108,6 +109,12 @@
          {"retry_after_s", reply ? std::string(headerOf(reply->headers, "retry-after")) : ""},
          {"first_ms", firstByteAt == mono_time{} ? "" : millisecondsText(firstByteAt - arrivedAt)},
          {"took_ms", millisecondsText(context.clock.mono() - arrivedAt)}});
+    const mono_time endedAt = context.clock.mono();
+    const mono_time begunAt = firstByteAt == mono_time{} ? endedAt : firstByteAt;
+    // An optional that was moved from still has a value: the reply is that of a runner.
+    context.metrics.routeOutcomes.record(selectedRoute,
+                                         {reply ? reply->status : 0, bufferedReply.has_value(),
+                                          lastFault, begunAt - arrivedAt, endedAt - arrivedAt});
     return reply;
 }
 
@@ -331,7 +338,7 @@
 std::optional<http_reply> request_proxy::abandon()
 {
     context.metrics.callersGone.add();
-    lastFault = "caller_gone";
+    lastFault = callerGoneFault;
     return std::nullopt;
 }
 
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -5,6 +5,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
+#include "gateway/route_outcomes.h"
 #include "gateway/runner_call.h"
 #include "gateway/runner_connector.h"
 #include "gateway/runner_table.h"
@@ -58,6 +59,7 @@
     counter &endedByClose; ///< Runners' answers with neither a length nor chunks.
     std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
+    route_outcomes routeOutcomes;
 };
 
 /// Status with which a runner says that the request is for another runner or for another stage.
