Silence a false alarm of clang-tidy in work_share.h

clang-tidy mistakes the defaulted comparison for a use of a null pointer, as in base/ids.h. clang-tidy is clean on the sources of the fair share and on placement.cpp. test_fairness 15 of 15 passes.

--- a/include/poplarspool/fairness/work_share.h
+++ b/include/poplarspool/fairness/work_share.h
@@ -41,7 +41,7 @@
     std::string service;
     std::uint32_t workspace = 0; ///< Hash of its id.
 
-    auto operator<=>(const window_key &) const = default;
+    auto operator<=>(const window_key &) const = default; // NOLINT(modernize-use-nullptr): wrong
 };
 
 /// Counts of one instance: at most config::maxShareWorkspaces, the lightest are evicted.
