--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -14,21 +14,40 @@
 
 constexpr auto otherZonesIndex = static_cast<std::size_t>(peer::update_recipients::OtherZones);
 
+/// Maximum bytes of the work of one rank in an update, and of one workspace or engine sample.
+constexpr std::size_t rankedBytes = 7;
+constexpr std::size_t reportedBytes = 8;
+
 /// Leaves out lower ranks that don't fit into a datagram, which would be dropped. They then count
-/// as rank 0, which makes other instances estimate longer waits, but never shorter ones.
+/// as rank 0, which makes other instances estimate longer waits, but never shorter ones. Keeps room
+/// for the workspaces and samples of an update that is not a digest.
 void limitRanks(peer::load_update &update)
 {
-    constexpr std::size_t maxBytes = config::maxDatagramBytes - peer::frameHeaderBytes;
-    const auto isTooLong = [&update] {
-        const auto bytes = peer::encode(update);
-        return succeeded(bytes) && valueOf(bytes).size() > maxBytes;
-    };
-    const auto hasRanks = [](const peer::runner_work &one) {
-        return one.lowerRanks != peer::runner_work{}.lowerRanks;
+    constexpr peer::runner_work none;
+    const auto hasRanks = [&none](const peer::runner_work &one) {
+        return one.lowerRanks != none.lowerRanks;
     };
-    std::size_t left = std::ranges::any_of(update.work, hasRanks) ? update.work.size() : 0;
-    while (left > 0 && isTooLong())
-        update.work[--left].lowerRanks = {};
+    if (std::ranges::none_of(update.work, hasRanks))
+        return;
+    peer::load_update withoutRanks = update;
+    for (peer::runner_work &one : withoutRanks.work)
+        one.lowerRanks = {};
+    const auto encoded = peer::encode(withoutRanks);
+    std::size_t used = peer::frameHeaderBytes + (succeeded(encoded) ? valueOf(encoded).size() : 0);
+    if (!update.isDigest())
+        used += (config::maxWorkspaceItems + config::maxEngineSamples) * reportedBytes;
+    std::size_t left =
+            (config::maxDatagramBytes - std::min(config::maxDatagramBytes, used)) / rankedBytes;
+    for (peer::runner_work &one : update.work) {
+        for (peer::ranked_work &ranked : one.lowerRanks) {
+            if (ranked == peer::ranked_work{})
+                continue;
+            if (left == 0)
+                ranked = {};
+            else
+                --left;
+        }
+    }
 }
 
 /// Tokens between two values of one sender's counter, which wraps around. A value far below the
