Model of engines: learn and use the speed of each engine

Cause: all engines of a service and stage were assumed to be equally fast, and were sampled evenly.

The new library engine_model estimates the speed of each engine from measured by expected prefill times. runner_table records these samples, exchanges them within the zone and keeps the median per service and stage. Placement applies the factor to prefill, prompts ahead and decoding, and samples engines with a weight of 1 / factor. Work sums stay free of the factor. Gauges count slow and fast engines, and send_end has the field speed.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -185,6 +185,8 @@
 /// Maximum updates about cached parts that wait to be sent: some seconds' worth at 100 requests per
 /// second.
 inline constexpr std::size_t maxPendingUpdates = 1000;
+/// Maximum samples of engines' speed that wait to be sent: those of a few load updates.
+inline constexpr std::size_t maxPendingSamples = 64;
 /// Prompt parts remembered per runner; beyond that, the older half is dropped.
 inline constexpr std::size_t maxCachedParts = 20000;
 /// Share of an engine's KV memory that caches parts; the rest holds running requests.
--- a/include/poplarspool/gateway/placement.h
+++ b/include/poplarspool/gateway/placement.h
@@ -42,6 +42,8 @@
     engine_pace pace; ///< Of its service and stage.
     double runMs = 0; ///< Recent mean from a request's first event to its end; 0: unknown.
     double slowness = 1; ///< Duration of its requests relative to its siblings'.
+    /// Prefill time relative to the median of its service and stage, without `slowness`.
+    double speedFactor = 1;
 
     bool operator==(const runner_load &) const = default;
 };
@@ -113,10 +115,15 @@
     /// The engine that prefills the prompt copies cached parts from this one first; null: no copy.
     std::shared_ptr<const runner> cacheSource;
     double prefillMs = 0; ///< Prefill time of the prompt on the engine that prefills it.
+    /// The same without that engine's speed factor: whoever waits behind the prompt applies it.
+    double prefillWorkMs = 0;
+    /// Expected prefill time of the prompt and those before it on an engine of median speed.
+    double medianMs = 0;
     double aheadMs = 0; ///< Prefill time of the prompts before it on that engine.
     double expectedStartMs = 0; ///< Until the first event.
     double slotWaitMs = 0; ///< Wait for a free slot on `serving`.
     std::uint32_t waitingThere = 0; ///< Requests on `serving` that have not started.
+    double speedFactor = 1; ///< Of `serving`.
     send_class urgency = send_class::Urgent;
 
     bool operator==(const placement &) const = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,8 +63,9 @@
           runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock)),
           retries({settings.retryShare, settings.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
-          metrics(registry), linkTable(clock), cutOff(clock),
-          connector(connectorDependencies(registry)),
+          metrics(registry), slowEngines(registry.gaugeOf("poplarspool_engines{speed=\"slow\"}")),
+          fastEngines(registry.gaugeOf("poplarspool_engines{speed=\"fast\"}")), linkTable(clock),
+          cutOff(clock), connector(connectorDependencies(registry)),
           tunnelServer({settings.peerAddress, tunnelSenderOf(settings, clock), publisher, linkTable,
                         [this](const runner &target) {
                             return forbidsSends(withdrawalExchange.registry().find(lifeOf(target)));
@@ -120,6 +121,9 @@
           loadExchange(
                   datagramSettingsOf(settings, settings.loadAddress, clock),
                   [this](peer::update_recipients recipients) {
+                      const speed_counts counts = runnerTable.speedCounts();
+                      slowEngines.set(counts.slow);
+                      fastEngines.set(counts.fast);
                       return runnerTable.collectUpdate(recipients);
                   },
                   [this] { return runnerTable.collectDigest(); },
@@ -197,6 +201,8 @@
     retry_budgets retries;
     connection_pool connections;
     proxy_metrics metrics;
+    gauge &slowEngines;
+    gauge &fastEngines;
     usage_count usage{clock, durationOf(settings.usageWindowSeconds)};
     link_table linkTable;
     cut_off_instances cutOff;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -4,6 +4,7 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace poplarspool::gateway {
@@ -115,6 +116,16 @@
     return isPreferred ? *preferred : nullptr;
 }
 
+/// Orders engines for sampling without replacement, each with a weight of 1 / speedFactor: an
+/// engine that is twice as fast serves twice as many requests. Of exponential variates with these
+/// weights as rates, the smallest ones are such a sample. Engines of equal speed keep the order of
+/// tieBreak().
+double samplingKey(const placement_query &query, const placement_candidate &one, bool isWeighted)
+{
+    const double draw = tieBreak(query, *one.target);
+    return isWeighted ? -std::log1p(-draw) * one.load.speedFactor : draw;
+}
+
 /// In a large fleet, the load sent by other instances is known late: if all chose the least loaded
 /// engine, they would choose the same one, and its queue would be the longest before the update
 /// arrives. So each request considers a few randomly sampled engines and the preferred engine of
@@ -124,9 +135,11 @@
     if (std::ssize(engines) <= config::sampledEngines)
         return engines;
     const placement_candidate *preferred = preferredEngineOf(engines);
+    const bool isWeighted = std::ranges::any_of(
+            engines, [](const placement_candidate *one) { return one->load.speedFactor != 1; });
     std::ranges::partial_sort(
             engines, engines.begin() + config::sampledEngines, {},
-            [&query](const placement_candidate *one) { return tieBreak(query, *one->target); });
+            [&](const placement_candidate *one) { return samplingKey(query, *one, isWeighted); });
     engines.resize(config::sampledEngines);
     if (preferred != nullptr && std::ranges::find(engines, preferred) == engines.end())
         engines.push_back(preferred);
@@ -163,6 +176,8 @@
     const placement_candidate *at = nullptr;
     const placement_candidate *copyFrom = nullptr;
     double ownMs = 0; ///< For this prompt.
+    double workMs = 0; ///< The same without the engine's speed factor.
+    double medianMs = 0; ///< For all prompts, on an engine of median speed.
     double costMs = std::numeric_limits<double>::infinity(); ///< Including all penalties.
     double aheadMs = 0; ///< For the prompts before it.
     double startMs = 0; ///< Until the first token.
@@ -195,12 +210,15 @@
         made.costMs = 0;
     }
     // The copy occupies the engine as well.
-    made.ownMs = prefillTimeMs(at.target->stage, query.promptTokens, cached) * at.load.pace.scale
-                    * slowness
-            + copyMs;
+    const double usualMs =
+            prefillTimeMs(at.target->stage, query.promptTokens, cached) * at.load.pace.scale;
+    made.workMs = usualMs * slowness + copyMs;
+    made.ownMs = usualMs * slowness * at.load.speedFactor + copyMs;
     const double aheadMs = at.load.urgentPrefillMs
             + (inputs.urgency == send_class::Late ? at.load.latePrefillMs : 0);
-    made.aheadMs = aheadMs * slowness;
+    made.aheadMs = aheadMs * slowness * at.load.speedFactor;
+    // Of the prompts before it, the first one is half done on average.
+    made.medianMs = aheadMs - std::min(aheadMs, usualMs) / 2 + usualMs;
     made.startMs = made.aheadMs + made.ownMs + at.load.pace.firstTokenMs;
     const bool isColdElsewhere = cached < query.sharedTokens && inputs.preferred != &at;
     made.costMs += made.startMs + (isColdElsewhere ? config::coldCachePenaltyMs : 0)
@@ -242,7 +260,9 @@
 {
     const double loneCostMs =
             query.mayMoveLater && one.isAloneInVersion ? config::loneVersionCostMs : 0;
-    return (config::decodeCostMsPerRequest * one.load.open + slotWaitMs(query, one, urgency))
+    // The wait for a slot is made of times that were measured at this engine.
+    return (config::decodeCostMsPerRequest * one.load.open * one.load.speedFactor
+            + slotWaitMs(query, one, urgency))
             * std::max(one.load.slowness, 1.0)
             + loneCostMs;
 }
@@ -326,6 +346,9 @@
     chosen.slotWaitMs = slotWaitMs(query, *serving, urgency);
     chosen.waitingThere = serving->load.urgentWaiting + serving->load.lateWaiting;
     chosen.prefillMs = best.ownMs;
+    chosen.prefillWorkMs = best.workMs;
+    chosen.medianMs = best.medianMs;
+    chosen.speedFactor = serving->load.speedFactor;
     chosen.aheadMs = best.aheadMs;
     chosen.expectedStartMs = best.startMs + chosen.slotWaitMs;
     return chosen;
@@ -368,7 +391,9 @@
         return noneEligible(query, candidates, engine_stage::Decode);
     if (query.isPrefilled) {
         placement chosen;
-        chosen.serving = leastLoadedDecoder(query, engines.decoders, send_class::Urgent)->target;
+        const auto *at = leastLoadedDecoder(query, engines.decoders, send_class::Urgent);
+        chosen.serving = at->target;
+        chosen.speedFactor = at->load.speedFactor;
         return chosen;
     }
     engines.holder = cacheHolderOf(query, candidates);
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -23,10 +23,11 @@
 {
     const runner &prefillEngine = *place.prefill;
     usePermit(prefillEngine);
-    runner_table::open_send record(context.runnerTable, prefillEngine.id, place.prefillMs,
+    runner_table::open_send record(context.runnerTable, prefillEngine.id, place.prefillWorkMs,
                                    place.urgency);
     if (!place.cacheSource)
-        record.recordExpected(service, prefillEngine.stage, place.aheadMs + place.prefillMs);
+        record.recordExpected(service, prefillEngine.stage, place.aheadMs + place.prefillMs,
+                              place.medianMs);
     context.runnerTable.recordCached(prefillEngine.id, metadata.prompt);
     context.metrics.prefillHandoffs.add();
     const std::string limitText = limitTextOf(prefillEngine);
--- a/src/gateway/runner_candidates.cpp
+++ b/src/gateway/runner_candidates.cpp
@@ -92,6 +92,9 @@
     one.load.urgentPrefillMs = own.urgent.prefillMs + others.urgent.prefillMs;
     one.load.latePrefillMs = own.late.prefillMs + others.late.prefillMs;
     one.load.runMs = entry.runMs;
+    if (query.engine != nullptr)
+        one.load.speedFactor =
+                engine_model::factorOf(entry.speed, speeds[query.service][target->stage].medianLog);
     one.load.ejectedUntil = entry.ejectedUntil;
     one.isMisdirected =
             entry.misdirectedUntil > now && equalExceptWrites(entry.misdirected, *target);
@@ -129,6 +132,9 @@
     const mono_time now = clock.mono();
     expireSilentPeers(now);
     for (const engine_stage stage : allStages) {
+        if (query.engine != nullptr)
+            updateSpeeds(known.runners->groupOf(query.service, stage), speeds[query.service][stage],
+                         now);
         const runner_ring &group = groupFor(*known.runners, query, stage);
         for (const runner_entry &target : sampleOf(group, query.draw))
             candidates.push_back(candidateAt(query, target, now));
@@ -173,7 +179,8 @@
         const auto found = records.find(peer::runnerKey(one.target->id));
         const bool isKnown = found != records.end() && found->second.starts >= minStarts
                 && now - found->second.lastStartAt <= config::slownessExpiry;
-        return isKnown ? found->second.meanStartMs : 0.0;
+        // Lasting differences of speed are part of the placement already.
+        return isKnown ? found->second.meanStartMs / one.load.speedFactor : 0.0;
     };
     std::vector<double> means;
     for (const placement_candidate &one : candidates) {
--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -121,6 +121,8 @@
     }
     update.zone = zone;
     update.cached = takeCached(pendingUpdates[index]);
+    if (recipients == peer::update_recipients::SameZone)
+        update.samples = takeSamples();
     return update;
 }
 
@@ -187,6 +189,8 @@
         known = one;
     }
     applyCached(update);
+    if (isZonePeer)
+        applySamples(update);
 }
 
 /// The instance that makes the zone's digest passes on what its zone has cached.
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -54,11 +54,12 @@
 }
 
 void runner_table::open_send::recordExpected(const service_id &service, engine_stage stage,
-                                             double workMs)
+                                             double workMs, double medianMs)
 {
     this->service = service;
     this->stage = stage;
     expectedMs = urgency == send_class::Urgent ? workMs : 0;
+    this->medianMs = urgency == send_class::Urgent ? medianMs : 0;
 }
 
 void runner_table::waiting_work::add(std::uint32_t more, double moreMs)
@@ -94,6 +95,7 @@
     const double tookMs = millisecondsOf(now - sent.sentAt);
     if (sent.expectedMs > 0) {
         engine_pace &pace = paces[sent.service][sent.stage];
+        sampleSpeed(sent, pace, tookMs);
         pace = updatePace(pace, sent.expectedMs, tookMs);
     }
     // The time of a prefill alone depends on the prompt's length. If it were compared too, engines
@@ -182,6 +184,7 @@
         ejectedUntil = {};
         starts = 0;
         meanStartMs = 0;
+        speed = {};
         runMs = 0;
     }
     startedAtMs = newStartMs;
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -3,6 +3,7 @@
 #include "gateway/cache_holders.h"
 #include "gateway/envelope.h"
 #include "gateway/send_history.h"
+#include "poplarspool/engine_model/engine_speed.h"
 #include "poplarspool/gateway/placement.h"
 #include "poplarspool/peer/load_exchange.h"
 
@@ -37,6 +38,15 @@
     bool operator==(const runner_use &) const = default;
 };
 
+/// Engines whose speed differs from the median of their service and stage.
+struct speed_counts
+{
+    std::uint32_t slow = 0;
+    std::uint32_t fast = 0;
+
+    bool operator==(const speed_counts &) const = default;
+};
+
 /// What selects the runners that a request considers.
 struct candidate_query
 {
@@ -81,7 +91,10 @@
         /// Sets the expected duration of a send that includes a prefill and finds a free slot: the
         /// pace of engines is learnt from it.
         /// @param workMs Prefill time of its prompt and those before it.
-        void recordExpected(const service_id &service, engine_stage stage, double workMs);
+        /// @param medianMs The same on an engine of median speed: the speed of this engine is
+        ///                 learnt from it; 0: it isn't.
+        void recordExpected(const service_id &service, engine_stage stage, double workMs,
+                            double medianMs = 0);
         /// Declares that the request runs there until its answer is complete. Without this call,
         /// the runner only prefills its prompt.
         void markRunning() { isRun = true; }
@@ -98,6 +111,7 @@
         service_id service; ///< With `stage`: the engines whose pace is learnt.
         engine_stage stage = engine_stage::None;
         double expectedMs = 0; ///< 0: the pace is not learnt from this send.
+        double medianMs = 0; ///< 0: the engine's speed is not learnt from this send.
         mono_time startedAt{}; ///< Zero: it has not started.
         send_outcome end = send_outcome::Unknown;
     };
@@ -106,6 +120,8 @@
     /// shared parts, holders of these parts, and the runners that were tried.
     std::vector<placement_candidate> candidatesOf(const catalogue &known,
                                                   const candidate_query &query);
+    /// @returns The numbers of slow and of fast engines in all services requested so far.
+    speed_counts speedCounts();
     /// @returns The use of each of these runners.
     std::vector<runner_use> usesOf(std::span<const runner_entry> targets);
 
@@ -183,6 +199,8 @@
         mono_time ejectedUntil{};
         double runMs = 0; ///< Moving mean from the first byte to the end.
         double meanStartMs = 0; ///< Moving mean of the time to the first byte.
+        engine_model::speed_estimate speed;
+        mono_time speedSampledAt{}; ///< Time of the last sample of its speed.
         std::uint32_t starts = 0;
         mono_time lastStartAt{}; ///< Time of the last recorded start.
         mono_time answeredAt{}; ///< Of its last reply to this instance; 0: none.
@@ -219,9 +237,22 @@
         std::uint32_t repeatsLeft = 0;
     };
 
+    /// Of the engines of one service and stage.
+    struct stage_speeds
+    {
+        mono_time computedAt{};
+        double medianLog = 0;
+        speed_counts counts;
+    };
+
     void opened(const open_send &sent);
     void started(const open_send &sent);
     void ended(const open_send &sent);
+    void recordSpeed(runner_record &entry, double ratio);
+    void sampleSpeed(const open_send &sent, const engine_pace &pace, double tookMs);
+    std::vector<peer::engine_sample> takeSamples();
+    void applySamples(const peer::load_update &update);
+    void updateSpeeds(const runner_ring &group, stage_speeds &speeds, mono_time now);
     void recordOutcome(runner_record &entry, send_outcome how, mono_time now);
     static void countCachedTokens(const runner_record &entry, std::span<const prompt_part> prompt,
                                   placement_candidate &into);
@@ -250,6 +281,8 @@
     std::mutex guard;
     std::unordered_map<std::uint32_t, runner_record> records; ///< By runner.
     std::map<service_id, std::map<engine_stage, engine_pace>> paces;
+    std::map<service_id, std::map<engine_stage, stage_speeds>> speeds;
+    std::deque<peer::engine_sample> pendingSamples; ///< Not sent yet.
     std::unordered_map<std::uint64_t, peer_record> peers; ///< By sender.
     mono_time silenceCheckedAt{};
     mono_time digestCollectedAt{};
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -22,6 +22,13 @@
     return {target.id, target.startedAtMs, target.address, target.zone};
 }
 
+/// With two decimals.
+std::string textOfSpeed(double factor)
+{
+    const std::string text = std::to_string(factor);
+    return text.substr(0, text.find('.') + 3);
+}
+
 std::string wayOf(const runner_connection &connection)
 {
     if (!connection.isTunnel)
@@ -65,11 +72,12 @@
     try_end end = try_end::Lost;
     {
         runner_table::open_send record(context.runnerTable, target.id,
-                                       kvSource.empty() ? place.prefillMs : 0, place.urgency);
+                                       kvSource.empty() ? place.prefillWorkMs : 0, place.urgency);
         record.markRunning();
         const bool updatesPace = kvSource.empty() && !place.cacheSource && place.slotWaitMs == 0;
         if (engine != nullptr && updatesPace && !hasBegun)
-            record.recordExpected(service, target.stage, place.aheadMs + place.prefillMs);
+            record.recordExpected(service, target.stage, place.aheadMs + place.prefillMs,
+                                  place.medianMs);
         sending current{place, kvSource, record,
                         deadlineIn(timeLeft() + config::finalReplyGraceTime)};
         end = sendTo(current);
@@ -83,6 +91,7 @@
             {"cache_from", place.cacheSource ? place.cacheSource->id.text : ""},
             {"reading_ms", std::to_string(std::lround(place.prefillMs))},
             {"expected_ms", std::to_string(std::lround(place.expectedStartMs))},
+            {"speed", textOfSpeed(place.speedFactor)},
             {"limit", limitText},
             {"way", lastWay},
             {"ends_by", isEndedByClose ? "close" : "framing"},
--- a/src/peer/load_exchange.cpp
+++ b/src/peer/load_exchange.cpp
@@ -175,7 +175,7 @@
         return;
     const load_update update = collect(recipients);
     // The first empty update announces that no requests are left; repeating it has no use.
-    const bool isEmpty = update.work.empty() && update.cached.empty();
+    const bool isEmpty = update.work.empty() && update.cached.empty() && update.samples.empty();
     bool &wasLastEmpty = wasEmpty[static_cast<std::size_t>(recipients)];
     if (!std::exchange(wasLastEmpty, isEmpty) || !isEmpty)
         loop.send(to, encode(update));
