--- a/include/poplarspool/admission/ranks.h
+++ b/include/poplarspool/admission/ranks.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 /// Admission by rank: what a request waits for at an engine that serves requests by priority. Pure
@@ -16,6 +17,14 @@
 /// as late although engines serve it first.
 namespace poplarspool::admission {
 
+/// @param workspaceRank None: the workspace has no rank of its own.
+/// @param doWorkspaceRanksDiffer Whether the configuration ranks any two workspaces differently.
+/// @returns The rank of a request. The workspace's takes precedence over the route's. If all
+///          workspaces have the same rank, it orders nothing, and the route's decides: otherwise
+///          all classes of requests would be served alike.
+std::uint32_t rankOf(std::optional<std::uint32_t> workspaceRank, std::uint32_t routeRank,
+                     bool doWorkspaceRanksDiffer);
+
 /// Urgent requests that wait at an engine.
 struct waiting_work
 {
--- a/include/poplarspool/gateway/route_index.h
+++ b/include/poplarspool/gateway/route_index.h
@@ -83,6 +83,8 @@
     /// Index of the first route with an invalid host or prefix.
     std::optional<std::uint32_t> firstInvalidRoute;
     workspaces::key_index keys; ///< Maps each key to the index of its workspace.
+    /// Whether ranks of workspaces tell any two of them apart.
+    bool doWorkspaceRanksDiffer = false;
 
     bool operator==(const route_index &) const = default;
 };
--- a/src/admission/ranks.cpp
+++ b/src/admission/ranks.cpp
@@ -21,6 +21,12 @@
 
 } // namespace
 
+std::uint32_t rankOf(std::optional<std::uint32_t> workspaceRank, std::uint32_t routeRank,
+                     bool doWorkspaceRanksDiffer)
+{
+    return doWorkspaceRanksDiffer ? workspaceRank.value_or(routeRank) : routeRank;
+}
+
 waiting_work workAhead(const waiting_work &urgent, const lower_ranks &lower, std::uint32_t rank)
 {
     waiting_work ahead = urgent;
--- a/src/gateway/request_rank.cpp
+++ b/src/gateway/request_rank.cpp
@@ -1,16 +1,17 @@
 #include "gateway/request_proxy.h"
 #include "poplarspool/gateway/limits.h"
+#include "poplarspool/gateway/route_index.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace poplarspool::gateway {
 
-/// A workspace's rank takes precedence over its route's.
 std::uint32_t request_proxy::rankOf() const
 {
+    const auto ownersRank = owner != nullptr ? owner->rank : std::nullopt;
     const std::uint32_t given =
-            owner != nullptr ? owner->rank.value_or(selectedRoute->rank) : selectedRoute->rank;
+            admission::rankOf(ownersRank, selectedRoute->rank, view->index->doWorkspaceRanksDiffer);
     return std::min(given, config::maxRank);
 }
 
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -3,6 +3,8 @@
 #include "base/http_text.h"
 #include "poplarspool/base/hash.h"
 
+#include <algorithm>
+
 namespace poplarspool::gateway {
 
 namespace {
@@ -140,6 +142,18 @@
     return (*this)(right, left);
 }
 
+namespace {
+
+/// A single workspace is told apart from callers without a workspace.
+bool doRanksDiffer(const std::vector<workspaces::workspace> &all)
+{
+    return all.size() == 1 || std::ranges::any_of(all, [&all](const workspaces::workspace &one) {
+               return one.rank != all.front().rank;
+           });
+}
+
+} // namespace
+
 route_index buildRouteIndex(const route_table &table)
 {
     route_index built;
@@ -147,6 +161,7 @@
     for (std::uint32_t position = 0; position < table.routes.size(); ++position)
         builder.add(table.routes[position], position);
     built.keys = workspaces::indexOf(table.workspaces);
+    built.doWorkspaceRanksDiffer = doRanksDiffer(table.workspaces);
     return built;
 }
 
--- a/src/gateway/runner_loads.cpp
+++ b/src/gateway/runner_loads.cpp
@@ -181,6 +181,8 @@
     }
     update.zone = zone;
     update.cached = takeCached(pendingUpdates[index]);
+    if (recipients == peer::update_recipients::SameZone)
+        update.samples = takeSamples();
     limitRanks(update);
     return update;
 }
@@ -248,6 +250,8 @@
         known = one;
     }
     applyCached(update);
+    if (isZonePeer)
+        applySamples(update);
 }
 
 /// The instance that makes the zone's digest passes on what its zone has cached.
--- a/tests/admission/ranks_test.cpp
+++ b/tests/admission/ranks_test.cpp
@@ -11,6 +11,7 @@
 class ranks_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ranks_test);
+    CPPUNIT_TEST(equalWorkspaceRanksLeaveTheOrderToRoutes);
     CPPUNIT_TEST(lowerRanksAreNotAhead);
     CPPUNIT_TEST(roundedLowerRanksDoNotMakeWorkNegative);
     CPPUNIT_TEST(oneInFiveIsPromotable);
@@ -20,6 +21,16 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against serving all classes of requests alike because all workspaces have the same
+    /// rank.
+    void equalWorkspaceRanksLeaveTheOrderToRoutes()
+    {
+        CPPUNIT_ASSERT_EQUAL(0U, rankOf(1, 0, false));
+        CPPUNIT_ASSERT_EQUAL(2U, rankOf(1, 2, false));
+        CPPUNIT_ASSERT_EQUAL(1U, rankOf(1, 2, true));
+        CPPUNIT_ASSERT_EQUAL(2U, rankOf(std::nullopt, 2, true));
+    }
+
     /// Guards against judging a request late by work that engines serve after it.
     void lowerRanksAreNotAhead()
     {
