--- a/include/poplarspool/gateway/gateway_settings.h
+++ b/include/poplarspool/gateway/gateway_settings.h
@@ -54,6 +54,12 @@
     /// `workspaces.revoke_ms`, all keys are rejected; if false, the last known keys stay valid.
     bool isRevokeStrict = false;
     milliseconds revokeTime{5000};
+    /// `load.ranked_waiting`: requests wait at engines by rank, where there are workspaces.
+    bool usesRankedWaiting = false;
+    /// `load.fair_shares`: workspaces get fair shares of the engines while capacity is short.
+    bool usesFairShares = false;
+    /// `load.engine_speeds`: the speed of each engine is learnt and used.
+    bool learnsEngineSpeeds = false;
     double leaveSeconds = 8; ///< `leave.seconds`: from SIGTERM to the end of the process.
     std::string logLevel = "info"; ///< `log.level`
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,8 @@
           events(eventLog),
           catalogueUpdater(publisher, settings.settleTime, clock, eventLog,
                            [this](const runner &target) { return isLeavingByItsWord(target); }),
-          runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock)),
+          runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock),
+                      settings.learnsEngineSpeeds),
           retries({settings.retryShare, settings.retryExtra}),
           connections(config::maxIdleRunnerConnections, config::runnerConnectTimeout, registry),
           metrics(registry), slowEngines(registry.gaugeOf("poplarspool_engines{speed=\"slow\"}")),
@@ -111,7 +112,8 @@
                        settings.isRevokeStrict ? settings.revokeTime : milliseconds::max(),
                        proofTimeOf(settings.routesBound),
                        proofTimeOf(settings.runnersBound),
-                       &shares},
+                       settings.usesFairShares ? &shares : nullptr,
+                       settings.usesRankedWaiting},
           members(gossipSettingsOf(settings, clock),
                   {[this](const std::vector<policy::member> &alive) {
                        loadExchange.setDigestRecipients(peer::digestRecipientsOf(
@@ -386,7 +388,7 @@
 bool gateway::state::hasShares() const
 {
     const auto current = publisher.current();
-    return current->table && current->table->needsKeys;
+    return settings.usesFairShares && current->table && current->table->needsKeys;
 }
 
 peer::load_update gateway::state::collectUpdate(peer::update_recipients recipients)
@@ -396,6 +398,8 @@
         return update;
     if (hasShares())
         update.workspaces = shares.collectReport();
+    if (!settings.learnsEngineSpeeds)
+        return update;
     const speed_counts counts = runnerTable.speedCounts();
     slowEngines.set(counts.slow);
     fastEngines.set(counts.fast);
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -99,6 +99,8 @@
     const milliseconds runnersProofTime = proofTimeOf(gateway_settings{}.runnersBound);
     /// Counts the work of workspaces; null: they have no shares.
     share_table *shares = nullptr;
+    /// Whether requests wait at engines by rank, where there are workspaces.
+    const bool usesRankedWaiting = true;
 };
 
 /// Forwards one request to a runner and the answer back, according to the request's route: it is
--- a/src/gateway/request_rank.cpp
+++ b/src/gateway/request_rank.cpp
@@ -10,15 +10,17 @@
 std::uint32_t request_proxy::rankOf() const
 {
     const auto ownersRank = owner != nullptr ? owner->rank : std::nullopt;
+    const bool doWorkspacesDecide =
+            !context.usesRankedWaiting || view->index->doWorkspaceRanksDiffer;
     const std::uint32_t given =
-            admission::rankOf(ownersRank, selectedRoute->rank, view->index->doWorkspaceRanksDiffer);
+            admission::rankOf(ownersRank, selectedRoute->rank, doWorkspacesDecide);
     return std::min(given, config::maxRank);
 }
 
 /// Without workspaces, callers are not told apart, and all urgent work counts as rank 0.
 bool request_proxy::doRanksCount() const
 {
-    return engine != nullptr && view->table->needsKeys;
+    return context.usesRankedWaiting && engine != nullptr && view->table->needsKeys;
 }
 
 /// Within each class the operators' ranks decide. Late requests are prefilled when no urgent
--- a/src/gateway/runner_speeds.cpp
+++ b/src/gateway/runner_speeds.cpp
@@ -24,7 +24,7 @@
 /// @attention The caller must hold `guard`.
 void runner_table::sampleSpeed(const open_send &sent, const engine_pace &pace, double tookMs)
 {
-    if (sent.medianMs < config::minPaceSampleMs)
+    if (!learnsSpeeds || sent.medianMs < config::minPaceSampleMs)
         return;
     const double ratio = std::max(tookMs - pace.firstTokenMs, 0.0) / sent.medianMs;
     const double percent = std::clamp(std::round(ratio * 100), 1.0, maxPercent);
@@ -51,6 +51,8 @@
 /// @attention The caller must hold `guard`.
 void runner_table::applySamples(const peer::load_update &update)
 {
+    if (!learnsSpeeds)
+        return;
     for (const peer::engine_sample &one : update.samples) {
         const auto found = records.find(one.runner);
         if (found != records.end())
--- a/src/gateway/runner_table.cpp
+++ b/src/gateway/runner_table.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-runner_table::runner_table(clock_source clock, std::uint32_t zone, std::uint64_t self)
-    : clock(std::move(clock)), zone(zone), self(self)
+runner_table::runner_table(clock_source clock, std::uint32_t zone, std::uint64_t self,
+                           bool learnsSpeeds)
+    : clock(std::move(clock)), zone(zone), self(self), learnsSpeeds(learnsSpeeds)
 { }
 
 runner_table::open_send::open_send(runner_table &table, const runner_id &target, double prefillMs,
--- a/src/gateway/runner_table.h
+++ b/src/gateway/runner_table.h
@@ -68,7 +68,9 @@
 public:
     /// @param zone Key of this instance's zone in load updates.
     /// @param self Number of this instance in load updates.
-    explicit runner_table(clock_source clock, std::uint32_t zone = 0, std::uint64_t self = 0);
+    /// @param learnsSpeeds Whether the speeds of single engines are learnt.
+    explicit runner_table(clock_source clock, std::uint32_t zone = 0, std::uint64_t self = 0,
+                          bool learnsSpeeds = true);
 
     /// An open send. Ends when it goes out of scope.
     class open_send
@@ -289,6 +291,7 @@
     const clock_source clock;
     const std::uint32_t zone;
     const std::uint64_t self;
+    const bool learnsSpeeds;
     std::mutex guard;
     std::unordered_map<std::uint32_t, runner_record> records; ///< By runner.
     std::map<service_id, std::map<engine_stage, engine_pace>> paces;
--- a/src/operators/gateway_file.cpp
+++ b/src/operators/gateway_file.cpp
@@ -55,6 +55,16 @@
                            "A few instances watch the store and relay its changes to the others, "
                            "on the port after that of peer.address; otherwise every instance "
                            "watches the store itself."),
+            optionalKey<s>(
+                    "load.ranked_waiting", "", &s::usesRankedWaiting, flagRule(),
+                    "Where there are workspaces: a request waits at an engine only for "
+                    "requests of its rank or a higher one; otherwise its wait includes all."),
+            optionalKey<s>("load.fair_shares", "", &s::usesFairShares, flagRule(),
+                           "Where there are workspaces: while capacity is short, requests of a "
+                           "workspace above its fair share are served after all others."),
+            optionalKey<s>("load.engine_speeds", "", &s::learnsEngineSpeeds, flagRule(),
+                           "The speed of each engine is learnt from its prefill times and used for "
+                           "placement; otherwise all engines of a service and stage count alike."),
             requiredKey<s>("metrics.address", "", &s::metricsAddress, endpointRule(),
                            "Address of the metrics endpoint, /metrics."),
             requiredKey<s>("store.address", "", &s::storeAddress, endpointRule(),
