--- a/tests/gateway/engine_speed_test.cpp
+++ b/tests/gateway/engine_speed_test.cpp
@@ -309,7 +309,7 @@
         std::vector<placement_candidate> all = candidates(32);
         for (std::size_t i = 16; i < 32; ++i)
             all[i].load.speedFactor = 4;
-        const auto isSlow = [&all](const placement &place) {
+        const auto isSlow = [](const placement &place) {
             return std::stoul(place.serving->id.text) >= 16;
         };
         // All are equally expensive: the slow ones are idle, the fast ones have work.
