--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sys/prctl.h>
 
 namespace standin {
 
@@ -17,6 +18,7 @@
     int events = 17; ///< Events of a stream.
     int gapMs = 100; ///< Time before each of them.
     int plainMs = 0; ///< Answers in one piece after this time; 0: with a stream.
+    bool forks = false; ///< A process for each channel; all end with the one that listens.
     int unframedEvery = 0; ///< Each nth answer has no length and ends with its channel; 0: none.
 };
 
@@ -45,12 +47,45 @@
         const int listener = listenOn(options.at);
         if (listener < 0)
             std::_Exit(2);
+        if (options.forks)
+            serveWithProcesses(listener);
         serveForever(listener, [this](int fd) { serve(fd); });
         while (true)
             sleepMs(1000);
     }
 
 private:
+    [[noreturn]] void serveWithProcesses(int listener)
+    {
+        signal(SIGCHLD, SIG_IGN);
+        const pid_t parent = getpid();
+        while (true) {
+            const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0)
+                continue;
+            if (fork() == 0) {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                if (getppid() != parent)
+                    std::_Exit(0);
+                close(listener);
+                const int on = 1;
+                setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+                serve(fd);
+                std::_Exit(0);
+            }
+            close(fd);
+        }
+    }
+
+    /// By the attempt's number where processes can't count together.
+    bool isUnframed(const std::string &attempt)
+    {
+        if (options.unframedEvery == 0)
+            return false;
+        const int number = options.forks ? std::atoi(attempt.c_str() + 1) : ++answers;
+        return number % options.unframedEvery == 0;
+    }
+
     void note(const std::string &text)
     {
         const std::lock_guard lock(guard);
@@ -96,8 +131,7 @@
     /// @returns Whether the channel can be used again.
     bool stream(int fd, const message &request, const std::string &attempt)
     {
-        const int count = ++answers;
-        const bool isUnframed = options.unframedEvery > 0 && count % options.unframedEvery == 0;
+        const bool isUnframed = this->isUnframed(attempt);
         const int from = std::atoi(request.headers.of("Last-Event-Id").c_str()) + 1;
         note("BEGIN " + attempt + (isUnframed ? " unframed" : " chunked") + " from "
              + std::to_string(from));
@@ -145,6 +179,8 @@
             options.events = std::atoi(value.c_str());
         else if (key == "--gap")
             options.gapMs = std::atoi(value.c_str());
+        else if (key == "--forks")
+            options.forks = value == "yes";
         else if (key == "--plain")
             options.plainMs = std::atoi(value.c_str());
         else if (key == "--unframed-every")
