--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -90,8 +90,8 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (getppid() != parent)
                 std::_Exit(2);
-            const int out = open((dir + "/" + name + ".log").c_str(),
-                                 O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out =
+                    open((dir + "/" + name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
             std::vector<char *> words;
@@ -189,7 +189,10 @@
         return got.status == 200 && body.is_object() ? body["addresses"].size() : 0;
     }
 
-    std::string runnerHost(int index) const { return "127." + net + "." + std::to_string(100 + index); }
+    std::string runnerHost(int index) const
+    {
+        return "127." + net + "." + std::to_string(100 + index);
+    }
 
     std::string dir;
     address storeAddress;
@@ -202,8 +205,8 @@
     {
         std::srand(static_cast<unsigned>(getpid()) ^ static_cast<unsigned>(wallMs()));
         while (true) {
-            const std::string net =
-                    std::to_string(20 + std::rand() % 200) + "." + std::to_string(std::rand() % 250);
+            const std::string net = std::to_string(20 + std::rand() % 200) + "."
+                    + std::to_string(std::rand() % 250);
             const int fd = listenOn({"127." + net + ".1", 8142});
             if (fd < 0)
                 continue;
@@ -219,13 +222,12 @@
 };
 
 inline json routeOf(const std::string &name, const std::string &host, const std::string &prefix,
-                    const std::string &service, const std::string &kind, int timeoutMs, int attempts)
+                    const std::string &service, const std::string &kind, int timeoutMs,
+                    int attempts)
 {
-    return {{"name", name},           {"host", host},
-            {"pathPrefix", prefix},   {"service", service},
-            {"kind", kind},           {"timeoutMs", timeoutMs},
-            {"targetLatencyMs", 500}, {"priority", 1},
-            {"attempts", attempts}};
+    return {{"name", name},           {"host", host},  {"pathPrefix", prefix},
+            {"service", service},     {"kind", kind},  {"timeoutMs", timeoutMs},
+            {"targetLatencyMs", 500}, {"priority", 1}, {"attempts", attempts}};
 }
 
 inline json configOf(std::uint64_t version, const json &routes, const json &services)
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -31,8 +31,7 @@
 
 inline std::int64_t nowMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-                   steady::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady::now().time_since_epoch())
             .count();
 }
 
@@ -209,7 +208,8 @@
         if (readSome(fd, buffer, untilMs) != read_end::Bytes)
             return std::nullopt;
     }
-    const std::size_t length = std::strtoul(head->headers.of("Content-Length").c_str(), nullptr, 10);
+    const std::size_t length =
+            std::strtoul(head->headers.of("Content-Length").c_str(), nullptr, 10);
     while (buffer.size() < length) {
         if (readSome(fd, buffer, untilMs) != read_end::Bytes)
             return std::nullopt;
@@ -253,7 +253,7 @@
 {
     reply got;
     const auto endOf = [](read_end end) {
-        return end == read_end::Closed ? reply::ending::Cut
+        return end == read_end::Closed   ? reply::ending::Cut
                 : end == read_end::Reset ? reply::ending::Reset
                                          : reply::ending::TimedOut;
     };
@@ -297,7 +297,7 @@
         if (!isChunked)
             got.body = buffer;
         got.end = end == read_end::Closed && !isChunked && !hasLength ? reply::ending::Whole
-                                                                       : endOf(end);
+                                                                      : endOf(end);
         return got;
     }
 }
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -39,7 +39,8 @@
 class runner
 {
 public:
-    explicit runner(runner_options given) : options(std::move(given)), log(options.log, std::ios::app)
+    explicit runner(runner_options given)
+        : options(std::move(given)), log(options.log, std::ios::app)
     { }
 
     [[noreturn]] void run()
@@ -102,8 +103,9 @@
             const std::string attempt = request->headers.of("X-Attempt-Id");
             const std::string expected = request->headers.of("X-Expect-Instance");
             if (!expected.empty() && expected != options.id) {
-                sendAll(fd, replyText(421, "{}", "X-Not-Executed: 1\r\nX-Instance-Id: " + options.id
-                                              + "\r\n"));
+                sendAll(fd,
+                        replyText(421, "{}",
+                                  "X-Not-Executed: 1\r\nX-Instance-Id: " + options.id + "\r\n"));
                 continue;
             }
             if (request->target().rfind("/api/", 0) == 0) {
@@ -121,9 +123,10 @@
     {
         note("BEGIN " + attempt + " body_bytes=" + std::to_string(request.body.size()));
         sleepMs(options.plainMs);
-        const bool isSent = sendAll(fd, replyText(200, "{\"ran\":\"" + attempt + "\"}",
-                                                  "X-Attempt-Id: " + attempt
-                                                          + "\r\nX-Server-Seal: s.1\r\n"));
+        const bool isSent =
+                sendAll(fd,
+                        replyText(200, "{\"ran\":\"" + attempt + "\"}",
+                                  "X-Attempt-Id: " + attempt + "\r\nX-Server-Seal: s.1\r\n"));
         note((isSent ? "END " : "GONE ") + attempt);
         return isSent;
     }
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -119,8 +119,7 @@
         one.revision = ++revision;
         if (!isGone)
             kinds[kind][name].revision = revision;
-        history.push_back(
-                {kind, revision, {{"object", render(name, one)}, {"removed", isGone}}});
+        history.push_back({kind, revision, {{"object", render(name, one)}, {"removed", isGone}}});
         changed.notify_all();
         return revision;
     }
@@ -196,8 +195,8 @@
                 }
                 return events;
             };
-            const auto wait = std::chrono::milliseconds(
-                    std::atoi(valueOf(query, "waitMs").c_str()));
+            const auto wait =
+                    std::chrono::milliseconds(std::atoi(valueOf(query, "waitMs").c_str()));
             changed.wait_for(lock, wait, [&] { return era != askedEra || !eventsOf().empty(); });
             if (era != askedEra)
                 return {410, json::object()};
@@ -221,8 +220,8 @@
         return {200, render(name, found->second)};
     }
 
-    std::pair<int, json> write(const std::string &method, const std::string &kind,
-                               std::string name, const json &body)
+    std::pair<int, json> write(const std::string &method, const std::string &kind, std::string name,
+                               const json &body)
     {
         const std::lock_guard lock(guard);
         const json metadata = body.value("metadata", json::object());
