--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -18,6 +18,7 @@
     int events = 17; ///< Events of a stream.
     int gapMs = 100; ///< Time before each of them.
     int plainMs = 0; ///< Answers in one piece after this time; 0: with a stream.
+    std::string leaving; ///< While this file is there, answers say that the runner leaves.
     bool forks = false; ///< A process for each channel; all end with the one that listens.
     int unframedEvery = 0; ///< Each nth answer has no length and ends with its channel; 0: none.
 };
@@ -138,8 +139,12 @@
         const int from = std::atoi(request.headers.of("Last-Event-Id").c_str()) + 1;
         note("BEGIN " + attempt + (isUnframed ? " unframed" : " chunked") + " from "
              + std::to_string(from));
+        const bool isLeaving =
+                !options.leaving.empty() && access(options.leaving.c_str(), F_OK) == 0;
         std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: "
                 + attempt + "\r\nX-Server-Seal: s." + std::to_string(options.events) + "\r\n";
+        if (isLeaving)
+            head += "Server-Leaving: 1\r\n";
         head += isUnframed ? "Connection: close\r\n\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
         bool isOpen = sendAll(fd, head);
         for (int i = from; isOpen && i <= options.events; ++i) {
@@ -184,6 +189,8 @@
             options.gapMs = std::atoi(value.c_str());
         else if (key == "--forks")
             options.forks = value == "yes";
+        else if (key == "--leaving")
+            options.leaving = value;
         else if (key == "--plain")
             options.plainMs = std::atoi(value.c_str());
         else if (key == "--unframed-every")
