--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,90 +1,101 @@
-// A runner leaves as planned: it says so in the store and in its answers, serves on, and exits. One
-// of the answers that its exit cuts off has no length. Does a requester get the beginning of the
-// answer as if it were all of it?
+// More requesters than usual send large requests, each over a channel that it keeps. Does a gateway
+// stay within the memory that it has?
 //
 //   case5 RECORD   (in the repository's root)
-//
-// With SAYS=0 only the store says that the runner leaves.
 
 #include "../standin/fleet.h"
 #include "../standin/runner.h"
 
-#include <sstream>
-
 using namespace standin;
 
 namespace {
 
-constexpr int events = 17; // of a notice-draft
-constexpr int gapMs = 330; // below the pause of 400 ms that the sheet allows
-constexpr int runners = 8; // one that leaves is a share of 0.125
-constexpr int unframedEvery = 20; // 0.05 of the answers
-constexpr int requestsPerSecond = 28; // of notice-draft
-constexpr int limitMs = 6000;
-constexpr int drainMs = 2000;
-constexpr int lingerMs = 1500; // linger_ms of the site file
-constexpr int warmUpMs = 4000;
-constexpr int leaves = 3; // one after the other
-constexpr int pauseMs = 3000;
-constexpr int saidEarlierMs = 700; // its answers say so before the store knows
-constexpr int loadMs = 30000;
+constexpr int usualRequesters = 40; // 10 in each of four zones
+constexpr double burst = 1.7;
+constexpr int maxBodyBytes = 4'194'304; // that of the example manifest
+constexpr int bodyBytes = 4'000'000;
+constexpr int requestGapMs = 60; // one request at a time to each gateway
+constexpr int roundMs = 9000; // a channel is idle for less than 0.8 of idleTimeoutMs
+constexpr int idleTimeoutMs = 15000;
+constexpr std::int64_t memoryBytes = std::int64_t{260} * 1024 * 1024;
+constexpr int restartMs = 500;
+constexpr int loadMs = 60'000;
+constexpr int timeoutMs = 3000;
 
-struct counts
+struct machine
 {
-    std::atomic<int> sent{0}, whole{0}, broken{0}, refused{0}, falselyWhole{0};
+    fleet::gateway gateway;
+    std::atomic<bool> isOpen{true}; ///< Its directory entry leads requesters there.
+    std::int64_t highestBytes = 0;
+    int ends = 0;
+    std::atomic<int> sent{0}, served{0}, lost{0}, refused{0};
 };
 
-/// Whether an unframed answer has just begun at the runner.
-bool hasUnframedBegun(const std::string &log)
+std::int64_t residentBytes(pid_t pid)
 {
-    std::ifstream in(log);
-    std::string line;
-    std::set<std::string> young;
-    while (std::getline(in, line)) {
-        std::istringstream words(line);
-        std::string at, kind, attempt, more;
-        words >> at >> kind >> attempt >> more;
-        if (kind == "BEGIN" && more == "unframed")
-            young.insert(attempt);
-        else if (kind == "EVENT" && words.str().ends_with(" 3"))
-            young.erase(attempt);
-    }
-    return !young.empty();
+    std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
+    std::int64_t all = 0, resident = 0;
+    in >> all >> resident;
+    return resident * sysconf(_SC_PAGESIZE);
 }
 
-struct life
+/// Sends the first request of a process, a small one, over a channel of its own.
+bool sendFirst(const fleet &all, const fleet::gateway &one)
 {
-    std::string id;
-    pid_t pid = -1;
-    std::string log;
-    std::string leaving;
-};
+    if (!all.waitUntilReady(one))
+        return false;
+    const reply got = ask(one.front(),
+                          "GET /orders/2f HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: first-"
+                                  + std::to_string(nowMs()) + "\r\n\r\n",
+                          timeoutMs);
+    return got.status == 200;
+}
 
-void request(const address &front, const std::string &attempt, counts &seen, record_file &record)
+/// One after the other, each requester sends a request over its channel, and keeps the channel.
+void load(machine &one, int requesters, std::int64_t end, record_file &record)
 {
-    const reply got =
-            ask(front,
-                "POST /notice/2f HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: " + attempt
-                        + "\r\nX-Deadline-Ms: " + std::to_string(limitMs) + "\r\nContent-Length: "
-                        + std::to_string(attempt.size()) + "\r\n\r\n" + attempt,
-                limitMs + 500);
-    const std::string all = streamText(attempt, 1, events);
-    const bool isRight = got.body == all;
-    const bool isComplete = got.status == 200 && got.end == reply::ending::Whole;
-    if (isComplete && isRight)
-        ++seen.whole;
-    else if (got.status == 503)
-        ++seen.refused;
-    else if (!isComplete)
-        ++seen.broken;
-    else
-        ++seen.falselyWhole;
-    record.line("answer " + attempt + " status=" + std::to_string(got.status)
-                + " end=" + nameOf(got.end) + " bytes=" + std::to_string(got.body.size()) + " of "
-                + std::to_string(all.size()) + " took_ms=" + std::to_string(got.tookMs)
-                + (isComplete && !isRight
-                           ? "  ** COMPLETE IN ITS FRAMING, BUT NOT THE WHOLE STREAM **"
-                           : ""));
+    std::vector<int> channels(static_cast<std::size_t>(requesters), -1);
+    std::vector<std::string> buffers(channels.size());
+    const std::string body(bodyBytes, 'x');
+    int number = 0;
+    while (nowMs() < end) {
+        const std::int64_t roundEnd = nowMs() + roundMs;
+        for (std::size_t i = 0; i < channels.size() && nowMs() < end; ++i) {
+            while (!one.isOpen && nowMs() < end)
+                sleepMs(10);
+            const std::int64_t next = nowMs() + requestGapMs;
+            const std::string attempt = one.gateway.name + "-" + std::to_string(number++);
+            int &fd = channels[i];
+            if (fd < 0)
+                fd = connectTo(one.gateway.front());
+            reply got;
+            ++one.sent;
+            if (fd >= 0) {
+                const bool isSent =
+                        sendAll(fd,
+                                "POST /orders/2f HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: "
+                                        + attempt + "\r\nX-Deadline-Ms: "
+                                        + std::to_string(timeoutMs) + "\r\nContent-Length: "
+                                        + std::to_string(body.size()) + "\r\n\r\n" + body);
+                if (isSent)
+                    got = readReply(fd, buffers[i], nowMs() + timeoutMs);
+                if (got.end != reply::ending::Whole) {
+                    close(fd);
+                    fd = -1;
+                    buffers[i].clear();
+                }
+            }
+            const bool isServed = got.status == 200 && got.end == reply::ending::Whole;
+            ++(isServed ? one.served : got.status == 503 ? one.refused : one.lost);
+            if (!isServed)
+                record.line("request " + attempt + " -> status=" + std::to_string(got.status)
+                            + " end=" + nameOf(got.end));
+            sleepMs(next - nowMs());
+        }
+        sleepMs(roundEnd - nowMs());
+    }
+    for (const int fd : channels)
+        close(fd);
 }
 
 } // namespace
@@ -96,114 +107,74 @@
     record_file record(argc > 1 ? argv[1] : "record.txt");
     fleet all(record);
     store platform(all.storeAddress);
-    json route =
-            routeOf("notice-draft", "desk.example", "/notice/", "drafts", "streaming", limitMs, 2);
-    route["resumable"] = true;
-    platform.put("config", "main",
-                 configOf(7, json::array({route}), json::array({{{"name", "drafts"}}})));
-    const std::vector<std::string> zones{"colombo-a", "colombo-b", "gampaha", "kalutara"};
-    std::vector<life> lives(runners);
-    const auto start = [&](int i, int number) {
-        life &one = lives[static_cast<std::size_t>(i)];
-        one.id = "i-" + std::to_string(number);
-        const address at{all.runnerHost(number), 8080};
-        one.log = all.dir + "/" + one.id + ".run";
-        one.leaving = all.dir + "/" + one.id + ".leaves";
-        std::vector<std::string> command{"/proc/self/exe", "runner",
-                                         "--id",           one.id,
-                                         "--at",           at.text(),
-                                         "--log",          one.log,
-                                         "--events",       std::to_string(events),
-                                         "--gap",          std::to_string(gapMs),
-                                         "--forks",        "yes",
-                                         "--leaving",      one.leaving};
-        // Half of the runners (share 0.5) leave out the length of 0.05 of their answers.
-        if (i % 2 == 0) {
-            command.push_back("--unframed-every");
-            command.push_back(std::to_string(unframedEvery));
-        }
-        one.pid = all.spawn(one.id, command);
-        platform.put("servers", one.id, entryOf("drafts", at, zones[i % 4], 128, wallMs()));
-    };
-    for (int i = 0; i < runners; ++i)
-        start(i, i);
-    std::vector<fleet::gateway> gateways;
-    for (const char *zone :
-         {"colombo-a", "colombo-a", "colombo-b", "colombo-b", "gampaha", "kalutara"}) {
-        gateways.push_back(all.makeGateway(
-                "edge-" + std::string(zone) + "-" + std::to_string(gateways.size() % 2 + 1), zone));
-        all.start(gateways.back());
+    json manifest = configOf(7,
+                             json::array({routeOf("orders", "desk.example", "/orders/", "desk",
+                                                  "non_idempotent", timeoutMs, 1)}),
+                             json::array({{{"name", "desk"}}}));
+    manifest["limits"]["maxBodyBytes"] = maxBodyBytes;
+    manifest["limits"]["idleTimeoutMs"] = idleTimeoutMs;
+    platform.put("config", "main", manifest);
+    for (int i = 0; i < 2; ++i) {
+        const std::string id = "i-" + std::to_string(i);
+        const address at{all.runnerHost(i), 8080};
+        all.spawn(id,
+                  {"/proc/self/exe", "runner", "--id", id, "--at", at.text(), "--log",
+                   all.dir + "/" + id + ".run", "--plain", "15"});
+        platform.put("servers", id, entryOf("desk", at, "colombo-a", 128, wallMs()));
     }
-    for (const fleet::gateway &one : gateways) {
-        if (!all.waitUntilReady(one))
+    machine machines[2];
+    int index = 0;
+    for (machine &one : machines) {
+        const std::string zone = index++ == 0 ? "colombo-a" : "colombo-b";
+        one.gateway = all.makeGateway("edge-" + zone + "-1", zone);
+        all.start(one.gateway);
+    }
+    for (machine &one : machines) {
+        if (!sendFirst(all, one.gateway))
             all.finish(2);
     }
-    sleepMs(5000); // they have to know each other
-    record.line("trouble: " + std::string(isTroubled() ? "yes" : "no"));
-    counts seen;
-    std::vector<std::thread> requesters;
-    std::atomic<bool> isLoading{true};
-    std::thread load([&] {
-        for (int i = 0; isLoading; ++i) {
-            const std::string attempt = "a" + std::to_string(1000 + i);
-            ++seen.sent;
-            record.line("request " + attempt);
-            requesters.emplace_back(
-                    [&, attempt] { request(gateways[0].front(), attempt, seen, record); });
-            sleepMs(1000 / requestsPerSecond);
-        }
-    });
-    sleepMs(warmUpMs);
-    const char *says = std::getenv("SAYS");
-    const bool isSaid = says == nullptr || std::string(says) != "0";
+    const int requesters =
+            isTroubled() ? static_cast<int>(usualRequesters * burst) : usualRequesters;
+    record.line("requesters of each machine: " + std::to_string(requesters) + ", memoryMb 260");
     const std::int64_t end = nowMs() + loadMs;
-    int left = 0;
+    std::vector<std::thread> threads;
+    for (machine &one : machines)
+        threads.emplace_back(
+                [&one, requesters, end, &record] { load(one, requesters, end, record); });
+    // The platform ends a process that exceeds its memory, and starts it again.
     while (nowMs() < end) {
-        sleepMs(10);
-        for (int i = 0; i < runners && isTroubled() && left < leaves; i += 2) {
-            life &one = lives[static_cast<std::size_t>(i)];
-            if (!hasUnframedBegun(one.log))
+        sleepMs(50);
+        for (machine &one : machines) {
+            const std::int64_t bytes = residentBytes(one.gateway.pid);
+            one.highestBytes = std::max(one.highestBytes, bytes);
+            const bool isOver = bytes > memoryBytes;
+            const bool hasEnded = !isOver && all.hasEnded(one.gateway.pid);
+            if (!isOver && !hasEnded)
                 continue;
-            // The new one starts first, the old one drains (a release, one at a time).
-            const life old = one;
-            if (isSaid)
-                std::ofstream(old.leaving) << "leaves\n";
-            json entry = *platform.specOf("servers", old.id);
-            start(i, runners + left++);
-            sleepMs(saidEarlierMs);
-            entry["state"] = "draining";
-            entry["seq"] = 2;
-            platform.put("servers", old.id, entry);
-            record.line(old.id + " is draining, acknowledged"
-                        + (isSaid ? "; its answers say Server-Leaving: 1" : ""));
-            sleepMs(drainMs + lingerMs);
-            all.end(old.pid);
-            record.line(old.id + " exits, " + std::to_string(drainMs + lingerMs)
-                        + " ms after the ack");
-            platform.remove("servers", old.id);
-            sleepMs(pauseMs);
+            ++one.ends;
+            record.line(one.gateway.name
+                        + (isOver ? " exceeds memoryMb with " : " ended by itself, had ")
+                        + std::to_string(bytes / 1024) + " KB of resident memory after "
+                        + std::to_string(one.sent) + " requests: ended, started again");
+            one.isOpen = false;
+            if (isOver)
+                all.end(one.gateway.pid);
+            sleepMs(restartMs);
+            all.start(one.gateway);
+            sendFirst(all, one.gateway);
+            one.isOpen = true;
         }
     }
-    isLoading = false;
-    load.join();
-    for (std::thread &one : requesters)
+    for (std::thread &one : threads)
         one.join();
-    record.line("sent=" + std::to_string(seen.sent) + " whole=" + std::to_string(seen.whole)
-                + " broken=" + std::to_string(seen.broken)
-                + " refused=" + std::to_string(seen.refused)
-                + " falsely_whole=" + std::to_string(seen.falselyWhole));
-    for (const auto &file : std::filesystem::directory_iterator(all.dir)) {
-        if (file.path().extension() != ".run")
-            continue;
-        std::ifstream in(file.path());
-        record.line("runner log " + file.path().filename().string() + ":");
-        std::string line;
-        while (std::getline(in, line)) {
-            if (line.find(" EVENT ") == std::string::npos)
-                record.line("  " + line);
-        }
+    bool isBroken = true;
+    for (machine &one : machines) {
+        record.line(one.gateway.name + ": sent=" + std::to_string(one.sent) + " served="
+                    + std::to_string(one.served) + " refused=" + std::to_string(one.refused)
+                    + " lost=" + std::to_string(one.lost)
+                    + " highest_resident_kb=" + std::to_string(one.highestBytes / 1024)
+                    + " ends=" + std::to_string(one.ends));
+        isBroken = isBroken && one.ends >= 3;
     }
-    if (isTroubled() && left == 0)
-        all.finish(2);
-    all.finish(seen.falselyWhole > 0 ? 1 : 0);
+    all.finish(isBroken ? 1 : 0);
 }
