Release a connection's buffer after a large request

Callers saw lost answers and refused connections: the process was killed when it exceeded its memory, with all requests that it had, and again after each start. Each connection that had carried a large request made the process larger by the size of that request for as long as it stayed open, also while it was idle.

Cause: the reader received a body into the buffer that it keeps for the next request, copied the body out of it and erased it, which keeps the buffer's capacity. Chunks took the same way.

A body is now received into a string of its own, and no more of it than is left to come; the buffer only holds heads and chunk lines, and a buffer that has grown beyond one receive is trimmed before the wait for the next request. So an idle connection holds 8 KB and what it has received of the next request, whatever it has carried.

--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "base/request_reader.h"
 
+#include <algorithm>
 #include <array>
 #include <poll.h>
 
@@ -7,24 +8,26 @@
 
 namespace {
 
-using read_part = std::variant<std::string, bad_request, connection_ended>;
-
 constexpr std::size_t receiveBytes = 8 * 1024;
 /// Maximum length of the line before a chunk, and of a trailer line, in bytes.
 constexpr std::size_t maxChunkLineBytes = 1024;
+/// Maximum size of the block that is allocated for a body before it arrives, in bytes.
+constexpr std::size_t maxInitialBodyBytes = 64UL * 1024 * 1024;
 
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headEnd = "\r\n\r\n";
 
 /// @returns The failure as the result of reading the request.
-read_outcome failureOf(const read_part &failed)
+template <class Part>
+read_outcome failureOf(const Part &failed)
 {
     if (const auto *bad = std::get_if<bad_request>(&failed))
         return *bad;
     return std::get<connection_ended>(failed);
 }
 
-bool isRead(const read_part &outcome)
+template <class Part>
+bool isRead(const Part &outcome)
 {
     return std::holds_alternative<std::string>(outcome);
 }
@@ -41,17 +44,9 @@
         buffered->add(-static_cast<std::int64_t>(countedBytes));
 }
 
-void request_reader::countBuffer()
-{
-    if (buffered == nullptr || buffer.capacity() == countedBytes)
-        return;
-    buffered->add(static_cast<std::int64_t>(buffer.capacity())
-                  - static_cast<std::int64_t>(countedBytes));
-    countedBytes = buffer.capacity();
-}
-
 read_outcome request_reader::next(milliseconds idleTime)
 {
+    trimBuffer();
     if (buffer.empty() && !waitForFirstByte(idleTime))
         return connection_ended{};
     deadline = socket_clock::now() + limits.readTimeout;
@@ -59,6 +54,24 @@
     return readRequest();
 }
 
+/// A buffer that has grown is not kept while the connection is idle: connections are many, and most
+/// of them are idle.
+void request_reader::trimBuffer()
+{
+    if (buffer.capacity() > receiveBytes && buffer.size() <= receiveBytes)
+        buffer.shrink_to_fit();
+    countBuffer();
+}
+
+void request_reader::countBuffer()
+{
+    if (buffered == nullptr || buffer.capacity() == countedBytes)
+        return;
+    buffered->add(static_cast<std::int64_t>(buffer.capacity())
+                  - static_cast<std::int64_t>(countedBytes));
+    countedBytes = buffer.capacity();
+}
+
 bool request_reader::waitForFirstByte(milliseconds idleTime)
 {
     const socket_deadline end = socket_clock::now() + idleTime;
@@ -92,7 +105,7 @@
     return arrived;
 }
 
-read_part request_reader::readHead()
+request_reader::read_part request_reader::readHead()
 {
     std::size_t searched = 0;
     while (true) {
@@ -113,12 +126,12 @@
         if (buffer.find("\n\n") != std::string::npos)
             return bad_request{400, "lines must end with CR LF"};
         searched = buffer.size() < headEnd.size() ? 0 : buffer.size() - headEnd.size();
-        if (auto failed = fill())
+        if (auto failed = fillBuffer())
             return *failed;
     }
 }
 
-read_part request_reader::readBody(const request_head &head)
+request_reader::read_part request_reader::readBody(const request_head &head)
 {
     if (head.bodyBytes > limits.bodyBytes)
         return bad_request{413, "body too large"};
@@ -128,16 +141,14 @@
     }
     if (head.isChunked)
         return readChunks();
-    while (buffer.size() < head.bodyBytes) {
-        if (auto failed = fill())
-            return *failed;
-    }
-    std::string body = buffer.substr(0, head.bodyBytes);
-    buffer.erase(0, head.bodyBytes);
+    std::string body;
+    body.reserve(std::min(head.bodyBytes, maxInitialBodyBytes));
+    if (auto failed = appendTo(body, head.bodyBytes))
+        return *failed;
     return body;
 }
 
-read_part request_reader::readChunks()
+request_reader::read_part request_reader::readChunks()
 {
     std::string body;
     while (true) {
@@ -148,18 +159,23 @@
         if (!size)
             return bad_request{400, "malformed chunk"};
         if (*size == 0)
-            break;
+            return readTrailers(std::move(body));
         if (*size > limits.bodyBytes - body.size())
             return bad_request{413, "body too large"};
-        while (buffer.size() < lineEnd.size() || buffer.size() - lineEnd.size() < *size) {
-            if (auto failed = fill())
+        if (auto failed = appendTo(body, *size))
+            return *failed;
+        while (buffer.size() < lineEnd.size()) {
+            if (auto failed = fillBuffer())
                 return *failed;
         }
-        if (buffer.compare(*size, lineEnd.size(), lineEnd) != 0)
+        if (!buffer.starts_with(lineEnd))
             return bad_request{400, "malformed chunk"};
-        body.append(buffer, 0, *size);
-        buffer.erase(0, *size + lineEnd.size());
+        buffer.erase(0, lineEnd.size());
     }
+}
+
+request_reader::read_part request_reader::readTrailers(std::string body)
+{
     std::size_t trailerBytes = 0;
     while (true) {
         read_part trailer = readLine();
@@ -173,7 +189,7 @@
     }
 }
 
-read_part request_reader::readLine()
+request_reader::read_part request_reader::readLine()
 {
     while (true) {
         const std::size_t end = buffer.find(lineEnd);
@@ -184,23 +200,44 @@
             buffer.erase(0, end + lineEnd.size());
             return line;
         }
-        if (auto failed = fill())
+        if (auto failed = fillBuffer())
             return *failed;
     }
 }
 
-std::optional<read_part> request_reader::fill()
+std::optional<request_reader::read_part> request_reader::appendTo(std::string &body,
+                                                                 std::size_t bytes)
+{
+    const std::size_t end = body.size() + bytes;
+    const std::size_t ready = std::min(bytes, buffer.size());
+    body.append(buffer, 0, ready);
+    buffer.erase(0, ready);
+    while (body.size() < end) {
+        if (auto failed = fill(body, end - body.size()))
+            return failed;
+    }
+    return std::nullopt;
+}
+
+std::optional<request_reader::read_part> request_reader::fillBuffer()
+{
+    auto failed = fill(buffer, receiveBytes);
+    countBuffer();
+    return failed;
+}
+
+std::optional<request_reader::read_part> request_reader::fill(std::string &to, std::size_t maxBytes)
 {
     std::array<char, receiveBytes> bytes; // NOLINT: filled before it is read
-    const receive_result some = receiveSome(fd, bytes.data(), bytes.size(), deadline, -1);
+    const receive_result some =
+            receiveSome(fd, bytes.data(), std::min(bytes.size(), maxBytes), deadline, -1);
     if (some.fault == socket_fault::TimedOut)
         return bad_request{408, "request not received within the time limit"};
     if (some.isEnd && hasStarted)
         return bad_request{400, "request truncated"};
     if (some.fault != socket_fault::None)
         return connection_ended{};
-    buffer.append(bytes.data(), some.bytes);
-    countBuffer();
+    to.append(bytes.data(), some.bytes);
     return std::nullopt;
 }
 
--- a/src/base/request_reader.h
+++ b/src/base/request_reader.h
@@ -4,6 +4,7 @@
 #include "base/socket.h"
 #include "poplarspool/base/metrics.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -24,7 +25,8 @@
 
 using read_outcome = std::variant<arrived_request, bad_request, connection_ended>;
 
-/// Reads the requests of one connection one after the other, with limits on size and time.
+/// Reads the requests of one connection one after the other, with limits on size and time. Between
+/// two requests it holds no more memory than the bytes of the next one that it has received.
 class request_reader
 {
 public:
@@ -40,15 +42,23 @@
     read_outcome next(milliseconds idleTime);
 
 private:
+    using read_part = std::variant<std::string, bad_request, connection_ended>;
+
     bool waitForFirstByte(milliseconds idleTime);
     read_outcome readRequest();
-    std::variant<std::string, bad_request, connection_ended> readHead();
-    std::variant<std::string, bad_request, connection_ended> readBody(const request_head &head);
-    std::variant<std::string, bad_request, connection_ended> readChunks();
-    std::variant<std::string, bad_request, connection_ended> readLine();
-    /// Receives more bytes.
+    read_part readHead();
+    read_part readBody(const request_head &head);
+    read_part readChunks();
+    read_part readTrailers(std::string body);
+    read_part readLine();
+    /// Moves `bytes` to the end of `body`: those that are buffered, then those that arrive.
+    /// @returns The failure; none on success.
+    std::optional<read_part> appendTo(std::string &body, std::size_t bytes);
+    /// Receives at most `maxBytes` more bytes.
     /// @returns The failure; none on success.
-    std::optional<std::variant<std::string, bad_request, connection_ended>> fill();
+    std::optional<read_part> fill(std::string &to, std::size_t maxBytes);
+    std::optional<read_part> fillBuffer();
+    void trimBuffer();
     void countBuffer();
 
     const int fd;
