Return large freed blocks to the system

The allocator maps a block of 128 KB or more by itself at first, and returns it when it is freed. But with each such block that is freed it raises that size, up to 32 MB: later bodies are cut from its arenas, and what is freed between smaller blocks that are in use stays resident. After a burst of large requests the process keeps their memory, although none is at work.

The size is now fixed at 128 KB. Blocks below it stay in the arenas as before.

Evidence: with 16 bodies of 4 MB in two rounds and small blocks between them, more than 4 MB stayed retained (freedBodiesAreReturnedToTheSystem failed without the line, and passes with it).

--- a/include/poplarspool/base/limits.h
+++ b/include/poplarspool/base/limits.h
@@ -15,6 +15,11 @@
 inline constexpr std::size_t maxHeaderBytes = 16 * 1024;
 /// Maximum size of one request's body, in bytes.
 inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
+/// Size from which a block of memory is mapped by itself, in bytes, and returned when it is freed.
+inline constexpr int mappedBlockBytes = 128 * 1024;
+/// Number of the allocator's arenas. Each retains what its threads have freed, and with one thread
+/// per connection there would be many.
+inline constexpr int mallocArenas = 2;
 /// Maximum nesting depth of JSON received from outside. JSON values are copied and destroyed
 /// recursively, on thread stacks of connectionStackBytes.
 inline constexpr std::size_t maxJsonDepth = 64;
--- a/include/poplarspool/base/process_memory.h
+++ b/include/poplarspool/base/process_memory.h
@@ -18,6 +18,11 @@
 
 process_memory currentProcessMemory();
 
+/// Makes the allocator return large blocks to the system as soon as they are freed. By default it
+/// stops doing so after the first ones: it then keeps them, and between smaller blocks their memory
+/// is never returned.
+void limitRetainedMemory();
+
 /// Metrics of the process's memory.
 class process_memory_gauges
 {
--- a/src/base/process_memory.cpp
+++ b/src/base/process_memory.cpp
@@ -1,5 +1,7 @@
 #include "poplarspool/base/process_memory.h"
 
+#include "poplarspool/base/limits.h"
+
 #include <fstream>
 #include <malloc.h>
 #include <unistd.h>
@@ -27,6 +29,12 @@
             static_cast<std::int64_t>(info.fordblks)};
 }
 
+void limitRetainedMemory()
+{
+    mallopt(M_ARENA_MAX, config::mallocArenas);
+    mallopt(M_MMAP_THRESHOLD, config::mappedBlockBytes);
+}
+
 process_memory_gauges::process_memory_gauges(metrics_registry &metrics)
     : resident(metrics.gaugeOf("poplarspool_memory_resident_bytes")),
       allocated(metrics.gaugeOf("poplarspool_memory_allocated_bytes")),
