Apply new limits to open connections, and before the first request

Callers saw 413 for requests that the configuration in force allows: a version that raises maxBodyBytes did not count on connections that were open before, for up to 10,000 requests each, and a process that had not passed on a request yet applied its defaults instead of the configuration. No caller repeats a request after 413.

Cause: the limits were read once for each connection, and set only while a request was being forwarded.

The limits are now read at the first byte of each request, and set when a configuration is published. Removing the records of unlisted runners stays with the first request after that.

Evidence: openConnectionsGetNewLimits failed before and passes now.

--- a/include/poplarspool/base/http.h
+++ b/include/poplarspool/base/http.h
@@ -94,7 +94,8 @@
     /// Binds the address and starts to accept connections.
     /// @returns The address it listens on.
     result<endpoint> start();
-    /// Sets the limits of later connections, except for the maximum number of connections.
+    /// Sets the limits of later requests, on open connections too. The maximum number of connections
+    /// stays.
     void setLimits(const http_limits &limits);
     /// Updates the metrics of the kernel's queues.
     void updateQueueMetrics();
--- a/include/poplarspool/gateway/catalogue_updater.h
+++ b/include/poplarspool/gateway/catalogue_updater.h
@@ -42,8 +42,11 @@
     /// recovered.
     /// @param isLeaving Whether the runner has said itself that it leaves: it counts as draining,
     /// whatever the store says.
+    /// @param onTable Called with each table that is published, on the thread that watches the
+    /// routes.
     catalogue_updater(catalogue_publisher &publisher, milliseconds settleTime, clock_source clock,
-                      journal &events, std::function<bool(const runner &)> isLeaving = {});
+                      journal &events, std::function<bool(const runner &)> isLeaving = {},
+                      std::function<void(const route_table &)> onTable = {});
 
     // To be called from the thread that watches the routes.
 
@@ -106,6 +109,7 @@
     const clock_source clock;
     journal &events;
     const std::function<bool(const runner &)> isLeaving;
+    const std::function<void(const route_table &)> onTable;
     mono_time failingSince{}; ///< First failure since the last answer; 0 if none.
     mono_time lastFailureSentAt{}; ///< When the last failed call was sent.
     mono_time recoveredAt{}; ///< When the store last recovered.
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -77,7 +77,7 @@
     void rejectRequest(descriptor &connection, milliseconds writeTime, const bad_request &bad);
 
     const endpoint bind;
-    std::atomic<std::shared_ptr<const http_limits>> limits;
+    replaceable_http_limits limits;
     const http_handler handler;
     gauge &connections;
     counter &refused;
@@ -151,14 +151,14 @@
 
 void http_server::state::serve(descriptor &connection)
 {
-    const auto bounds = limits.load();
-    request_reader reader(connection.get(), *bounds, stopping.descriptorNumber(), &bufferedBytes);
-    milliseconds idleTime = bounds->readTimeout;
+    request_reader reader(connection.get(), limits, stopping.descriptorNumber(), &bufferedBytes);
+    milliseconds idleTime = limits.load()->readTimeout;
     std::size_t served = 0;
     while (true) {
         const read_outcome outcome = reader.next(idleTime);
         if (std::holds_alternative<connection_ended>(outcome))
             return;
+        const auto bounds = limits.load();
         if (const auto *bad = std::get_if<bad_request>(&outcome))
             return rejectRequest(connection, bounds->writeTimeout, *bad);
         const auto &arrived = std::get<arrived_request>(outcome);
--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -34,8 +34,9 @@
 
 } // namespace
 
-request_reader::request_reader(int fd, const http_limits &limits, int stopFd, gauge *buffered)
-    : fd(fd), limits(limits), stopFd(stopFd), buffered(buffered)
+request_reader::request_reader(int fd, const replaceable_http_limits &limits, int stopFd,
+                               gauge *buffered)
+    : fd(fd), currentLimits(limits), stopFd(stopFd), buffered(buffered), limits(limits.load())
 { }
 
 request_reader::~request_reader()
@@ -49,7 +50,8 @@
     trimBuffer();
     if (buffer.empty() && !waitForFirstByte(idleTime))
         return connection_ended{};
-    deadline = socket_clock::now() + limits.readTimeout;
+    limits = currentLimits.load();
+    deadline = socket_clock::now() + limits->readTimeout;
     hasStarted = false;
     return readRequest();
 }
@@ -114,7 +116,7 @@
         hasStarted = !buffer.empty();
         const std::size_t end = buffer.find(headEnd, searched);
         const std::size_t bytes = end == std::string::npos ? buffer.size() : end + headEnd.size();
-        if (bytes > limits.headerBytes)
+        if (bytes > limits->headerBytes)
             return bad_request{431, "headers too large"};
         if (end != std::string::npos) {
             std::string head = buffer.substr(0, bytes);
@@ -133,10 +135,10 @@
 
 request_reader::read_part request_reader::readBody(const request_head &head)
 {
-    if (head.bodyBytes > limits.bodyBytes)
+    if (head.bodyBytes > limits->bodyBytes)
         return bad_request{413, "body too large"};
     if (head.expectsContinue && buffer.empty()) {
-        const socket_deadline end = socket_clock::now() + limits.writeTimeout;
+        const socket_deadline end = socket_clock::now() + limits->writeTimeout;
         sendAll(fd, "HTTP/1.1 100 Continue\r\n\r\n", end, -1);
     }
     if (head.isChunked)
@@ -160,7 +162,7 @@
             return bad_request{400, "malformed chunk"};
         if (*size == 0)
             return readTrailers(std::move(body));
-        if (*size > limits.bodyBytes - body.size())
+        if (*size > limits->bodyBytes - body.size())
             return bad_request{413, "body too large"};
         if (auto failed = appendTo(body, *size))
             return *failed;
@@ -184,7 +186,7 @@
         if (std::get<std::string>(trailer).empty())
             return body;
         trailerBytes += std::get<std::string>(trailer).size();
-        if (trailerBytes > limits.headerBytes)
+        if (trailerBytes > limits->headerBytes)
             return bad_request{431, "trailers too large"};
     }
 }
--- a/src/base/request_reader.h
+++ b/src/base/request_reader.h
@@ -4,7 +4,8 @@
 #include "base/socket.h"
 #include "poplarspool/base/metrics.h"
 
-#include <optional>
+#include <atomic>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -25,15 +26,20 @@
 
 using read_outcome = std::variant<arrived_request, bad_request, connection_ended>;
 
+/// Limits that may be replaced while connections are open.
+using replaceable_http_limits = std::atomic<std::shared_ptr<const http_limits>>;
+
 /// Reads the requests of one connection one after the other, with limits on size and time. Between
 /// two requests it holds no more memory than the bytes of the next one that it has received.
 class request_reader
 {
 public:
+    /// @param limits Each request is read with the limits at its first byte.
     /// @param stopFd Becomes readable when the server stops. Interrupts only the wait between
     ///               requests.
     /// @param buffered Counts the bytes that readers hold between requests; may be null.
-    request_reader(int fd, const http_limits &limits, int stopFd, gauge *buffered = nullptr);
+    request_reader(int fd, const replaceable_http_limits &limits, int stopFd,
+                   gauge *buffered = nullptr);
     ~request_reader();
     request_reader(const request_reader &) = delete;
     request_reader &operator=(const request_reader &) = delete;
@@ -62,9 +68,10 @@
     void countBuffer();
 
     const int fd;
-    const http_limits limits;
+    const replaceable_http_limits &currentLimits;
     const int stopFd;
     gauge *const buffered;
+    std::shared_ptr<const http_limits> limits; ///< Of the current request.
     std::string buffer; ///< Bytes received and not yet consumed; may contain later requests.
     std::size_t countedBytes = 0; ///< Capacity of the buffer that the metric includes.
     bool hasStarted = false; ///< Whether a byte of the current request has arrived.
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -10,9 +10,10 @@
 
 catalogue_updater::catalogue_updater(catalogue_publisher &publisher, milliseconds settleTime,
                                      clock_source clock, journal &events,
-                                     std::function<bool(const runner &)> isLeaving)
+                                     std::function<bool(const runner &)> isLeaving,
+                                     std::function<void(const route_table &)> onTable)
     : publisher(publisher), settleTime(settleTime), clock(std::move(clock)), events(events),
-      isLeaving(std::move(isLeaving))
+      isLeaving(std::move(isLeaving)), onTable(std::move(onTable))
 { }
 
 /// Versions only increase: a delayed answer must not restore routes that have been replaced since.
@@ -36,9 +37,12 @@
         isApplied = true;
         return true;
     });
-    if (isApplied)
-        events.emit("routes_applied",
-                    {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
+    if (!isApplied)
+        return;
+    if (onTable)
+        onTable(*shared);
+    events.emit("routes_applied",
+                {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
 }
 
 std::shared_ptr<const route_table> catalogue_updater::table() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,7 +60,10 @@
         : settings(std::move(given)), names(std::move(dialectNames)), clock(std::move(time)),
           events(eventLog),
           catalogueUpdater(publisher, settings.settleTime, clock, eventLog,
-                           [this](const runner &target) { return isLeavingByItsWord(target); }),
+                           [this](const runner &target) { return isLeavingByItsWord(target); },
+                           [this](const route_table &table) {
+                               callerServer.setLimits(callerLimitsOf(table.callerLimits));
+                           }),
           runnerTable(clock, peer::zoneKey(settings.zone), incarnationOf(clock),
                       settings.learnsEngineSpeeds),
           retries({settings.retryShare, settings.retryExtra}),
@@ -189,7 +192,7 @@
     crashes::quarantine_dependencies quarantineDependencies();
     rate_limiter_dependencies rateLimiterDependencies(metrics_registry &registry);
     std::optional<http_reply> forward(const http_request &request, http_sink &caller);
-    void applyCallerLimits();
+    void removeUnlistedRunners();
     bool hasShares() const;
     peer::load_update collectUpdate(peer::update_recipients recipients);
 
@@ -222,7 +225,7 @@
     withdrawals::withdrawal_exchange withdrawalExchange;
     std::atomic<std::int64_t> leavesAt{INT64_MAX};
     std::atomic<bool> isLeaving{false};
-    std::atomic<std::uint64_t> limitsVersion{0};
+    std::atomic<std::uint64_t> cleanedVersion{0}; ///< Of the last removal of unlisted runners.
     std::atomic<std::size_t> instanceCount{1}; ///< Listed or known by gossip.
     const proxy_context proxyContext;
     peer::gossip members;
@@ -367,19 +370,17 @@
 
 std::optional<http_reply> gateway::state::forward(const http_request &request, http_sink &caller)
 {
-    applyCallerLimits();
+    removeUnlistedRunners();
     return request_proxy(proxyContext, request, caller).run();
 }
 
-/// Applies the callers' limits, which are part of the routes' configuration, once per version of
-/// it, and removes the records of unlisted runners on the same occasion.
-void gateway::state::applyCallerLimits()
+/// Once per version of the configuration.
+void gateway::state::removeUnlistedRunners()
 {
     const auto current = publisher.current();
     if (!current->table
-        || limitsVersion.exchange(current->table->version) == current->table->version)
+        || cleanedVersion.exchange(current->table->version) == current->table->version)
         return;
-    callerServer.setLimits(callerLimitsOf(current->table->callerLimits));
     runnerTable.removeUnlisted(*current->runners);
     rateLimiter.removeUnlisted(*current->runners);
 }
--- a/tests/base/request_memory_test.cpp
+++ b/tests/base/request_memory_test.cpp
@@ -9,6 +9,7 @@
 
 using test::raw_caller;
 using test::testTimeout;
+using namespace std::string_literals;
 
 constexpr std::size_t bodyBytes = 2UL * 1024 * 1024;
 
@@ -66,6 +67,7 @@
     CPPUNIT_TEST_SUITE(request_memory_test);
     CPPUNIT_TEST(idleConnectionsHoldNoBuffersOfLargeBodies);
     CPPUNIT_TEST(idleConnectionsHoldNoBuffersOfLargeChunks);
+    CPPUNIT_TEST(openConnectionsGetNewLimits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +84,19 @@
                            + std::string(bodyBytes, 'x') + "\r\n0\r\n\r\n");
     }
 
+    /// Guards against requests that a new configuration allows, and that are rejected because their
+    /// connection is older.
+    void openConnectionsGetNewLimits()
+    {
+        measuring_server run(4);
+        raw_caller kept(run.at);
+        kept.send(headOf(4) + "body");
+        kept.readTo("\r\n\r\n4");
+        run.server.setLimits(measuring_server::limitsOf(8));
+        kept.send(headOf(8) + "all of it"s.substr(0, 8));
+        CPPUNIT_ASSERT(kept.readTo("\r\n\r\n8").starts_with("HTTP/1.1 200"));
+    }
+
 private:
     static void expectSmallBuffers(const std::string &request)
     {
--- a/tests/fuzz/requests.cpp
+++ b/tests/fuzz/requests.cpp
@@ -19,8 +19,9 @@
             gateway::runnerRequestText(request, {"127.0.0.1", 80}, platformNames, {});
     http_limits limits = defaultHttpLimits();
     limits.headerBytes *= 2;
+    const replaceable_http_limits current(std::make_shared<const http_limits>(limits));
     const descriptor connection = fuzz::socketOf(text);
-    request_reader reader(connection.get(), limits, -1);
+    request_reader reader(connection.get(), current, -1);
     const read_outcome forwarded = reader.next(milliseconds(0));
     const auto *arrived = std::get_if<arrived_request>(&forwarded);
     require(arrived != nullptr, "a forwarded request can't be read");
@@ -39,8 +40,9 @@
     http_limits limits = defaultHttpLimits();
     // Operators configure this limit; both a small and the largest possible value are tried.
     limits.bodyBytes = (fuzz::takeByte(bytes) & 1) != 0 ? SIZE_MAX : 64;
+    const replaceable_http_limits current(std::make_shared<const http_limits>(limits));
     const descriptor connection = fuzz::socketOf(bytes);
-    request_reader reader(connection.get(), limits, -1);
+    request_reader reader(connection.get(), current, -1);
     for (std::size_t count = 0; count < maxRequests; ++count) {
         const read_outcome outcome = reader.next(milliseconds(0));
         const auto *arrived = std::get_if<arrived_request>(&outcome);
--- a/tests/gateway/catalogue_updater_test.cpp
+++ b/tests/gateway/catalogue_updater_test.cpp
@@ -36,8 +36,12 @@
     journal events{{"test"}, clock, 16};
     catalogue_publisher publisher{catalogue{}};
     std::set<runner_id> leaving; ///< Runners that have said that they leave.
+    std::vector<std::uint64_t> published; ///< Versions of the tables that were reported.
     catalogue_updater updater{publisher, settleTime, clock, events,
-                              [this](const runner &target) { return leaving.contains(target.id); }};
+                              [this](const runner &target) { return leaving.contains(target.id); },
+                              [this](const route_table &table) {
+                                  published.push_back(table.version);
+                              }};
 
     /// Simulates an outage of the store.
     /// @param noticedAfter Time from the last failed call to the first answer.
@@ -73,6 +77,7 @@
     CPPUNIT_TEST_SUITE(catalogue_updater_test);
     CPPUNIT_TEST(listedRunnersAreStoredUnderTheirIds);
     CPPUNIT_TEST(olderRouteTableIsIgnored);
+    CPPUNIT_TEST(publishedTableIsReportedAtOnce);
     CPPUNIT_TEST(runnersExpiredDuringOutageGetGracePeriod);
     CPPUNIT_TEST(expiredRunnersThatReturnStay);
     CPPUNIT_TEST(runnersRemovedAfterRecoveryAreDroppedAtOnce);
@@ -117,6 +122,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, test.publisher.current()->table->version);
     }
 
+    /// Guards against limits that come into force only with the first request that is passed on.
+    void publishedTableIsReportedAtOnce()
+    {
+        fixture test;
+        route_table table;
+        for (const std::uint64_t version : {3, 2, 3, 4}) {
+            table.version = version;
+            test.updater.setTable(table);
+        }
+        CPPUNIT_ASSERT(test.published == (std::vector<std::uint64_t>{3, 4}));
+    }
+
     /// During an outage of several seconds the store expires the entries that runners can't renew,
     /// so its first answer lists none. Callers would be refused although all runners are alive.
     void runnersExpiredDuringOutageGetGracePeriod()
