Take no reset for the end of an answer while its request is sent

A server that answers early, with neither a length nor chunks, and resets the connection in the middle of it: the caller got the part that had come as the whole answer. A failed send reports the reset and consumes it; after that the kernel shows the connection as one that was closed in an orderly way.

After a failed send, the end of the connection ends no answer, in the library's client (engines and services of serve, store) and in the gateway's calls to runners. Answers with a length or in chunks are read as before.

--- a/src/base/pooled_call.cpp
+++ b/src/base/pooled_call.cpp
@@ -136,7 +136,7 @@
     const receive_result some = receiveSome(fd, bytes.data(), bytes.size(), call.deadline,
                                             call.stopping.descriptorNumber());
     // After a failed send, the kernel reports a reset as an orderly end.
-    if (some.fault != socket_fault::None && !some.isEnd)
+    if (some.fault != socket_fault::None && !(some.isEnd && call.isRequestSent))
         call.fault = some.fault;
     buffer.append(bytes.data(), some.bytes);
     call.bytesSincePiece += some.bytes;
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -272,7 +272,7 @@
 {
     if (buffer.empty()) {
         const call_fault fault = fill(deadline);
-        if (fault == call_fault::Closed && hasEnded)
+        if (fault == call_fault::Closed && hasEnded && !wasReset)
             return {{}, true, call_fault::None};
         if (fault != call_fault::None)
             return failed(fault);
--- a/tests/base/http_pool_test.cpp
+++ b/tests/base/http_pool_test.cpp
@@ -8,6 +8,36 @@
 
 const http_request get{"GET", "/", {}, "", ""};
 
+/// Serves one connection on its own thread.
+class one_connection_server
+{
+public:
+    explicit one_connection_server(const std::function<void(descriptor)> &serve)
+        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *raw = reinterpret_cast<sockaddr *>(&address);
+        socklen_t size = sizeof address;
+        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
+        CPPUNIT_ASSERT(listen(listener.get(), 1) == 0);
+        getsockname(listener.get(), raw, &size);
+        at = {"127.0.0.1", ntohs(address.sin_port)};
+        thread = std::thread(
+                [this, serve] { serve(descriptor(accept(listener.get(), nullptr, nullptr))); });
+    }
+    ~one_connection_server() { thread.join(); }
+    one_connection_server(const one_connection_server &) = delete;
+    one_connection_server &operator=(const one_connection_server &) = delete;
+
+    endpoint at;
+
+private:
+    descriptor listener;
+    std::thread thread;
+};
+
 /// A server that sends only the head of a reply until released, for tests that interrupt a call.
 class blocking_server
 {
@@ -59,6 +89,8 @@
     CPPUNIT_TEST(repliesWithoutBodyEndAfterHead);
     CPPUNIT_TEST(surplusBytesCloseTheConnection);
     CPPUNIT_TEST(sentRequestIsNotRepeated);
+    CPPUNIT_TEST(replyCutInItsHeadIsBroken);
+    CPPUNIT_TEST(resetWhileTheRequestIsSentIsNoEndOfAReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,6 +244,37 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), metrics.gaugeOf("poplarspool_pool_idle").get());
     }
 
+    /// Guards against a reply that stops in its head and is taken for a whole one.
+    void replyCutInItsHeadIsBroken()
+    {
+        const std::string names = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+        for (const std::string &head : {names + "Content-Length: 4\r\n\r\n", names + "\r\n",
+                                        "HTTP/1.1 103 Early Hints\r\n\r\n" + names + "\r\n"}) {
+            for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+                expectBroken(head.substr(0, bytes));
+                const one_connection_server resetting([&head, bytes](descriptor connection) {
+                    readUntil(connection.get(), "\r\n\r\n");
+                    sendAll(connection.get(), head.substr(0, bytes), testDeadline(), -1);
+                    abortOnClose(connection.get());
+                });
+                CPPUNIT_ASSERT(!succeeded(pool.send(resetting.at, get, testTimeout)));
+            }
+        }
+    }
+
+    /// Guards against a part of a reply that is taken for the whole: the failed send has already
+    /// reported the reset.
+    void resetWhileTheRequestIsSentIsNoEndOfAReply()
+    {
+        const one_connection_server resetting([](descriptor connection) {
+            readUntil(connection.get(), "\r\n\r\n");
+            sendAll(connection.get(), "HTTP/1.1 200 OK\r\n\r\npart", testDeadline(), -1);
+            abortOnClose(connection.get());
+        });
+        const http_request large{"POST", "/", {}, std::string(16UL * 1024 * 1024, 'x'), ""};
+        CPPUNIT_ASSERT(!succeeded(pool.send(resetting.at, large, testTimeout)));
+    }
+
     // A reused connection breaks after the request was sent and before any reply. The library must
     // not send it again, because a non-idempotent request would run twice.
     void sentRequestIsNotRepeated()
