Count an answer as whole only if its runner is known to run

A runner that crashes or exits in the middle of an answer with neither a length nor chunks: its kernel closes the connection in an orderly way, and the caller got the part that had come, with the last chunk, as the whole answer.

Cause: the check for ended runners connected once, while the killed process still listened; and each answer of another instance but "refused" and "unlisted" (frozen, busy, "the runner leaves") counted as "it lives". That is right for what counts against a request, and wrong for what a caller gets.

In doubt it is cut: resumable streams go on elsewhere, others end visibly.

Evidence: endOfAKilledRunnerIsNoEndOfAPlainAnswer, endOfAKilledRunnerIsNoEndOfAStream and doubtAboutARunnerIsNoEndOfAnAnswer failed before and pass now.

plainAnswerCutInItsHeadIsNotPassedOn, streamCutInItsHeadIsNotPassedOn, headCutBehindACarrierIsNoHead and promptIsPrefilledElsewhereAfterACutHead were green before and guard: answers that stop in their head, cut at each byte, closed and reset, never reach a caller as a success.

--- a/src/gateway/runner_answer.cpp
+++ b/src/gateway/runner_answer.cpp
@@ -25,7 +25,8 @@
 {
     if (!call.isEndedByClose())
         return false;
-    return context.connections.hasEnded(*current.place.serving);
+    std::this_thread::sleep_for(config::processExitTime);
+    return !context.connections.isRunning(*current.place.serving, current.connection);
 }
 
 /// Reserves memory for what is buffered of an answer.
--- /dev/null
+++ b/tests/gateway/cut_answer_test.cpp
@@ -0,0 +1,243 @@
+#include "proxy_fixture.h"
+
+#include "connected_pair.h"
+#include "gateway/byte_carrier.h"
+#include "poplarspool/gateway/limits.h"
+
+#include <thread>
+
+namespace poplarspool::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::proxy_fixture;
+using test::script;
+using test::script_end;
+using test::scripted_runner;
+
+const std::string statusAndNames = "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\n";
+
+/// The heads of an answer with a length, in chunks, without either, and after an interim head.
+const std::vector<std::string> heads{
+        statusAndNames + "Content-Length: 4\r\n\r\n",
+        statusAndNames + "Transfer-Encoding: chunked\r\n\r\n",
+        statusAndNames + "\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + statusAndNames + "\r\n",
+};
+
+/// Calls `check` for each beginning of each head, closed and reset.
+void forEachCutHead(const std::function<void(const script &)> &check)
+{
+    for (const std::string &head : heads) {
+        for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+            for (const script_end end : {script_end::Close, script_end::Reset})
+                check({head.substr(0, bytes), end});
+        }
+    }
+}
+
+/// A runner that ends while it sends an answer: its listening socket is the last one that the
+/// kernel closes.
+class killed_runner
+{
+public:
+    killed_runner(std::string answer, std::chrono::milliseconds closesAfter)
+        : listener(peerOf(boundAddress)), thread([this, answer = std::move(answer), closesAfter] {
+              {
+                  const descriptor connection(accept(listener.get(), nullptr, nullptr));
+                  poplarspool::test::readUntil(connection.get(), "\r\n\r\n");
+                  sendAll(connection.get(), answer, poplarspool::test::testDeadline(), -1);
+              }
+              std::this_thread::sleep_for(closesAfter);
+              listener.reset();
+          })
+    { }
+    ~killed_runner() { thread.join(); }
+    killed_runner(const killed_runner &) = delete;
+    killed_runner &operator=(const killed_runner &) = delete;
+
+    const endpoint &address() const { return boundAddress; }
+
+private:
+    static descriptor peerOf(endpoint &bound)
+    {
+        descriptor made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *raw = reinterpret_cast<sockaddr *>(&at);
+        socklen_t size = sizeof at;
+        CPPUNIT_ASSERT(bind(made.get(), raw, size) == 0);
+        CPPUNIT_ASSERT(listen(made.get(), 16) == 0);
+        getsockname(made.get(), raw, &size);
+        bound = {"127.0.0.1", ntohs(at.sin_port)};
+        return made;
+    }
+
+    endpoint boundAddress;
+    descriptor listener;
+    std::thread thread;
+};
+
+/// @returns Whether the caller can take what it got for a whole answer of a runner.
+bool looksWhole(const proxy_fixture &test, const std::optional<http_reply> &reply)
+{
+    return reply ? reply->status < 300 : test.caller.isWhole;
+}
+
+/// Moves the only runner to another address.
+void moveRunner(proxy_fixture &test, const endpoint &to)
+{
+    test.publisher.update([&to](catalogue &next) {
+        runner changed = *next.runners->find({"r0"});
+        changed.address = to;
+        putRunner(next, changed);
+        return true;
+    });
+}
+
+const std::string unframed = statusAndNames + "\r\n";
+
+} // namespace
+
+class cut_answer_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(cut_answer_test);
+    CPPUNIT_TEST(plainAnswerCutInItsHeadIsNotPassedOn);
+    CPPUNIT_TEST(streamCutInItsHeadIsNotPassedOn);
+    CPPUNIT_TEST(headCutBehindACarrierIsNoHead);
+    CPPUNIT_TEST(promptIsPrefilledElsewhereAfterACutHead);
+    CPPUNIT_TEST(endOfAKilledRunnerIsNoEndOfAPlainAnswer);
+    CPPUNIT_TEST(endOfAKilledRunnerIsNoEndOfAStream);
+    CPPUNIT_TEST(doubtAboutARunnerIsNoEndOfAnAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against an answer that stops in its head and reaches its caller as a whole one.
+    void plainAnswerCutInItsHeadIsNotPassedOn()
+    {
+        forEachCutHead([](const script &cut) {
+            for (const char *path : {"/once/1", "/again/1"}) {
+                scripted_runner runner({cut});
+                proxy_fixture test({&runner});
+                CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest(path)));
+            }
+        });
+    }
+
+    void streamCutInItsHeadIsNotPassedOn()
+    {
+        forEachCutHead([](const script &cut) {
+            scripted_runner runner({cut});
+            proxy_fixture test({&runner});
+            CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest("/stream/1")));
+        });
+    }
+
+    /// The same over the connection of another instance.
+    void headCutBehindACarrierIsNoHead()
+    {
+        counter carried;
+        forEachCutHead([&carried](const script &cut) {
+            auto [ours, nearEnd] = test::connectedPair();
+            auto [farEnd, runnerEnd] = test::connectedPair();
+            std::thread carrier([&, near = std::move(nearEnd), far = std::move(farEnd)]() mutable {
+                const pollable_flag never;
+                carryBytes(std::move(near), std::move(far), never.descriptorNumber(), carried);
+            });
+            const auto deadline = poplarspool::test::testDeadline();
+            sendAll(runnerEnd.get(), cut.bytes, deadline, -1);
+            if (cut.end == script_end::Reset)
+                abortOnClose(runnerEnd.get());
+            runnerEnd.reset();
+            {
+                runner_call call(std::move(ours), -1);
+                const auto head = call.readHead(deadline);
+                CPPUNIT_ASSERT(std::get<call_fault>(head) == call_fault::Closed);
+            }
+            carrier.join();
+        });
+    }
+
+    /// Guards against a handle that a cut answer names, or that is taken from nothing.
+    void promptIsPrefilledElsewhereAfterACutHead()
+    {
+        const std::string events = "id: 1\ndata: x\n\n";
+        forEachCutHead([&events](const script &cut) {
+            scripted_runner prefiller({cut});
+            scripted_runner decoder({{test::sealed("200 OK", events)}});
+            proxy_fixture test({&prefiller, &decoder});
+            useEngines(test);
+            test.sendRequest("/stream/1", "60000",
+                             {{"Tokens", "2000,10"}, {"Parts", "a:1000,b:1000"}});
+            CPPUNIT_ASSERT(prefiller.requests().at(0).find("Stage: prefill") != std::string::npos);
+            CPPUNIT_ASSERT(decoder.requests().at(0).find("Source:") == std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(events, test.caller.body);
+        });
+    }
+
+    /// Guards against a part of an answer that passes as the whole: the killed runner's connection
+    /// is closed in an orderly way, and its host still accepts others for a moment.
+    void endOfAKilledRunnerIsNoEndOfAPlainAnswer()
+    {
+        CPPUNIT_ASSERT_EQUAL(502, askKilledRunner("/once/1", unframed + "abcd")->status);
+    }
+
+    void endOfAKilledRunnerIsNoEndOfAStream()
+    {
+        const auto reply = askKilledRunner("/stream/1", unframed + "id: 1\ndata: x\n\n");
+        CPPUNIT_ASSERT(!reply || reply->status != 200);
+    }
+
+    /// Guards against the same while the other instance that could tell is frozen.
+    void doubtAboutARunnerIsNoEndOfAnAnswer()
+    {
+        const scripted_runner frozen({});
+        const killed_runner ended(unframed + "abcd", 0ms);
+        proxy_fixture test({&frozen});
+        moveRunner(test, ended.address());
+        policy::member other;
+        other.id.text = "other";
+        other.zone.text = "z";
+        other.peerAddress = frozen.address();
+        test.connections.members = {other};
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+    }
+
+private:
+    /// Asks a runner that is killed at the end of what it has sent.
+    static std::optional<http_reply> askKilledRunner(const std::string &path,
+                                                     const std::string &answer)
+    {
+        const scripted_runner unused({});
+        const killed_runner ended(answer, config::processExitTime / 2);
+        proxy_fixture test({&unused});
+        moveRunner(test, ended.address());
+        auto reply = test.sendRequest(path);
+        CPPUNIT_ASSERT(!looksWhole(test, reply));
+        return reply;
+    }
+
+    /// The first runner only prefills, the second one only decodes.
+    static void useEngines(proxy_fixture &test)
+    {
+        test.publisher.update([](catalogue &next) {
+            route_table table = *next.table;
+            table.services = {{{"s"}, engine_traits{8, 100000, 1, 1000}}};
+            next.table = std::make_shared<const route_table>(table);
+            runner prefiller = *next.runners->find({"r0"});
+            prefiller.stage = engine_stage::Prefill;
+            runner decoder = *next.runners->find({"r1"});
+            decoder.stage = engine_stage::Decode;
+            prefiller.slots = decoder.slots = 8;
+            putRunner(next, prefiller);
+            putRunner(next, decoder);
+            return true;
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cut_answer_test);
+
+} // namespace poplarspool::gateway
