Spread the return of callers that the memory budget refuses

Callers that are refused in the same burst got the same Retry-After and would come back together, to be refused again.

--- a/include/poplarspool/base/limits.h
+++ b/include/poplarspool/base/limits.h
@@ -24,7 +24,7 @@
 inline constexpr double requestMemoryShare = 0.4;
 /// Default memory limit of a process, in MiB.
 inline constexpr double defaultMemoryMb = 256;
-/// Retry-After of a request that the memory budget can't take: about the time of one request.
+/// Minimum Retry-After of a request that the memory budget can't take: about the time of one.
 inline constexpr std::chrono::milliseconds memoryRetryAfter = 300ms;
 /// Receive buffer of a connection, in bytes, of which the kernel reserves twice as many. By default
 /// it grows to megabytes, and what is unread counts as memory of the process.
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -5,9 +5,11 @@
 #include "base/open_sockets.h"
 #include "base/reply_writer.h"
 #include "base/request_reader.h"
+#include "poplarspool/base/hash.h"
 #include "poplarspool/base/limits.h"
 
 #include <atomic>
+#include <cmath>
 #include <utility>
 
 namespace poplarspool {
@@ -31,6 +33,14 @@
     return reply;
 }
 
+/// @param draw Uniformly distributed random bits.
+/// @returns Up to twice the time, so that callers that were refused together don't return together.
+milliseconds spread(milliseconds time, std::uint64_t draw)
+{
+    return time
+            + milliseconds(std::llround(static_cast<double>(time.count()) * toUnitInterval(draw)));
+}
+
 error_code errorCodeForStatus(int status)
 {
     switch (status) {
@@ -216,7 +226,8 @@
     http_reply reply =
             errorReply(bad.status, errorCodeForStatus(bad.status), verdict::NotRun, bad.message);
     if (bad.retryAfter)
-        reply.headers.emplace_back("Retry-After", secondsText(*bad.retryAfter));
+        reply.headers.emplace_back(
+                "Retry-After", secondsText(spread(*bad.retryAfter, hashOf(name, refused.get()))));
     writer.writeReply(reply);
     sockets.remove(connection.get());
     closeAfterReply(std::move(connection), socket_clock::now() + config::lingeringCloseTimeout,
