--- a/tests/base/http_fixture.h
+++ b/tests/base/http_fixture.h
@@ -76,21 +76,30 @@
     descriptor connection;
 };
 
+/// @param bound Set to the address.
+/// @returns A socket that listens on a free port of the loopback interface.
+inline descriptor listenOnLoopback(endpoint &bound)
+{
+    constexpr int backlog = 16;
+    descriptor listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *raw = reinterpret_cast<sockaddr *>(&address);
+    socklen_t size = sizeof address;
+    CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
+    CPPUNIT_ASSERT(listen(listener.get(), backlog) == 0);
+    getsockname(listener.get(), raw, &size);
+    bound = {"127.0.0.1", ntohs(address.sin_port)};
+    return listener;
+}
+
 /// Server that replies to one request with the given bytes and closes the connection.
 class scripted_server
 {
 public:
-    explicit scripted_server(std::string reply) : listener(::socket(AF_INET, SOCK_STREAM, 0))
+    explicit scripted_server(std::string reply) : listener(listenOnLoopback(at))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *raw = reinterpret_cast<sockaddr *>(&address);
-        socklen_t size = sizeof address;
-        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
-        CPPUNIT_ASSERT(listen(listener.get(), 4) == 0);
-        getsockname(listener.get(), raw, &size);
-        at = {"127.0.0.1", ntohs(address.sin_port)};
         thread = std::thread([this, reply = std::move(reply)] { answer(reply); });
     }
 
@@ -112,8 +121,8 @@
         sendAll(connection.get(), reply, testDeadline(), -1);
     }
 
-    descriptor listener;
     endpoint at;
+    descriptor listener;
     std::thread thread;
 };
 
--- a/tests/base/http_pool_test.cpp
+++ b/tests/base/http_pool_test.cpp
@@ -13,20 +13,9 @@
 {
 public:
     explicit one_connection_server(const std::function<void(descriptor)> &serve)
-        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *raw = reinterpret_cast<sockaddr *>(&address);
-        socklen_t size = sizeof address;
-        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
-        CPPUNIT_ASSERT(listen(listener.get(), 1) == 0);
-        getsockname(listener.get(), raw, &size);
-        at = {"127.0.0.1", ntohs(address.sin_port)};
-        thread = std::thread(
-                [this, serve] { serve(descriptor(accept(listener.get(), nullptr, nullptr))); });
-    }
+        : listener(listenOnLoopback(at)),
+          thread([this, serve] { serve(descriptor(accept(listener.get(), nullptr, nullptr))); })
+    { }
     ~one_connection_server() { thread.join(); }
     one_connection_server(const one_connection_server &) = delete;
     one_connection_server &operator=(const one_connection_server &) = delete;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -43,7 +43,8 @@
 {
 public:
     killed_runner(std::string answer, std::chrono::milliseconds closesAfter)
-        : listener(peerOf(boundAddress)), thread([this, answer = std::move(answer), closesAfter] {
+        : listener(poplarspool::test::listenOnLoopback(boundAddress)),
+          thread([this, answer = std::move(answer), closesAfter] {
               {
                   const descriptor connection(accept(listener.get(), nullptr, nullptr));
                   poplarspool::test::readUntil(connection.get(), "\r\n\r\n");
@@ -60,21 +61,6 @@
     const endpoint &address() const { return boundAddress; }
 
 private:
-    static descriptor peerOf(endpoint &bound)
-    {
-        descriptor made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *raw = reinterpret_cast<sockaddr *>(&at);
-        socklen_t size = sizeof at;
-        CPPUNIT_ASSERT(bind(made.get(), raw, size) == 0);
-        CPPUNIT_ASSERT(listen(made.get(), 16) == 0);
-        getsockname(made.get(), raw, &size);
-        bound = {"127.0.0.1", ntohs(at.sin_port)};
-        return made;
-    }
-
     endpoint boundAddress;
     descriptor listener;
     std::thread thread;
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -33,17 +33,8 @@
     /// @param onRequest Called when a request has arrived, before it is answered.
     explicit scripted_runner(std::vector<script> scripts, std::function<void()> onRequest = {})
         : scripts(std::move(scripts)), onRequest(std::move(onRequest)),
-          listener(::socket(AF_INET, SOCK_STREAM, 0))
+          listener(poplarspool::test::listenOnLoopback(boundAddress))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *raw = reinterpret_cast<sockaddr *>(&address);
-        socklen_t size = sizeof address;
-        CPPUNIT_ASSERT(bind(listener.get(), raw, size) == 0);
-        CPPUNIT_ASSERT(listen(listener.get(), 16) == 0);
-        getsockname(listener.get(), raw, &size);
-        boundAddress = {"127.0.0.1", ntohs(address.sin_port)};
         thread = std::thread([this] { run(); });
     }
 
@@ -112,8 +103,8 @@
 
     const std::vector<script> scripts;
     const std::function<void()> onRequest;
-    descriptor listener;
     endpoint boundAddress;
+    descriptor listener;
     mutable std::mutex guard;
     std::vector<std::string> receivedRequests;
     std::atomic<bool> isDisconnected{false};
