Carriers: close a tunnel in an orderly way only if the runner has ended

The side of a tunnel that asks for it may close its sending side and still read. After 2 s without bytes the carrier then closed both connections in an orderly way although the runner had not ended: an answer that only its connection ends would look complete. No instance of ours half-closes, so no caller has met this.

Now the near side gets an orderly close only once the far side has closed; otherwise a reset. Evidence: runnerThatHasNotEndedIsNotClosedInAnOrderlyWay fails on the code before and passes now.

--- a/src/gateway/byte_carrier.cpp
+++ b/src/gateway/byte_carrier.cpp
@@ -87,9 +87,10 @@
                 pollfd{interruptFd, POLLIN, 0}};
         const bool isClosing = there.hasEnded || back.hasEnded;
         const int ready = poll(watched.data(), watched.size(), isClosing ? closeTimeoutMs : -1);
-        // Without buffered bytes, a close loses nothing.
+        // The near side would take an orderly close for the end of an answer: it gets one only if
+        // the far side has ended, and if no byte is lost.
         if (ready == 0)
-            return there.buffer.empty() && back.buffer.empty();
+            return back.hasEnded && there.buffer.empty() && back.buffer.empty();
         if (watched[2].revents != 0 || (ready < 0 && errno != EINTR))
             return false;
         for (std::size_t side = 0; side < 2; ++side) {
--- a/tests/gateway/byte_carrier_test.cpp
+++ b/tests/gateway/byte_carrier_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(resetOfTheCallerReachesTheRunnerAtOnce);
     CPPUNIT_TEST(resetOfTheRunnerReachesTheCallerAtOnce);
     CPPUNIT_TEST(slowReceiverSlowsTheSenderDown);
+    CPPUNIT_TEST(runnerThatHasNotEndedIsNotClosedInAnOrderlyWay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +138,18 @@
         CPPUNIT_ASSERT(sent.fault == socket_fault::TimedOut);
         CPPUNIT_ASSERT(sent.bytes < text.size());
     }
+
+    /// Guards against an answer that looks complete because its carrier gave it up.
+    void runnerThatHasNotEndedIsNotClosedInAnOrderlyWay()
+    {
+        tunnel t;
+        sendText(t.runner, "half");
+        CPPUNIT_ASSERT_EQUAL(std::string("half"), receiveText(t.caller, 4));
+        shutdown(t.caller.get(), SHUT_WR);
+        char byte = 0;
+        const receive_result end = receiveSome(t.caller.get(), &byte, 1, soon(), -1);
+        CPPUNIT_ASSERT(end.fault == socket_fault::Closed && !end.isEnd);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(byte_carrier_test);
