Prove by a connection that is older than an answer's end that its run has not ended

Streams that ended as complete before their last piece: a runner's answer has neither a length nor chunks, its run dies, and the kernel closes the connection as if the answer were whole. Since a listener at the runner's address 50 ms later counted as proof. It is none: a listening process that outlives the others, the kernel's backlog, a successor or a proxy accepts there as well.

Now a second connection to the run, on which it has answered before the answer ended, is asked after that end. A process that has ended closes all its connections and nobody else answers on them, however long its listening socket or address stays in use. The connection is an idle one from before the request was sent, or one that is opened while the answer arrives; over the same carrier, which has to run as well. Services that have sent such an answer within 60 s have one opened before the request, since a short answer ends before another connection can be older than its end.

The first answer of this kind that ends at once, at a service of which an instance knows nothing, is in doubt and cut, where no idle connection to the runner is there. It passed before.

--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -62,6 +62,7 @@
     std::vector<std::string> reservedHeaders;
 
     // Headers of runners' replies.
+    std::string runnerId; ///< Names the runner's incarnation, as expectedRunner does.
     std::string seal; ///< Set on each reply that the runner generated itself.
     std::string notRun; ///< The runner refused the request and has not run it.
     std::string leaving; ///< "1" if the runner leaves; it wants no more requests.
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -324,8 +324,21 @@
 inline constexpr std::size_t maxLoggedPartBytes = 32;
 /// Time-out for checking that no process listens at an address: about ten round trips.
 inline constexpr std::chrono::milliseconds endedCheckTimeout = 60ms;
-/// Time in which the kernel closes all sockets of a process that has ended.
+/// Time in which the processes of a runner that is killed end one after the other. A runner that is
+/// one process needs none.
 inline constexpr std::chrono::milliseconds processExitTime = 50ms;
+/// Time-out of one call that asks a run whether it is still there. Runners answer such calls at
+/// once; a stream may pause for longer.
+inline constexpr std::chrono::milliseconds witnessCallTimeout = 200ms;
+/// Time after which an idle witness is asked again: runners close idle connections, some of them
+/// after two seconds.
+inline constexpr std::chrono::milliseconds witnessRefreshTime = 1s;
+/// Connections on which a run is asked in vain before its answer counts as cut.
+inline constexpr std::size_t maxWitnessesAsked = 2;
+/// Time for which a service is remembered that has sent an answer with neither a length nor chunks.
+inline constexpr std::chrono::milliseconds unframedServiceRetention = 60s;
+/// Services that are remembered for that.
+inline constexpr std::size_t maxUnframedServices = 1024;
 /// Longer times in the operators' configuration are reduced to this: longer than any request.
 inline constexpr std::chrono::milliseconds maxConfiguredTime = 24h;
 /// After a store rollback: the time over which the instances spread the writes of their own
--- a/src/base/connection_pool.cpp
+++ b/src/base/connection_pool.cpp
@@ -69,6 +69,29 @@
     return descriptor();
 }
 
+pooled_connection connection_pool::acquireOlder(const endpoint &to, socket_deadline releasedBy,
+                                                const std::function<bool(int)> &isUsable)
+{
+    const std::lock_guard lock(guard);
+    const socket_deadline now = socket_clock::now();
+    dropExpired(now);
+    const auto pooled = idle.find(to);
+    if (pooled == idle.end())
+        return {};
+    const auto found = std::ranges::find_if(pooled->second, [&](const idle_connection &one) {
+        return one.releasedAt <= releasedBy && one.expires > now
+                && isIdleAndOpen(one.connection.get()) && isUsable(one.connection.get());
+    });
+    if (found == pooled->second.end())
+        return {};
+    pooled_connection older{std::move(found->connection),
+                            std::chrono::duration_cast<milliseconds>(found->expires - now)};
+    pooled->second.erase(found);
+    idleCount.add(-1);
+    reuses.add();
+    return older;
+}
+
 void connection_pool::release(const endpoint &to, descriptor connection, milliseconds idleTime)
 {
     const std::lock_guard lock(guard);
@@ -77,7 +100,7 @@
     std::vector<idle_connection> &pooled = idle[to];
     if (isStopped || pooled.size() >= idlePerTarget)
         return;
-    pooled.push_back({std::move(connection), now + idleTime});
+    pooled.push_back({std::move(connection), now, now + idleTime});
     idleCount.add(1);
 }
 
--- a/src/base/connection_pool.h
+++ b/src/base/connection_pool.h
@@ -4,12 +4,20 @@
 #include "poplarspool/base/clock.h"
 #include "poplarspool/base/metrics.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <vector>
 
 namespace poplarspool {
 
+/// A connection taken from a pool.
+struct pooled_connection
+{
+    descriptor connection; ///< Closed: there was none.
+    milliseconds idleTimeLeft{0}; ///< Until the pool would have closed it.
+};
+
 /// Pool of idle connections to any number of servers. Thread-safe.
 class connection_pool
 {
@@ -26,6 +34,11 @@
     connect_result tryConnect(const endpoint &to, socket_deadline deadline, int interruptFd);
     /// @returns The most recently used idle connection; a closed descriptor if none is usable.
     descriptor acquireIdle(const endpoint &to);
+    /// @param releasedBy Time by which the connection has been returned to the pool.
+    /// @param isUsable Tells whether it can be used, by its descriptor.
+    /// @returns An idle connection of those.
+    pooled_connection acquireOlder(const endpoint &to, socket_deadline releasedBy,
+                                   const std::function<bool(int)> &isUsable);
 
     /// Returns a connection to the pool. Its last reply must be complete.
     /// @param idleTime Time after which the pool closes it.
@@ -38,6 +51,7 @@
     struct idle_connection
     {
         descriptor connection;
+        socket_deadline releasedAt;
         socket_deadline expires;
     };
 
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -69,6 +69,7 @@
       promoted(registry.counterOf("poplarspool_gateway_promoted_requests_total")),
       aboveShare(registry.counterOf("poplarspool_gateway_above_share_total")),
       endedByClose(registry.counterOf("poplarspool_gateway_answers_ended_by_close_total")),
+      unprovenEnds(registry.counterOf("poplarspool_gateway_unproven_ends_total")),
       takeUps(takeUpCountersOf(registry)),
       firstByte(registry.latencyOf("poplarspool_gateway_first_byte_seconds")),
       routeOutcomes(registry)
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -6,6 +6,7 @@
 #include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
 #include "gateway/route_outcomes.h"
+#include "gateway/run_witness.h"
 #include "gateway/runner_call.h"
 #include "gateway/runner_connector.h"
 #include "gateway/runner_table.h"
@@ -60,14 +61,12 @@
     counter &promoted; ///< Requests sent at rank 0 although their own rank is lower.
     counter &aboveShare; ///< Their workspace was above its share when they were placed.
     counter &endedByClose; ///< Runners' answers with neither a length nor chunks.
+    counter &unprovenEnds; ///< Of these, those that may be incomplete.
     std::array<counter *, takeUpEnds> takeUps; ///< By take_up_end.
     latency_histogram &firstByte;
     route_outcomes routeOutcomes;
 };
 
-/// Status with which a runner says that the request is for another runner or for another stage.
-inline constexpr int misdirectedStatus = 421;
-
 /// @returns What the records of crashes keep of a runner.
 crashes::observed_runner observedOf(const runner &target);
 
@@ -137,6 +136,8 @@
         socket_deadline deadline;
         /// What is left of the connection once a call has taken its descriptor.
         runner_connection connection = {};
+        /// Set once the request is about to be sent.
+        std::optional<run_witness> witness = {};
     };
 
     // request_proxy.cpp: decisions.
@@ -245,8 +246,13 @@
                       sending &current);
     bool beginReply(const reply_head &head);
     void recordFirstByte(sending &current);
-    /// @returns Whether the answer may be incomplete although its end has been read.
-    bool mayBeCut(const runner_call &call, const sending &current) const;
+    /// Called for each piece of an answer, before its end: has it witnessed if only the end of its
+    /// connection will end it.
+    static void keepWitness(const runner_call &call, sending &current);
+    /// @returns Whether the answer is complete, once its end has been read.
+    bool isProvenWhole(const runner_call &call, sending &current);
+    /// Ends a send whose answer may be incomplete, which may be no fault of the runner.
+    try_end handleDoubt(runner_call &call, sending &current);
     bool reserveBuffer(std::size_t bytes);
     try_end handleShortage(runner_call &call, sending &current);
     try_end recordServed(sending &current, try_end end);
@@ -307,6 +313,8 @@
     std::string lastFault;
     std::string lastConnectError; ///< Of the last send; empty if it was connected.
     bool isEndedByClose = false; ///< The last answer has neither a length nor chunks.
+    /// Why the end of the last answer counts as such; empty if it doesn't.
+    std::string_view lastEndProof;
     endpoint lastCarrier; ///< Of the last send's connection; empty if it was direct.
     withdrawals::withdrawal lastWithdrawal; ///< What the runner wanted as the last send began.
     std::string lastWay; ///< Of the last send: "direct", or the instance that carried it.
--- a/src/gateway/runner_answer.cpp
+++ b/src/gateway/runner_answer.cpp
@@ -4,7 +4,6 @@
 #include "poplarspool/gateway/limits.h"
 
 #include <algorithm>
-#include <thread>
 
 namespace poplarspool::gateway {
 
@@ -17,16 +16,34 @@
 
 } // namespace
 
+void request_proxy::keepWitness(const runner_call &call, sending &current)
+{
+    if (call.isEndedByClose())
+        current.witness->keep(call);
+}
+
 /// If only the end of the connection ends the answer, a crash ends it like a runner that has
-/// written all of it. The answer counts as whole only if the runner is known to run: the kernel
-/// closes the sockets of a killed process one after the other, and the listening one may be the
-/// last.
-bool request_proxy::mayBeCut(const runner_call &call, const sending &current) const
+/// written all of it.
+bool request_proxy::isProvenWhole(const runner_call &call, sending &current)
 {
-    if (!call.isEndedByClose())
+    if (!call.isEndedByClose()) {
+        lastEndProof = "framing";
+        return true;
+    }
+    if (!current.witness->confirm())
         return false;
-    std::this_thread::sleep_for(config::processExitTime);
-    return !context.connections.isRunning(*current.place.serving, current.connection);
+    lastEndProof = "witness";
+    return true;
+}
+
+request_proxy::try_end request_proxy::handleDoubt(runner_call &call, sending &current)
+{
+    context.metrics.unprovenEnds.add();
+    // Later outcomes of this record have no effect.
+    current.record.recordEnd(send_outcome::Unknown);
+    const try_end end = handleFault(call, call_fault::Closed, current);
+    lastFault = "unproven_end";
+    return end;
 }
 
 /// Reserves memory for what is buffered of an answer.
@@ -168,12 +185,13 @@
             return handleShortage(call, current);
         if (piece.isLast)
             break;
+        keepWitness(call, current);
     }
     // A partial event before an orderly end: the runner has lost the rest.
     if (!events.isAtBoundary())
         return handleFault(call, call_fault::Malformed, current);
-    if (mayBeCut(call, current))
-        return handleFault(call, call_fault::Closed, current);
+    if (!isProvenWhole(call, current))
+        return handleDoubt(call, current);
     ++possibleRuns;
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
     if (!beginReply(head))
@@ -192,6 +210,7 @@
     body.reserve(std::min(head.bodyBytes.value_or(0), config::maxBufferedReplyBytes));
     body_piece piece;
     while (!piece.isLast) {
+        keepWitness(call, current);
         piece = call.readBody(current.deadline);
         if (piece.fault != call_fault::None)
             return handleFault(call, piece.fault, current);
@@ -201,8 +220,8 @@
         if (isTooLarge && !piece.isLast)
             return passLarge(call, head, std::move(body), current);
     }
-    if (mayBeCut(call, current))
-        return handleFault(call, call_fault::Closed, current);
+    if (!isProvenWhole(call, current))
+        return handleDoubt(call, current);
     ++possibleRuns;
     recordFirstByte(current);
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
@@ -232,12 +251,13 @@
         }
         if (piece.isLast)
             break;
+        keepWitness(call, current);
         piece = call.readBody(current.deadline);
         if (piece.fault != call_fault::None)
             return handleFault(call, piece.fault, current);
     }
-    if (mayBeCut(call, current))
-        return handleFault(call, call_fault::Closed, current);
+    if (!isProvenWhole(call, current))
+        return handleDoubt(call, current);
     ++possibleRuns;
     keepConnection(call, head, *current.place.serving, std::move(current.connection));
     caller.end();
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -343,6 +343,13 @@
     return piece;
 }
 
+bool runner_call::isPeerClosed() const
+{
+    return hasEnded || wasReset
+            || waitForSocket(connection.get(), POLLRDHUP, socket_clock::now(), -1)
+            != socket_fault::TimedOut;
+}
+
 descriptor runner_call::takeConnection()
 {
     const bool isReusable = isSentWhole && isReplyWhole && keepsAlive && !hasEnded
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -29,7 +29,7 @@
       opened(dependencies.metrics.counterOf("poplarspool_tunnels_opened_total{end=\"connected\"}")),
       failed(dependencies.metrics.counterOf("poplarspool_tunnels_opened_total{end=\"failed\"}")),
       brokenLinks(dependencies.metrics.gaugeOf("poplarspool_broken_links")),
-      failures(dependencies.clock),
+      failures(dependencies.clock), unframedServices(dependencies.clock),
       tunnels(config::maxIdleRunnerConnections, config::runnerConnectTimeout, dependencies.metrics)
 { }
 
@@ -108,18 +108,38 @@
     return outcome == tunnel_outcome::Refused || outcome == tunnel_outcome::Unlisted;
 }
 
-bool runner_connector::isRunning(const runner &target, const runner_connection &used)
+idle_runner_connection runner_connector::acquireOlder(const runner &target,
+                                                      const runner_connection &like,
+                                                      socket_deadline releasedBy)
 {
-    const auto isListening = [](const endpoint &address) {
-        const auto deadline = socket_clock::now() + config::endedCheckTimeout;
-        return tryConnect(address, deadline, -1).end == connect_end::Connected;
+    const auto goesTheSameWay = [&like](int fd) {
+        return !like.isTunnel || peer::remoteAddress(fd) == like.carrierAddress;
     };
-    if (used.isTunnel && !isListening(used.carrierAddress))
-        return false;
-    if (!isBroken(target.id) && isListening(target.address))
-        return true;
-    const auto deadline = socket_clock::now() + config::endedCheckTimeout;
-    return openTunnel(target, deadline, -1).outcome == tunnel_outcome::Connected;
+    connection_pool &pool = like.isTunnel ? tunnels : dependencies.direct;
+    pooled_connection older = pool.acquireOlder(target.address, releasedBy, goesTheSameWay);
+    return {{std::move(older.connection), like.isTunnel, {}, like.carrierAddress},
+            older.idleTimeLeft};
+}
+
+result<runner_connection> runner_connector::connectLike(const runner &target,
+                                                        const runner_connection &like,
+                                                        socket_deadline deadline)
+{
+    if (!like.isTunnel) {
+        auto made = dependencies.direct.connect(target.address, deadline, -1);
+        if (!succeeded(made))
+            return errorOf(made);
+        return runner_connection{std::move(valueOf(made)), false, {}, {}};
+    }
+    const auto members = dependencies.members();
+    const auto carrier =
+            std::ranges::find(members, like.carrierAddress, &policy::member::peerAddress);
+    if (carrier == members.end())
+        return notRun(error_code::Unavailable, "carrier is gone");
+    opened_tunnel tunnel = openTunnelAt(*carrier, target, deadline, -1);
+    if (tunnel.outcome != tunnel_outcome::Connected)
+        return notRun(error_code::Unavailable, "carrier opens no further tunnel");
+    return std::move(tunnel.connection);
 }
 
 void runner_connector::recordReached(const runner_id &target)
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -5,6 +5,7 @@
 #include "gateway/cut_off_instances.h"
 #include "gateway/link_table.h"
 #include "gateway/tunnel_message.h"
+#include "gateway/unframed_services.h"
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/metrics.h"
 #include "poplarspool/gateway/runner.h"
@@ -22,6 +23,13 @@
     endpoint carrierAddress; ///< For gossip; only of a tunnel.
 };
 
+/// A connection that was idle, for whoever returns it unused.
+struct idle_runner_connection
+{
+    runner_connection connection;
+    milliseconds idleTimeLeft{0};
+};
+
 struct runner_connector_dependencies
 {
     tunnel_sender self;
@@ -64,15 +72,22 @@
     /// @returns Whether the runner's host refuses connections, from another instance as well.
     bool hasEnded(const runner &target);
 
-    /// Asks another instance if this one doesn't reach the runner.
-    /// @param used Connection over which the runner was called: a carrier must be running, too.
-    /// @returns Whether a process listens at the runner's address; false also if that is unknown.
-    bool isRunning(const runner &target, const runner_connection &used);
+    /// @param like A connection to the runner: the result goes the same way, directly or over the
+    ///             same carrier.
+    /// @param releasedBy Time by which the result has been idle, so that its reply before that time
+    ///                   is complete.
+    /// @returns An idle connection; a closed one if there is none.
+    idle_runner_connection acquireOlder(const runner &target, const runner_connection &like,
+                                        socket_deadline releasedBy);
+    /// @returns A new connection that goes the same way as another one.
+    result<runner_connection> connectLike(const runner &target, const runner_connection &like,
+                                          socket_deadline deadline);
 
     /// Marks the link as sound.
     void recordReached(const runner_id &target);
     bool isBroken(const runner_id &target) const { return dependencies.links.isBroken(target); }
     link_table &links() { return dependencies.links; }
+    unframed_services &unframed() { return unframedServices; }
 
     /// Closes the idle tunnels. Tunnels released later are closed.
     void stop() { tunnels.stop(); }
@@ -96,6 +111,7 @@
     gauge &brokenLinks;
     std::atomic<std::uint64_t> draws{0};
     failed_carriers failures;
+    unframed_services unframedServices;
     connection_pool tunnels; ///< Idle ones, by the runner's address.
 };
 
--- a/src/gateway/runner_control.h
+++ b/src/gateway/runner_control.h
@@ -8,6 +8,9 @@
 
 namespace poplarspool::gateway {
 
+/// Status with which a runner says that the request is for another runner or for another stage.
+inline constexpr int misdirectedStatus = 421;
+
 /// Sends a request of the gateway itself to a runner, over a direct connection only: an order must
 /// come from the instance that holds the right to it.
 /// @param check Called once the connection is established, right before the first byte is sent; if
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -50,6 +50,7 @@
     lastWithdrawal = {};
     lastWay.clear();
     isEndedByClose = false;
+    lastEndProof = {};
     endsKnown = context.quarantineManager.endsKnown();
     context.runnerTable.recordCached(target.id, metadata.prompt);
     const std::string limitText = limitTextOf(target);
@@ -82,6 +83,7 @@
             {"limit", limitText},
             {"way", lastWay},
             {"ends_by", isEndedByClose ? "close" : "framing"},
+            {"end_proof", std::string(lastEndProof)},
             {"parts", end == try_end::Lost ? sharedPartsText(request, context.names) : ""},
             {"fault", lastFault},
             {"left_ms", std::to_string(timeLeft().count())}};
@@ -200,6 +202,10 @@
         context.metrics.resumes.add();
     current.connection = std::move(valueOf(connected));
     lastWay = wayOf(current.connection);
+    current.witness.emplace(context.connections, context.names, target, current.connection);
+    // A short answer ends before a connection that is opened beside it can be older than its end.
+    if (context.connections.unframed().contains(service))
+        current.witness->open();
     runner_call call(
             std::move(current.connection.connection), caller.descriptorNumber(),
             silenceCheckOf(target, current.connection, [this] { return mayGoOnElsewhere(); }));
@@ -218,7 +224,10 @@
     if (const auto *failed = std::get_if<call_fault>(&head))
         return handleFault(call, *failed, current);
     isEndedByClose = call.isEndedByClose();
-    context.metrics.endedByClose.add(isEndedByClose ? 1 : 0);
+    if (isEndedByClose) {
+        context.metrics.endedByClose.add();
+        context.connections.unframed().record(service);
+    }
     return takeReply(call, std::get<reply_head>(head), current);
 }
 
--- a/tests/adapter/crashing_runners.h
+++ b/tests/adapter/crashing_runners.h
@@ -76,6 +76,10 @@
     {
         while (!isCrashed) {
             std::string request = poplarspool::test::readUntil(fd, "\r\n\r\n");
+            if (request.starts_with("GET /api/report ")) {
+                send(fd, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             const std::size_t lengthStart = request.find("Content-Length: ");
             if (request.empty() || lengthStart == std::string::npos)
                 return;
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -2,8 +2,10 @@
 
 #include "connected_pair.h"
 #include "gateway/byte_carrier.h"
+#include "gateway/runner_control.h"
 #include "poplarspool/gateway/limits.h"
 
+#include <map>
 #include <thread>
 
 namespace poplarspool::gateway {
@@ -85,6 +87,10 @@
 
 const std::string unframed = statusAndNames + "\r\n";
 
+/// Beginnings of answers, by the path of the request.
+const std::map<std::string, std::string> cutAnswers{{"/once/1", "abcd"},
+                                                    {"/stream/1", "id: 1\ndata: x\n\n"}};
+
 } // namespace
 
 class cut_answer_test : public CppUnit::TestFixture
@@ -97,6 +103,13 @@
     CPPUNIT_TEST(endOfAKilledRunnerIsNoEndOfAPlainAnswer);
     CPPUNIT_TEST(endOfAKilledRunnerIsNoEndOfAStream);
     CPPUNIT_TEST(doubtAboutARunnerIsNoEndOfAnAnswer);
+    CPPUNIT_TEST(listenerThatOutlivesTheRunIsNoProof);
+    CPPUNIT_TEST(connectionThatNobodyServesIsNoProof);
+    CPPUNIT_TEST(answerOfAProxyIsNoProof);
+    CPPUNIT_TEST(streamOfARunningRunnerIsWhole);
+    CPPUNIT_TEST(plainAnswerOfARunningRunnerIsWhole);
+    CPPUNIT_TEST(keptConnectionProvesAnAnswerThatEndsAtOnce);
+    CPPUNIT_TEST(answersThatEndAtOnceAreProvenAfterTheFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,7 +204,91 @@
         CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
     }
 
+    /// Guards against a run whose processes are killed before the one that listens: that one still
+    /// accepts and answers, under the same id.
+    void listenerThatOutlivesTheRunIsNoProof()
+    {
+        for (const auto &[path, body] : cutAnswers) {
+            const scripted_runner runner({{unframed + body, script_end::Crash, 100ms}});
+            proxy_fixture test({&runner});
+            CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest(path)));
+            CPPUNIT_ASSERT_EQUAL(std::string(), test.lastFieldOf("send_end", "end_proof"));
+        }
+    }
+
+    /// Guards against a connection that the kernel accepts while the process ends slowly.
+    void connectionThatNobodyServesIsNoProof()
+    {
+        for (const auto &[path, body] : cutAnswers) {
+            const scripted_runner unused({});
+            const killed_runner ended(unframed + body, 1s);
+            proxy_fixture test({&unused});
+            moveRunner(test, ended.address());
+            CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest(path)));
+        }
+    }
+
+    /// Guards against a host or proxy that holds connections open and answers for an ended runner,
+    /// or hands them on to its successor.
+    void answerOfAProxyIsNoProof()
+    {
+        for (const char *status :
+             {"502 Bad Gateway\r\n", "421 Misdirected\r\n", "200 OK\r\nAnswers-As: another\r\n"}) {
+            const std::string reply =
+                    "HTTP/1.1 " + std::string(status) + "Content-Length: 0\r\n\r\n";
+            const scripted_runner runner({{unframed + "abcd", script_end::Close, 100ms}}, {},
+                                         reply);
+            proxy_fixture test({&runner});
+            CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+        }
+    }
+
+    /// Guards against sound answers without a length that are given up.
+    void streamOfARunningRunnerIsWhole()
+    {
+        const std::string events = "id: 1\ndata: x\n\n";
+        const scripted_runner runner({{unframed + events, script_end::Close, 100ms}});
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT(!test.sendRequest("/stream/1"));
+        CPPUNIT_ASSERT_EQUAL(events, test.caller.body);
+        CPPUNIT_ASSERT(test.caller.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::string("witness"), test.lastFieldOf("send_end", "end_proof"));
+    }
+
+    void plainAnswerOfARunningRunnerIsWhole()
+    {
+        const scripted_runner runner({{unframed + "abcd", script_end::Close, 100ms}});
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT_EQUAL(std::string("abcd"), test.sendRequest("/once/1")->body);
+    }
+
+    void keptConnectionProvesAnAnswerThatEndsAtOnce()
+    {
+        const scripted_runner serving({{unframed + "abcd"}});
+        proxy_fixture test({&serving});
+        keepConnection(test);
+        CPPUNIT_ASSERT_EQUAL(std::string("abcd"), test.sendRequest("/once/1")->body);
+    }
+
+    /// Nothing older than the first one is there to prove its end; from then on there is.
+    void answersThatEndAtOnceAreProvenAfterTheFirst()
+    {
+        const scripted_runner runner({{unframed + "a"}, {unframed + "b"}, {unframed + "c"}});
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), test.sendRequest("/once/1")->body);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), test.sendRequest("/once/1")->body);
+    }
+
 private:
+    /// Leaves an idle connection, on which the runner has answered, in the pool.
+    static void keepConnection(proxy_fixture &test)
+    {
+        const runner_entry target = test.publisher.current()->runners->find({"r0"});
+        CPPUNIT_ASSERT(succeeded(callRunner(test.connections.connector, test.names, *target,
+                                            test.names.reportRequest(), 5s)));
+    }
+
     /// Asks a runner that is killed at the end of what it has sent.
     static std::optional<http_reply> askKilledRunner(const std::string &path,
                                                      const std::string &answer)
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -26,6 +26,7 @@
     names.keyScheme = "Sign";
     names.workspace = "Space";
     names.reservedHeaders = {"Runner", "Priority", "Stage", "Source", "Fetch", "Space"};
+    names.runnerId = "Answers-As";
     names.seal = "Seal";
     names.notRun = "Not-Run";
     names.rateLimit = "Rate";
@@ -35,6 +36,11 @@
             return std::nullopt;
         return std::string(body);
     };
+    names.reportRequest = [] {
+        http_request request;
+        request.path = "/state";
+        return request;
+    };
     names.freeHandleRequest = [](const std::string &handle) {
         http_request request;
         request.method = "DELETE";
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/http_text.h"
 #include "catalogue_fixture.h"
 #include "connector_fixture.h"
 #include "fixture.h"
@@ -217,4 +218,12 @@
             + "\r\nSeal: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// @returns A whole answer in chunks.
+inline std::string chunkedStream(const std::string &events)
+{
+    return "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+            + encodeChunk(events) + "0\r\n\r\n";
+}
+
 } // namespace poplarspool::gateway::test
