Cut a stream whose event ids go back within a run

A run sends an id that is too large, as a faulty runner may. Each later event of the same run counted as one that the caller has already, and was left out; the stream then ended as complete. Such events are left out only before a run's first new one, as a run that resumes a stream may begin a little too early. Within a run an id that goes back means that one of its ids is wrong, and which events are missing is unknown: the stream is cut visibly and not resumed. After a step that is larger than all tokens of the request, a stream that breaks off isn't resumed either: the next run would find nothing left to write and end it as complete.

A stream that a caller takes up repeats nothing either: a run that begins before the caller's last event sent it twice.

--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -327,10 +327,15 @@
     if (end == try_end::Lost && (isTrial || context.quarantineManager.isRetryRisky(suspects)))
         return false;
     if (hasBegun)
-        return selectedRoute->isResumable;
+        return mayResume();
     return end == try_end::NotRun || selectedRoute->retryPolicy == retry_policy::Idempotent;
 }
 
+bool request_proxy::mayResume() const
+{
+    return selectedRoute->isResumable && order.canResume();
+}
+
 /// A caller that has closed its sending side is treated as gone: callers that half-close and still
 /// read the answer don't occur here. Forwarding its request would waste a runner's time.
 bool request_proxy::isCallerGone() const
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -2,6 +2,7 @@
 
 #include "crashes/quarantine_manager.h"
 #include "gateway/envelope.h"
+#include "gateway/event_order.h"
 #include "gateway/event_splitter.h"
 #include "gateway/rate_limiter.h"
 #include "gateway/retry_budgets.h"
@@ -127,6 +128,9 @@
         Lost, ///< It may have run, and its answer is lost.
     };
 
+    /// How complete events were passed on.
+    enum class pass_end { Passed, CallerGone, OutOfOrder };
+
     /// One send and the state that is needed at its end.
     struct sending
     {
@@ -151,6 +155,8 @@
     /// Finds a placement whose runners' rate limits permit the request.
     std::optional<placement> findPermittedPlacement(const runner *prefillEngine);
     bool mayTryAgain(try_end end) const;
+    /// @returns Whether another run can go on with the stream.
+    bool mayResume() const;
     bool isCallerGone() const;
     std::optional<http_reply> abandon();
     std::optional<http_reply> finish();
@@ -240,7 +246,7 @@
     try_end takeReply(runner_call &call, const reply_head &head, sending &current);
     try_end takeRefusal(runner_call &call, const reply_head &head, sending &current);
     try_end passStream(runner_call &call, const reply_head &head, sending &current);
-    bool passEvents(event_splitter &events, const reply_head &head, const runner &target);
+    pass_end passEvents(event_splitter &events, const reply_head &head, const runner &target);
     try_end passPlain(runner_call &call, const reply_head &head, sending &current);
     try_end passLarge(runner_call &call, const reply_head &head, std::string buffered,
                       sending &current);
@@ -296,7 +302,7 @@
     /// Memory reserved for what is buffered of the answer.
     std::size_t reservedBufferBytes = config::uncountedAnswerBytes;
     bool hasBegun = false; ///< Bytes of an answer were passed on to the caller.
-    std::optional<std::uint64_t> lastEventId; ///< Last event passed on.
+    event_order order; ///< Of the events passed on.
     streams::stream_key streamKey = 0; ///< Only of streams that may be resumed.
     /// Software version that has begun the stream, here or for an earlier attempt of the caller:
     /// what two versions write doesn't fit together.
--- a/src/gateway/runner_answer.cpp
+++ b/src/gateway/runner_answer.cpp
@@ -142,28 +142,29 @@
     return caller.begin(head.status, forwardedReplyHeaders(head.headers), {});
 }
 
-/// Passes on the complete events. Events up to the last one passed on are skipped: a runner may
-/// resume the stream a little too early.
-/// @returns False if the caller is gone.
-bool request_proxy::passEvents(event_splitter &events, const reply_head &head, const runner &target)
+/// Passes on the complete events, without those that the caller has already.
+request_proxy::pass_end request_proxy::passEvents(event_splitter &events, const reply_head &head,
+                                                  const runner &target)
 {
     while (auto event = events.next()) {
-        if (event->id && lastEventId && *event->id <= *lastEventId)
+        const event_verdict found = order.add(event->id);
+        if (found == event_verdict::Skip)
             continue;
+        if (found == event_verdict::OutOfOrder)
+            return pass_end::OutOfOrder;
         if (!hasBegun)
             recordOrigin(target);
         if (!beginReply(head) || !caller.write(event->text))
-            return false;
-        if (event->id)
-            lastEventId = event->id;
+            return pass_end::CallerGone;
     }
-    return true;
+    return pass_end::Passed;
 }
 
 request_proxy::try_end request_proxy::passStream(runner_call &call, const reply_head &head,
                                                  sending &current)
 {
     event_splitter events;
+    order.beginRun();
     while (true) {
         const body_piece piece = call.readBody(current.deadline);
         events.add(piece.bytes);
@@ -172,11 +173,14 @@
             return handleFault(call, call_fault::Malformed, current);
         if (isFirst)
             recordFirstByte(current);
-        if (!passEvents(events, head, *current.place.serving)) {
+        const pass_end passed = passEvents(events, head, *current.place.serving);
+        if (passed == pass_end::CallerGone) {
             call.abort();
             ++possibleRuns;
             return try_end::CallerGone;
         }
+        if (passed == pass_end::OutOfOrder)
+            return handleFault(call, call_fault::Malformed, current);
         if (piece.fault != call_fault::None)
             return handleFault(call, piece.fault, current);
         if (events.isTooLong())
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -148,8 +148,7 @@
 /// @returns Whether the request can be sent once more if its current send is lost.
 bool request_proxy::mayGoOnElsewhere() const
 {
-    const bool mayRepeat =
-            selectedRoute->retryPolicy == retry_policy::Idempotent || selectedRoute->isResumable;
+    const bool mayRepeat = selectedRoute->retryPolicy == retry_policy::Idempotent || mayResume();
     return mayRepeat && possibleRuns + 1 < selectedRoute->maxRunners
             && context.retries.hasRoom(service);
 }
@@ -178,8 +177,8 @@
     if (engine != nullptr)
         extras.priority =
                 current.kvSource.empty() ? priorityOf(current.place) : config::prefilledPriority;
-    if (lastEventId)
-        extras.lastEventId = std::to_string(*lastEventId);
+    if (order.last())
+        extras.lastEventId = std::to_string(*order.last());
     extras.kvSource = current.kvSource;
     if (current.place.cacheSource)
         extras.kvFetch = textOf(current.place.cacheSource->address);
--- a/src/gateway/stream_take_up.cpp
+++ b/src/gateway/stream_take_up.cpp
@@ -2,8 +2,22 @@
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/streams/limits.h"
 
+#include <charconv>
+
 namespace poplarspool::gateway {
 
+namespace {
+
+std::optional<std::uint64_t> eventNumberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *const end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, number);
+    return fault == std::errc{} && stop == end ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
 std::string_view nameOf(take_up_end end)
 {
     switch (end) {
@@ -38,6 +52,8 @@
     streamKey = streams::streamKeyOf({owner == nullptr ? std::string_view() : owner->id.text,
                                       service.text, isNamed ? metadata.resumes : metadata.id},
                                      context.digestSeed);
+    order = event_order(isTakeUp() ? eventNumberOf(metadata.lastEventId) : std::nullopt,
+                        metadata.outputTokens);
     if (!isTakeUp())
         return std::nullopt;
     const mono_time askedAt = context.clock.mono();
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -218,12 +218,16 @@
             + "\r\nSeal: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Head of a stream with neither a length nor chunks.
+inline const std::string streamHead =
+        "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nContent-Type: text/event-stream\r\n\r\n";
+
 /// @returns A whole answer in chunks.
 inline std::string chunkedStream(const std::string &events)
 {
-    return "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nContent-Type: text/event-stream\r\n"
-           "Transfer-Encoding: chunked\r\n\r\n"
-            + encodeChunk(events) + "0\r\n\r\n";
+    const std::string chunks = events.empty() ? std::string() : encodeChunk(events);
+    return streamHead.substr(0, streamHead.size() - 2) + "Transfer-Encoding: chunked\r\n\r\n"
+            + chunks + "0\r\n\r\n";
 }
 
 } // namespace poplarspool::gateway::test
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -21,11 +21,10 @@
 using test::script_end;
 using test::scripted_runner;
 using test::sealed;
+using test::streamHead;
 using fixture = test::proxy_fixture;
 
 const std::string refusalText = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
-const std::string streamHead =
-        "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nContent-Type: text/event-stream\r\n\r\n";
 
 std::string eventText(int id)
 {
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -14,10 +14,9 @@
 using test::script;
 using test::script_end;
 using test::scripted_runner;
+using test::streamHead;
 using fixture = test::proxy_fixture;
 
-const std::string streamHead =
-        "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\nContent-Type: text/event-stream\r\n\r\n";
 const service_id engineService{"s"};
 const software_version oldVersion{"v1"};
 const software_version newVersion{"v2"};
