Close the gaps of the witness that a review has shown

The connection must be idle before the question, and a reply with a request's id is none (strayReplyIsNoProof). - Connections that were opened and never used were in the pool like those on which a runner has answered (connectionThatWasNeverAnsweredIsNoProof). - A runner that answers no reports cost a channel and a wait for each piece. Now one try a second, two in all (runnerThatAnswersNoReportsIsAskedTwice); answers in chunks or with a length cost none (framedAnswersNeedNoWitness). - A runner stops at the time that it was given: an answer that ends then is in doubt (answerThatEndsWithItsTimeIsInDoubt). - 408 and 429 without a mark of the runner are no proof; no call lasts longer than the request; services are remembered for an hour, since at those with little traffic each such answer was in doubt. - An exception in a carrier, or its end, closed a tunnel in an orderly way: now that is a reset. - A first event id that exceeds all tokens of the request counts as too large as well.

answerWithoutLengthNeedsOrderlyClose had lost its check of the reset: both answers end 100 ms after their bytes now, so that the reset alone makes the difference.

--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -330,13 +330,17 @@
 /// Time-out of one call that asks a run whether it is still there. Runners answer such calls at
 /// once; a stream may pause for longer.
 inline constexpr std::chrono::milliseconds witnessCallTimeout = 200ms;
-/// Time after which an idle witness is asked again: runners close idle connections, some of them
-/// after two seconds.
+/// Time left below which a request waits for no witness.
+inline constexpr std::chrono::milliseconds minTimeToOpenWitness = 1s;
+/// Time after which an idle witness is asked again, or another one is tried: runners close idle
+/// connections, some of them after two seconds.
 inline constexpr std::chrono::milliseconds witnessRefreshTime = 1s;
-/// Connections on which a run is asked in vain before its answer counts as cut.
+/// Connections on which a run is asked in vain, while its answer arrives and once more at its end.
 inline constexpr std::size_t maxWitnessesAsked = 2;
+/// Time left below which a runner may have given an answer up because its caller's time was over.
+inline constexpr std::chrono::milliseconds abandonedAnswerMargin = 20ms;
 /// Time for which a service is remembered that has sent an answer with neither a length nor chunks.
-inline constexpr std::chrono::milliseconds unframedServiceRetention = 60s;
+inline constexpr std::chrono::milliseconds unframedServiceRetention = 1h;
 /// Services that are remembered for that.
 inline constexpr std::size_t maxUnframedServices = 1024;
 /// Longer times in the operators' configuration are reduced to this: longer than any request.
--- a/src/base/connection_pool.cpp
+++ b/src/base/connection_pool.cpp
@@ -79,7 +79,7 @@
     if (pooled == idle.end())
         return {};
     const auto found = std::ranges::find_if(pooled->second, [&](const idle_connection &one) {
-        return one.releasedAt <= releasedBy && one.expires > now
+        return one.answeredBy <= releasedBy && one.expires > now
                 && isIdleAndOpen(one.connection.get()) && isUsable(one.connection.get());
     });
     if (found == pooled->second.end())
@@ -94,13 +94,24 @@
 
 void connection_pool::release(const endpoint &to, descriptor connection, milliseconds idleTime)
 {
-    const std::lock_guard lock(guard);
     const socket_deadline now = socket_clock::now();
-    dropExpired(now);
+    keep(to, {std::move(connection), now, now + idleTime});
+}
+
+void connection_pool::releaseUnused(const endpoint &to, descriptor connection,
+                                    milliseconds idleTime)
+{
+    keep(to, {std::move(connection), socket_deadline::max(), socket_clock::now() + idleTime});
+}
+
+void connection_pool::keep(const endpoint &to, idle_connection connection)
+{
+    const std::lock_guard lock(guard);
+    dropExpired(socket_clock::now());
     std::vector<idle_connection> &pooled = idle[to];
     if (isStopped || pooled.size() >= idlePerTarget)
         return;
-    pooled.push_back({std::move(connection), now, now + idleTime});
+    pooled.push_back(std::move(connection));
     idleCount.add(1);
 }
 
--- a/src/base/connection_pool.h
+++ b/src/base/connection_pool.h
@@ -34,7 +34,7 @@
     connect_result tryConnect(const endpoint &to, socket_deadline deadline, int interruptFd);
     /// @returns The most recently used idle connection; a closed descriptor if none is usable.
     descriptor acquireIdle(const endpoint &to);
-    /// @param releasedBy Time by which the connection has been returned to the pool.
+    /// @param releasedBy Time by which the connection has been returned to the pool, after a reply.
     /// @param isUsable Tells whether it can be used, by its descriptor.
     /// @returns An idle connection of those.
     pooled_connection acquireOlder(const endpoint &to, socket_deadline releasedBy,
@@ -44,6 +44,9 @@
     /// @param idleTime Time after which the pool closes it.
     void release(const endpoint &to, descriptor connection, milliseconds idleTime);
 
+    /// As release(), for a connection on which no reply was read since it was acquired or made.
+    void releaseUnused(const endpoint &to, descriptor connection, milliseconds idleTime);
+
     /// Closes the idle connections. Connections returned later are closed.
     void stop();
 
@@ -51,10 +54,11 @@
     struct idle_connection
     {
         descriptor connection;
-        socket_deadline releasedAt;
+        socket_deadline answeredBy; ///< Maximum: no reply is known.
         socket_deadline expires;
     };
 
+    void keep(const endpoint &to, idle_connection connection);
     void dropExpired(socket_deadline now);
 
     const std::size_t idlePerTarget;
--- a/src/gateway/byte_carrier.cpp
+++ b/src/gateway/byte_carrier.cpp
@@ -119,10 +119,13 @@
 {
     byte_flow there{near.get(), far.get(), {}, false, false};
     byte_flow back{far.get(), near.get(), {}, false, false};
-    if (carryUntilClosed(there, back, interruptFd, bytesCarried))
-        return;
+    // Also an exception or the end of this process must not look like the end of an answer.
     abortOnClose(near.get());
     abortOnClose(far.get());
+    if (!carryUntilClosed(there, back, interruptFd, bytesCarried))
+        return;
+    restoreGracefulClose(near.get());
+    restoreGracefulClose(far.get());
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/event_order.cpp
+++ b/src/gateway/event_order.cpp
@@ -13,7 +13,7 @@
         return event_verdict::OutOfOrder;
     }
     // Ids count events or tokens, and each event has a token at least.
-    if (lastId && maxTokens > 0 && *id - *lastId > maxTokens)
+    if (maxTokens > 0 && *id - lastId.value_or(0) > maxTokens)
         isResumable = false;
     lastId = id;
     hasRunPassed = true;
--- a/src/gateway/prefill_handoff.cpp
+++ b/src/gateway/prefill_handoff.cpp
@@ -100,7 +100,7 @@
     if (!beginSend(prefillEngine, connection)) {
         lastFault = "prefill_" + std::string(nameOf(lastWithdrawal.kind));
         connection.connection = call.takeUnused();
-        context.connections.release(prefillEngine, std::move(connection), config::runnerIdleTime);
+        context.connections.releaseUnused(prefillEngine, std::move(connection));
         return std::nullopt;
     }
     call_fault fault = call.send({requestHead, request.body}, deadline);
--- a/src/gateway/run_witness.cpp
+++ b/src/gateway/run_witness.cpp
@@ -4,20 +4,23 @@
 #include "gateway/runner_control.h"
 #include "poplarspool/gateway/limits.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace poplarspool::gateway {
 
 namespace {
 
+constexpr int requestTimeoutStatus = 408;
+constexpr int tooManyRequestsStatus = 429;
 constexpr int firstServerErrorStatus = 500;
 
 } // namespace
 
 run_witness::run_witness(runner_connector &connections, const dialect &names, const runner &target,
-                         const runner_connection &used)
-    : connections(connections), names(names),
-      target(target), way{descriptor(), used.isTunnel, used.carrier, used.carrierAddress},
+                         const runner_connection &used, socket_deadline deadline)
+    : connections(connections), names(names), target(target),
+      deadline(deadline), way{descriptor(), used.isTunnel, used.carrier, used.carrierAddress},
       createdAt(socket_clock::now())
 { }
 
@@ -30,20 +33,30 @@
 
 void run_witness::open()
 {
+    if (deadline - socket_clock::now() < config::minTimeToOpenWitness)
+        return;
+    nextTryAt = socket_clock::now() + config::witnessRefreshTime;
     if (!acquire() && connect() && ask())
         isOlder = connection.connection.isOpen();
 }
 
+/// What has answered only after the end of the answer may be a process that has taken the place of
+/// the one that ended.
 void run_witness::keep(const runner_call &answer)
 {
-    if (isFresh() || answer.isPeerClosed())
+    if (answeredAt != socket_deadline{} && connection.connection.isOpen())
+        isOlder = isOlder || answer.isDrainedAndOpen();
+    const auto now = socket_clock::now();
+    if (now < nextTryAt || failedTries == config::maxWitnessesAsked || !answer.isDrainedAndOpen())
         return;
-    if (!connection.connection.isOpen() && (acquire() || !connect()))
+    nextTryAt = now + config::witnessRefreshTime;
+    if (!connection.connection.isOpen() && acquire())
         return;
-    // What has answered only after the end of the answer may be a process that has taken the place
-    // of the one that ended.
-    if (ask() && !answer.isPeerClosed())
-        isOlder = connection.connection.isOpen();
+    const bool isConnected = connection.connection.isOpen() || connect();
+    if (isConnected && ask() && connection.connection.isOpen())
+        isOlder = isOlder || answer.isDrainedAndOpen();
+    else
+        ++failedTries;
 }
 
 bool run_witness::confirm()
@@ -59,12 +72,6 @@
     return false;
 }
 
-bool run_witness::isFresh() const
-{
-    return connection.connection.isOpen()
-            && socket_clock::now() - answeredAt < config::witnessRefreshTime;
-}
-
 /// Takes an idle connection whose last reply was complete before the request was sent.
 bool run_witness::acquire()
 {
@@ -78,27 +85,35 @@
 
 bool run_witness::connect()
 {
-    const auto deadline = socket_clock::now() + config::witnessCallTimeout;
-    auto made = connections.connectLike(target, way, deadline);
+    auto made = connections.connectLike(target, way, callEnd());
     if (!succeeded(made))
         return false;
     connection = std::move(valueOf(made));
     return true;
 }
 
+socket_deadline run_witness::callEnd() const
+{
+    return std::min(deadline, socket_clock::now() + config::witnessCallTimeout);
+}
+
 /// Closes the connection if the run doesn't answer on it.
 bool run_witness::ask()
 {
-    if (!connection.connection.isOpen())
+    // A second answer to an earlier request, which may lie here also after the run has ended, would
+    // be taken for the reply.
+    if (!connection.connection.isOpen() || !isIdleAndOpen(connection.connection.get())) {
+        connection.connection.reset();
+        isOlder = false;
         return false;
-    const auto deadline = socket_clock::now() + config::witnessCallTimeout;
+    }
     send_extras extras;
     extras.runner = target.id.text;
     extras.timeLeft = config::witnessCallTimeout;
     const http_request request = names.reportRequest();
     const std::string head = runnerRequestHead(request, target.address, names, extras);
     auto answered = callOn(std::move(connection.connection), "runner " + target.id.text,
-                           {head, request.body}, deadline, {});
+                           {head, request.body}, callEnd(), {});
     if (!succeeded(answered) || !isAnswerOfRun(valueOf(answered).reply)) {
         isOlder = false;
         return false;
@@ -111,16 +126,19 @@
 }
 
 /// A proxy before the runner answers in its place with a server error, or hands the call on to
-/// another one, which says that it isn't the expected one.
+/// another one, which says that it isn't the expected one. A plain service may know no reports.
 bool run_witness::isAnswerOfRun(const http_reply &reply) const
 {
     const std::string_view id = headerOf(reply.headers, names.runnerId);
     if (!id.empty())
         return id == target.id.text;
-    if (reply.status == misdirectedStatus)
+    if (!headerOf(reply.headers, names.requestId).empty() || reply.status == misdirectedStatus)
         return false;
-    return reply.status < firstServerErrorStatus || !headerOf(reply.headers, names.notRun).empty()
+    const bool isMarked = !headerOf(reply.headers, names.notRun).empty()
             || !headerOf(reply.headers, names.seal).empty();
+    return isMarked
+            || (reply.status < firstServerErrorStatus && reply.status != requestTimeoutStatus
+                && reply.status != tooManyRequestsStatus);
 }
 
 } // namespace poplarspool::gateway
--- a/src/gateway/runner_answer.cpp
+++ b/src/gateway/runner_answer.cpp
@@ -23,14 +23,14 @@
 }
 
 /// If only the end of the connection ends the answer, a crash ends it like a runner that has
-/// written all of it.
+/// written all of it, and so does a runner that stops as the time that it was given is over.
 bool request_proxy::isProvenWhole(const runner_call &call, sending &current)
 {
     if (!call.isEndedByClose()) {
         lastEndProof = "framing";
         return true;
     }
-    if (!current.witness->confirm())
+    if (timeLeft() <= config::abandonedAnswerMargin || !current.witness->confirm())
         return false;
     lastEndProof = "witness";
     return true;
--- a/src/gateway/runner_call.cpp
+++ b/src/gateway/runner_call.cpp
@@ -343,11 +343,9 @@
     return piece;
 }
 
-bool runner_call::isPeerClosed() const
+bool runner_call::isDrainedAndOpen() const
 {
-    return hasEnded || wasReset
-            || waitForSocket(connection.get(), POLLRDHUP, socket_clock::now(), -1)
-            != socket_fault::TimedOut;
+    return buffer.empty() && !hasEnded && !wasReset && isIdleAndOpen(connection.get());
 }
 
 descriptor runner_call::takeConnection()
--- a/src/gateway/runner_call.h
+++ b/src/gateway/runner_call.h
@@ -76,9 +76,9 @@
     /// @returns Whether only the end of the connection ends the body that the last head announced.
     bool isEndedByClose() const { return body == framing::ToClose; }
 
-    /// @returns Whether the runner's side of the connection has ended, whether or not that has been
-    ///          read yet.
-    bool isPeerClosed() const;
+    /// @returns Whether all that has arrived was read and the connection is open. Behind bytes that
+    ///          were not read, its end may wait.
+    bool isDrainedAndOpen() const;
 
     /// @returns Whether a byte of the request was sent, so that the runner may have run it.
     bool mayHaveArrived() const { return bytesSent > 0; }
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -80,6 +80,12 @@
     pool.release(target.address, std::move(connection.connection), idleTime);
 }
 
+void runner_connector::releaseUnused(const runner &target, runner_connection connection)
+{
+    connection_pool &pool = connection.isTunnel ? tunnels : dependencies.direct;
+    pool.releaseUnused(target.address, std::move(connection.connection), config::runnerIdleTime);
+}
+
 void runner_connector::recordSilentCall(const runner_id &target)
 {
     if (dependencies.links.recordSilentCall(target))
@@ -93,7 +99,7 @@
     if (tunnel.outcome != tunnel_outcome::Connected)
         return;
     recordBroken(target, end, tunnel.connection.carrier);
-    release(target, std::move(tunnel.connection), config::runnerIdleTime);
+    releaseUnused(target, std::move(tunnel.connection));
 }
 
 bool runner_connector::hasEnded(const runner &target)
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -63,6 +63,8 @@
                                       int interruptFd);
     /// Keeps a connection for reuse. Its last reply must be complete.
     void release(const runner &target, runner_connection connection, milliseconds idleTime);
+    /// Keeps a connection on which nothing was sent.
+    void releaseUnused(const runner &target, runner_connection connection);
 
     /// Records that a call has had no news from its runner for a while.
     void recordSilentCall(const runner_id &target);
--- a/src/gateway/runner_try.cpp
+++ b/src/gateway/runner_try.cpp
@@ -201,7 +201,8 @@
         context.metrics.resumes.add();
     current.connection = std::move(valueOf(connected));
     lastWay = wayOf(current.connection);
-    current.witness.emplace(context.connections, context.names, target, current.connection);
+    current.witness.emplace(context.connections, context.names, target, current.connection,
+                            current.deadline);
     // A short answer ends before a connection that is opened beside it can be older than its end.
     if (context.connections.unframed().contains(service))
         current.witness->open();
--- a/src/gateway/runner_withdrawals.cpp
+++ b/src/gateway/runner_withdrawals.cpp
@@ -36,8 +36,7 @@
 {
     lastFault = nameOf(lastWithdrawal.kind);
     current.connection.connection = call.takeUnused();
-    context.connections.release(*current.place.serving, std::move(current.connection),
-                                config::runnerIdleTime);
+    context.connections.releaseUnused(*current.place.serving, std::move(current.connection));
     return try_end::NotRun;
 }
 
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -16,6 +16,7 @@
 using test::proxy_fixture;
 using test::script;
 using test::script_end;
+using test::script_piece;
 using test::scripted_runner;
 
 const std::string statusAndNames = "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\n";
@@ -106,6 +107,12 @@
     CPPUNIT_TEST(listenerThatOutlivesTheRunIsNoProof);
     CPPUNIT_TEST(connectionThatNobodyServesIsNoProof);
     CPPUNIT_TEST(answerOfAProxyIsNoProof);
+    CPPUNIT_TEST(strayReplyIsNoProof);
+    CPPUNIT_TEST(connectionThatWasNeverAnsweredIsNoProof);
+    CPPUNIT_TEST(endBehindUnreadBytesIsNoProof);
+    CPPUNIT_TEST(answerThatEndsWithItsTimeIsInDoubt);
+    CPPUNIT_TEST(framedAnswersNeedNoWitness);
+    CPPUNIT_TEST(runnerThatAnswersNoReportsIsAskedTwice);
     CPPUNIT_TEST(streamOfARunningRunnerIsWhole);
     CPPUNIT_TEST(plainAnswerOfARunningRunnerIsWhole);
     CPPUNIT_TEST(keptConnectionProvesAnAnswerThatEndsAtOnce);
@@ -243,6 +250,70 @@
         }
     }
 
+    /// Guards against a late second answer that lies on the kept connection of an ended run.
+    void strayReplyIsNoProof()
+    {
+        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        const scripted_runner runner({{unframed + "abcd", script_end::Crash, 100ms}}, {},
+                                     reply + reply);
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+    }
+
+    /// Guards against a connection that waits in the backlog until another process serves it.
+    void connectionThatWasNeverAnsweredIsNoProof()
+    {
+        const scripted_runner runner({{unframed + "abcd"}});
+        proxy_fixture test({&runner});
+        const runner_entry target = test.publisher.current()->runners->find({"r0"});
+        auto made =
+                test.connections.connector.connect(*target, poplarspool::test::testDeadline(), -1);
+        test.connections.connector.releaseUnused(*target, std::move(valueOf(made)));
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+    }
+
+    /// Guards against a witness that is opened after the run has ended, while the end of its answer
+    /// waits behind bytes that were not read.
+    void endBehindUnreadBytesIsNoProof()
+    {
+        const scripted_runner runner(
+                {{unframed + std::string(4'000'000, 'x'), script_end::Crash, 0ms}});
+        proxy_fixture test({&runner});
+        test.caller.writeTime = 5ms;
+        CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest("/once/1")));
+    }
+
+    /// Guards against a runner that gives an answer up as its time is over.
+    void answerThatEndsWithItsTimeIsInDoubt()
+    {
+        const scripted_runner runner({{unframed + "abcd", script_end::Close, 400ms}});
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT(!looksWhole(test, test.sendRequest("/once/1", "400")));
+    }
+
+    /// Guards against a price for answers that need no proof.
+    void framedAnswersNeedNoWitness()
+    {
+        const scripted_runner runner(
+                {{test::sealed("200 OK", "a")}, {test::chunkedStream("id: 1\ndata: x\n\n")}});
+        proxy_fixture test({&runner});
+        test.sendRequest("/once/1");
+        test.sendRequest("/stream/1");
+        CPPUNIT_ASSERT_EQUAL(2, runner.connectionCount());
+        CPPUNIT_ASSERT_EQUAL(0, runner.reportCount());
+    }
+
+    /// Guards against a channel and a wait for each piece of an answer.
+    void runnerThatAnswersNoReportsIsAskedTwice()
+    {
+        const std::vector<script_piece> pieces(30, {"piece", 50ms});
+        const scripted_runner runner({{unframed, script_end::Close, 0ms, pieces}}, {}, {});
+        proxy_fixture test({&runner});
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/once/1")->status);
+        CPPUNIT_ASSERT_EQUAL(1 + static_cast<int>(config::maxWitnessesAsked),
+                             runner.connectionCount());
+    }
+
     /// Guards against sound answers without a length that are given up.
     void streamOfARunningRunnerIsWhole()
     {
--- a/tests/gateway/event_order_test.cpp
+++ b/tests/gateway/event_order_test.cpp
@@ -45,14 +45,20 @@
     /// write.
     void streamIsNotResumedAfterAnIdThatIsTooLarge()
     {
-        const script broken{test::streamHead + eventText(1) + eventText(hugeId), script_end::Reset};
+        for (const std::string &events : {eventText(1) + eventText(hugeId), eventText(hugeId)})
+            expectNoResume(events);
+    }
+
+    static void expectNoResume(const std::string &events)
+    {
+        const script broken{test::streamHead + events, script_end::Reset};
         const scripted_runner first({broken});
         const scripted_runner second({{chunkedStream({})}});
         fixture test({&first, &second});
         test.runnerTable.candidatesOf(*test.publisher.current(), {.service = {"s"}});
         const runner_table::open_send busy(test.runnerTable, {"r1"}, 0, send_class::Urgent);
         test.sendRequest("/stream/1", "5000", {{"Tokens", "10,17"}});
-        CPPUNIT_ASSERT_EQUAL(eventText(1) + eventText(hugeId), test.caller.body);
+        CPPUNIT_ASSERT_EQUAL(events, test.caller.body);
         CPPUNIT_ASSERT(!test.caller.isWhole);
     }
 
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -34,6 +34,7 @@
     }
     bool write(std::string_view piece) override
     {
+        std::this_thread::sleep_for(writeTime);
         body += piece;
         return true;
     }
@@ -46,6 +47,7 @@
     int status = 0;
     std::string body;
     bool isWhole = false;
+    milliseconds writeTime{0}; ///< Of each piece.
 };
 
 /// The state that one request_proxy needs.
--- a/tests/gateway/request_proxy_test.cpp
+++ b/tests/gateway/request_proxy_test.cpp
@@ -164,7 +164,7 @@
         scripted_runner good({{text, script_end::Close, 100ms}});
         fixture test({&good});
         CPPUNIT_ASSERT_EQUAL(std::string("abcd"), test.sendRequest("/once/1")->body);
-        scripted_runner bad({{text, script_end::Reset}});
+        scripted_runner bad({{text, script_end::Reset, 100ms}});
         fixture other({&bad});
         CPPUNIT_ASSERT_EQUAL(502, other.sendRequest("/once/1")->status);
     }
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -25,11 +25,19 @@
     Crash,
 };
 
+/// Bytes that are sent after a pause.
+struct script_piece
+{
+    std::string bytes;
+    std::chrono::milliseconds pause{0};
+};
+
 struct script
 {
     std::string bytes;
     script_end end = script_end::Close;
     std::chrono::milliseconds endsAfter{0}; ///< Time between the bytes and the end.
+    std::vector<script_piece> more = {}; ///< Sent after `bytes`.
 };
 
 /// A runner that answers the n-th connection on which a request arrives with the n-th script and
@@ -65,6 +73,8 @@
         const std::lock_guard lock(guard);
         return receivedRequests;
     }
+    int connectionCount() const { return acceptedConnections; }
+    int reportCount() const { return answeredReports; }
     /// @returns Whether a connection that stays open was closed by the other side.
     bool wasDisconnected() const { return isDisconnected; }
     /// Waits for the end of bytes without end.
@@ -83,6 +93,7 @@
             const int fd = accept(listener.get(), nullptr, nullptr);
             if (fd < 0)
                 return;
+            ++acceptedConnections;
             const std::lock_guard lock(guard);
             open.insert(fd);
             connections.emplace_back([this, fd] { serve(fd); });
@@ -94,8 +105,10 @@
         descriptor connection(fd);
         std::string request;
         while (isReport(request = poplarspool::test::readUntil(fd, "\r\n\r\n"))
-               && !reportReply.empty())
+               && !reportReply.empty()) {
+            ++answeredReports;
             sendAll(fd, reportReply, poplarspool::test::testDeadline(), -1);
+        }
         const script *next = takeScript(request);
         if (next != nullptr)
             answer(connection, *next);
@@ -122,6 +135,10 @@
         if (onRequest)
             onRequest();
         sendAll(connection.get(), given.bytes, poplarspool::test::testDeadline(), -1);
+        for (const script_piece &piece : given.more) {
+            std::this_thread::sleep_for(piece.pause);
+            sendAll(connection.get(), piece.bytes, poplarspool::test::testDeadline(), -1);
+        }
         std::this_thread::sleep_for(given.endsAfter);
         if (given.end == script_end::Reset)
             abortOnClose(connection.get());
@@ -164,6 +181,8 @@
     mutable std::mutex guard;
     std::set<int> open;
     std::vector<std::string> receivedRequests;
+    std::atomic<int> acceptedConnections{0};
+    std::atomic<int> answeredReports{0};
     std::atomic<bool> isDisconnected{false};
     std::atomic<bool> isEndlessOver{false};
     std::vector<std::thread> connections;
