Prove a take-up's version by a view confirmed after it came

An instance that is cut off or stands still for some seconds while runners of a new version join doesn't know them. Take-ups of their streams that it has no record of went on at the only version that it knew: where the caller names the attempt that began the stream, for 1.9 s after the last confirmation, otherwise without any limit.

Both kinds now need a view that the store confirmed as of the take-up's arrival or later, and the version must have been the only one at that time. The take-up waits for that for at most 1.8 s; if the last confirmation is older than 1.9 s, it is refused at once. After 2.5 s without a confirmation, runners may have come and gone unseen, and the view reaches back no further.

takeUpNeedsAViewThatIsFreshAndOldEnough took a confirmation from before the take-up for proof. It now refuses that one, asks the same of callers that name no attempt, and keeps its other bounds.

--- a/include/poplarspool/streams/limits.h
+++ b/include/poplarspool/streams/limits.h
@@ -24,6 +24,15 @@
 /// arrive; and the longest time for which one is kept.
 inline constexpr std::chrono::milliseconds originMargin = 2s;
 inline constexpr std::chrono::milliseconds maxOriginRetention = 10min;
+/// Time for which a take-up without a record waits for a confirmation of the runners that is as of
+/// its arrival, and the interval at which it looks for one. Relays get a confirmation from the
+/// store at least every 1.3 s, which counts as of 0.3 s before its arrival; callers leave after 2
+/// s.
+inline constexpr std::chrono::milliseconds takeUpProofTimeout = 1800ms;
+inline constexpr std::chrono::milliseconds takeUpProofInterval = 10ms;
+/// Time without a confirmation after which runners of other versions may have come and gone unseen;
+/// in normal operation confirmations are at most 2.4 s apart.
+inline constexpr std::chrono::milliseconds maxUnseenRunnerTime = 2500ms;
 /// Interval at which the exchange wakes up without datagrams.
 inline constexpr std::chrono::milliseconds idleOriginInterval = 5s;
 
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/gateway/route_index.h"
+#include "poplarspool/streams/limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -58,9 +59,18 @@
     });
 }
 
+/// Runners that have come and gone since the last confirmation are in no list and in no change:
+/// after a long time without one, it isn't known any more which versions there have been.
 void catalogue_updater::confirmRunners(mono_time at, store_version version)
 {
-    publisher.update([at, version](catalogue &next) {
+    const mono_time now = clock.mono();
+    publisher.update([&](catalogue &next) {
+        if (now - next.runnersConfirmedAt > config::maxUnseenRunnerTime) {
+            sole_version_map versions = *next.soleVersions;
+            for (auto &entry : versions)
+                entry.second.since = now;
+            next.soleVersions = std::make_shared<const sole_version_map>(std::move(versions));
+        }
         next.runnersConfirmedAt = at;
         next.runnersVersion = version;
         return true;
--- a/src/gateway/stream_take_up.cpp
+++ b/src/gateway/stream_take_up.cpp
@@ -1,7 +1,11 @@
 #include "gateway/request_proxy.h"
+#include "gateway/take_up_proof.h"
 #include "poplarspool/gateway/limits.h"
 #include "poplarspool/streams/limits.h"
 
+#include <algorithm>
+#include <thread>
+
 namespace poplarspool::gateway {
 
 std::string_view nameOf(take_up_end end)
@@ -72,25 +76,27 @@
                    "no runner can go on with the stream: " + std::string(fault), retryAfter);
 }
 
-/// The version that must have begun the stream, if nobody knows which one did. Where the caller
-/// names the attempt that began it, the view of the runners has to be fresh and to reach back to
-/// the earliest time at which that can have been. A caller that names none follows the protocol
-/// from before versions were told apart: the runners that are known now decide.
+/// The version that must have begun the stream, if nobody knows which one did. Waits for the
+/// confirmation that proves it, unless the view is so old that this instance has lost the store:
+/// then another instance can sooner.
 /// @returns None if it may have been one of several.
 std::optional<version_key> request_proxy::soleVersion() const
 {
-    const auto known = context.publisher.current();
-    const auto found = known->soleVersions->find(service);
-    if (found == known->soleVersions->end())
-        return std::nullopt;
-    const mono_time now = context.clock.mono();
-    // Callers set time limits of their own, which may exceed the route's.
-    const milliseconds takeUpTime = 2 * selectedRoute->timeLimit + config::originMargin;
-    const bool isCertain = now - found->second.since >= takeUpTime
-            && now - known->runnersConfirmedAt <= context.runnersProofTime;
-    if (!metadata.resumes.empty() && !isCertain)
-        return std::nullopt;
-    return found->second.version;
+    const unrecorded_take_up takeUp{service, arrivedAt, !metadata.resumes.empty(),
+                                    selectedRoute->timeLimit};
+    const mono_time waitEndsAt = std::min(arrivedAt + config::takeUpProofTimeout, endsAt);
+    while (true) {
+        const auto known = context.publisher.current();
+        const version_proof proof = proveVersion(takeUp, *known);
+        if (proof.end == proof_end::Proven)
+            return proof.version;
+        const mono_time now = context.clock.mono();
+        const bool mayBeConfirmed = now - known->runnersConfirmedAt <= context.runnersProofTime;
+        if (proof.end == proof_end::Unknown || !mayBeConfirmed || now >= waitEndsAt
+            || isCallerGone())
+            return std::nullopt;
+        std::this_thread::sleep_for(config::takeUpProofInterval);
+    }
 }
 
 /// Whether a runner of that version runs requests of the service.
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -144,7 +144,8 @@
         scripted_runner runner({whole, whole});
         fixture test({&runner});
         const mono_time now = test.clock.mono();
-        const auto statusWith = [&](mono_time since, mono_time confirmedAt) {
+        const auto statusWith = [&](mono_time since, mono_time confirmedAt,
+                                    const std::string &resumes) {
             test.publisher.update([&](catalogue &next) {
                 next.soleVersions = std::make_shared<const sole_version_map>(
                         sole_version_map{{engineService, {versionKeyOf({}), since}}});
@@ -152,12 +153,19 @@
                 return true;
             });
             const auto reply =
-                    test.sendRequest("/stream/1", "5000", {{"Last", "4"}, {"Resumes", "q0"}});
+                    test.sendRequest("/stream/1", "5000", {{"Last", "4"}, {"Resumes", resumes}});
             return reply ? reply->status : 200;
         };
-        CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 20s, now));
-        CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 1h, now - test.context.runnersProofTime - 1ms));
-        CPPUNIT_ASSERT_EQUAL(200, statusWith(now - 1h, now));
+        const mono_time later = now + 1h;
+        CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 20s, later, "q0"));
+        CPPUNIT_ASSERT_EQUAL(503, statusWith(later, later, ""));
+        for (const std::string resumes : {"q0", ""}) {
+            const mono_time expired = now - test.context.runnersProofTime - 1ms;
+            CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 1h, expired, resumes));
+            // Confirmed a moment before the take-up came: a runner may have joined since.
+            CPPUNIT_ASSERT_EQUAL(503, statusWith(now - 1h, test.clock.mono(), resumes));
+            CPPUNIT_ASSERT_EQUAL(200, statusWith(now - 1h, later, resumes));
+        }
     }
 
     void streamsOfRoutesThatCantBeResumedAreNotRecorded()
