--- a/tests/adapter/take_ups_out_of_step_test.cpp
+++ b/tests/adapter/take_ups_out_of_step_test.cpp
@@ -29,8 +29,9 @@
 constexpr int runnersOfEachVersion = 2;
 constexpr double retryExtra = 1000;
 constexpr int streamCount = 24;
-/// Time limit of the route, longer than a take-up may wait for a confirmation, and the time after which a caller that names the attempt which began
-/// its stream may go on without a record: twice the limit and 2 s, and some for the start.
+/// Time limit of the route, longer than a take-up may wait for a confirmation, and the time after
+/// which a caller that names the attempt which began its stream may go on without a record: twice
+/// the limit and 2 s, and some for the start.
 constexpr auto routeTimeLimit = 2s;
 constexpr auto viewAge = 2 * routeTimeLimit + 2500ms;
 /// Longer than an instance trusts its last confirmation.
