Store: one entry that can't be read costs itself alone

Cause: the parser discards a whole reply for one number that no double holds (1e999), one word that JSON lacks (NaN) or one lone surrogate escape. No instance followed that kind until the entry was gone, and none that started read it. One byte that is not UTF-8 turned the letters beyond ASCII of all entries of its reply, and line breaks between values, into question marks.

Change: if the plain parse fails, what can't be read within an entry is replaced by null, a key by "?". The reply's own values stay strict, and brackets and quotes must be closed in order, so that a cut reply is never read as a shorter list.

--- a/src/base/bounded_json.cpp
+++ b/src/base/bounded_json.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarspool/base/limits.h"
 
+#include <optional>
 #include <string>
 
 namespace poplarspool {
@@ -10,6 +11,28 @@
 
 using nlohmann::json;
 
+bool isSpace(char byte)
+{
+    return byte == ' ' || byte == '\t' || byte == '\n' || byte == '\r';
+}
+
+bool isOpening(char byte)
+{
+    return byte == '[' || byte == '{';
+}
+
+bool isClosing(char byte)
+{
+    return byte == ']' || byte == '}';
+}
+
+/// @returns Whether a number or word ends before this byte.
+bool isDelimiter(char byte)
+{
+    return isSpace(byte) || isOpening(byte) || isClosing(byte) || byte == ',' || byte == ':'
+            || byte == '"';
+}
+
 /// Tracks the nesting depth of each byte of a JSON text.
 class depth_counter
 {
@@ -21,9 +44,9 @@
             advanceInString(byte);
         else if (byte == '"')
             isInString = true;
-        else if (byte == '[' || byte == '{')
+        else if (isOpening(byte))
             ++depth;
-        else if ((byte == ']' || byte == '}') && depth > 0)
+        else if (isClosing(byte) && depth > 0)
             --depth;
         return depth;
     }
@@ -44,22 +67,107 @@
     bool isEscaped = false;
 };
 
-std::string pruneTooDeep(std::string_view text)
+/// Copies a JSON text and replaces what the parser can't read.
+class text_repair
 {
-    std::string pruned;
-    depth_counter counter;
-    bool isSkipping = false;
-    for (const char byte : text) {
-        const bool isTooDeep = counter.advance(byte) > config::maxJsonDepth;
-        if (isTooDeep && !isSkipping)
-            pruned += "null";
-        // The closing byte of a skipped value is already outside it, so it is skipped as well.
-        if (!isTooDeep && !isSkipping)
-            pruned += byte;
-        isSkipping = isTooDeep;
+public:
+    text_repair(std::string_view text, std::size_t strictDepth)
+        : text(text), strictDepth(strictDepth)
+    { }
+
+    /// @returns Nothing if brackets or quotes are not closed in order: the text may be cut, and a
+    ///          cut list must not pass for a shorter one.
+    std::optional<std::string> run()
+    {
+        while (at < text.size()) {
+            if (!step())
+                return std::nullopt;
+        }
+        return open.empty() ? std::optional(std::move(repaired)) : std::nullopt;
+    }
+
+private:
+    bool step()
+    {
+        const char byte = text[at];
+        if (byte == '"')
+            return addString();
+        if (isOpening(byte))
+            addOpening(byte);
+        else if (isClosing(byte))
+            return addClosing(byte);
+        else if (isDelimiter(byte))
+            add(text.substr(at, 1));
+        else
+            addWord();
+        return true;
+    }
+
+    void add(std::string_view piece)
+    {
+        if (open.size() <= config::maxJsonDepth)
+            repaired += piece;
+        at += piece.size();
+    }
+
+    void addOpening(char byte)
+    {
+        if (open.size() == config::maxJsonDepth)
+            repaired += "null";
+        open += byte;
+        add(text.substr(at, 1));
+    }
+
+    bool addClosing(char byte)
+    {
+        if (open.empty() || open.back() != (byte == ']' ? '[' : '{'))
+            return false;
+        add(text.substr(at, 1));
+        open.pop_back();
+        return true;
+    }
+
+    void addWord()
+    {
+        std::size_t end = at;
+        while (end < text.size() && !isDelimiter(text[end]))
+            ++end;
+        addToken(text.substr(at, end - at), "null");
+    }
+
+    bool addString()
+    {
+        std::size_t end = at + 1;
+        while (end < text.size() && text[end] != '"')
+            end += text[end] == '\\' ? 2 : 1;
+        if (end >= text.size())
+            return false;
+        const std::string_view token = text.substr(at, end + 1 - at);
+        std::size_t next = end + 1;
+        while (next < text.size() && isSpace(text[next]))
+            ++next;
+        const bool isKey = next < text.size() && text[next] == ':';
+        addToken(token, isKey ? "\"?\"" : "null");
+        return true;
     }
-    return pruned;
-}
+
+    void addToken(std::string_view token, std::string_view replacement)
+    {
+        const bool isSkipped = open.size() > config::maxJsonDepth;
+        if (isSkipped || open.size() <= strictDepth || json::accept(token)) {
+            add(token);
+            return;
+        }
+        repaired += replacement;
+        at += token.size();
+    }
+
+    const std::string_view text;
+    const std::size_t strictDepth;
+    std::size_t at = 0;
+    std::string open; ///< The brackets that are open.
+    std::string repaired;
+};
 
 } // namespace
 
@@ -89,11 +197,13 @@
     return json::parse(text);
 }
 
-json parseJsonPruned(std::string_view text)
+json parseJsonPruned(std::string_view text, std::size_t strictDepth)
 {
-    if (isNestedTooDeep(text))
-        return json::parse(pruneTooDeep(text), nullptr, false);
-    return json::parse(text, nullptr, false);
+    json whole = parseJson(text);
+    if (!whole.is_discarded())
+        return whole;
+    const auto repaired = text_repair(text, strictDepth).run();
+    return repaired ? json::parse(*repaired, nullptr, false) : json(json::value_t::discarded);
 }
 
 } // namespace poplarspool
--- a/tests/adapter/gateway_fleet.h
+++ b/tests/adapter/gateway_fleet.h
@@ -22,11 +22,12 @@
     /// @param views Addresses at which the first instances reach the store; the others call it
     ///              directly.
     /// @param retryExtra Retries beyond their share that all instances together may make.
+    /// @param sharesStoreUpdates Whether they relay the store's changes to each other.
     gateway_fleet(fake_store &store, int count, std::uint16_t firstPort,
                   std::vector<std::string> zones = {"a"}, std::vector<endpoint> views = {},
-                  double retryExtra = 10)
+                  double retryExtra = 10, bool sharesStoreUpdates = false)
         : store(store), zones(std::move(zones)), views(std::move(views)), retryExtra(retryExtra),
-          port(firstPort)
+          sharesStoreUpdates(sharesStoreUpdates), port(firstPort)
     {
         for (int i = 0; i < count; ++i)
             startOne();
@@ -125,6 +126,7 @@
         settings.peerKey = "key of the fleet";
         settings.leaveSeconds = 1;
         settings.retryExtra = retryExtra;
+        settings.sharesStoreUpdates = sharesStoreUpdates;
         return settings;
     }
 
@@ -132,6 +134,7 @@
     const std::vector<std::string> zones;
     const std::vector<endpoint> views;
     const double retryExtra;
+    const bool sharesStoreUpdates;
     metrics_registry metrics;
     http_pool pool{4, std::chrono::milliseconds(500), metrics, std::chrono::seconds(5)};
     std::vector<std::unique_ptr<platform_gateway>> instances;
--- a/tests/fuzz/store.cpp
+++ b/tests/fuzz/store.cpp
@@ -140,12 +140,54 @@
     useLease(object.spec);
 }
 
+bool isSame(const store_object &one, const store_object &other)
+{
+    return one.name == other.name && one.version == other.version && one.spec == other.spec;
+}
+
+/// @param value JSON text of a value in the second of three entries.
+void checkOtherEntries(const std::string &value)
+{
+    const auto pageWith = [](const std::string &odd) {
+        return pageOf(parseStoreReply(R"({"items":[{"metadata":{"name":"a\u00e4","revision":1},)"
+                                      R"("spec":[1.5,"b\n"]},{"metadata":{"name":"odd"},"spec":)"
+                                      + odd + R"(},{"metadata":{"name":"c","revision":3},)"
+                                      + R"("spec":{"d":null}}],"currentRev":7})"),
+                      0);
+    };
+    const auto expected = pageWith("null");
+    const auto page = pageWith(value);
+    require(page && page->objects.size() == 3, "an odd value hides other entries");
+    require(isSame(page->objects[0], expected->objects[0])
+                    && isSame(page->objects[2], expected->objects[2])
+                    && page->version == expected->version,
+            "an odd value changes other entries");
+    static_cast<void>(page->objects[1].spec.dump()); // Must not throw.
+}
+
+/// Uses the bytes as a word, as a string and as a key of one entry, at some depth.
+void checkOddValue(std::string_view bytes, std::size_t depth)
+{
+    if (bytes.empty() || bytes.find('"') != std::string_view::npos)
+        return;
+    const std::string opening(depth, '[');
+    const std::string closing(depth, ']');
+    if (bytes.find_first_of("[]{},: \t\r\n") == std::string_view::npos)
+        checkOtherEntries(opening + std::string(bytes) + closing);
+    const std::string word(bytes);
+    // An escape at the end would take the quote as well.
+    const std::string quoted = '"' + word + (bytes.back() == '\\' ? " \"" : "\"");
+    checkOtherEntries(opening + quoted + closing);
+    checkOtherEntries(opening + "{" + quoted + ":1}" + closing);
+}
+
 } // namespace
 
 int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     std::string_view bytes(reinterpret_cast<const char *>(data), size);
     const std::uint8_t kind = fuzz::takeByte(bytes);
+    checkOddValue(bytes, kind);
     const nlohmann::json body = parseStoreReply(std::string(bytes));
     if (body.is_discarded())
         return 0;
