--- a/tests/adapter/odd_values_test.cpp
+++ b/tests/adapter/odd_values_test.cpp
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(cutRepliesAreBroken);
     CPPUNIT_TEST(repliesWithOddValuesOfTheirOwnAreBroken);
     CPPUNIT_TEST(oddNamesAreNotMistakenForOthers);
+    CPPUNIT_TEST(pagesContinueAfterNamesThatTheStoreAccepts);
     CPPUNIT_TEST(singleObjectsWithOddValuesAreRead);
     CPPUNIT_TEST(oddRepliesOfEnginesAreRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -225,6 +226,25 @@
         }
     }
 
+    /// Guards against a list that ends at a page whose last name is too long for a call.
+    void pagesContinueAfterNamesThatTheStoreAccepts()
+    {
+        const auto entry = [](const std::string &name) {
+            return R"({"metadata":{"name":)" + test::quoted(name) + R"(},"spec":{}})";
+        };
+        const std::string longName(1'000'000, 'b');
+        scripted_store store(
+                {jsonReply(R"({"items":[)" + entry("a") + "," + entry(longName) + ","
+                           + entry(R"(\ud800)") + R"(],"truncated":true,"currentRev":5})"),
+                 jsonReply(R"({"items":[)" + entry(longName) + "," + entry("c")
+                           + R"(],"currentRev":5})")});
+        store_client client(store.address, store.metrics);
+        const auto found = client.list("k", read_mode::Current);
+        CPPUNIT_ASSERT(succeeded(found));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), valueOf(found).objects.back().name);
+        CPPUNIT_ASSERT(store.requests[1].ends_with("?after=a"));
+    }
+
     void singleObjectsWithOddValuesAreRead()
     {
         const std::string text = R"({"metadata":{"name":"n","revision":3},"spec":{"requests":)"
