Store: log an object that can't be read once, with its kind and name

Cause: an unreadable instance cost a line on each read of the list, every 2 to 16 s at each instance. The line did not say the kind, and was as long as the value that it quoted.

Measured: refusedEntryIsLoggedOnce came with the change and passes; the code before has no counterpart of what it calls. store_rollback_test calls decodeAll with the new parameter; its checks are unchanged.

--- a/tests/adapter/odd_values_test.cpp
+++ b/tests/adapter/odd_values_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(oddNamesAreNotMistakenForOthers);
     CPPUNIT_TEST(pagesContinueAfterNamesThatTheStoreAccepts);
     CPPUNIT_TEST(singleObjectsWithOddValuesAreRead);
+    CPPUNIT_TEST(refusedEntryIsLoggedOnce);
     CPPUNIT_TEST(oddRepliesOfEnginesAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,32 @@
         }
     }
 
+    /// Guards against a log that grows with each read of the list, and a line of any length.
+    void refusedEntryIsLoggedOnce()
+    {
+        journal events({"test"}, systemClock(), 64);
+        refused_objects refused("k", events);
+        const std::string name(1'000'000, 'n');
+        const store_object odd{name, json{{"service", "s"}, {"address", name}}, {}};
+        const auto lineCount = [&] { return events.events({"object_ignored", {}, {}}).size(); };
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(decodeAll<gateway::runner>({odd}, decodeRunner, refused).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lineCount());
+        const auto lines = events.events({"object_ignored", {}, {}});
+        for (const event_field &field : lines.front().fields)
+            CPPUNIT_ASSERT(field.value.size() <= 512);
+        refused.record({"m", notRun(error_code::Broken, "reason")});
+        refused.record({"m", notRun(error_code::Broken, "reason")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, lineCount());
+        refused.clear("m");
+        refused.record({"m", notRun(error_code::Broken, "reason")});
+        refused.record({"m", notRun(error_code::Broken, "other reason")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, lineCount());
+        CPPUNIT_ASSERT(decodeAll<gateway::runner>({}, decodeRunner, refused).empty());
+        decodeAll<gateway::runner>({odd}, decodeRunner, refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, lineCount());
+    }
+
     void oddRepliesOfEnginesAreRefused()
     {
         const gateway::dialect engineDialect = platformDialect();
--- a/tests/adapter/store_rollback_test.cpp
+++ b/tests/adapter/store_rollback_test.cpp
@@ -66,7 +66,8 @@
 {
     const auto listed = one.client.list(wire::instanceKind, read_mode::Current);
     CPPUNIT_ASSERT(succeeded(listed));
-    return decodeAll(valueOf(listed).objects, decodeInstance, one.events);
+    refused_objects refused(wire::instanceKind, one.events);
+    return decodeAll(valueOf(listed).objects, decodeInstance, refused);
 }
 
 /// @returns Whether the object of an instance marks the entry of a runner as outdated.
