Store: replace words with a zero byte within an entry

Cause: the parser takes a zero byte for the end of the text, so it accepted the word before it and then discarded the whole reply. Found by the fuzz target.

--- a/src/base/bounded_json.cpp
+++ b/src/base/bounded_json.cpp
@@ -154,7 +154,9 @@
     void addToken(std::string_view token, std::string_view replacement)
     {
         const bool isSkipped = open.size() > config::maxJsonDepth;
-        if (isSkipped || open.size() <= strictDepth || json::accept(token)) {
+        // The parser takes a zero byte for the end of the text.
+        const bool isReadable = token.find('\0') == std::string_view::npos && json::accept(token);
+        if (isSkipped || open.size() <= strictDepth || isReadable) {
             add(token);
             return;
         }
--- a/tests/adapter/odd_values.h
+++ b/tests/adapter/odd_values.h
@@ -57,7 +57,8 @@
             "+1",
             "01",
             ".5",
-            "1."};
+            "1.",
+            std::string("43\0s", 4)};
 }
 
 /// Strings with bytes or escapes that JSON does not allow.
