--- a/tests/adapter/odd_values_test.cpp
+++ b/tests/adapter/odd_values_test.cpp
@@ -141,7 +141,9 @@
     CPPUNIT_TEST(oddNamesAreNotMistakenForOthers);
     CPPUNIT_TEST(pagesContinueAfterNamesThatTheStoreAccepts);
     CPPUNIT_TEST(singleObjectsWithOddValuesAreRead);
+    CPPUNIT_TEST(oddRunnersAreRefused);
     CPPUNIT_TEST(refusedEntryIsLoggedOnce);
+    CPPUNIT_TEST(oddEntriesDoNotKeepOthersFromBeingRelayed);
     CPPUNIT_TEST(oddRepliesOfEnginesAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +264,19 @@
         }
     }
 
+    void oddRunnersAreRefused()
+    {
+        const json good{{"service", "s"}, {"address", "127.0.0.1:80"}};
+        CPPUNIT_ASSERT(succeeded(decodeRunner("i", good)));
+        for (const char *address : {"127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:65536",
+                                    "127.0.0.1:99999999999999999999", "127.0.0.1:1e3"}) {
+            json odd = good;
+            odd["address"] = address;
+            CPPUNIT_ASSERT_MESSAGE(address, !succeeded(decodeRunner("i", odd)));
+        }
+        CPPUNIT_ASSERT(!succeeded(decodeRunner(std::string(1'000'000, 'i'), good)));
+    }
+
     /// Guards against a log that grows with each read of the list, and a line of any length.
     void refusedEntryIsLoggedOnce()
     {
@@ -288,6 +303,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, lineCount());
     }
 
+    /// Guards against changes that are relayed without those of other entries, or not at all.
+    void oddEntriesDoNotKeepOthersFromBeingRelayed()
+    {
+        test::fake_store store;
+        store.put(wire::configKind, wire::configName, test::configSpec(1));
+        store.put(wire::runnerKind, "i-1", test::runnerSpec("in_service"));
+        const follower_pair pair(store);
+        CPPUNIT_ASSERT(waitUntil([&] { return pair.followedByOthersCount() > 0; }));
+        int count = 0;
+        for (const std::string &odd : test::oddValues()) {
+            if (odd.size() < 10'000)
+                store.put(wire::runnerKind, "odd-" + std::to_string(count++),
+                          R"({"service":"s","address":"10.0.0.1:80","state":)" + odd + "}");
+        }
+        store.put(wire::runnerKind, R"(\ud800)", test::runnerSpec("in_service"));
+        store.put(wire::runnerKind, std::string(100'000, 'n'), test::runnerSpec("in_service"));
+        store.put(wire::runnerKind, "i-1", test::runnerSpec("draining"));
+        CPPUNIT_ASSERT(waitUntil([&] { return pair.bothHave(1, true); }));
+        CPPUNIT_ASSERT(!pair.one->find("odd-0") && !pair.two->find("odd-0"));
+        CPPUNIT_ASSERT(!pair.one->hasLogged("changes_untold")
+                       && !pair.two->hasLogged("changes_untold"));
+    }
+
     void oddRepliesOfEnginesAreRefused()
     {
         const gateway::dialect engineDialect = platformDialect();
