--- a/tests/adapter/gateway_fleet.h
+++ b/tests/adapter/gateway_fleet.h
@@ -22,7 +22,7 @@
     /// @param views Addresses at which the first instances reach the store; the others call it
     ///              directly.
     /// @param retryExtra Retries beyond their share that all instances together may make.
-    /// @param sharesStoreUpdates Whether one of them follows the store for all.
+    /// @param sharesStoreUpdates Whether they relay the store's changes to each other.
     gateway_fleet(fake_store &store, int count, std::uint16_t firstPort,
                   std::vector<std::string> zones = {"a"}, std::vector<endpoint> views = {},
                   double retryExtra = 10, bool sharesStoreUpdates = false)
