Soak of real processes for answers that only their connection ends

Cause: the tests of such answers use scripted runners in one process. Nothing showed with real processes that a run that dies is no end.

Not part of ctest. child_process gets send() and hasEnded().

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build$(if $(SAN),-$(SAN),)
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test fuzz faults model demo format lint clean
+.PHONY: deps build test fuzz faults soak model demo format lint clean
 
 deps:
 	.ci/run deps
@@ -29,6 +29,14 @@
 faults: build
 	$(BUILD)/poplarspool-faults $(BUILD)
 
+# Load and faults on real processes: KIND of faults for SOAK_SECONDS, with SEED for the choices.
+KIND ?= mixed
+SEED ?= 1
+SOAK_SECONDS ?= 60
+soak: build
+	$(BUILD)/poplarspool-soak $(BUILD)/poplarspool --kind $(KIND) --seed $(SEED) \
+	    --seconds $(SOAK_SECONDS)
+
 # Model checking of the protocols; prints one line per search. See docs/MODEL.md.
 model:
 	scripts/model.sh
--- a/tests/faults/child_process.cpp
+++ b/tests/faults/child_process.cpp
@@ -83,6 +83,17 @@
     ::kill(pid, SIGTERM);
 }
 
+void child_process::send(int signal)
+{
+    ::kill(pid, signal);
+}
+
+bool child_process::hasEnded()
+{
+    reap(WNOHANG);
+    return exitStatus.has_value();
+}
+
 std::optional<int> child_process::waitForExit()
 {
     pollUntil([this] {
--- a/tests/faults/child_process.h
+++ b/tests/faults/child_process.h
@@ -24,9 +24,13 @@
     void freeze();
     void unfreeze();
     void terminate();
+    /// Sends a signal that does not end the process.
+    void send(int signal);
     /// @returns The exit status, or 128 plus the signal's number if a signal ended the process.
     ///          None if it is still running after the safety timeout.
     std::optional<int> waitForExit();
+    /// @returns Whether the process has ended; does not wait.
+    bool hasEnded();
     bool isRunning() const { return !exitStatus; }
 
 private:
