Tests: an idle kept connection ends no stand-in runner

A whole run of test_adapter beside load was ended by an assertion on a thread: a read that waits for 20 s. Crashing runners now read on connections that are kept after a report, which may be idle for longer. They wait for bytes first and leave such a connection alone. That this was the read that timed out is not shown: the run didn't name its test.

--- a/tests/adapter/crashing_runners.h
+++ b/tests/adapter/crashing_runners.h
@@ -75,6 +75,10 @@
     void serve(int fd)
     {
         while (!isCrashed) {
+            // A kept connection may stay idle for longer than any wait of a test.
+            if (waitForSocket(fd, POLLIN, poplarspool::test::testDeadline(), -1)
+                != socket_fault::None)
+                return;
             std::string request = poplarspool::test::readUntil(fd, "\r\n\r\n");
             if (request.starts_with("GET /api/report ")) {
                 send(fd, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
