--- a/review/standin-2/signal_at_start.cpp
+++ b/review/standin-2/signal_at_start.cpp
@@ -11,8 +11,8 @@
 
 constexpr int machineCount = 3;
 constexpr int rounds = 5;
-/// From the start of a process to the signal.
-constexpr double signalAfterSeconds = 0.003;
+/// From the start of the program to the signal.
+constexpr double signalAfterSeconds = 0.002;
 /// Time after which the platform starts a process again that has ended.
 constexpr double restartSeconds = 0.3;
 /// RULES.md, Fault: three times on a tenth of the machines, two at least.
@@ -49,6 +49,7 @@
         one.start();
         record::line("%s is started", one.name.c_str());
         if (run.hasTrouble) {
+            one.waitForProgram();
             sleepFor(signalAfterSeconds);
             for (const auto &each : machines)
                 each->signal(SIGHUP);
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -651,6 +651,19 @@
         return false;
     }
 
+    /// Waits until the process runs the program: before, it is still a copy of the case.
+    void waitForProgram() const
+    {
+        const std::string link = "/proc/" + std::to_string(process) + "/exe";
+        for (const double end = now() + 1; now() < end; std::this_thread::yield()) {
+            char target[4096];
+            const ssize_t size = readlink(link.c_str(), target, sizeof target);
+            if (size > 0
+                && std::string(target, static_cast<std::size_t>(size)).ends_with("/poplarspool"))
+                return;
+        }
+    }
+
     void signal(int number) const { kill(process, number); }
 
     /// @returns The status of waitpid(); none if it still runs after `seconds`.
