--- a/review/standin-2/lost_answer.cpp
+++ b/review/standin-2/lost_answer.cpp
@@ -2,10 +2,10 @@
 
 #include <optional>
 
-/// Four model runners serve a streaming route that may be resumed. Two of them lose answers for some
-/// seconds: the channel is closed after a few events, and the run goes on to its end. The gateway is
-/// in touch and reaches all runners. No request may go on at another runner while the one before
-/// still works on it 400 ms later.
+/// Four model runners serve a streaming route that may be resumed. Two of them lose answers for
+/// some seconds: the channel is closed after a few events, and the run goes on to its end. The
+/// gateway is in touch and reaches all runners. No request may go on at another runner while the
+/// one before still works on it 400 ms later.
 
 using namespace standin;
 
--- a/review/standin-2/signal_at_start.cpp
+++ b/review/standin-2/signal_at_start.cpp
@@ -26,11 +26,12 @@
     case_run run(count, arguments);
     store platform;
     const std::string net = freeNet(machineCount);
+    const address storeAt = platform.addAccess("platform");
     std::vector<std::unique_ptr<gateway>> machines;
     for (int i = 0; i < machineCount; ++i) {
         const std::string name = "gateway-" + std::to_string(i);
-        machines.push_back(std::make_unique<gateway>(name, net + std::to_string(10 + i),
-                                                     platform.addAccess(name), run.folder));
+        machines.push_back(
+                std::make_unique<gateway>(name, net + std::to_string(10 + i), storeAt, run.folder));
     }
     platform.put("config", "main", manifestOf(3, json::array(), {}));
     for (const auto &one : machines)
--- a/review/standin-2/stale_beat.cpp
+++ b/review/standin-2/stale_beat.cpp
@@ -141,23 +141,24 @@
     case_run run(count, arguments);
     store platform;
     const std::string net = freeNet(gatewayCount);
-    platform.put("config", "main",
-                 manifestOf(3,
-                            json::array({routeOf("booking", "non_idempotent", "desk", timeLimitMs,
-                                                 1)}),
-                            {"desk"}));
+    platform.put(
+            "config", "main",
+            manifestOf(3,
+                       json::array({routeOf("booking", "non_idempotent", "desk", timeLimitMs, 1)}),
+                       {"desk"}));
     std::vector<std::unique_ptr<runner>> runners;
     for (int i = 0; i < runnerCount; ++i) {
         runners.push_back(std::make_unique<runner>(platform, "desk", serve));
         runners.back()->enter();
     }
     leavingRunner = runners[0]->id;
+    const address storeAt = platform.addAccess("platform");
     std::vector<std::unique_ptr<gateway>> gateways;
     std::vector<std::string> hosts;
     for (int i = 0; i < gatewayCount; ++i) {
         const std::string name = "gateway-" + std::to_string(i);
-        gateways.push_back(std::make_unique<gateway>(name, net + std::to_string(10 + i),
-                                                     platform.addAccess(name), run.folder));
+        gateways.push_back(
+                std::make_unique<gateway>(name, net + std::to_string(10 + i), storeAt, run.folder));
         gateways.back()->start();
         hosts.push_back(gateways.back()->host);
     }
@@ -199,7 +200,8 @@
     if (answers[200] == 0)
         run.finish(2, "no request was answered");
     run.finish(late > 0 ? 1 : 0,
-               std::to_string(late) + " requests reached the runner over 2,000 ms after the ack of "
-                                      "its leaving; lost with it: "
+               std::to_string(late)
+                       + " requests reached the runner over 2,000 ms after the ack of "
+                         "its leaving; lost with it: "
                        + std::to_string(lost));
 }
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -332,6 +333,13 @@
         std::thread([this] { acceptAll(); }).detach();
     }
 
+    /// Connections are refused from now on.
+    void stop()
+    {
+        shutdown(fd, SHUT_RDWR);
+        ::close(fd);
+    }
+
     address at;
 
 private:
@@ -352,8 +360,8 @@
     int fd = -1;
 };
 
-/// The platform's metadata store, as PROTOCOL.md describes it. Each gateway has an address of its
-/// own to it, so that a case can treat their calls differently.
+/// The platform's metadata store, as PROTOCOL.md describes it. Gateways of one deployment must have
+/// the same address: they take only each other's datagrams then.
 class store
 {
 public:
@@ -497,8 +505,7 @@
         if (found == kinds[kind].end())
             return {404, json::object()};
         const json &known = found->second;
-        if (metadata.contains("revision")
-            && metadata["revision"] != known["metadata"]["revision"])
+        if (metadata.contains("revision") && metadata["revision"] != known["metadata"]["revision"])
             return {409, known};
         if (known["spec"] != body.at("spec"))
             putLocked(kind, object, body.at("spec"));
@@ -522,11 +529,21 @@
     using request_handler = std::function<bool(runner &, const message &, connection &)>;
 
     runner(store &platform, const std::string &service, request_handler handler,
-           const std::string &host = "127.0.0.1", int port = 0)
-        : id("i-" + randomHex().substr(0, 10)), service(service), platform(platform),
-          handler(std::move(handler)), server(host, port, [this](connection &c) { serve(c); })
+           const std::string &id = "", int port = 0)
+        : id(id.empty() ? "i-" + randomHex().substr(0, 10) : id), service(service),
+          platform(platform), handler(std::move(handler)),
+          server("127.0.0.1", port, [this](connection &c) { serve(c); })
     { }
 
+    /// The process ends: new connections are refused, and the handler has to reset the others.
+    void crash()
+    {
+        isDead = true;
+        server.stop();
+    }
+
+    int port() const { return server.at.port; }
+
     void enter(const std::string &state = "in_service")
     {
         platform.put("servers", id, entryOf(state, ++beats));
@@ -534,8 +551,9 @@
 
     json entryOf(const std::string &state, std::uint64_t seq) const
     {
-        return {{"service", service}, {"address", server.at.text()}, {"zone", "zone-a"},
-                {"version", "1"},     {"slots", 16},                 {"state", state},
+        return {{"service", service}, {"address", server.at.text()},
+                {"zone", "zone-a"},   {"version", "1"},
+                {"slots", 16},        {"state", state},
                 {"coldLeftMs", 0},    {"seq", seq}};
     }
 
@@ -551,6 +569,7 @@
     std::mutex guard;
     std::set<std::string> working;
 
+    std::atomic<bool> isDead{false};
     const std::string id;
     const std::string service;
 
@@ -561,6 +580,8 @@
             message request;
             if (!readMessage(from, request, 3600))
                 return;
+            if (isDead)
+                return from.reset();
             const std::string expected = request.header("x-expect-instance");
             header_list headers = baseHeaders(request);
             if (!expected.empty() && expected != id) {
@@ -583,9 +604,15 @@
         json runs = json::array();
         for (const std::string &one : working)
             runs.push_back({one, 100, 1, 5});
-        return {{"models", json::array()}, {"busy", false},     {"seq", 0},
-                {"queued", 0},             {"running", working.size()}, {"kvUsed", 0},
-                {"kvTotal", 800000},       {"kvHandles", 0},    {"runs", runs}};
+        return {{"models", json::array()},
+                {"busy", false},
+                {"seq", 0},
+                {"queued", 0},
+                {"running", working.size()},
+                {"kvUsed", 0},
+                {"kvTotal", 800000},
+                {"kvHandles", 0},
+                {"runs", runs}};
     }
 
     store &platform;
@@ -608,8 +635,8 @@
                             << "[caller]\naddress = \"" << host << ":8149\"\n"
                             << "[readiness]\naddress = \"" << host << ":8141\"\n"
                             << "[directory]\naddress = \"" << host << ":8143\"\nkeep_seconds = 2\n"
-                            << "[peer]\naddress = \"" << host << ":7380\"\nload_address = \"" << host
-                            << ":7395\"\nshare_store_news = true\n"
+                            << "[peer]\naddress = \"" << host << ":7380\"\nload_address = \""
+                            << host << ":7395\"\nshare_store_news = true\n"
                             << "[metrics]\naddress = \"" << host << ":9464\"\n"
                             << "[store]\naddress = \"" << storeAt.text()
                             << "\"\nsettle_ms = 3000\nrunners_ms = 2000\nroutes_ms = 2000\n"
@@ -728,8 +755,8 @@
 {
     for (int attempt = 0; attempt < 200; ++attempt) {
         const int draw = static_cast<int>(std::random_device{}() % 60000);
-        const std::string net = "127." + std::to_string(10 + draw / 250) + "."
-                + std::to_string(draw % 250) + ".";
+        const std::string net =
+                "127." + std::to_string(10 + draw / 250) + "." + std::to_string(draw % 250) + ".";
         bool isFree = true;
         for (int host = 0; host < hosts && isFree; ++host) {
             for (const int port : {8149, 8141, 8143, 9464, 7380, 7395})
@@ -811,9 +838,9 @@
 inline json routeOf(const std::string &name, const std::string &kind, const std::string &service,
                     int timeoutMs, int attempts, bool isResumable = false)
 {
-    json route{{"name", name},       {"host", "ficu95.example"},  {"pathPrefix", "/" + name + "/"},
-               {"kind", kind},       {"service", service},        {"timeoutMs", timeoutMs},
-               {"priority", 1},      {"targetLatencyMs", 500},    {"attempts", attempts}};
+    json route{{"name", name},  {"host", "ficu95.example"}, {"pathPrefix", "/" + name + "/"},
+               {"kind", kind},  {"service", service},       {"timeoutMs", timeoutMs},
+               {"priority", 1}, {"targetLatencyMs", 500},   {"attempts", attempts}};
     if (isResumable) {
         route["resumable"] = true;
         route["targetGapMs"] = 400;
