--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <exception>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
@@ -784,6 +785,12 @@
         signal(SIGPIPE, SIG_IGN);
         for (const int number : {SIGTERM, SIGINT, SIGHUP})
             signal(number, onSignal);
+        // A case that can't run, for example without a free address, must not end with another
+        // status.
+        std::set_terminate([] {
+            gateway::killAll();
+            std::_Exit(2);
+        });
         char pattern[] = "/tmp/review-case-XXXXXX";
         folder = mkdtemp(pattern);
         startOfRun();
