A late write of a runner's entry undoes nothing that came after it

Cause: a write without an answer may be executed seconds later. Entries were taken as they came; their numbers (seq, born) were compared only after a rollback of the store. A removal forgot the runner, so that a late write created it anew.

New incarnations and runners that lapsed in an outage are used at once; a removed runner that comes back as the same incarnation within 10 s waits for its next write, or for 10 s. Instances mark such entries for those that start, at once. New line runner_entry_outdated; runner_gone names why, born and writes.

--- a/include/poplarspool/gateway/catalogue_updater.h
+++ b/include/poplarspool/gateway/catalogue_updater.h
@@ -3,7 +3,7 @@
 #include "poplarspool/base/journal.h"
 #include "poplarspool/base/result.h"
 #include "poplarspool/gateway/catalogue.h"
-#include "poplarspool/gateway/rollback_filter.h"
+#include "poplarspool/gateway/entry_filter.h"
 
 #include <functional>
 #include <optional>
@@ -81,16 +81,16 @@
     /// taken to be from that snapshot.
     /// @param lastSeenAt When the store was last known not to have been rolled back.
     void recordStoreRollback(mono_time lastSeenAt);
-    /// @returns Markers of the last store rollback, for instances that start now.
+    /// @returns Markers of outdated entries, for instances that start now.
     const std::vector<outdated_entry_marker> &outdatedMarkers() const
     {
-        return rollbackFilter.markers();
+        return entryFilter.markers();
     }
     /// Stops using runners whose entries other instances have marked as outdated. Has no effect if
     /// this instance has observed a store rollback itself.
     void applyOutdatedMarkers(const std::vector<outdated_entry_marker> &received);
-    /// Removes runners whose grace period is over, and accepts entries of an older snapshot that
-    /// are still listed after a timeout. To be called after each answer of the store.
+    /// Removes runners whose grace period is over, and accepts entries that looked outdated and are
+    /// still listed after a timeout. To be called after each answer of the store.
     void applyTimeouts();
 
 private:
@@ -100,9 +100,15 @@
     void updateRunners(const std::function<void(runner_set &)> &change);
     /// @returns The entry, with isDraining if the runner has said that it leaves.
     runner withOwnWord(runner entry) const;
-    void putRunner(runner_set &runners, const runner &written);
+    /// Uses the entry, unless it is outdated.
+    /// @returns Whether the runners have changed.
+    bool putRunner(runner_set &runners, const runner &written);
+    bool useEntry(runner_set &runners, const runner &written);
     void handleRemoval(runner_set &runners, const runner_id &id);
-    void removeRunner(runner_set &runners, const runner_id &id);
+    /// @param state Expired or Removed.
+    void removeRunner(runner_set &runners, const runner_id &id, entry_state state);
+    void logEntry(const runner_set &runners, const runner_id &id) const;
+    void logOutdated(const runner_set &runners, const runner &written) const;
 
     catalogue_publisher &publisher;
     const milliseconds settleTime;
@@ -115,7 +121,7 @@
     mono_time recoveredAt{}; ///< When the store last recovered.
     mono_time graceEndsAt{}; ///< End of the grace period that began at `recoveredAt`.
     std::set<runner_id> missing; ///< No longer listed, but in their grace period.
-    rollback_filter rollbackFilter;
+    entry_filter entryFilter;
     bool isSnapshotNext = false; ///< The next list is from an older snapshot.
     bool hasSeenRollback = false; ///< This instance has observed a rollback itself.
 };
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -361,9 +361,12 @@
 /// Maximum age of a snapshot from which the store is expected to be restored; departures are
 /// remembered for as long. Snapshots are some seconds old.
 inline constexpr std::chrono::milliseconds maxSnapshotAge = 60s;
-/// Time after which an entry restored by a rollback is trusted if it still exists: entries of
-/// ended runners expire after three of their heartbeats of 1.2 s each.
-inline constexpr std::chrono::milliseconds rollbackEntryConfirmTime = 10s;
+/// Time after which an entry that looks outdated is trusted if it still exists: entries of ended
+/// runners expire after three of their heartbeats of 1.2 s each.
+inline constexpr std::chrono::milliseconds outdatedEntryConfirmTime = 10s;
+/// Time after the removal of an entry in which a write of it may still be executed: writes without
+/// an answer are executed seconds later.
+inline constexpr std::chrono::milliseconds maxLateWriteTime = 10s;
 /// Outdated entries that an instance lists for starting instances: some kilobytes in the store.
 inline constexpr std::size_t maxOutdatedMarkers = 64;
 /// Time after the store's recovery in which entries that expired during the outage are found
--- a/include/poplarspool/gateway/listed_gateway.h
+++ b/include/poplarspool/gateway/listed_gateway.h
@@ -2,7 +2,7 @@
 
 #include "poplarspool/base/endpoint.h"
 #include "poplarspool/base/ids.h"
-#include "poplarspool/gateway/rollback_filter.h"
+#include "poplarspool/gateway/entry_filter.h"
 
 #include <vector>
 
@@ -16,7 +16,7 @@
     endpoint loadAddress; ///< Load updates.
     zone_id zone;
     endpoint updateAddress; ///< Store updates; invalid if the instance receives none.
-    /// Runners that it knew to have left at the time of a store rollback.
+    /// Runners that it knew to have left when the store listed them as in service.
     std::vector<outdated_entry_marker> outdated;
 
     bool operator==(const listed_gateway &) const = default;
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -107,8 +107,10 @@
     if (failingSince == mono_time{})
         return;
     const mono_time now = clock.mono();
-    if (now - failingSince >= config::storeOutageThreshold)
+    if (now - failingSince >= config::storeOutageThreshold) {
         startGracePeriod(lastFailureSentAt);
+        entryFilter.restartTimeouts(now);
+    }
     failingSince = {};
 }
 
@@ -141,15 +143,10 @@
 {
     if (hasSeenRollback || received.empty())
         return;
-    rollbackFilter.addMarkers(received, clock.mono());
     updateRunners([&](runner_set &runners) {
-        for (const outdated_entry_marker &marker : received) {
-            const runner_entry known = runners.find(marker.id);
-            if (!known || !rollbackFilter.isOutdated(*known))
-                continue;
-            events.emit("runner_doubted",
-                        {{"runner", marker.id.text}, {"writes", std::to_string(marker.writes)}});
-            runners.erase(marker.id);
+        for (const runner_id &id : entryFilter.addMarkers(runners, received, clock.mono())) {
+            events.emit("runner_doubted", {{"runner", id.text}});
+            runners.erase(id);
         }
     });
 }
@@ -170,12 +167,12 @@
 void catalogue_updater::handleRemoval(runner_set &runners, const runner_id &id)
 {
     const runner_entry known = runners.find(id);
-    rollbackFilter.forget(id);
+    entryFilter.forget(id);
     if (!known || missing.contains(id))
         return;
     // A draining runner was leaving anyway and has no reason to come back.
     if (!isInGracePeriod() || known->isDraining)
-        return removeRunner(runners, id);
+        return removeRunner(runners, id, entry_state::Removed);
     runner kept = *known;
     kept.retainedUntil = graceEndsAt;
     runners.put(std::make_shared<const runner>(std::move(kept)));
@@ -184,13 +181,18 @@
                 {{"runner", id.text}, {"kept_ms", millisecondsText(graceEndsAt - clock.mono())}});
 }
 
-void catalogue_updater::removeRunner(runner_set &runners, const runner_id &id)
+void catalogue_updater::removeRunner(runner_set &runners, const runner_id &id, entry_state state)
 {
     const runner_entry known = runners.find(id);
     if (!known)
         return;
-    events.emit("runner_gone", {{"runner", id.text}, {"address", textOf(known->address)}});
-    rollbackFilter.recordRemoval(*known, clock.mono());
+    events.emit("runner_gone",
+                {{"runner", id.text},
+                 {"address", textOf(known->address)},
+                 {"why", std::string(nameOf(state))},
+                 {"born", std::to_string(known->startedAtMs)},
+                 {"writes", std::to_string(known->writes)}});
+    entryFilter.recordRemoval(*known, state, clock.mono());
     runners.erase(id);
 }
 
@@ -216,18 +218,16 @@
 void catalogue_updater::setRunners(const std::vector<runner> &listed)
 {
     updateRunners([&](runner_set &runners) {
-        if (std::exchange(isSnapshotNext, false))
-            rollbackFilter.applySnapshot(runners, listed, clock.mono());
+        const bool isSnapshot = std::exchange(isSnapshotNext, false);
+        if (isSnapshot)
+            entryFilter.applySnapshot(runners, listed, clock.mono());
         std::set<runner_id> present;
         for (const runner &each : listed) {
             present.insert(each.id);
-            if (rollbackFilter.isOutdated(each))
-                continue;
-            missing.erase(each.id);
-            const runner entry = withOwnWord(each);
-            const runner_entry known = runners.find(entry.id);
-            if (!known || *known != entry)
-                runners.put(std::make_shared<const runner>(entry));
+            if (!isSnapshot)
+                putRunner(runners, each);
+            else if (entryFilter.acceptsFromSnapshot(each))
+                useEntry(runners, each);
         }
         std::vector<runner_id> absent;
         runners.forEach([&](const runner_entry &known) {
@@ -240,27 +240,55 @@
     publisher.update([](catalogue &next) { return !std::exchange(next.areRunnersKnown, true); });
     events.emit("runners_listed",
                 {{"count", std::to_string(listed.size())},
-                 {"outdated", std::to_string(rollbackFilter.countOutdated())}});
+                 {"outdated", std::to_string(entryFilter.countOutdated())}});
 }
 
-void catalogue_updater::putRunner(runner_set &runners, const runner &written)
+/// Tells a late write from one that is missing: the entry's own counts beside those known.
+void catalogue_updater::logOutdated(const runner_set &runners, const runner &written) const
 {
-    if (rollbackFilter.isOutdated(written))
-        return;
-    const runner entry = withOwnWord(written);
+    const auto latest = entryFilter.latestOf(runners, written.id);
+    const known_entry known = latest.value_or(known_entry{});
+    events.emit("runner_entry_outdated",
+                {{"runner", written.id.text},
+                 {"draining", written.isDraining ? "yes" : "no"},
+                 {"born", std::to_string(written.startedAtMs)},
+                 {"writes", std::to_string(written.writes)},
+                 {"known", std::string(nameOf(known.state))},
+                 {"known_born", std::to_string(known.startedAtMs)},
+                 {"known_writes", std::to_string(known.writes)}});
+}
+
+bool catalogue_updater::putRunner(runner_set &runners, const runner &written)
+{
+    if (entryFilter.accepts(runners, written, clock.mono()))
+        return useEntry(runners, written);
+    logOutdated(runners, written);
+    return false;
+}
+
+bool catalogue_updater::useEntry(runner_set &runners, const runner &written)
+{
+    const auto latest = entryFilter.latestOf(runners, written.id);
+    const runner entry = withOwnWord(latest ? withKnownCounts(written, *latest) : written);
     missing.erase(entry.id);
     const runner_entry known = runners.find(entry.id);
     if (known && *known == entry)
-        return;
+        return false;
     runners.put(std::make_shared<const runner>(entry));
+    return true;
+}
+
+void catalogue_updater::logEntry(const runner_set &runners, const runner_id &id) const
+{
+    const runner_entry entry = runners.find(id);
     events.emit("runner_entry",
-                {{"runner", entry.id.text},
-                 {"address", textOf(entry.address)},
-                 {"version", entry.version.text},
-                 {"stage", std::string(nameOf(entry.stage))},
-                 {"draining", entry.isDraining ? "yes" : "no"},
-                 {"born", std::to_string(entry.startedAtMs)},
-                 {"writes", std::to_string(entry.writes)}});
+                {{"runner", id.text},
+                 {"address", textOf(entry->address)},
+                 {"version", entry->version.text},
+                 {"stage", std::string(nameOf(entry->stage))},
+                 {"draining", entry->isDraining ? "yes" : "no"},
+                 {"born", std::to_string(entry->startedAtMs)},
+                 {"writes", std::to_string(entry->writes)}});
 }
 
 void catalogue_updater::applyChanges(const std::vector<runner_change> &changes)
@@ -269,21 +297,23 @@
         return;
     updateRunners([&](runner_set &runners) {
         for (const runner_change &change : changes) {
-            if (change.entry)
-                putRunner(runners, *change.entry);
-            else
+            if (!change.entry)
                 handleRemoval(runners, change.id);
+            else if (putRunner(runners, *change.entry))
+                logEntry(runners, change.id);
         }
     });
 }
 
 void catalogue_updater::applyTimeouts()
 {
-    const std::vector<runner> accepted = rollbackFilter.takeTimedOut(clock.mono());
+    const std::vector<runner> accepted = entryFilter.takeTimedOut(clock.mono());
     if (!accepted.empty()) {
         updateRunners([&](runner_set &runners) {
-            for (const runner &entry : accepted)
-                putRunner(runners, entry);
+            for (const runner &entry : accepted) {
+                if (useEntry(runners, entry))
+                    logEntry(runners, entry.id);
+            }
         });
     }
     if (missing.empty() || clock.mono() < graceEndsAt)
@@ -291,7 +321,7 @@
     const auto expired = std::exchange(missing, {});
     updateRunners([&](runner_set &runners) {
         for (const runner_id &id : expired)
-            removeRunner(runners, id);
+            removeRunner(runners, id, entry_state::Expired);
     });
 }
 
--- a/tests/adapter/follower_fixture.h
+++ b/tests/adapter/follower_fixture.h
@@ -4,6 +4,7 @@
 #include "platform/store_follower.h"
 #include "poplarspool/base/clock.h"
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -18,8 +19,8 @@
         : ownSettings(std::move(settings)), events({"test"}, clock, 64),
           client(ownSettings.storeAddress, metrics),
           catalogueUpdater(publisher, ownSettings.settleTime, clock, events),
-          follower(
-                  ownSettings, client, catalogueUpdater, [] {}, clock, metrics, events)
+          follower(ownSettings, client, catalogueUpdater, {[] {}, [this] { ++markerChanges; }},
+                   clock, metrics, events)
     { }
 
     ~follower_fixture()
@@ -49,6 +50,7 @@
 
     const gateway::gateway_settings ownSettings;
     metrics_registry metrics;
+    std::atomic<int> markerChanges{0};
     journal events;
     gateway::catalogue_publisher publisher{gateway::catalogue{}};
     store_client client;
--- a/tests/adapter/store_rollback_test.cpp
+++ b/tests/adapter/store_rollback_test.cpp
@@ -1,7 +1,5 @@
-#include "adapter/fake_store.h"
-#include "adapter/follower_fixture.h"
+#include "adapter/instance_objects.h"
 #include "platform/adapter.h"
-#include "platform/names.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,33 +8,17 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::completeSettings;
+using test::doesMarkOutdated;
 using test::fake_store;
 using test::follower_fixture;
+using test::isUsed;
+using test::listInstances;
+using test::putRunner;
 using test::runnerSpec;
+using test::settingsFor;
 using test::waitUntil;
 
-gateway::gateway_settings settingsFor(const fake_store &store)
-{
-    gateway::gateway_settings settings;
-    settings.instance.text = "edge-1";
-    settings.zone.text = "a";
-    settings.storeAddress = store.address();
-    return settings;
-}
-
-/// Settings of a complete instance, with free ports.
-gateway::gateway_settings completeSettings(const fake_store &store)
-{
-    const endpoint any{"127.0.0.1", 0};
-    gateway::gateway_settings settings = settingsFor(store);
-    for (endpoint *each :
-         {&settings.callerAddress, &settings.readinessAddress, &settings.directoryAddress,
-          &settings.peerAddress, &settings.loadAddress, &settings.metricsAddress})
-        *each = any;
-    settings.leaveSeconds = 1;
-    return settings;
-}
-
 /// A clock that stands still, so that nothing times out early on a loaded machine.
 clock_source frozenClock()
 {
@@ -45,12 +27,6 @@
     return clock;
 }
 
-bool isUsed(const follower_fixture &one, const std::string &runner)
-{
-    const auto entry = one.find(runner);
-    return entry && !entry->isDraining;
-}
-
 /// @returns The number of rollbacks that were detected in the list of runners and listed again.
 std::size_t rollbackCount(const follower_fixture &one)
 {
@@ -62,36 +38,6 @@
     return std::min<std::size_t>(std::ranges::count_if(rollbacks, isRunnerList), listed - 1);
 }
 
-std::vector<gateway::listed_gateway> listInstances(follower_fixture &one)
-{
-    const auto listed = one.client.list(wire::instanceKind, read_mode::Current);
-    CPPUNIT_ASSERT(succeeded(listed));
-    refused_objects refused(wire::instanceKind, one.events);
-    return decodeAll(valueOf(listed).objects, decodeInstance, refused);
-}
-
-/// @returns Whether the object of an instance marks the entry of a runner as outdated.
-bool doesMarkOutdated(const fake_store &store, const std::string &instance,
-                      const std::string &runner)
-{
-    gateway::gateway_settings reader = settingsFor(store);
-    reader.instance.text = "reader";
-    follower_fixture one(reader);
-    for (const gateway::listed_gateway &each : listInstances(one)) {
-        if (each.id.text == instance
-            && std::ranges::find(each.outdated, runner_id{runner},
-                                 &gateway::outdated_entry_marker::id)
-                    != each.outdated.end())
-            return true;
-    }
-    return false;
-}
-
-void putRunner(fake_store &store, const std::string &name, const std::string &state, int writes)
-{
-    store.put(wire::runnerKind, name, runnerSpec(state, writes));
-}
-
 } // namespace
 
 class store_rollback_test : public CppUnit::TestFixture
--- a/tests/fuzz/targets.cmake
+++ b/tests/fuzz/targets.cmake
@@ -13,7 +13,7 @@
     src/peer/load_update.cpp src/peer/member_record.cpp src/peer/messages.cpp
     src/peer/packed_address.cpp src/peer/store_update.cpp
     src/gateway/caller_key.cpp src/gateway/caller_limits.cpp src/gateway/catalogue.cpp src/gateway/catalogue_updater.cpp
-    src/gateway/rollback_filter.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
+    src/gateway/entry_age.cpp src/gateway/entry_filter.cpp src/gateway/envelope.cpp src/gateway/event_splitter.cpp
     src/gateway/gateway_settings.cpp src/gateway/route_index.cpp src/gateway/runner_call.cpp
     src/gateway/runner_set.cpp
     src/gateway/limit_message.cpp
--- a/tests/gateway/catalogue_updater_test.cpp
+++ b/tests/gateway/catalogue_updater_test.cpp
@@ -1,8 +1,8 @@
-#include "poplarspool/gateway/catalogue_updater.h"
+#include "updater_fixture.h"
+
 #include "poplarspool/gateway/limits.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <set>
 
 namespace poplarspool::gateway {
 
@@ -10,67 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr milliseconds settleTime = 3s;
-
-runner runnerOf(const std::string &id, bool isDraining = false)
-{
-    runner made;
-    made.id.text = id;
-    made.service.text = "s";
-    made.address = {"127.0.0.1", 80};
-    made.isDraining = isDraining;
-    return made;
-}
-
-runner writtenRunner(const std::string &id, std::uint64_t writes)
-{
-    runner made = runnerOf(id);
-    made.writes = writes;
-    return made;
-}
-
-struct fixture
-{
-    mono_time now{std::chrono::hours(1)};
-    clock_source clock{[this] { return now; }, [] { return wall_time{}; }};
-    journal events{{"test"}, clock, 16};
-    catalogue_publisher publisher{catalogue{}};
-    std::set<runner_id> leaving; ///< Runners that have said that they leave.
-    std::vector<std::uint64_t> published; ///< Versions of the tables that were reported.
-    catalogue_updater updater{
-            publisher,
-            settleTime,
-            clock,
-            events,
-            [this](const runner &target) { return leaving.contains(target.id); },
-            [this](const route_table &table) { published.push_back(table.version); }};
-
-    /// Simulates an outage of the store.
-    /// @param noticedAfter Time from the last failed call to the first answer.
-    void simulateOutage(milliseconds time, milliseconds noticedAfter = 100ms)
-    {
-        updater.recordStoreFailure(now);
-        now += time - noticedAfter;
-        updater.recordStoreFailure(now);
-        now += noticedAfter;
-        updater.recordStoreAnswer();
-    }
-
-    /// The runner says that it leaves.
-    void leave(const std::string &id)
-    {
-        leaving.insert({id});
-        updater.applyLeaving({id});
-    }
-
-    /// @returns Whether requests may be sent to the runner.
-    bool isUsed(const std::string &id) const
-    {
-        const auto known = publisher.current();
-        const runner_entry found = known->runners->find({id});
-        return found && !found->isDraining && found->retainedUntil > now;
-    }
-};
+using test::runnerOf;
+using test::settleTime;
+using test::writtenRunner;
+using fixture = test::updater_fixture;
 
 } // namespace
 
@@ -216,7 +159,7 @@
         test.updater.setRunners({runnerOf("a"), runnerOf("b")});
         CPPUNIT_ASSERT(!test.isUsed("a") && !test.isUsed("b"));
         test.updater.applyChanges({{{"b"}, std::nullopt}});
-        test.now += config::rollbackEntryConfirmTime;
+        test.now += config::outdatedEntryConfirmTime;
         test.updater.applyTimeouts();
         CPPUNIT_ASSERT(test.isUsed("a") && !test.isUsed("b"));
     }
@@ -337,7 +280,7 @@
         CPPUNIT_ASSERT(test.isUsed("a") && !test.isUsed("b") && !test.isUsed("c"));
         test.updater.applyChanges({{{"b"}, writtenRunner("b", 6)}});
         CPPUNIT_ASSERT(test.isUsed("b"));
-        test.now += config::rollbackEntryConfirmTime;
+        test.now += config::outdatedEntryConfirmTime;
         test.updater.applyTimeouts();
         CPPUNIT_ASSERT(test.isUsed("c"));
         test.updater.applyOutdatedMarkers(markers);
@@ -355,7 +298,7 @@
         test.updater.setRunners({writtenRunner("a", 4), writtenRunner("b", 3)});
         CPPUNIT_ASSERT(test.updater.outdatedMarkers()
                        == (std::vector<outdated_entry_marker>{{{"b"}, 0, 3}}));
-        test.now += config::rollbackEntryConfirmTime;
+        test.now += config::outdatedEntryConfirmTime;
         test.updater.applyTimeouts();
         CPPUNIT_ASSERT(test.updater.outdatedMarkers().empty());
     }
