--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -350,6 +350,11 @@
 /// seconds old.
 inline constexpr std::chrono::milliseconds registrationSpreadTime = 1000ms;
 inline constexpr std::chrono::milliseconds missingInstanceGracePeriod = 10s;
+/// Maximum age of a stale list of instances.
+inline constexpr std::chrono::milliseconds maxListAge = 5s;
+/// Time in which a runner that has started writes its entry to a store that answers: two
+/// heartbeats, and one write that is lost.
+inline constexpr std::chrono::milliseconds entryWriteTime = 4s;
 /// Time without an answer from the store after which entries may have expired during an outage, and
 /// the grace period in which the entries of running runners return: about two seconds according to
 /// the platform's documentation.
--- a/tests/adapter/late_write_test.cpp
+++ b/tests/adapter/late_write_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(lateWriteOfARunnerDoesNotUndoDraining);
     CPPUNIT_TEST(staleListDoesNotUndoDraining);
     CPPUNIT_TEST(startedInstanceLearnsOfALateWrite);
+    CPPUNIT_TEST(lateWriteOfAnEarlierProcessIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +99,24 @@
         CPPUNIT_ASSERT(isMarked);
         CPPUNIT_ASSERT(isAvoided);
     }
+
+    /// Guards against an instance that the others look for at the address of its previous process,
+    /// whose write of its object is executed after the new one's.
+    void lateWriteOfAnEarlierProcessIsReplaced()
+    {
+        fake_store store;
+        platform_gateway instance(completeSettings(store));
+        CPPUNIT_ASSERT(succeeded(instance.start()));
+        const bool hasRegistered =
+                waitUntil([&] { return store.has(wire::instanceKind, "edge-1"); });
+        const auto before = store.writes.load();
+        store.put(wire::instanceKind, "edge-1",
+                  R"({"peer":"127.0.0.9:1","load":"127.0.0.9:2","zone":"a"})");
+        const bool isWrittenAgain = waitUntil([&] { return store.writes > before; });
+        instance.leave();
+        CPPUNIT_ASSERT(hasRegistered);
+        CPPUNIT_ASSERT(isWrittenAgain);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(late_write_test);
