Three digits above 599 are no status of an answer

What callers saw (by tests): an answer of status 600 or 999 was passed on as the runner's, its handle was used after a prefill, and the library's client took it for a reply.

Cause: the reader of heads had a lower bound for a status, 100, and no upper one.

Change: 100 to 599; anything else is malformed.

keepConnection() and useEngines() moved from cut_answer_test into the fixture.

--- a/src/base/http_text.cpp
+++ b/src/base/http_text.cpp
@@ -264,6 +264,8 @@
 {
     constexpr std::size_t versionBytes = std::string_view("HTTP/1.1").size();
     constexpr std::size_t statusDigits = 3;
+    constexpr std::uint64_t minStatus = 100;
+    constexpr std::uint64_t maxStatus = 599;
     const std::optional<std::string_view> line = takeLine(head);
     if (!line || line->size() < versionBytes + 1 + statusDigits)
         return std::nullopt;
@@ -271,7 +273,7 @@
     const auto status = parseNumber<10>(line->substr(versionBytes + 1, statusDigits));
     const std::string_view reason = line->substr(versionBytes + 1 + statusDigits);
     if ((version != "HTTP/1.1" && version != "HTTP/1.0") || (*line)[versionBytes] != ' ' || !status
-        || *status < 100 || (!reason.empty() && reason.front() != ' '))
+        || *status < minStatus || *status > maxStatus || (!reason.empty() && reason.front() != ' '))
         return std::nullopt;
     reply_head parsed;
     parsed.status = static_cast<int>(*status);
--- a/tests/base/http_pool_test.cpp
+++ b/tests/base/http_pool_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(sentRequestIsNotRepeated);
     CPPUNIT_TEST(replyCutInItsHeadIsBroken);
     CPPUNIT_TEST(resetWhileTheRequestIsSentIsNoEndOfAReply);
+    CPPUNIT_TEST(statusThatIsNoneIsBroken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -264,6 +265,13 @@
         CPPUNIT_ASSERT(!succeeded(pool.send(resetting.at, large, testTimeout)));
     }
 
+    /// Guards against a server in trouble whose reply, of status 000, is taken for one.
+    void statusThatIsNoneIsBroken()
+    {
+        for (const char *status : {"000", "001", "099", "600", "999"})
+            expectBroken("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok");
+    }
+
     // A reused connection breaks after the request was sent and before any reply. The library must
     // not send it again, because a non-idempotent request would run twice.
     void sentRequestIsNotRepeated()
--- a/tests/gateway/cut_answer_test.cpp
+++ b/tests/gateway/cut_answer_test.cpp
@@ -13,11 +13,13 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::keepConnection;
 using test::proxy_fixture;
 using test::script;
 using test::script_end;
 using test::script_piece;
 using test::scripted_runner;
+using test::useEngines;
 
 const std::string statusAndNames = "HTTP/1.1 200 OK\r\nId: q1\r\nSeal: x\r\n";
 
@@ -352,14 +354,6 @@
     }
 
 private:
-    /// Leaves an idle connection, on which the runner has answered, in the pool.
-    static void keepConnection(proxy_fixture &test)
-    {
-        const runner_entry target = test.publisher.current()->runners->find({"r0"});
-        CPPUNIT_ASSERT(succeeded(callRunner(test.connections.connector, test.names, *target,
-                                            test.names.reportRequest(), 5s)));
-    }
-
     /// Asks a runner that is killed at the end of what it has sent.
     static std::optional<http_reply> askKilledRunner(const std::string &path,
                                                      const std::string &answer)
@@ -372,24 +366,6 @@
         CPPUNIT_ASSERT(!looksWhole(test, reply));
         return reply;
     }
-
-    /// The first runner only prefills, the second one only decodes.
-    static void useEngines(proxy_fixture &test)
-    {
-        test.publisher.update([](catalogue &next) {
-            route_table table = *next.table;
-            table.services = {{{"s"}, engine_traits{8, 100000, 1, 1000}}};
-            next.table = std::make_shared<const route_table>(table);
-            runner prefiller = *next.runners->find({"r0"});
-            prefiller.stage = engine_stage::Prefill;
-            runner decoder = *next.runners->find({"r1"});
-            decoder.stage = engine_stage::Decode;
-            prefiller.slots = decoder.slots = 8;
-            putRunner(next, prefiller);
-            putRunner(next, decoder);
-            return true;
-        });
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cut_answer_test);
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -5,6 +5,7 @@
 #include "connector_fixture.h"
 #include "fixture.h"
 #include "gateway/request_proxy.h"
+#include "gateway/runner_control.h"
 #include "poplarspool/gateway/route_index.h"
 #include "scripted_runner.h"
 
@@ -213,6 +214,32 @@
     }
 };
 
+/// Leaves an idle connection, on which the runner has answered, in the pool.
+inline void keepConnection(proxy_fixture &test)
+{
+    const runner_entry target = test.publisher.current()->runners->find({"r0"});
+    CPPUNIT_ASSERT(succeeded(callRunner(test.connections.connector, test.names, *target,
+                                        test.names.reportRequest(), 5s)));
+}
+
+/// The first runner only prefills, the second one only decodes.
+inline void useEngines(proxy_fixture &test)
+{
+    test.publisher.update([](catalogue &next) {
+        route_table table = *next.table;
+        table.services = {{{"s"}, engine_traits{8, 100000, 1, 1000}}};
+        next.table = std::make_shared<const route_table>(table);
+        runner prefiller = *next.runners->find({"r0"});
+        prefiller.stage = engine_stage::Prefill;
+        runner decoder = *next.runners->find({"r1"});
+        decoder.stage = engine_stage::Decode;
+        prefiller.slots = decoder.slots = 8;
+        putRunner(next, prefiller);
+        putRunner(next, decoder);
+        return true;
+    });
+}
+
 inline std::string sealed(const std::string &status, const std::string &body,
                           const std::string &id = "q1")
 {
