No stream depends on the entry of a run that has ended

Cause: the version in a runner's entry was taken for that of its process, though the instances had seen that process end.

Plain requests go there as before. Without start times nothing changes.

--- a/src/crashes/quarantine_manager.cpp
+++ b/src/crashes/quarantine_manager.cpp
@@ -85,6 +85,16 @@
     });
 }
 
+std::optional<mono_time> quarantine_manager::endNoticedAt(const observed_runner &target)
+{
+    const std::uint64_t key = incarnationKeyOf(target);
+    if (table.endsKnown() == 0 || !table.hasEnded(key))
+        return std::nullopt;
+    const std::lock_guard lock(guard);
+    std::erase_if(endsNoticed, [this](const auto &one) { return !table.hasEnded(one.first); });
+    return endsNoticed.try_emplace(key, clock.mono()).first->second;
+}
+
 /// An incomplete response alone doesn't show that the runner has ended: connections are reset, and
 /// runners may abort responses. Refused connections do show it.
 void quarantine_manager::recordConnectionLost(const request_suspects &suspects,
--- a/src/crashes/quarantine_manager.h
+++ b/src/crashes/quarantine_manager.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -64,6 +65,9 @@
     /// @returns Whether a request whose runner has ended should not go on at another one, because
     ///          it may crash that as well.
     bool isRetryRisky(const request_suspects &suspects) const;
+    /// @returns When this function first found that this incarnation of the runner has ended, as
+    ///          this instance or another one has seen; none if it is not known to have.
+    std::optional<mono_time> endNoticedAt(const observed_runner &target);
     /// @returns What recordServed() needs from the time at which the request was sent.
     std::uint64_t endsKnown() const { return table.endsKnown(); }
     /// @returns What counts against the request or the part.
@@ -154,6 +158,7 @@
     /// Requests with ends observed by this instance itself, and parts that it has convicted.
     std::set<std::uint64_t> ownKeys;
     std::vector<peer::rumor> outgoing;
+    std::map<std::uint64_t, mono_time> endsNoticed; ///< By incarnation key.
     std::thread thread;
 
     // Only accessed by the thread.
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -279,6 +279,7 @@
                                                        {service, engine, metadata.prompt, tried,
                                                         affinityKeyOf(metadata.prompt), query.draw,
                                                         streamVersion});
+    removeRestarted(candidates);
     markLimited(candidates);
     markWithdrawn(candidates);
     applyShare(query);
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -203,6 +203,10 @@
     std::optional<version_key> soleVersion() const;
     bool isServed(version_key version) const;
     bool hasOtherVersionNow(const runner &target) const;
+    /// @returns Whether the runner's entry may be that of a process that has ended.
+    bool mayHaveRestarted(const runner &target) const;
+    /// Leaves out the runners whose version is unknown, if a stream depends on it.
+    void removeRestarted(std::vector<placement_candidate> &candidates) const;
     void recordOrigin(const runner &target);
 
     // prefill_handoff.cpp: an engine that only prefills the prompt.
--- a/src/gateway/stream_take_up.cpp
+++ b/src/gateway/stream_take_up.cpp
@@ -129,7 +129,28 @@
     if (!selectedRoute->isResumable)
         return false;
     const runner_entry listed = context.publisher.current()->runners->find(target.id);
-    return listed && listed->version != target.version;
+    return (listed && listed->version != target.version) || mayHaveRestarted(target);
+}
+
+/// A runner that ended and started again under its id can't write its entry while the store is
+/// down: until then, the entry names the version of a process that has ended. Once the store has
+/// answered for a while, an entry that is still there was not written by such a process. Without
+/// start times, no entry would ever end the doubt.
+bool request_proxy::mayHaveRestarted(const runner &target) const
+{
+    if (target.startedAtMs == 0)
+        return false;
+    const auto endedAt = context.quarantineManager.endNoticedAt(observedOf(target));
+    return endedAt
+            && context.publisher.current()->runnersConfirmedAt < *endedAt + config::entryWriteTime;
+}
+
+void request_proxy::removeRestarted(std::vector<placement_candidate> &candidates) const
+{
+    if (!selectedRoute->isResumable)
+        return;
+    std::erase_if(candidates,
+                  [this](const placement_candidate &one) { return mayHaveRestarted(*one.target); });
 }
 
 /// Called before the first event is passed on: once the caller has it, it may take the stream up at
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -47,6 +47,24 @@
     });
 }
 
+void setBorn(fixture &test, const std::string &id, std::uint64_t born)
+{
+    test.publisher.update([&](catalogue &next) {
+        runner changed = *next.runners->find({id});
+        changed.startedAtMs = born;
+        putRunner(next, changed);
+        return true;
+    });
+}
+
+/// The runner's host refuses a connection after another request has lost its own.
+void recordEnd(fixture &test, const std::string &id)
+{
+    const runner_entry target = test.publisher.current()->runners->find({id});
+    test.endedAddresses.insert(target->address);
+    test.quarantineManager.recordConnectionLost({1, {}}, observedOf(*target));
+}
+
 /// Ten thousand decode engines, of which two have the new version.
 catalogue largeFleet()
 {
@@ -67,6 +85,8 @@
     CPPUNIT_TEST(streamBreaksOffAtOnceIfItsVersionIsGone);
     CPPUNIT_TEST(streamThatHasNotBegunMayMoveToAnotherVersion);
     CPPUNIT_TEST(runnerThatHasRestartedInAnotherVersionWritesNothing);
+    CPPUNIT_TEST(streamDependsOnNoEntryOfAnEndedRun);
+    CPPUNIT_TEST(runThatEndsAsItsStreamBeginsWritesNothing);
     CPPUNIT_TEST(takeUpOfAnUnknownStreamIsNotSent);
     CPPUNIT_TEST(takeUpNeedsAViewThatIsFreshAndOldEnough);
     CPPUNIT_TEST(streamsOfRoutesThatCantBeResumedAreNotRecorded);
@@ -119,6 +139,37 @@
         CPPUNIT_ASSERT(test.caller.body.empty());
     }
 
+    /// Guards against a stream of two versions: while the store is down, the entry of a runner that
+    /// has ended and started again names the version before.
+    void streamDependsOnNoEntryOfAnEndedRun()
+    {
+        scripted_runner only({{test::sealed("200 OK", "a")}, {chunkedStream(eventText(1))}});
+        fixture test({&only});
+        setBorn(test, "r0", 5);
+        recordEnd(test, "r0");
+        CPPUNIT_ASSERT_EQUAL(503, test.sendRequest("/stream/1")->status);
+        CPPUNIT_ASSERT(only.requests().empty());
+        CPPUNIT_ASSERT_EQUAL(200, test.sendRequest("/again/1")->status);
+        test.publisher.update([&test](catalogue &next) {
+            next.runnersConfirmedAt = test.clock.mono() + config::entryWriteTime;
+            return true;
+        });
+        CPPUNIT_ASSERT(!test.sendRequest("/stream/1"));
+        CPPUNIT_ASSERT_EQUAL(eventText(1), test.caller.body);
+    }
+
+    /// Guards against the same where the end becomes known only after the request was sent.
+    void runThatEndsAsItsStreamBeginsWritesNothing()
+    {
+        std::function<void()> ends;
+        scripted_runner only({{streamHead + eventText(1), script_end::Stay}}, [&] { ends(); });
+        fixture test({&only});
+        setBorn(test, "r0", 5);
+        ends = [&test] { recordEnd(test, "r0"); };
+        CPPUNIT_ASSERT_EQUAL(502, test.sendRequest("/stream/1")->status);
+        CPPUNIT_ASSERT(test.caller.body.empty());
+    }
+
     void takeUpOfAnUnknownStreamIsNotSent()
     {
         scripted_runner first({{chunkedStream(eventText(5))}});
