A stream goes on elsewhere only once its run has ended

Cause: the end of a channel was taken for the end of the run.

Change: before a stream that has begun goes on, its runner's report is read; while it names the request among its runs, the stream waits, up to its time limit. A runner that can't be reached, has ended or names no runs isn't waited for.

--- a/include/poplarspool/gateway/dialect.h
+++ b/include/poplarspool/gateway/dialect.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +76,9 @@
     /// @returns The request for an engine's report.
     std::function<http_request()> reportRequest;
     std::function<std::optional<engine_report>(std::string_view body)> parseReport;
+    /// @returns The ids of the requests that an engine works on, from its report; none if it
+    ///          doesn't name them.
+    std::function<std::optional<std::set<std::string>>(std::string_view body)> parseRuns;
     std::function<http_request(const engine_order &order)> stageOrderRequest;
 };
 
--- a/include/poplarspool/gateway/limits.h
+++ b/include/poplarspool/gateway/limits.h
@@ -330,6 +330,8 @@
 /// Time-out of one call that asks a run whether it is still there. Runners answer such calls at
 /// once; a stream may pause for longer.
 inline constexpr std::chrono::milliseconds witnessCallTimeout = 200ms;
+/// Time between two questions whether a runner still works on a request whose answer is lost.
+inline constexpr std::chrono::milliseconds runEndInterval = 100ms;
 /// Time left below which a request waits for no witness.
 inline constexpr std::chrono::milliseconds minTimeToOpenWitness = 1s;
 /// Time after which an idle witness is asked again, or another one is tried: runners close idle
--- a/src/gateway/request_proxy.cpp
+++ b/src/gateway/request_proxy.cpp
@@ -164,6 +164,8 @@
         }
         if (!mayTryAgain(end))
             break;
+        if (end == try_end::Lost && hasBegun)
+            awaitEndOfRun(*place->serving);
     }
     return finish();
 }
--- a/src/gateway/request_proxy.h
+++ b/src/gateway/request_proxy.h
@@ -209,6 +209,11 @@
     void removeRestarted(std::vector<placement_candidate> &candidates) const;
     void recordOrigin(const runner &target);
 
+    // earlier_run.cpp: a run whose answer is lost.
+    /// Waits until the runner no longer works on the request, or can't be asked.
+    void awaitEndOfRun(const runner &target) const;
+    bool isWorkedOn(const runner &target) const;
+
     // prefill_handoff.cpp: an engine that only prefills the prompt.
     std::optional<std::string> runPrefill(const placement &place);
     std::optional<http_reply> sendPrefill(const placement &place, runner_table::open_send &record);
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -2,6 +2,7 @@
 
 #include "poplarspool/gateway/dialect.h"
 
+#include <set>
 #include <string>
 
 namespace poplarspool::gateway::test {
@@ -41,6 +42,11 @@
         request.path = "/state";
         return request;
     };
+    names.parseRuns = [](std::string_view body) -> std::optional<std::set<std::string>> {
+        if (!body.starts_with("runs "))
+            return std::nullopt;
+        return std::set<std::string>{std::string(body.substr(5))};
+    };
     names.freeHandleRequest = [](const std::string &handle) {
         http_request request;
         request.method = "DELETE";
--- a/tests/gateway/scripted_runner.h
+++ b/tests/gateway/scripted_runner.h
@@ -75,6 +75,8 @@
     }
     int connectionCount() const { return acceptedConnections; }
     int reportCount() const { return answeredReports; }
+    /// The first reports name request q1 as worked on.
+    void workOnFor(int reports) { reportsOfWork = reports; }
     /// @returns Whether a connection that stays open was closed by the other side.
     bool wasDisconnected() const { return isDisconnected; }
     /// Waits for the end of bytes without end.
@@ -106,8 +108,9 @@
         std::string request;
         while (isReport(request = poplarspool::test::readUntil(fd, "\r\n\r\n"))
                && !reportReply.empty()) {
-            ++answeredReports;
-            sendAll(fd, reportReply, poplarspool::test::testDeadline(), -1);
+            const bool worksOn = ++answeredReports <= reportsOfWork;
+            sendAll(fd, worksOn ? reportOfWork : reportReply, poplarspool::test::testDeadline(),
+                    -1);
         }
         const script *next = takeScript(request);
         if (next != nullptr)
@@ -171,6 +174,8 @@
         isEndlessOver = true;
     }
 
+    static constexpr const char *reportOfWork =
+            "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nruns q1";
     static constexpr std::size_t maxEndlessBytes = 16UL * 1024 * 1024;
 
     const std::vector<script> scripts;
@@ -183,6 +188,7 @@
     std::vector<std::string> receivedRequests;
     std::atomic<int> acceptedConnections{0};
     std::atomic<int> answeredReports{0};
+    std::atomic<int> reportsOfWork{0};
     std::atomic<bool> isDisconnected{false};
     std::atomic<bool> isEndlessOver{false};
     std::vector<std::thread> connections;
