SIGHUP is blocked before the libraries are initialized

Cause: the signals were blocked only once the settings had been read; until then SIGHUP has its default action.

Change: the dynamic loader blocks it before the initializers of all libraries. Commands that run no server unblock it.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "app/early_signals.h"
 #include "app/gateway_command.h"
 #include "app/serve.h"
 #include "operators/command_line.h"
@@ -33,12 +34,13 @@
     std::string_view name;
     std::string_view description;
     int (*run)(const std::vector<std::string> &, std::ostream &, std::ostream &);
+    bool isServer = false;
 };
 
 constexpr std::array subcommands{
-        subcommand{"serve", "Run one entry instance", app::serveCommand},
+        subcommand{"serve", "Run one entry instance", app::serveCommand, true},
         subcommand{"gateway", "Run one gateway instance that forwards requests to listed runners",
-                   app::gatewayCommand},
+                   app::gatewayCommand, true},
         subcommand{"check", "Validate settings, inventories and rules", operators::checkCommand},
         subcommand{"apply", "Apply an inventory and rules as the configuration",
                    operators::applyCommand},
@@ -76,6 +78,8 @@
         printUsage(std::cerr);
         return operators::exitInvalidInput;
     }
+    if (!match->isServer)
+        app::unblockReloadSignal();
     return match->run({arguments.begin() + 1, arguments.end()}, std::cout, std::cerr);
 }
 
