A carrier that stops ends no call of other instances in its middle

Cause: kept tunnels were used while their carrier was leaving; and a carrier reset its tunnels as soon as its own callers were served, though it had seconds left.

Change: a kept tunnel is used only while its carrier is alive; a carrier that stops waits for its tunnels until its own last answer would be due.

Evidence: leavingCarrierGetsNoRequestOnAKeptTunnel and leavingCarrierEndsNoCallInItsMiddle failed on the code before (the second one without the new wait) and pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -539,6 +539,9 @@
             + config::lateCallerTime;
     std::this_thread::sleep_for(std::min(keep, inner->leaveTime / 3));
     inner->callerServer.stop();
+    // Calls of other instances have as much time as this one's own.
+    const mono_time carriedUntil = inner->leftAt + inner->leaveTime - config::leaveMargin;
+    inner->tunnelServer.awaitEnds(socket_clock::now() + (carriedUntil - inner->clock.mono()));
     inner->stageManager.stop();
     if (inner->fleetScaler)
         inner->fleetScaler->stop();
--- a/src/gateway/runner_connector.cpp
+++ b/src/gateway/runner_connector.cpp
@@ -33,11 +33,28 @@
       tunnels(config::maxIdleRunnerConnections, config::runnerConnectTimeout, dependencies.metrics)
 { }
 
+/// An instance that leaves takes no new tunnels, and a request on one that it has kept would be cut
+/// as it ends.
+descriptor runner_connector::acquireIdleTunnel(const endpoint &target)
+{
+    const auto members = dependencies.members();
+    while (true) {
+        descriptor idle = tunnels.acquireIdle(target);
+        if (!idle.isOpen())
+            return idle;
+        const auto carrier = std::ranges::find(members, peer::remoteAddress(idle.get()),
+                                               &policy::member::peerAddress);
+        if (carrier != members.end() && carrier->state == policy::member_state::Alive)
+            return idle;
+    }
+}
+
 result<runner_connection> runner_connector::acquire(const runner &target, socket_deadline deadline,
                                                     int interruptFd)
 {
     const bool isDirect = !isBroken(target.id);
-    descriptor idle = (isDirect ? dependencies.direct : tunnels).acquireIdle(target.address);
+    descriptor idle = isDirect ? dependencies.direct.acquireIdle(target.address)
+                               : acquireIdleTunnel(target.address);
     if (idle.isOpen()) {
         const endpoint carrier = isDirect ? endpoint{} : peer::remoteAddress(idle.get());
         return runner_connection{std::move(idle), !isDirect, {}, carrier};
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -95,6 +95,7 @@
     void stop() { tunnels.stop(); }
 
 private:
+    descriptor acquireIdleTunnel(const endpoint &target);
     struct opened_tunnel
     {
         runner_connection connection;
--- a/src/gateway/tunnel_server.cpp
+++ b/src/gateway/tunnel_server.cpp
@@ -57,6 +57,12 @@
     return unit{};
 }
 
+void tunnel_server::awaitEnds(socket_deadline deadline)
+{
+    std::unique_lock lock(usersGuard);
+    usersChanged.wait_until(lock, deadline, [this] { return users.empty(); });
+}
+
 void tunnel_server::stop()
 {
     stopping.raise();
@@ -126,6 +132,7 @@
     lock.lock();
     users.erase(entry);
     lock.unlock();
+    usersChanged.notify_all();
     open.add(-1);
 }
 
--- a/src/gateway/tunnel_server.h
+++ b/src/gateway/tunnel_server.h
@@ -9,6 +9,7 @@
 #include "poplarspool/gateway/catalogue.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -41,6 +42,9 @@
     result<unit> start();
     /// Rejects new tunnels; those that exist go on.
     void announceShutdown() { isLeaving = true; }
+    /// Waits until all tunnels have ended.
+    /// @param deadline Tunnels that are left then may be reset.
+    void awaitEnds(socket_deadline deadline);
     /// Resets the tunnels that are left.
     void stop();
     /// @returns The numbers of the instances whose connections to the runner are carried now.
@@ -60,6 +64,7 @@
     gauge &open;
     std::atomic<bool> isLeaving{false};
     mutable std::mutex usersGuard;
+    std::condition_variable usersChanged;
     std::multimap<runner_id, std::uint64_t> users; ///< One entry for each tunnel.
     descriptor listener;
     pollable_flag stopping;
--- a/tests/gateway/tunnel_test.cpp
+++ b/tests/gateway/tunnel_test.cpp
@@ -99,6 +99,8 @@
     CPPUNIT_TEST(runnerThatRefusesAllBreaksNoLink);
     CPPUNIT_TEST(carrierThatIsCutOffCarriesNothing);
     CPPUNIT_TEST(leavingCarrierTakesNoTunnels);
+    CPPUNIT_TEST(leavingCarrierGetsNoRequestOnAKeptTunnel);
+    CPPUNIT_TEST(leavingCarrierEndsNoCallInItsMiddle);
     CPPUNIT_TEST(runnerThatWantsNoRequestsIsNotReached);
     CPPUNIT_TEST(unlistedRunnerIsNotReached);
     CPPUNIT_TEST(instanceWithAnotherKeyIsNotServed);
@@ -165,6 +167,37 @@
         CPPUNIT_ASSERT(!t.canConnect());
     }
 
+    /// Guards against a request that comes late in the shutdown of the carrier and is cut with it.
+    void leavingCarrierGetsNoRequestOnAKeptTunnel()
+    {
+        const scripted_runner reached({script{{}, script_end::Stay}});
+        fixture t(reached.address());
+        auto made = t.own.connector.connect(t.target, soon(), -1);
+        CPPUNIT_ASSERT(succeeded(made));
+        t.own.connector.release(t.target, std::move(valueOf(made)), 2s);
+        t.other.server->announceShutdown();
+        t.own.members.front().state = policy::member_state::Leaving;
+        CPPUNIT_ASSERT(!succeeded(t.own.connector.acquire(t.target, soon(), -1)));
+    }
+
+    /// Guards against calls that are cut as soon as their carrier has served its own callers.
+    void leavingCarrierEndsNoCallInItsMiddle()
+    {
+        const scripted_runner reached({script{"reply", script_end::Close, 300ms}});
+        fixture t(reached.address());
+        auto made = t.own.connector.connect(t.target, soon(), -1);
+        CPPUNIT_ASSERT(succeeded(made));
+        const int ours = valueOf(made).connection.get();
+        sendAll(ours, "GET / HTTP/1.1\r\n\r\n", soon(), -1);
+        t.other.server->announceShutdown();
+        t.other.server->awaitEnds(soon());
+        t.other.server->stop();
+        std::array<char, 16> bytes{};
+        const receive_result got = receiveSome(ours, bytes.data(), bytes.size(), soon(), -1);
+        CPPUNIT_ASSERT_EQUAL(std::string("reply"), std::string(bytes.data(), got.bytes));
+        CPPUNIT_ASSERT(receiveSome(ours, bytes.data(), bytes.size(), soon(), -1).isEnd);
+    }
+
     /// Guards against requests that a runner takes for those of the carrier that it has asked for
     /// rest.
     void runnerThatWantsNoRequestsIsNotReached()
