An entry that is readable again is used at once

Cause: an entry that can't be read counted as a removal, so that the next one waited for proof that it is no late write: 10 s, and longer where the store doesn't answer in between.

Change: changes and lists tell an unreadable entry from a removed one, also between instances (a third value of the field; instances of another build that don't know it ask the store). After it, an entry with no lower number is used at once.

--- a/include/poplarspool/gateway/catalogue_updater.h
+++ b/include/poplarspool/gateway/catalogue_updater.h
@@ -19,6 +19,7 @@
 {
     runner_id id;
     std::optional<runner> entry; ///< Empty if it was removed or can't be parsed.
+    bool isUnreadable = false; ///< It can't be parsed.
 
     bool operator==(const runner_change &) const = default;
 };
@@ -64,7 +65,8 @@
     // To be called from the thread that watches the runners.
 
     /// Replaces the complete list of runners.
-    void setRunners(const std::vector<runner> &listed);
+    /// @param unreadable Runners whose entries are listed and can't be parsed.
+    void setRunners(const std::vector<runner> &listed, const std::set<runner_id> &unreadable = {});
     /// Applies changes, oldest first, atomically: requests see all of them or none. Applying them
     /// again together with later changes gives the same list.
     void applyChanges(const std::vector<runner_change> &changes);
@@ -104,8 +106,9 @@
     /// @returns Whether the runners have changed.
     bool putRunner(runner_set &runners, const runner &written);
     bool useEntry(runner_set &runners, const runner &written);
-    void handleRemoval(runner_set &runners, const runner_id &id);
-    /// @param state Expired or Removed.
+    /// @param state Unreadable or Removed.
+    void handleRemoval(runner_set &runners, const runner_id &id, entry_state state);
+    /// @param state Expired, Unreadable or Removed.
     void removeRunner(runner_set &runners, const runner_id &id, entry_state state);
     void logEntry(const runner_set &runners, const runner_id &id) const;
     void logOutdated(const runner_set &runners, const runner &written) const;
--- a/include/poplarspool/gateway/entry_age.h
+++ b/include/poplarspool/gateway/entry_age.h
@@ -18,6 +18,7 @@
     Draining,
     Missing, ///< Not listed after an outage of the store; the runner may be alive.
     Expired, ///< The grace period of a missing entry has ended.
+    Unreadable, ///< The entry can't be parsed: another writer's. The runner may be alive.
     Removed, ///< The store has removed the entry.
 };
 
--- a/include/poplarspool/gateway/entry_filter.h
+++ b/include/poplarspool/gateway/entry_filter.h
@@ -31,7 +31,7 @@
 {
 public:
     /// Records that a runner is no longer used, although its entry was not replaced.
-    /// @param state Expired or Removed.
+    /// @param state Expired, Unreadable or Removed.
     void recordRemoval(const runner &entry, entry_state state, mono_time now);
     /// Compares all entries of the restored snapshot with the runners known before the rollback.
     void applySnapshot(const runner_set &known, const std::vector<runner> &snapshot, mono_time now);
--- a/src/gateway/catalogue_updater.cpp
+++ b/src/gateway/catalogue_updater.cpp
@@ -164,7 +164,7 @@
     });
 }
 
-void catalogue_updater::handleRemoval(runner_set &runners, const runner_id &id)
+void catalogue_updater::handleRemoval(runner_set &runners, const runner_id &id, entry_state state)
 {
     const runner_entry known = runners.find(id);
     entryFilter.forget(id);
@@ -172,7 +172,7 @@
         return;
     // A draining runner was leaving anyway and has no reason to come back.
     if (!isInGracePeriod() || known->isDraining)
-        return removeRunner(runners, id, entry_state::Removed);
+        return removeRunner(runners, id, state);
     runner kept = *known;
     kept.retainedUntil = graceEndsAt;
     runners.put(std::make_shared<const runner>(std::move(kept)));
@@ -215,7 +215,8 @@
     });
 }
 
-void catalogue_updater::setRunners(const std::vector<runner> &listed)
+void catalogue_updater::setRunners(const std::vector<runner> &listed,
+                                   const std::set<runner_id> &unreadable)
 {
     updateRunners([&](runner_set &runners) {
         const bool isSnapshot = std::exchange(isSnapshotNext, false);
@@ -235,7 +236,8 @@
                 absent.push_back(known->id);
         });
         for (const runner_id &id : absent)
-            handleRemoval(runners, id);
+            handleRemoval(runners, id,
+                          unreadable.contains(id) ? entry_state::Unreadable : entry_state::Removed);
     });
     publisher.update([](catalogue &next) { return !std::exchange(next.areRunnersKnown, true); });
     events.emit("runners_listed",
@@ -298,7 +300,8 @@
     updateRunners([&](runner_set &runners) {
         for (const runner_change &change : changes) {
             if (!change.entry)
-                handleRemoval(runners, change.id);
+                handleRemoval(runners, change.id,
+                              change.isUnreadable ? entry_state::Unreadable : entry_state::Removed);
             else if (putRunner(runners, *change.entry))
                 logEntry(runners, change.id);
         }
--- a/src/gateway/entry_age.cpp
+++ b/src/gateway/entry_age.cpp
@@ -11,7 +11,8 @@
 
 bool isGone(entry_state state)
 {
-    return state == entry_state::Expired || state == entry_state::Removed;
+    return state == entry_state::Expired || state == entry_state::Unreadable
+            || state == entry_state::Removed;
 }
 
 /// The sequence number may rise in the store without a change of the entry, so that the known one
@@ -34,6 +35,7 @@
     switch (known.state) {
     case entry_state::Serving:
     case entry_state::Missing:
+    case entry_state::Unreadable:
         return entry_age::Newer;
     case entry_state::Draining:
         return isSameWrite && !entry.isDraining ? entry_age::Older : entry_age::Newer;
@@ -58,6 +60,8 @@
         return "missing";
     case entry_state::Expired:
         return "expired";
+    case entry_state::Unreadable:
+        return "unreadable";
     case entry_state::Removed:
         break;
     }
--- a/src/gateway/relayed_changes.cpp
+++ b/src/gateway/relayed_changes.cpp
@@ -281,11 +281,25 @@
 
 } // namespace
 
+namespace {
+
+/// What a change says of an entry. The numbers are part of the format.
+enum class relayed_entry : std::uint32_t { Removed = 0, Listed = 1, Unreadable = 2 };
+
+relayed_entry relayedEntryOf(const runner_change &change)
+{
+    if (change.entry)
+        return relayed_entry::Listed;
+    return change.isUnreadable ? relayed_entry::Unreadable : relayed_entry::Removed;
+}
+
+} // namespace
+
 result<std::string> encode(const runner_change &change)
 {
     return peer::tryEncode([&](peer::encoder &out) {
         out.text(change.id.text, config::maxNameBytes);
-        out.small(change.entry.has_value());
+        out.small(static_cast<std::uint32_t>(relayedEntryOf(change)));
         if (change.entry)
             serializeRunner(out, *change.entry, textOf(change.entry->address));
     });
@@ -297,9 +311,12 @@
         peer::decoder in(text);
         runner_change change;
         in.text(change.id.text, config::maxNameBytes);
-        bool isListed = false;
-        in.small(isListed);
-        if (isListed) {
+        std::uint32_t kind = 0;
+        in.small(kind);
+        if (kind > static_cast<std::uint32_t>(relayed_entry::Unreadable))
+            return malformed("change of a runner");
+        change.isUnreadable = kind == static_cast<std::uint32_t>(relayed_entry::Unreadable);
+        if (kind == static_cast<std::uint32_t>(relayed_entry::Listed)) {
             runner entry;
             entry.id = change.id;
             std::string address;
--- a/tests/gateway/entry_age_test.cpp
+++ b/tests/gateway/entry_age_test.cpp
@@ -26,6 +26,7 @@
 constexpr auto missing = entry_state::Missing;
 constexpr auto expired = entry_state::Expired;
 constexpr auto removed = entry_state::Removed;
+constexpr auto unreadable = entry_state::Unreadable;
 
 runner entryOf(const age_case &one)
 {
@@ -96,6 +97,8 @@
                {"last write after the removal", {5, 9, removed}, 5, 9, false, older},
                {"later write after the removal", {5, 9, removed}, 5, 10, false, undecided},
                {"nothing counted", {5, 0, removed}, 5, 0, false, newer},
+               {"late write while unreadable", {5, 9, unreadable}, 5, 8, false, older},
+               {"readable again", {5, 9, unreadable}, 5, 9, false, newer},
                {"late write while missing", {5, 9, missing}, 5, 8, false, older},
                {"back while missing", {5, 9, missing}, 5, 9, false, newer},
                {"later write while missing", {5, 9, missing}, 5, 10, false, newer},
--- a/tests/gateway/late_entry_test.cpp
+++ b/tests/gateway/late_entry_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(runnersThatLapsedInAnOutageAreUsedAtOnce);
     CPPUNIT_TEST(incarnationWithoutBornIsUsedIfItsEntryStays);
     CPPUNIT_TEST(entryOfAnotherWriterIsUsed);
+    CPPUNIT_TEST(entryThatIsReadableAgainIsUsed);
     CPPUNIT_TEST(lateWriteIsMarkedForStartingInstances);
     CPPUNIT_TEST(marksOfLateWritesExpire);
     CPPUNIT_TEST_SUITE_END();
@@ -268,6 +269,25 @@
         }
     }
 
+    /// Guards against a runner that waits because another writer has spoilt its entry.
+    void entryThatIsReadableAgainIsUsed()
+    {
+        const auto spoilt =
+                decodeRunnerChange(valueOf(encode(runner_change{{"a"}, std::nullopt, true})));
+        for (const std::uint64_t writes : {9, 10}) {
+            updater_fixture test;
+            write(test, entryOf(9));
+            test.updater.applyChanges({valueOf(spoilt)});
+            CPPUNIT_ASSERT(!find(test));
+            write(test, entryOf(writes));
+            CPPUNIT_ASSERT(test.isUsed("a"));
+            test.updater.setRunners({}, {{"a"}});
+            CPPUNIT_ASSERT(!find(test));
+            test.updater.setRunners({entryOf(writes)});
+            CPPUNIT_ASSERT(test.isUsed("a"));
+        }
+    }
+
     /// Guards against an instance that starts while the store has the late write only.
     void lateWriteIsMarkedForStartingInstances()
     {
