Whether a run has ended is asked over a direct connection only

Cause: the question went through the connector, which for a runner that refuses asks other instances for a tunnel first: a cut stream would wait for that. A runner that this instance doesn't reach itself isn't waited for now.

--- a/src/gateway/earlier_run.cpp
+++ b/src/gateway/earlier_run.cpp
@@ -22,13 +22,13 @@
              {"waited_ms", millisecondsText(context.clock.mono() - lostAt)}});
 }
 
-/// A runner that can't be reached can't be waited for.
+/// A runner that this instance doesn't reach itself isn't waited for.
 bool request_proxy::isWorkedOn(const runner &target) const
 {
-    if (context.connections.links().isSilent(target.id)
+    if (context.connections.isBroken(target.id) || context.connections.links().isSilent(target.id)
         || context.quarantineManager.endNoticedAt(observedOf(target)))
         return false;
-    const auto report = callRunner(context.connections, context.names, target,
+    const auto report = callRunner(context.connections.direct(), context.names, target,
                                    context.names.reportRequest(), config::witnessCallTimeout);
     if (!succeeded(report))
         return false;
--- a/src/gateway/runner_connector.h
+++ b/src/gateway/runner_connector.h
@@ -90,6 +90,7 @@
     bool isBroken(const runner_id &target) const { return dependencies.links.isBroken(target); }
     link_table &links() { return dependencies.links; }
     unframed_services &unframed() { return unframedServices; }
+    connection_pool &direct() { return dependencies.direct; }
 
     /// Closes the idle tunnels. Tunnels released later are closed.
     void stop() { tunnels.stop(); }
